Lay out the workspace, the shared types and a thin core

Cause: nothing stood yet; the parts of the system need one vocabulary before they can be built side by side. Change: workspace and lints, names, times, resources, peer messages, table protocol, outcomes; the core's events, effects and views with a thin scheduler (least used seats, FIFO). Conclusion: reducers, edges and stand-ins can now be written against these types.

--- /dev/null
+++ b/crates/savorywood-core/src/lib.rs
@@ -0,0 +1,32 @@
+//! Pure reducers that make every decision of a daemon.
+//!
+//! Nothing here does I/O, reads a clock or starts a thread. [`DaemonCore::step`] takes one
+//! [`DaemonEvent`] and the time, and pushes [`DaemonEffect`]s that a shell executes. The same
+//! events in the same order always give the same effects.
+
+pub mod daemon;
+pub mod effect;
+pub mod event;
+pub mod intake;
+pub mod invariant;
+pub mod operator;
+pub mod order;
+pub mod request;
+pub mod scheduler;
+pub mod snapshot;
+pub mod view;
+
+pub use daemon::{CoreOptions, DaemonCore};
+pub use effect::{DaemonEffect, DispatchOrder, EffectQueue, LogField, LogLevel, LogLine};
+pub use event::{
+    AnswerReport, BreakCause, CacheEvent, CacheEventBatch, CallerEvent, DaemonEvent, DutyKind,
+    HostEntry, LoadReport, TableCall, TimerKey, UpstreamEvent,
+};
+pub use invariant::{InvariantBreach, InvariantName};
+pub use operator::{OperatorCall, OperatorReply, OperatorRequest};
+pub use order::{OrderAnswer, OrderCall, UpstreamOrder};
+pub use request::{
+    KeptAnswer, PromptShape, QueuedRequest, RequestArrival, ResumeArrival, TokenDigest,
+};
+pub use snapshot::ConfigSnapshot;
+pub use view::{ConfigView, MemberRecord, MemberView, VersionSplit};
--- /dev/null
+++ b/crates/savorywood-experiment/src/lib.rs
@@ -0,0 +1,1 @@
+//! Seeded experiments that compare scheduling policies over the real cores.
--- /dev/null
+++ b/crates/savorywood-experiment/src/main.rs
@@ -0,0 +1,3 @@
+//! The `savorywood-experiment` binary: a thin wrapper around the experiment library.
+
+fn main() {}
--- /dev/null
+++ b/crates/savorywood-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the table and object service and the host list.
--- /dev/null
+++ b/crates/savorywood-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Daemon settings and resource files, read from JSON with comments.
--- /dev/null
+++ b/crates/savorywood-testing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Helpers shared by tests: free ports, child processes and small HTTP calls.
