Check resources against each other

Cause: the shape of a document can't show dangling names, shared tokens or addresses, moves that can't be kept, or deletions of what is still named. Change: check_document and check_deletion, one file a kind.

--- a/crates/savorywood-protocol/src/resource/validate.rs
+++ b/crates/savorywood-protocol/src/resource/validate.rs
@@ -1,7 +1,19 @@
 //! Checks of a resource against the others: what the shape alone can't show.
+//!
+//! A check looks up the names that a resource gives and, where two resources may not share a
+//! value, walks the other resources of the same kind. Resources of other kinds cost nothing, so
+//! that a change of an upstream is as cheap with 24,000 teams as with five.
 
-use super::{ResourceDocument, ResourceKey};
-use crate::WallTime;
+mod deletion;
+mod lookup;
+mod service;
+mod team;
+mod traffic_move;
+mod upstream;
+
+use super::{ResourceDocument, ResourceKey, ResourceSpec, TierSpec, VersionSpec};
+use crate::{WallTime, name};
+use lookup::ResourceLookup;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -16,21 +28,90 @@
     pub remedy: String,
 }
 
+impl ResourceFault {
+    fn new(path: impl Into<String>, message: impl Into<String>, remedy: impl Into<String>) -> Self {
+        Self {
+            path: path.into(),
+            message: message.into(),
+            remedy: remedy.into(),
+        }
+    }
+}
+
 /// Resources that a document is checked against.
 pub type ResourceSet = BTreeMap<ResourceKey, ResourceDocument>;
 
-/// Faults of writing `document` into `others`; empty when it may be accepted.
+/// Faults of writing `document` into `others`; empty when it may be accepted. `others` may hold
+/// the document's previous form.
 #[must_use]
 pub fn check_document(
-    _document: &ResourceDocument,
-    _others: &ResourceSet,
-    _now: WallTime,
+    document: &ResourceDocument,
+    others: &ResourceSet,
+    now: WallTime,
 ) -> Vec<ResourceFault> {
-    Vec::new()
+    let lookup = ResourceLookup::new(document, others);
+    let mut faults = Vec::new();
+    if let Err(error) = name::check_name(&document.name) {
+        let remedy = "rename the resource";
+        faults.push(ResourceFault::new("name", error.to_string(), remedy));
+    }
+    match &document.spec {
+        ResourceSpec::Service(spec) => service::check(spec, &lookup, &mut faults),
+        ResourceSpec::Tier(spec) => check_tier(spec, &lookup, &mut faults),
+        ResourceSpec::Team(spec) => team::check(spec, &lookup, &mut faults),
+        ResourceSpec::Upstream(spec) => upstream::check(spec, &lookup, &mut faults),
+        ResourceSpec::Version(spec) => check_version(spec, &lookup, &mut faults),
+        ResourceSpec::Move(spec) => traffic_move::check(spec, &lookup, now, &mut faults),
+    }
+    faults
 }
 
 /// Faults of deleting the resource `key` from `others`, such as resources that still name it.
 #[must_use]
-pub fn check_deletion(_key: &ResourceKey, _others: &ResourceSet) -> Vec<ResourceFault> {
-    Vec::new()
+pub fn check_deletion(key: &ResourceKey, others: &ResourceSet) -> Vec<ResourceFault> {
+    deletion::check(key, others)
+}
+
+/// Two tiers of one rank would leave open which of them is shed first.
+fn check_tier(spec: &TierSpec, lookup: &ResourceLookup<'_>, faults: &mut Vec<ResourceFault>) {
+    let twin = lookup.tiers().find(|(_, other)| other.rank == spec.rank);
+    if let Some((name, _)) = twin {
+        let taken: Vec<_> = lookup.tiers().map(|(_, other)| other.rank.0).collect();
+        let free = (0..=u8::MAX).find(|rank| !taken.contains(rank));
+        faults.push(ResourceFault::new(
+            "spec.rank",
+            format!(
+                "tier `{name}` has rank {} too; each rank is allowed once",
+                spec.rank
+            ),
+            free.map_or_else(
+                || "delete a tier first".to_owned(),
+                |free| format!("choose a free rank such as {free}"),
+            ),
+        ));
+    }
+}
+
+fn check_version(spec: &VersionSpec, lookup: &ResourceLookup<'_>, faults: &mut Vec<ResourceFault>) {
+    lookup.check_service("spec.service", &spec.service, faults);
+    if spec.weights.as_deref() == Some("") {
+        faults.push(ResourceFault::new(
+            "spec.weights",
+            "the key of the weights is empty; a key of the weight store is allowed, or none",
+            "write the key, or leave the member out",
+        ));
+    }
+    // Whoever names a version relies on its service: an upstream would end up in a service that
+    // its version doesn't belong to, and get requests that it can't run.
+    let strangers = lookup.users_of_version_outside(&spec.service);
+    if !strangers.is_empty() {
+        faults.push(ResourceFault::new(
+            "spec.service",
+            format!(
+                "still named under its former service by {}",
+                lookup::listed(&strangers)
+            ),
+            "make a version of another name for the other service",
+        ));
+    }
 }
--- /dev/null
+++ b/crates/savorywood-protocol/src/resource/validate/lookup.rs
@@ -0,0 +1,213 @@
+//! Looking up resources by the names that others give.
+
+use super::{ResourceFault, ResourceSet};
+use crate::{
+    ServiceName, VersionName,
+    resource::{
+        ResourceDocument, ResourceKey, ResourceKind, ResourceSpec, TeamSpec, TierSpec,
+        TrafficMoveSpec, UpstreamSpec, VersionSpec,
+    },
+};
+use strum::IntoEnumIterator;
+
+/// Names listed in a message at most.
+const LISTED_NAMES: usize = 6;
+
+/// The other resources as one document sees them: itself left out.
+pub(super) struct ResourceLookup<'a> {
+    document: &'a ResourceDocument,
+    own_key: ResourceKey,
+    set: &'a ResourceSet,
+}
+
+impl<'a> ResourceLookup<'a> {
+    pub(super) fn new(document: &'a ResourceDocument, set: &'a ResourceSet) -> Self {
+        Self {
+            document,
+            own_key: document.key(),
+            set,
+        }
+    }
+
+    /// Name of the document that is checked.
+    pub(super) fn own_name(&self) -> &'a str {
+        &self.document.name
+    }
+
+    /// The document as it stands before the write.
+    pub(super) fn former(&self) -> Option<&'a ResourceDocument> {
+        self.set.get(&self.own_key)
+    }
+
+    fn others(&self, kind: ResourceKind) -> impl Iterator<Item = &'a ResourceDocument> {
+        let own_name = (self.own_key.kind == kind).then_some(self.own_key.name.as_str());
+        of_kind(self.set, kind).filter(move |document| Some(document.name.as_str()) != own_name)
+    }
+
+    pub(super) fn tiers(&self) -> impl Iterator<Item = (&'a str, &'a TierSpec)> {
+        let others = self.others(ResourceKind::Tier);
+        others.filter_map(|document| match &document.spec {
+            ResourceSpec::Tier(spec) => Some((document.name.as_str(), spec)),
+            _ => None,
+        })
+    }
+
+    pub(super) fn teams(&self) -> impl Iterator<Item = (&'a str, &'a TeamSpec)> {
+        let others = self.others(ResourceKind::Team);
+        others.filter_map(|document| match &document.spec {
+            ResourceSpec::Team(spec) => Some((document.name.as_str(), spec)),
+            _ => None,
+        })
+    }
+
+    pub(super) fn upstreams(&self) -> impl Iterator<Item = (&'a str, &'a UpstreamSpec)> {
+        let others = self.others(ResourceKind::Upstream);
+        others.filter_map(|document| match &document.spec {
+            ResourceSpec::Upstream(spec) => Some((document.name.as_str(), spec)),
+            _ => None,
+        })
+    }
+
+    pub(super) fn moves(
+        &self,
+    ) -> impl Iterator<Item = (&'a ResourceDocument, &'a TrafficMoveSpec)> {
+        let others = self.others(ResourceKind::Move);
+        others.filter_map(|document| match &document.spec {
+            ResourceSpec::Move(spec) => Some((document, spec)),
+            _ => None,
+        })
+    }
+
+    fn version(&self, name: &VersionName) -> Option<&'a VersionSpec> {
+        match &self.get(ResourceKind::Version, name.as_str())?.spec {
+            ResourceSpec::Version(spec) => Some(spec),
+            _ => None,
+        }
+    }
+
+    fn get(&self, kind: ResourceKind, name: &str) -> Option<&'a ResourceDocument> {
+        let name = name.to_owned();
+        self.set.get(&ResourceKey { kind, name })
+    }
+
+    /// Checks that a resource is there.
+    pub(super) fn check_named(
+        &self,
+        path: &str,
+        kind: ResourceKind,
+        name: &str,
+        faults: &mut Vec<ResourceFault>,
+    ) -> bool {
+        let found = self.get(kind, name).is_some();
+        if !found {
+            let known: Vec<_> = of_kind(self.set, kind).map(|d| d.name.clone()).collect();
+            faults.push(ResourceFault::new(
+                path,
+                format!("there is no {kind} `{name}`; allowed: {}", listed(&known)),
+                format!("create the {kind} first, or name another"),
+            ));
+        }
+        found
+    }
+
+    pub(super) fn check_service(
+        &self,
+        path: &str,
+        service: &ServiceName,
+        faults: &mut Vec<ResourceFault>,
+    ) {
+        self.check_named(path, ResourceKind::Service, service.as_str(), faults);
+    }
+
+    /// Checks that a version is there and is one of `service`.
+    pub(super) fn check_version(
+        &self,
+        path: &str,
+        version: &VersionName,
+        service: &str,
+        faults: &mut Vec<ResourceFault>,
+    ) {
+        let kind = ResourceKind::Version;
+        if !self.check_named(path, kind, version.as_str(), faults) {
+            return;
+        }
+        let Some(spec) = self.version(version) else {
+            return;
+        };
+        if spec.service.as_str() != service {
+            let fitting: Vec<_> = of_kind(self.set, kind)
+                .filter(|d| matches!(&d.spec, ResourceSpec::Version(v) if v.service.as_str() == service))
+                .map(|d| d.name.clone())
+                .collect();
+            faults.push(ResourceFault::new(
+                path,
+                format!(
+                    "version `{version}` is one of service `{}`, not of `{service}`; allowed: {}",
+                    spec.service,
+                    listed(&fitting)
+                ),
+                format!("name a version of `{service}`"),
+            ));
+        }
+    }
+
+    /// Resources that name the checked version under another service than this one.
+    pub(super) fn users_of_version_outside(&self, service: &ServiceName) -> Vec<String> {
+        let Ok(own_name) = self.own_name().parse() else {
+            return Vec::new();
+        };
+        let users = users_of_version(self.set, &own_name);
+        let outside = users.filter(|(_, used_in)| *used_in != service.as_str());
+        outside.map(|(key, _)| key.to_string()).collect()
+    }
+}
+
+/// All resources of a kind. The set is ordered by kind, so that others aren't walked.
+pub(super) fn of_kind(
+    set: &ResourceSet,
+    kind: ResourceKind,
+) -> impl Iterator<Item = &ResourceDocument> {
+    let key = |kind| ResourceKey {
+        kind,
+        name: String::new(),
+    };
+    let after = ResourceKind::iter().find(|other| *other > kind);
+    let from = set.range(key(kind)..);
+    let end = after.map(key);
+    from.take_while(move |(key, _)| end.as_ref().is_none_or(|end| *key < end))
+        .map(|(_, document)| document)
+}
+
+/// Resources that name a version, with the service under which they do.
+pub(super) fn users_of_version<'a>(
+    set: &'a ResourceSet,
+    version: &VersionName,
+) -> impl Iterator<Item = (ResourceKey, &'a str)> {
+    let kinds = [
+        ResourceKind::Service,
+        ResourceKind::Upstream,
+        ResourceKind::Move,
+    ];
+    let documents = kinds.into_iter().flat_map(|kind| of_kind(set, kind));
+    documents.filter_map(move |document| {
+        let service = match &document.spec {
+            ResourceSpec::Service(spec) if spec.version.as_ref() == Some(version) => &document.name,
+            ResourceSpec::Upstream(spec) if spec.version == *version => spec.service.as_str(),
+            ResourceSpec::Move(spec) if spec.from == *version || spec.to == *version => {
+                spec.service.as_str()
+            }
+            _ => return None,
+        };
+        Some((document.key(), service))
+    })
+}
+
+/// Some of the names, and how many more there are.
+pub(super) fn listed(names: &[String]) -> String {
+    let shown = names.get(..LISTED_NAMES).unwrap_or(names).join(", ");
+    match names.len().saturating_sub(LISTED_NAMES) {
+        0 if names.is_empty() => "none yet".to_owned(),
+        0 => shown,
+        more => format!("{shown} and {more} more"),
+    }
+}
--- /dev/null
+++ b/crates/savorywood-protocol/src/resource/validate/service.rs
@@ -0,0 +1,129 @@
+//! Checks of services.
+
+use super::{ResourceFault, lookup::ResourceLookup};
+use crate::resource::{ClaimRetention, RouteRule, ServiceObjectives, ServiceProtocol, ServiceSpec};
+
+/// Shortest retention of claims, in seconds. A caller that repeats a call later than this must
+/// still find the claim of its first one.
+const MIN_CLAIM_SECONDS: u32 = 3_600;
+
+/// Largest target, in thousandths. A target of all requests leaves no errors to spend, and burn
+/// rates would be divided by zero.
+const MAX_TARGET_PER_MILLE: u16 = 999;
+
+pub(super) fn check(
+    spec: &ServiceSpec,
+    lookup: &ResourceLookup<'_>,
+    faults: &mut Vec<ResourceFault>,
+) {
+    if let Some(version) = &spec.version {
+        lookup.check_version("spec.version", version, lookup.own_name(), faults);
+    }
+    check_objectives(&spec.objectives, faults);
+    check_claims(spec.claims, faults);
+    if spec.protocol == ServiceProtocol::Model && !spec.routes.is_empty() {
+        faults.push(ResourceFault::new(
+            "spec.routes",
+            "a model service has no route rules; rules are allowed with protocol `plain`",
+            "delete the rules, or set the protocol to `plain`",
+        ));
+    }
+    for (index, rule) in spec.routes.iter().enumerate() {
+        check_rule(index, rule, &spec.routes[..index], faults);
+    }
+}
+
+fn check_objectives(objectives: &ServiceObjectives, faults: &mut Vec<ResourceFault>) {
+    let times = [
+        ("first_token_ms", objectives.first_token_ms),
+        ("token_gap_ms", objectives.token_gap_ms),
+        ("deadline_ms", objectives.deadline_ms),
+    ];
+    for (name, _) in times.into_iter().filter(|(_, millis)| *millis == 0) {
+        faults.push(ResourceFault::new(
+            format!("spec.objectives.{name}"),
+            "no request meets zero milliseconds; allowed: 1 or more",
+            "write the time in milliseconds",
+        ));
+    }
+    let (first, deadline) = (objectives.first_token_ms, objectives.deadline_ms);
+    if deadline != 0 && deadline < first {
+        faults.push(ResourceFault::new(
+            "spec.objectives.deadline_ms",
+            format!("the deadline ends before the first token is due; allowed: {first} or more"),
+            "raise deadline_ms or lower first_token_ms",
+        ));
+    }
+    let target = objectives.target_per_mille;
+    if !(1..=MAX_TARGET_PER_MILLE).contains(&target) {
+        faults.push(ResourceFault::new(
+            "spec.objectives.target_per_mille",
+            format!("{target} is out of range; allowed: 1 to {MAX_TARGET_PER_MILLE}"),
+            "write the share of requests that must meet the objectives, such as 950",
+        ));
+    }
+}
+
+fn check_claims(claims: ClaimRetention, faults: &mut Vec<ResourceFault>) {
+    let ClaimRetention::Seconds(seconds) = claims else {
+        return;
+    };
+    // A claim that is gone before the caller's last retry lets that retry run a second time.
+    if seconds < MIN_CLAIM_SECONDS {
+        faults.push(ResourceFault::new(
+            "spec.claims.seconds",
+            format!(
+                "a retry after {seconds} s would run again; allowed: {MIN_CLAIM_SECONDS} or more, \
+                 or \"forever\""
+            ),
+            "write a time longer than any caller goes on retrying",
+        ));
+    }
+}
+
+fn check_rule(
+    index: usize,
+    rule: &RouteRule,
+    earlier: &[RouteRule],
+    faults: &mut Vec<ResourceFault>,
+) {
+    let path = format!("spec.routes.{index}");
+    if !rule.path.starts_with('/') {
+        faults.push(ResourceFault::new(
+            format!("{path}.path"),
+            format!(
+                "`{}` has no leading slash; allowed: paths such as /v1/notes",
+                rule.path
+            ),
+            format!("write `/{}`", rule.path),
+        ));
+    }
+    for (place, method) in rule.methods.iter().enumerate() {
+        let known = !method.is_empty() && method.chars().all(|c| c.is_ascii_uppercase());
+        if !known {
+            faults.push(ResourceFault::new(
+                format!("{path}.methods.{place}"),
+                format!("`{method}` is no method; allowed: capital letters, such as POST"),
+                format!("write `{}`", method.to_ascii_uppercase()),
+            ));
+        }
+    }
+    // The first matching rule wins, so a rule behind a wider one has no effect: a call that it
+    // marks as not repeatable would be treated as repeatable, and could run twice.
+    let wider = earlier.iter().position(|other| covers(other, rule));
+    if let Some(wider) = wider {
+        faults.push(ResourceFault::new(
+            path,
+            format!("rule {wider} matches all that this rule matches, so it has no effect"),
+            format!("move it before rule {wider}, or delete it"),
+        ));
+    }
+}
+
+/// Whether `wider` matches every call that `narrower` matches.
+fn covers(wider: &RouteRule, narrower: &RouteRule) -> bool {
+    let any_method = wider.methods.is_empty();
+    let methods = &narrower.methods;
+    let all_methods = !methods.is_empty() && methods.iter().all(|m| wider.methods.contains(m));
+    narrower.path.starts_with(&wider.path) && (any_method || all_methods)
+}
--- /dev/null
+++ b/crates/savorywood-protocol/src/resource/validate/team.rs
@@ -0,0 +1,73 @@
+//! Checks of teams.
+
+use super::{ResourceFault, lookup::ResourceLookup};
+use crate::resource::{ResourceKind, TeamSpec};
+
+/// Hexadecimal digits of a SHA-256.
+const DIGEST_DIGITS: usize = 64;
+
+/// Largest weight. Shares of one in a million starve a team for all that can be seen.
+const MAX_WEIGHT: u32 = 1_000_000;
+
+pub(super) fn check(spec: &TeamSpec, lookup: &ResourceLookup<'_>, faults: &mut Vec<ResourceFault>) {
+    check_token(spec, lookup, faults);
+    check_tiers(spec, lookup, faults);
+    if !(1..=MAX_WEIGHT).contains(&spec.weight) {
+        faults.push(ResourceFault::new(
+            "spec.weight",
+            format!(
+                "{} is out of range; allowed: 1 to {MAX_WEIGHT}",
+                spec.weight
+            ),
+            "write the share relative to other teams, 1 for an equal one",
+        ));
+    }
+}
+
+fn check_token(spec: &TeamSpec, lookup: &ResourceLookup<'_>, faults: &mut Vec<ResourceFault>) {
+    let digest = &spec.token_sha256;
+    let path = "spec.token_sha256";
+    let hexadecimal = digest.chars().all(|c| c.is_ascii_hexdigit());
+    if digest.len() != DIGEST_DIGITS || !hexadecimal {
+        // The text is left out of the message: it may be the token itself.
+        faults.push(ResourceFault::new(
+            path,
+            format!("not a SHA-256; allowed: {DIGEST_DIGITS} hexadecimal digits"),
+            "write the digest, as from `printf %s TOKEN | sha256sum`",
+        ));
+        return;
+    }
+    // Whoever sends the token would be taken for one team or the other by chance.
+    let holder = lookup
+        .teams()
+        .find(|(_, other)| other.token_sha256.eq_ignore_ascii_case(digest));
+    if let Some((holder, _)) = holder {
+        faults.push(ResourceFault::new(
+            path,
+            format!("team `{holder}` holds this token; each token is allowed once"),
+            "give the team a token of its own",
+        ));
+    }
+}
+
+fn check_tiers(spec: &TeamSpec, lookup: &ResourceLookup<'_>, faults: &mut Vec<ResourceFault>) {
+    if spec.tiers.is_empty() {
+        faults.push(ResourceFault::new(
+            "spec.tiers",
+            "a team without tiers can ask for nothing; allowed: one tier or more",
+            "name the tier that its requests get",
+        ));
+    }
+    for (index, tier) in spec.tiers.iter().enumerate() {
+        let path = format!("spec.tiers.{index}");
+        if spec.tiers[..index].contains(tier) {
+            faults.push(ResourceFault::new(
+                path,
+                format!("tier `{tier}` is named twice; each is allowed once"),
+                "delete one of the two",
+            ));
+        } else {
+            lookup.check_named(&path, ResourceKind::Tier, tier.as_str(), faults);
+        }
+    }
+}
--- /dev/null
+++ b/crates/savorywood-protocol/src/resource/validate/upstream.rs
@@ -0,0 +1,53 @@
+//! Checks of upstreams.
+
+use super::{ResourceFault, lookup::ResourceLookup};
+use crate::resource::UpstreamSpec;
+
+pub(super) fn check(
+    spec: &UpstreamSpec,
+    lookup: &ResourceLookup<'_>,
+    faults: &mut Vec<ResourceFault>,
+) {
+    lookup.check_service("spec.service", &spec.service, faults);
+    let service = spec.service.as_str();
+    lookup.check_version("spec.version", &spec.version, service, faults);
+    check_address(spec, lookup, faults);
+    let sizes = [
+        ("spec.seats", spec.seats),
+        ("spec.batch_tokens", spec.batch_tokens),
+    ];
+    for (path, _) in sizes.into_iter().filter(|(_, size)| *size == 0) {
+        faults.push(ResourceFault::new(
+            path,
+            "zero would keep all work away; allowed: 1 or more",
+            "write a number, or set `draining` to take the upstream out",
+        ));
+    }
+}
+
+fn check_address(
+    spec: &UpstreamSpec,
+    lookup: &ResourceLookup<'_>,
+    faults: &mut Vec<ResourceFault>,
+) {
+    let address = spec.address;
+    if address.ip().is_unspecified() || address.port() == 0 {
+        faults.push(ResourceFault::new(
+            "spec.address",
+            format!("no daemon can connect to {address}; allowed: a host's IP address and port"),
+            "write the address at which the upstream listens",
+        ));
+        return;
+    }
+    // Two upstreams of one address would each be given the engine's whole capacity.
+    let twin = lookup
+        .upstreams()
+        .find(|(_, other)| other.address == address);
+    if let Some((twin, _)) = twin {
+        faults.push(ResourceFault::new(
+            "spec.address",
+            format!("upstream `{twin}` has the address {address} too; each is allowed once"),
+            format!("correct the address, or delete upstream `{twin}` first"),
+        ));
+    }
+}
--- /dev/null
+++ b/crates/savorywood-protocol/tests/validate.rs
@@ -0,0 +1,289 @@
+//! Checks of resources against each other.
+
+use quickcheck::{TestResult, quickcheck};
+use savorywood_protocol::{
+    WallTime,
+    resource::{
+        MoveState, ResourceDocument, ResourceFault, ResourceKey, ResourceKind, ResourceSet,
+        ResourceStatus,
+        validate::{check_deletion, check_document},
+    },
+};
+use serde_json::{Value, json};
+use std::time::Duration;
+
+/// 2026-07-01T12:00:00Z.
+const NOW: WallTime = WallTime(1_782_907_200_000);
+
+fn document(kind: &str, name: &str, spec: Value) -> ResourceDocument {
+    serde_json::from_value(json!({"kind": kind, "name": name, "spec": spec})).unwrap()
+}
+
+fn digest(seed: usize) -> String {
+    format!("{seed:064x}")
+}
+
+fn traffic_move(name: &str, finish_by: &str) -> ResourceDocument {
+    let spec = json!({"service": "notes", "from": "v1", "to": "v2", "finish_by": finish_by});
+    document("move", name, spec)
+}
+
+fn upstream(name: &str, address: &str) -> ResourceDocument {
+    let spec = json!({"address": address, "service": "notes", "version": "v1", "zone": "a"});
+    document("upstream", name, spec)
+}
+
+fn set_of(documents: Vec<ResourceDocument>) -> ResourceSet {
+    let keyed = documents.into_iter().map(|d| (d.key(), d));
+    keyed.collect()
+}
+
+fn sound_set() -> ResourceSet {
+    set_of(vec![
+        document("tier", "storm", json!({"rank": 0})),
+        document("tier", "bulk", json!({"rank": 1})),
+        document(
+            "service",
+            "notes",
+            json!({"protocol": "model", "version": "v1"}),
+        ),
+        document("service", "billing", json!({"protocol": "plain"})),
+        document("version", "v1", json!({"service": "notes"})),
+        document("version", "v2", json!({"service": "notes"})),
+        document("version", "b1", json!({"service": "billing"})),
+        upstream("runner-1", "10.0.0.1:9000"),
+        document(
+            "team",
+            "survey",
+            json!({"token_sha256": digest(1), "tiers": ["storm", "bulk"]}),
+        ),
+        traffic_move("to-v2", "2026-07-01T18:00:00Z"),
+    ])
+}
+
+fn faults_of(document: &ResourceDocument) -> Vec<ResourceFault> {
+    check_document(document, &sound_set(), NOW)
+}
+
+fn paths_of(kind: &str, name: &str, spec: Value) -> Vec<String> {
+    let faults = faults_of(&document(kind, name, spec));
+    for fault in &faults {
+        assert!(
+            !fault.message.is_empty() && !fault.remedy.is_empty(),
+            "{fault:?}"
+        );
+    }
+    faults.into_iter().map(|fault| fault.path).collect()
+}
+
+#[test]
+fn a_sound_set_is_accepted_and_may_be_written_again() {
+    for document in sound_set().values() {
+        assert_eq!(faults_of(document), Vec::new());
+    }
+}
+
+#[test]
+fn names_that_lead_nowhere_are_refused() {
+    let upstream =
+        json!({"address": "10.0.0.9:1", "service": "nots", "version": "v9", "zone": "a"});
+    assert_eq!(
+        paths_of("upstream", "u", upstream),
+        ["spec.service", "spec.version"]
+    );
+    let team = json!({"token_sha256": digest(9), "tiers": ["storm", "strom"]});
+    assert_eq!(paths_of("team", "t", team), ["spec.tiers.1"]);
+    assert_eq!(
+        paths_of("version", "v", json!({"service": "x"})),
+        ["spec.service"]
+    );
+    let service = json!({"protocol": "plain", "version": "nope"});
+    assert_eq!(paths_of("service", "s", service), ["spec.version"]);
+    let faults = faults_of(&document("version", "v", json!({"service": "x"})));
+    assert!(faults[0].message.contains("billing, notes"));
+}
+
+/// Requests of one service would reach engines that run another one's model.
+#[test]
+fn versions_of_another_service_are_refused() {
+    let upstream =
+        json!({"address": "10.0.0.9:1", "service": "billing", "version": "v1", "zone": "a"});
+    assert_eq!(paths_of("upstream", "u", upstream), ["spec.version"]);
+    let service = json!({"protocol": "plain", "version": "v1"});
+    assert_eq!(paths_of("service", "billing", service), ["spec.version"]);
+    let crossing = json!({"service": "billing", "from": "b1", "to": "v2", "finish_by": "2026-07-02T00:00:00Z"});
+    assert_eq!(paths_of("move", "m", crossing), ["spec.to"]);
+    let version = json!({"service": "billing"});
+    assert_eq!(paths_of("version", "v1", version), ["spec.service"]);
+}
+
+#[test]
+fn values_that_two_resources_may_not_share_are_refused() {
+    assert_eq!(paths_of("tier", "other", json!({"rank": 1})), ["spec.rank"]);
+    let holder = json!({"token_sha256": digest(1), "tiers": ["bulk"]});
+    assert_eq!(paths_of("team", "other", holder), ["spec.token_sha256"]);
+    let faults = faults_of(&upstream("runner-2", "10.0.0.1:9000"));
+    assert_eq!(faults[0].path, "spec.address");
+    assert!(faults[0].message.contains("runner-1"));
+}
+
+#[test]
+fn values_out_of_range_are_refused() {
+    let team = json!({"token_sha256": "secret-token", "tiers": [], "weight": 0});
+    let faults = faults_of(&document("team", "t", team));
+    let paths: Vec<_> = faults.iter().map(|fault| fault.path.as_str()).collect();
+    assert_eq!(paths, ["spec.token_sha256", "spec.tiers", "spec.weight"]);
+    assert!(!format!("{faults:?}").contains("secret-token"));
+    let upstream = json!({"address": "0.0.0.0:1", "service": "notes", "version": "v1", "zone": "a",
+        "seats": 0, "batch_tokens": 0});
+    let expected = ["spec.address", "spec.seats", "spec.batch_tokens"];
+    assert_eq!(paths_of("upstream", "u", upstream), expected);
+    let service = json!({"protocol": "plain", "claims": {"seconds": 5},
+    "objectives": {"target_per_mille": 1000, "deadline_ms": 10, "token_gap_ms": 0},
+    "routes": [
+        {"path": "v1", "idempotent": true},
+        {"path": "/v1", "methods": ["post"], "idempotent": true},
+        {"path": "/v2", "idempotent": true},
+        {"path": "/v2/charge", "methods": ["POST"], "idempotent": false}
+    ]});
+    let expected = [
+        "spec.objectives.token_gap_ms",
+        "spec.objectives.deadline_ms",
+        "spec.objectives.target_per_mille",
+        "spec.claims.seconds",
+        "spec.routes.0.path",
+        "spec.routes.1.methods.0",
+        "spec.routes.3",
+    ];
+    assert_eq!(paths_of("service", "s", service), expected);
+}
+
+#[test]
+fn moves_that_can_not_be_kept_are_refused() {
+    let mut set = sound_set();
+    set.remove(&traffic_move("to-v2", "2026-07-01T18:00:00Z").key());
+    let paths = |spec: Value| {
+        let faults = check_document(&document("move", "m", spec), &set, NOW);
+        faults.into_iter().map(|f| f.path).collect::<Vec<_>>()
+    };
+    let to_itself =
+        json!({"service": "notes", "from": "v1", "to": "v1", "finish_by": "2026-07-01T18:00:00Z"});
+    assert_eq!(paths(to_itself), ["spec.to"]);
+    let past =
+        json!({"service": "notes", "from": "v1", "to": "v2", "finish_by": "2026-07-01T11:59:59Z"});
+    assert_eq!(paths(past), ["spec.finish_by"]);
+    let only_soak = json!({"service": "notes", "from": "v1", "to": "v2",
+        "finish_by": "2026-07-01T12:10:00Z", "soak_seconds": 600});
+    assert_eq!(paths(only_soak), ["spec.finish_by"]);
+    let shares: Vec<_> = [10, 10, 1001, 1000]
+        .iter()
+        .map(|share| json!({"share_per_mille": share}))
+        .collect();
+    let steps = json!({"service": "notes", "from": "v1", "to": "v2",
+        "finish_by": "2026-07-01T18:00:00Z", "steps": shares});
+    let expected = [1, 2, 3].map(|step| format!("spec.steps.{step}.share_per_mille"));
+    assert_eq!(paths(steps), expected);
+}
+
+/// Two operators plan a move of one service each. Both at once, neither could tell whose version
+/// slows requests down.
+#[test]
+fn one_move_of_a_service_at_a_time() {
+    let second = traffic_move("again", "2026-07-02T18:00:00Z");
+    let mut set = sound_set();
+    assert_eq!(check_document(&second, &set, NOW)[0].path, "spec.service");
+    let after_deadline = NOW + Duration::from_secs(7 * 3_600);
+    assert_eq!(check_document(&second, &set, after_deadline), Vec::new());
+    let first = set
+        .get_mut(&traffic_move("to-v2", "2026-07-01T18:00:00Z").key())
+        .unwrap();
+    first.status = Some(ResourceStatus {
+        move_state: Some(MoveState::TakenBack),
+        ..ResourceStatus::default()
+    });
+    assert_eq!(check_document(&second, &set, NOW), Vec::new());
+}
+
+#[test]
+fn a_move_under_way_keeps_its_versions() {
+    let mut set = sound_set();
+    let key = traffic_move("to-v2", "2026-07-01T18:00:00Z").key();
+    let state = |set: &mut ResourceSet, state| {
+        set.get_mut(&key).unwrap().status = Some(ResourceStatus {
+            move_state: Some(state),
+            ..ResourceStatus::default()
+        });
+    };
+    let later = traffic_move("to-v2", "2026-07-01T20:00:00Z");
+    let back =
+        json!({"service": "notes", "from": "v2", "to": "v1", "finish_by": "2026-07-01T18:00:00Z"});
+    let back = document("move", "to-v2", back);
+    state(&mut set, MoveState::Moving);
+    assert_eq!(check_document(&later, &set, NOW), Vec::new());
+    assert_eq!(check_document(&back, &set, NOW)[0].path, "spec");
+    state(&mut set, MoveState::Completed);
+    assert_eq!(check_document(&later, &set, NOW)[0].path, "spec");
+}
+
+#[test]
+fn what_is_still_named_is_not_deleted() {
+    let set = sound_set();
+    let key = |kind, name: &str| ResourceKey {
+        kind,
+        name: name.to_owned(),
+    };
+    let message = |kind, name| {
+        check_deletion(&key(kind, name), &set)
+            .pop()
+            .map(|f| f.message)
+    };
+    let service = message(ResourceKind::Service, "notes").unwrap();
+    assert!(
+        service.contains("upstream/runner-1") && service.contains("move/to-v2"),
+        "{service}"
+    );
+    assert!(
+        message(ResourceKind::Tier, "bulk")
+            .unwrap()
+            .contains("team/survey")
+    );
+    let version = message(ResourceKind::Version, "v1").unwrap();
+    assert!(version.contains("service/notes") && version.contains("upstream/runner-1"));
+    for (kind, name) in [
+        (ResourceKind::Team, "survey"),
+        (ResourceKind::Upstream, "runner-1"),
+        (ResourceKind::Move, "to-v2"),
+        (ResourceKind::Tier, "absent"),
+    ] {
+        assert_eq!(message(kind, name), None);
+    }
+}
+
+quickcheck! {
+    /// Whatever is accepted one after another and deleted one after another, no name ever leads
+    /// nowhere: writing again what is there stays accepted.
+    fn accepted_sets_stay_sound(picks: Vec<(u8, u8, bool)>) -> TestResult {
+        let all: Vec<_> = sound_set().into_values().collect();
+        // A service and its version name each other, so the service comes first without it.
+        let service = document("service", "notes", json!({"protocol": "model"}));
+        let mut set = set_of(vec![service]);
+        for (pick, variant, delete) in picks {
+            let mut document = all[usize::from(pick) % all.len()].clone();
+            if variant % 4 == 0 {
+                document.name = format!("{}-{}", document.name, variant % 3);
+            }
+            if delete && check_deletion(&document.key(), &set).is_empty() {
+                set.remove(&document.key());
+            } else if !delete && check_document(&document, &set, NOW).is_empty() {
+                set.insert(document.key(), document);
+            }
+            for document in set.values() {
+                let faults = check_document(document, &set, NOW);
+                if !faults.is_empty() {
+                    return TestResult::error(format!("{}: {faults:?}", document.key()));
+                }
+            }
+        }
+        TestResult::passed()
+    }
+}
