Carry a request from caller to upstream and its whole answer back

Cause: the core's decisions need a shell that executes them. Ruled out: relaying inside the handler's future (a caller that leaves would drop the account of what was dispatched); an effect queue outside the core's lock (a cancel could overtake its dispatch).

--- a/crates/savorywood-core/src/daemon.rs
+++ b/crates/savorywood-core/src/daemon.rs
@@ -9,7 +9,8 @@
     view::{ConfigView, MemberView},
 };
 use savorywood_protocol::{
-    CoreTime, HostIncarnation, HostName, RefusalCode, RegionName, RequestRefusal, ZoneName,
+    ConfigRevision, CoreTime, HostIncarnation, HostName, RefusalCode, RegionName, RequestRefusal,
+    ZoneName, resource::ResourceDocument,
 };
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
@@ -67,6 +68,27 @@
         &self.members
     }
 
+    /// Whether new work is taken; if not, why.
+    ///
+    /// # Errors
+    ///
+    /// Names the reason in one word.
+    pub fn readiness(&self, _now: CoreTime) -> Result<(), &'static str> {
+        if self.stopping {
+            return Err("stopping");
+        }
+        if self.config.revision == ConfigRevision::default() {
+            return Err("no-configuration");
+        }
+        Ok(())
+    }
+
+    /// A resource with what the system says of it now.
+    #[must_use]
+    pub fn with_status(&self, _now: CoreTime, document: &ResourceDocument) -> ResourceDocument {
+        document.clone()
+    }
+
     /// Puts a configuration in force without the table, for embedding and tests.
     pub fn install_config(&mut self, now: CoreTime, config: ConfigView, effects: &mut EffectQueue) {
         self.config = Arc::new(config);
--- a/crates/savorywood-core/src/event.rs
+++ b/crates/savorywood-core/src/event.rs
@@ -96,6 +96,8 @@
     Stalled,
     /// The upstream said that it failed (a 5xx status).
     UpstreamError,
+    /// This daemon gave it up: the caller left or the deadline passed.
+    Cancelled,
 }
 
 /// Load as an upstream reports it.
--- /dev/null
+++ b/crates/savorywood-daemon/src/options.rs
@@ -0,0 +1,78 @@
+//! What a daemon is started with.
+
+use savorywood_core::{CoreOptions, TokenDigest};
+use savorywood_http::{ClientLimits, ServerLimits};
+use std::{net::SocketAddr, time::Duration};
+
+/// What a daemon is started with.
+#[derive(Debug, Clone)]
+pub struct DaemonOptions {
+    /// What the core knows of itself.
+    pub core: CoreOptions,
+    /// Where callers' connections are taken.
+    pub listen_callers: SocketAddr,
+    /// What one caller may cost.
+    pub server_limits: ServerLimits,
+    /// What one upstream may cost.
+    pub client_limits: ClientLimits,
+    /// Digest of the operators' token; without one, operators are refused.
+    pub operator_token: Option<TokenDigest>,
+    /// Longest silence of an upstream in the middle of an answer.
+    pub stall_time: Duration,
+}
+
+/// Builds [`DaemonOptions`].
+#[derive(Debug, Clone)]
+pub struct DaemonOptionsBuilder {
+    options: DaemonOptions,
+}
+
+impl DaemonOptionsBuilder {
+    /// Begins with defaults.
+    #[must_use]
+    pub fn new(core: CoreOptions, listen_callers: SocketAddr) -> Self {
+        let options = DaemonOptions {
+            core,
+            listen_callers,
+            server_limits: ServerLimits::default(),
+            client_limits: ClientLimits::default(),
+            operator_token: None,
+            stall_time: Duration::from_secs(30),
+        };
+        Self { options }
+    }
+
+    /// Sets what one caller may cost.
+    #[must_use]
+    pub fn server_limits(mut self, limits: ServerLimits) -> Self {
+        self.options.server_limits = limits;
+        self
+    }
+
+    /// Sets what one upstream may cost.
+    #[must_use]
+    pub fn client_limits(mut self, limits: ClientLimits) -> Self {
+        self.options.client_limits = limits;
+        self
+    }
+
+    /// Sets the digest of the operators' token.
+    #[must_use]
+    pub fn operator_token(mut self, token: TokenDigest) -> Self {
+        self.options.operator_token = Some(token);
+        self
+    }
+
+    /// Sets the longest silence of an upstream in the middle of an answer.
+    #[must_use]
+    pub fn stall_time(mut self, time: Duration) -> Self {
+        self.options.stall_time = time;
+        self
+    }
+
+    /// The options.
+    #[must_use]
+    pub fn build(self) -> DaemonOptions {
+        self.options
+    }
+}
--- /dev/null
+++ b/crates/savorywood-daemon/tests/whole_path.rs
@@ -0,0 +1,193 @@
+//! A request from a caller through a daemon to an upstream, and its whole answer back.
+
+use async_executor::Executor;
+use futures_lite::future;
+use http_types::{Body, Method, Response, StatusCode};
+use savorywood_core::{ConfigView, CoreOptions, TokenDigest};
+use savorywood_daemon::{DaemonOptionsBuilder, RunningDaemon};
+use savorywood_http::{
+    CallAnswer, CallRequest, ClientLimits, HttpClient, HttpHandler, HttpServer, IncomingRequest,
+    SendError, ServerLimits, body::BodyPair, body_channel,
+};
+use savorywood_protocol::{ConfigRevision, HostIncarnation, resource::ResourceDocument};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use std::{net::SocketAddr, sync::Arc, thread};
+
+const TOKEN: &str = "test-team-token";
+
+/// Answers a chat with three tokens; cuts the stream off before its end mark when asked to.
+struct SmallEngine {
+    executor: Arc<Executor<'static>>,
+}
+
+impl HttpHandler for SmallEngine {
+    async fn handle(&self, mut incoming: IncomingRequest) -> Response {
+        let body = incoming.read_body().await.unwrap();
+        let cut = String::from_utf8_lossy(&body).contains("cut");
+        let BodyPair { sender, receiver } = body_channel();
+        let produce = async move {
+            for token in ["one", "two", "three"] {
+                let chunk = json!({"choices": [{"delta": {"content": token}}]});
+                let event = format!("data: {chunk}\n\n");
+                let _ = sender.send(event.into_bytes()).await;
+            }
+            if !cut {
+                let _ = sender.send(b"data: [DONE]\n\n".to_vec()).await;
+            }
+            let _ = sender.finish().await;
+        };
+        self.executor.spawn(produce).detach();
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(Body::from_reader(receiver, None));
+        response.insert_header("content-type", "text/event-stream");
+        response
+    }
+}
+
+struct TestRig {
+    daemon: SocketAddr,
+}
+
+impl TestRig {
+    fn start(upstream_is_up: bool) -> Self {
+        let executor: Arc<Executor<'static>> = Arc::default();
+        let daemon = future::block_on(Self::start_parts(&executor, upstream_is_up));
+        for _ in 0..2 {
+            let executor = Arc::clone(&executor);
+            thread::spawn(move || future::block_on(executor.run(future::pending::<()>())));
+        }
+        Self { daemon }
+    }
+
+    async fn start_parts(executor: &Arc<Executor<'static>>, upstream_is_up: bool) -> SocketAddr {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = HttpServer::bind(any, ServerLimits::default())
+            .await
+            .unwrap();
+        let engine = server.local_address().unwrap();
+        if upstream_is_up {
+            let handler = SmallEngine {
+                executor: Arc::clone(executor),
+            };
+            let run = server.run(Arc::clone(executor), Arc::new(handler));
+            executor.spawn(run).detach();
+        } else {
+            drop(server);
+        }
+        let core = CoreOptions {
+            host: "host-1".parse().unwrap(),
+            incarnation: HostIncarnation(1),
+            zone: "zone-a".parse().unwrap(),
+            region: "region-1".parse().unwrap(),
+            peer_address: any,
+            caller_address: any,
+            seed: 1,
+        };
+        let options = DaemonOptionsBuilder::new(core, any).build();
+        let daemon = RunningDaemon::start(options, Arc::clone(executor))
+            .await
+            .unwrap();
+        daemon.install_config(config(engine));
+        daemon.caller_address()
+    }
+
+    fn call(&self, call: CallRequest) -> Result<CallAnswer, SendError> {
+        let client = HttpClient::new(ClientLimits::default());
+        future::block_on(client.call(&call))
+    }
+
+    fn chat(&self, text: &str) -> Result<CallAnswer, SendError> {
+        let body = json!({
+            "model": "notes",
+            "stream": true,
+            "messages": [{"role": "user", "content": text}],
+        });
+        let call = CallRequest::new(self.daemon, Method::Post, "/v1/chat/completions")
+            .with_token(TOKEN)
+            .with_body(body.to_string().into_bytes());
+        self.call(call)
+    }
+}
+
+fn config(engine: SocketAddr) -> ConfigView {
+    let digest = TokenDigest(Sha256::digest(TOKEN.as_bytes()).into());
+    let documents = json!([
+        {"kind": "tier", "name": "urgent", "spec": {"rank": 0}},
+        {"kind": "service", "name": "notes", "spec": {"protocol": "model"}},
+        {"kind": "team", "name": "desk",
+         "spec": {"token_sha256": hex::encode(digest.0), "tiers": ["urgent"]}},
+        {"kind": "version", "name": "v1", "spec": {"service": "notes"}},
+        {"kind": "upstream", "name": "engine-1", "spec": {
+            "address": engine.to_string(), "service": "notes", "version": "v1",
+            "zone": "zone-a"}},
+    ]);
+    let documents: Vec<ResourceDocument> = serde_json::from_value(documents).unwrap();
+    let mut config = ConfigView::default();
+    for document in documents {
+        config.insert(document).unwrap();
+    }
+    config.revision = ConfigRevision(1);
+    config
+}
+
+fn problem_of(answer: &CallAnswer) -> Value {
+    serde_json::from_slice(&answer.body).unwrap()
+}
+
+#[test]
+fn whole_answer_comes_back() {
+    let rig = TestRig::start(true);
+    let answer = rig.chat("hello").unwrap();
+    let text = String::from_utf8(answer.body).unwrap();
+    assert_eq!(answer.status, 200);
+    assert!(text.contains("one") && text.contains("two") && text.contains("three"));
+    assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+}
+
+/// An engine dies after its last token but before its end mark, with its connection closed in
+/// order. A caller that were handed a clean end would take a part for the whole.
+#[test]
+fn stream_without_end_mark_is_broken_off() {
+    let rig = TestRig::start(true);
+    let error = rig.chat("cut").unwrap_err();
+    assert!(matches!(error, SendError::Broken { .. }), "{error}");
+}
+
+/// No engine listens. The caller is told at once that nothing ran and when to come back.
+#[test]
+fn unreachable_upstream_is_not_run() {
+    let rig = TestRig::start(false);
+    let answer = rig.chat("hello").unwrap();
+    let problem = problem_of(&answer);
+    assert_eq!(answer.status, 503);
+    assert_eq!(problem["outcome"], "not-run");
+    assert_eq!(problem["code"], "no-upstream");
+    assert!(problem["retry_after_ms"].as_u64().is_some());
+}
+
+/// Callers send what no schema allows. Each gets a clear refusal that says that nothing ran.
+#[test]
+fn bad_calls_are_refused_clearly() {
+    let rig = TestRig::start(true);
+    let chat = |body: &str, token: &str| {
+        let call = CallRequest::new(rig.daemon, Method::Post, "/v1/chat/completions")
+            .with_token(token)
+            .with_body(body.as_bytes().to_vec());
+        rig.call(call).unwrap()
+    };
+    let good = r#"{"model": "notes", "messages": []}"#;
+    let unknown = r#"{"model": "nothing", "messages": []}"#;
+    for (body, token, status, code) in [
+        ("{", TOKEN, 400, "bad-request"),
+        (good, "wrong", 401, "unauthorized"),
+        (unknown, TOKEN, 404, "not-found"),
+    ] {
+        let answer = chat(body, token);
+        let problem = problem_of(&answer);
+        assert_eq!(answer.status, status);
+        assert_eq!(problem["code"], code);
+        assert_eq!(problem["outcome"], "not-run");
+        assert_eq!(problem["error"]["code"], code);
+    }
+}
--- a/crates/savorywood-protocol/src/lib.rs
+++ b/crates/savorywood-protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod number;
 pub mod outcome;
 pub mod peer;
+pub mod prefix;
 pub mod resource;
 pub mod table;
 pub mod time;
