--- a/crates/savorywood-daemon/tests/whole_path.rs
+++ b/crates/savorywood-daemon/tests/whole_path.rs
@@ -1,5 +1,7 @@
 //! A request from a caller through a daemon to an upstream, and its whole answer back.
 
+#![allow(clippy::unwrap_used, reason = "a test that can't be set up fails")]
+
 use async_executor::Executor;
 use futures_lite::future;
 use http_types::{Body, Method, Response, StatusCode};
--- a/crates/savorywood-http/tests/malformed.rs
+++ b/crates/savorywood-http/tests/malformed.rs
@@ -1,5 +1,7 @@
 //! What callers see when their requests are malformed, too large or too slow.
 
+#![allow(clippy::unwrap_used, reason = "a test that can't be set up fails")]
+
 use async_executor::Executor;
 use futures_lite::future;
 use http_types::{Method, Response, StatusCode};
