Write member states in kebab case in JSON

Cause: the operators' interface shows member states, and all other enums there are in kebab case. Ruled out: a second enum for the interface. Peers' datagrams use variant numbers, so they don't change. Change: one serde attribute.

--- a/crates/savorywood-protocol/src/peer/membership.rs
+++ b/crates/savorywood-protocol/src/peer/membership.rs
@@ -21,6 +21,7 @@
     EnumIter,
     IntoStaticStr,
 )]
+#[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
 pub enum MemberState {
     /// Answers.
