Share prefix hashes and the bodies of extension paths and the host list

Cause: a daemon and an engine must cut prompts into the same blocks and read the same JSON, else cache events name blocks that nobody knows. Ruled out: types private to the stand-in, which would be written a second time in the client. Change: modules prefix, extension and host_list, additive only.

--- a/crates/savorywood-protocol/src/lib.rs
+++ b/crates/savorywood-protocol/src/lib.rs
@@ -3,10 +3,13 @@
 //! This crate does no I/O and reads no clock. Everything here is either a value that crosses a
 //! process boundary or the vocabulary used to talk about one.
 
+pub mod extension;
+pub mod host_list;
 pub mod name;
 pub mod number;
 pub mod outcome;
 pub mod peer;
+pub mod prefix;
 pub mod resource;
 pub mod table;
 pub mod time;
