--- a/crates/savorywood-protocol/src/prefix.rs
+++ b/crates/savorywood-protocol/src/prefix.rs
@@ -1,85 +1,31 @@
-//! How a prompt is cut into blocks, so that daemons and engines name the same prefixes alike.
-//!
-//! Engines that publish cache events name a block by the hash of the block and of all blocks
-//! before it. A daemon that computes the same hashes knows which engine holds how much of a
-//! prompt without asking (`docs/UPSTREAM.md`).
-
-use serde::Deserialize;
-use std::borrow::Cow;
+//! Names of prompt prefixes, agreed between daemons and engines (`docs/UPSTREAM.md`).
 
 /// Bytes of prompt text in one block.
-pub const BLOCK_BYTES: usize = 64;
-
-/// Bytes of prompt text counted as one token.
-pub const BYTES_PER_TOKEN: usize = 4;
-
-/// Tokens in one block.
-pub const BLOCK_TOKENS: u32 = (BLOCK_BYTES / BYTES_PER_TOKEN) as u32;
-
-/// The members of a completion request from which its prompt is made.
-#[derive(Debug, Deserialize)]
-struct PromptBody<'a> {
-    #[serde(default, borrow)]
-    prompt: Option<Cow<'a, str>>,
-    #[serde(default, borrow)]
-    messages: Vec<PromptMessage<'a>>,
-}
-
-/// One message of a chat.
-#[derive(Debug, Deserialize)]
-struct PromptMessage<'a> {
-    #[serde(borrow)]
-    role: Cow<'a, str>,
-    #[serde(default, borrow)]
-    content: Cow<'a, str>,
-}
-
-/// Prompt text of a completion request's JSON body; `None` when it has no textual prompt.
-#[must_use]
-pub fn prompt_text(body: &[u8]) -> Option<String> {
-    let body: PromptBody<'_> = serde_json::from_slice(body).ok()?;
-    if let Some(prompt) = body.prompt {
-        return Some(prompt.into_owned());
-    }
-    if body.messages.is_empty() {
-        return None;
-    }
-    let mut text = String::new();
-    for message in &body.messages {
-        text.push_str(&message.role);
-        text.push('\n');
-        text.push_str(&message.content);
-        text.push('\n');
-    }
-    Some(text)
-}
+pub const PREFIX_BLOCK_BYTES: usize = 256;
 
-/// Tokens of a prompt, at least one.
-#[must_use]
-pub fn prompt_tokens(text: &str) -> u32 {
-    let tokens = text.len().div_ceil(BYTES_PER_TOKEN).max(1);
-    u32::try_from(tokens).unwrap_or(u32::MAX)
-}
+/// Blocks that are named at most: a longer shared prefix makes no further difference.
+pub const MAX_PREFIX_BLOCKS: usize = 256;
 
-/// Chained hash of each whole block, longest prefix last. A tail shorter than a block has none.
+/// Names each whole block of a prompt by a hash that also covers all blocks before it, so that
+/// equal names mean equal prefixes.
 #[must_use]
-pub fn prefix_hashes(text: &str) -> Vec<u64> {
-    let mut parent = 0_u64;
-    let blocks = text.as_bytes().chunks_exact(BLOCK_BYTES);
+pub fn prefix_hashes(prompt: &[u8]) -> Vec<u64> {
+    let mut previous = 0_u64;
+    let blocks = prompt.chunks_exact(PREFIX_BLOCK_BYTES);
     blocks
+        .take(MAX_PREFIX_BLOCKS)
         .map(|block| {
-            parent = chained_hash(parent, block);
-            parent
+            previous = chain(previous, block);
+            previous
         })
         .collect()
 }
 
-/// First eight bytes, little-endian, of BLAKE3 over the parent's hash and the block.
-fn chained_hash(parent: u64, block: &[u8]) -> u64 {
+fn chain(previous: u64, block: &[u8]) -> u64 {
     let mut hasher = blake3::Hasher::new();
-    hasher.update(&parent.to_le_bytes());
+    hasher.update(&previous.to_le_bytes());
     hasher.update(block);
-    let mut first = [0_u8; 8];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(first)
+    let mut name = [0; 8];
+    name.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(name)
 }
