--- a/crates/savorywood-protocol/src/lib.rs
+++ b/crates/savorywood-protocol/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod api;
 pub mod burn;
+pub mod extension;
+pub mod host_list;
 pub mod name;
 pub mod number;
 pub mod outcome;
