Add the command line: check, apply, get, delete, watch and report burn

Cause: operators drive the system by resources only and need one tool for it. Change: one file a command, a typed client of the operators' interface, errors with step, peer and remedy, the burn report with its verdicts. serve and dev are frames. Conclusion: the commands wait for the daemon's watch, members and burn paths.

--- /dev/null
+++ b/crates/savorywood-cli/src/commands.rs
@@ -0,0 +1,68 @@
+//! The commands, one a file.
+
+pub mod apply;
+pub mod check;
+pub mod delete;
+pub mod dev;
+pub mod get;
+pub mod report;
+pub mod serve;
+pub mod watch;
+
+use crate::{
+    error::CommandError,
+    logging,
+    options::{CliCommand, CliOptions},
+};
+use log::LevelFilter;
+
+/// Runs one command.
+///
+/// # Errors
+///
+/// Says what failed, at which peer, and what to do.
+pub fn run(options: CliOptions) -> Result<(), CommandError> {
+    let CliOptions {
+        default_server,
+        cli_command,
+    } = options;
+    logging::start(match cli_command {
+        CliCommand::Serve(_) | CliCommand::Dev(_) => LevelFilter::Info,
+        _ => LevelFilter::Warn,
+    });
+    match cli_command {
+        CliCommand::Serve(options) => serve::run(&options),
+        CliCommand::Dev(options) => dev::run(&options),
+        CliCommand::Check(options) => check::run(&options),
+        CliCommand::Apply(options) => apply::run(&options, &default_server),
+        CliCommand::Get(options) => get::run(&options, &default_server),
+        CliCommand::Delete(options) => delete::run(&options, &default_server),
+        CliCommand::Watch(options) => watch::run(&options, &default_server),
+        CliCommand::Report(command) => report::run(&command, &default_server),
+    }
+}
+
+/// Writes to standard output. A reader that went away, such as `head`, is no failure.
+fn print(step: &str, text: &str) -> Result<(), CommandError> {
+    use std::io::{ErrorKind, Write, stdout};
+    let mut out = stdout().lock();
+    let written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    match written {
+        Err(error) if error.kind() == ErrorKind::BrokenPipe => Ok(()),
+        Err(source) => Err(CommandError::Output {
+            step: step.to_owned(),
+            source,
+        }),
+        Ok(()) => Ok(()),
+    }
+}
+
+/// Indented JSON with a line break at its end.
+fn json_text<T: serde::Serialize>(step: &str, value: &T) -> Result<String, CommandError> {
+    let text = serde_json::to_string_pretty(value).map_err(|error| CommandError::Failed {
+        step: step.to_owned(),
+        reason: error.to_string(),
+        remedy: "report this as a defect".to_owned(),
+    })?;
+    Ok(text + "\n")
+}
--- /dev/null
+++ b/crates/savorywood-cli/src/commands/check.rs
@@ -0,0 +1,120 @@
+//! `savorywood check`: all faults of settings and resource files.
+
+use crate::error::CommandError;
+use bpaf::Bpaf;
+use savorywood_protocol::{
+    WallTime,
+    resource::{ResourceFault, ResourceSet, validate},
+};
+use savorywood_settings::{
+    DaemonSettings, FaultReport, FileKind, ResourceFile, SettingsFault, SourceText,
+    node::SourceNode,
+};
+use std::{
+    path::{Path, PathBuf},
+    time::SystemTime,
+};
+
+/// Options of `check`.
+#[derive(Debug, Clone, Bpaf)]
+pub struct CheckOptions {
+    /// Don't check what resources say of each other
+    pub shape_only: bool,
+    /// Settings or resource files
+    #[bpaf(
+        positional("FILE"),
+        complete_shell(bpaf::ShellComp::File { mask: Some("*.json*") }),
+        some("name at least one file")
+    )]
+    pub files: Vec<PathBuf>,
+}
+
+/// What a sound file holds.
+enum CheckedFile {
+    Settings(Box<DaemonSettings>),
+    Resources(ResourceFile),
+}
+
+/// Checks files.
+///
+/// # Errors
+///
+/// All faults of all files.
+pub fn run(options: &CheckOptions) -> Result<(), CommandError> {
+    let mut faults = Vec::new();
+    let mut sound = String::new();
+    let mut resources = Vec::new();
+    for path in &options.files {
+        let name = path.display();
+        match check_file(path) {
+            Ok(CheckedFile::Settings(settings)) => {
+                sound.push_str(&format!("{name}: settings of host {}: ok\n", settings.host));
+            }
+            Ok(CheckedFile::Resources(file)) => {
+                let count = file.documents.len();
+                sound.push_str(&format!("{name}: {count} resources: ok\n"));
+                resources.push(file);
+            }
+            Err(report) => faults.extend(report.into_faults()),
+        }
+    }
+    // A file that can't be read leaves names unknown, and each would show as a second fault.
+    if faults.is_empty() && !options.shape_only {
+        let now = WallTime::from_system(SystemTime::now());
+        faults = cross_faults(&resources, now);
+    }
+    if faults.is_empty() {
+        return super::print("checking", &sound);
+    }
+    let report = FaultReport::new(faults);
+    Err(CommandError::Faulty { report })
+}
+
+fn check_file(path: &Path) -> Result<CheckedFile, FaultReport> {
+    let source = SourceText::read(path)?;
+    let kind = match SourceNode::parse(&source) {
+        Ok((node, _)) => FileKind::of(&node),
+        // Either reader tells the same fault of the syntax.
+        Err(_) => FileKind::Resources,
+    };
+    match kind {
+        FileKind::Settings => {
+            let folder = path.parent().unwrap_or(Path::new(""));
+            let settings = DaemonSettings::parse(&source, folder)?;
+            Ok(CheckedFile::Settings(Box::new(settings)))
+        }
+        FileKind::Resources => ResourceFile::parse(source).map(CheckedFile::Resources),
+    }
+}
+
+/// What is wrong between the resources of all files.
+#[must_use]
+pub fn cross_faults(files: &[ResourceFile], now: WallTime) -> Vec<SettingsFault> {
+    let mut set = ResourceSet::new();
+    let mut faults = Vec::new();
+    for file in files {
+        for (index, document) in file.documents.iter().enumerate() {
+            if set.insert(document.key(), document.clone()).is_some() {
+                let fault = ResourceFault {
+                    path: "name".to_owned(),
+                    message: "there are two resources of this kind and name".to_owned(),
+                    remedy: "rename or delete one of the two".to_owned(),
+                };
+                faults.push(file.locate(index, &fault));
+            }
+        }
+    }
+    for file in files {
+        for (index, document) in file.documents.iter().enumerate() {
+            // Without itself in the set a move counts as new, so that its deadline is checked.
+            let key = document.key();
+            let own = set.remove(&key);
+            let found = validate::check_document(document, &set, now);
+            faults.extend(found.iter().map(|fault| file.locate(index, fault)));
+            if let Some(own) = own {
+                set.insert(key, own);
+            }
+        }
+    }
+    faults
+}
