--- /dev/null
+++ b/crates/savorywood-core/src/scheduler/admission.rs
@@ -0,0 +1,338 @@
+//! Who is let in, who waits, and who is told to come back when.
+
+use super::{
+    RequestScheduler, SchedulerMechanism, SchedulerView,
+    cost::CostEstimate,
+    queue::WaitingRequest,
+    retry::plain_return,
+    service::{SeatCount, ServiceState},
+};
+use crate::{
+    effect::EffectQueue,
+    invariant::{self, InvariantName},
+    request::QueuedRequest,
+};
+use rand::Rng;
+use savorywood_protocol::{
+    AttemptNumber, MonotonicTime, RefusalCode, RequestId, RequestRefusal, ServiceName, TierRank,
+    resource::ServiceObjectives,
+};
+use std::time::Duration;
+
+/// Requests of a service that wait at most, and with it the memory of its queue.
+pub const MAX_WAITING: usize = 4_096;
+/// Seats are counted again after this long.
+const COUNT_EVERY: Duration = Duration::from_millis(50);
+/// Least share of the seats that a tier is taken to get when higher ones want them all.
+const LEAST_SHARE: f64 = 0.02;
+/// Share of the predicted time that must be left when work begins. Below one, since a prediction
+/// that is a little too long would refuse what could have been done.
+const NEEDED_SHARE: f64 = 0.9;
+const MICROS: f64 = 1e6;
+
+impl RequestScheduler {
+    pub(super) fn arrive(
+        &mut self,
+        now: MonotonicTime,
+        request: QueuedRequest,
+        view: SchedulerView<'_>,
+        effects: &mut EffectQueue,
+    ) {
+        self.counters.tier(request.rank).arrived += 1;
+        self.retries.earn();
+        let name = request.service.clone();
+        self.enforce_floor(now, &name, view, effects);
+        let waiting = self.appraise(request, AttemptNumber::default(), view);
+        if let Err(refusal) = self.admit(now, &waiting, view, effects) {
+            self.shed(now, &waiting, refusal, effects);
+            return;
+        }
+        if let Some(service) = self.services.get_mut(&name) {
+            let meter = service.arrivals.entry(waiting.request.rank).or_default();
+            meter.record(now, waiting.seat_micros as f64 / MICROS);
+        }
+        self.enqueue(waiting);
+        self.drain(now, &name, view, effects);
+    }
+
+    /// Predicts size and time of a request.
+    pub(super) fn appraise(
+        &self,
+        request: QueuedRequest,
+        attempt: AttemptNumber,
+        view: SchedulerView<'_>,
+    ) -> WaitingRequest {
+        let by_team = self.options.has(SchedulerMechanism::TeamCosts);
+        let estimate = self.costs.predict(&request, by_team);
+        let service = self.services.get(&request.service);
+        let objectives = objectives_of(&request.service, view);
+        let mean = whole_time(service, estimate, estimate.output_mean, &objectives);
+        let needed = whole_time(service, estimate, estimate.output_median, &objectives);
+        let latest_start = if self.options.has(SchedulerMechanism::DeadlineAdmission) {
+            request.deadline_at - needed.mul_f64(NEEDED_SHARE)
+        } else {
+            request.deadline_at
+        };
+        WaitingRequest {
+            request,
+            attempt,
+            estimate,
+            seat_micros: u64::try_from(mean.as_micros()).unwrap_or(u64::MAX),
+            latest_start,
+            avoid: None,
+        }
+    }
+
+    /// Decides whether a request may wait. Lower tiers make room for it first.
+    fn admit(
+        &mut self,
+        now: MonotonicTime,
+        waiting: &WaitingRequest,
+        view: SchedulerView<'_>,
+        effects: &mut EffectQueue,
+    ) -> Result<(), RefusalCode> {
+        let request = &waiting.request;
+        let rank = request.rank;
+        let service = self.services.get(&request.service);
+        if service.is_none_or(|service| service.members.is_empty()) {
+            return Err(RefusalCode::NoUpstream);
+        }
+        if let Some(floor) = view.floors.get(&request.service)
+            && rank > *floor
+        {
+            return Err(RefusalCode::TierShed);
+        }
+        if waiting.latest_start <= now {
+            return Err(RefusalCode::DeadlineExceeded);
+        }
+        self.make_room(now, waiting, effects)?;
+        if !self.options.has(SchedulerMechanism::DeadlineAdmission) {
+            return Ok(());
+        }
+        let wait = self.expected_wait(now, waiting, view);
+        let lower_waits = self
+            .services
+            .get(&request.service)
+            .and_then(|service| service.queue.lowest_rank())
+            .is_some_and(|lowest| lowest > rank);
+        // A higher tier is not turned away by an estimate while a lower one waits here: it goes
+        // ahead of it, and is refused only once its deadline is really out of reach.
+        if now + wait > waiting.latest_start && !lower_waits {
+            return Err(RefusalCode::Overloaded);
+        }
+        Ok(())
+    }
+
+    /// Keeps the queue within its bound by shedding the lowest tier's newest request.
+    fn make_room(
+        &mut self,
+        now: MonotonicTime,
+        waiting: &WaitingRequest,
+        effects: &mut EffectQueue,
+    ) -> Result<(), RefusalCode> {
+        let name = &waiting.request.service;
+        let Some(service) = self.services.get(name) else {
+            return Err(RefusalCode::NoUpstream);
+        };
+        if service.queue.len() < MAX_WAITING {
+            return Ok(());
+        }
+        let lowest = service.queue.lowest_rank();
+        if lowest.is_none_or(|lowest| lowest <= waiting.request.rank) {
+            return Err(RefusalCode::Overloaded);
+        }
+        if let Some(victim) = service.queue.shed_candidate() {
+            self.shed_waiting(now, victim, RefusalCode::Overloaded, effects);
+        }
+        Ok(())
+    }
+
+    /// Time until a request's turn comes: the work that goes before it, over the seats that are
+    /// left by higher tiers.
+    pub(super) fn expected_wait(
+        &mut self,
+        now: MonotonicTime,
+        waiting: &WaitingRequest,
+        view: SchedulerView<'_>,
+    ) -> Duration {
+        let name = &waiting.request.service;
+        self.count_seats(now, name, view);
+        let Some(service) = self.services.get(name) else {
+            return Duration::ZERO;
+        };
+        if !service.saturated {
+            return Duration::ZERO;
+        }
+        let seats = seats_left(now, service, waiting.request.rank);
+        let ahead = service.queue.work_ahead(&waiting.request) as f64 / MICROS;
+        let turnover = waiting.seat_micros as f64 / MICROS / 2.0;
+        Duration::from_secs_f64(((ahead + turnover) / seats).min(3_600.0))
+    }
+
+    fn count_seats(&mut self, now: MonotonicTime, name: &ServiceName, view: SchedulerView<'_>) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        let counted = service.seat_count.counted_at;
+        if counted.is_some_and(|at| now.since(at) < COUNT_EVERY) {
+            return;
+        }
+        let members = service.members.iter();
+        let states = members.filter_map(|id| self.fleet.get(*id));
+        let seats = states.map(|state| {
+            let grant = view.grants.get(&state.name);
+            f64::from(state.allowance(now, grant).seats)
+        });
+        service.seat_count = SeatCount {
+            seats: seats.sum(),
+            counted_at: Some(now),
+        };
+    }
+
+    /// Sheds what waits below the floor of a service, lowest tier first.
+    pub(super) fn enforce_floor(
+        &mut self,
+        now: MonotonicTime,
+        name: &ServiceName,
+        view: SchedulerView<'_>,
+        effects: &mut EffectQueue,
+    ) {
+        let Some(floor) = view.floors.get(name) else {
+            return;
+        };
+        while let Some(service) = self.services.get(name)
+            && service
+                .queue
+                .lowest_rank()
+                .is_some_and(|rank| rank > *floor)
+            && let Some(victim) = service.queue.shed_candidate()
+        {
+            self.shed_waiting(now, victim, RefusalCode::TierShed, effects);
+        }
+    }
+
+    /// Refuses what can't meet its deadline any more, at once.
+    pub(super) fn expire_waiting(&mut self, now: MonotonicTime, effects: &mut EffectQueue) {
+        while let Some(request) = self.waits.overdue(now) {
+            self.shed_waiting(now, request, RefusalCode::DeadlineExceeded, effects);
+        }
+    }
+
+    pub(super) fn shed_waiting(
+        &mut self,
+        now: MonotonicTime,
+        request: RequestId,
+        code: RefusalCode,
+        effects: &mut EffectQueue,
+    ) {
+        if let Some(waiting) = self.unqueue(request) {
+            self.shed(now, &waiting, code, effects);
+        }
+    }
+
+    /// Gives a request its final answer. Nothing of it has reached an upstream.
+    pub(super) fn shed(
+        &mut self,
+        now: MonotonicTime,
+        waiting: &WaitingRequest,
+        code: RefusalCode,
+        effects: &mut EffectQueue,
+    ) {
+        let rank = waiting.request.rank;
+        let for_load = matches!(code, RefusalCode::Overloaded | RefusalCode::TierShed);
+        if for_load {
+            self.check_shed_order(&waiting.request, effects);
+        }
+        let retry_after = self.return_time(now, waiting);
+        if let Some(service) = self.services.get_mut(&waiting.request.service)
+            && for_load
+        {
+            service.shed_at.insert(rank, now);
+        }
+        *self.counters.tier(rank).refused.entry(code).or_default() += 1;
+        let refusal = RequestRefusal::not_run(code, detail_of(code)).with_retry_after(retry_after);
+        effects.refuse(waiting.request.request, refusal);
+    }
+
+    fn check_shed_order(&self, request: &QueuedRequest, effects: &mut EffectQueue) {
+        let service = self.services.get(&request.service);
+        let lowest = service.and_then(|service| service.queue.lowest_rank());
+        let in_order = lowest.is_none_or(|lowest| lowest <= request.rank);
+        invariant::check(effects, InvariantName::ShedLowestFirst, in_order, || {
+            let (request, rank) = (request.request, request.rank);
+            let lowest = lowest.unwrap_or_default();
+            format!("request={request} rank={rank} shed while rank={lowest} waits")
+        });
+    }
+
+    /// When to tell a refused caller to come back: once the work ahead of its tier is done.
+    fn return_time(&mut self, now: MonotonicTime, waiting: &WaitingRequest) -> Duration {
+        let jitter: f64 = self.rng.random();
+        let rank = waiting.request.rank;
+        let Some(service) = self.services.get_mut(&waiting.request.service) else {
+            return plain_return(Duration::ZERO).mul_f64(1.0 + jitter);
+        };
+        let seats = seats_left(now, service, rank);
+        let ahead = service.queue.work_ahead(&waiting.request) as f64 / MICROS;
+        let wait = Duration::from_secs_f64((ahead / seats).min(3_600.0));
+        if !self.options.has(SchedulerMechanism::SpreadReturns) {
+            return plain_return(wait);
+        }
+        let share = waiting.seat_micros as f64 / MICROS / seats;
+        let share = Duration::from_secs_f64(share.min(10.0));
+        service.returns.book(now, rank, wait, share, jitter)
+    }
+
+    /// Puts a request into its service's queue.
+    pub(super) fn enqueue(&mut self, waiting: WaitingRequest) {
+        let Some(service) = self.services.get_mut(&waiting.request.service) else {
+            return;
+        };
+        self.waits.insert(&waiting);
+        service.queue.push(waiting);
+    }
+
+    /// Takes a request out of its service's queue, wherever it waits.
+    pub(super) fn unqueue(&mut self, request: RequestId) -> Option<WaitingRequest> {
+        let service = self.waits.remove(request)?;
+        self.services.get_mut(&service)?.queue.remove(request)
+    }
+}
+
+/// Seats that higher tiers leave to a tier.
+fn seats_left(now: MonotonicTime, service: &ServiceState, rank: TierRank) -> f64 {
+    let seats = service.seat_count.seats.max(1.0);
+    let left = seats - service.higher_load(now, rank);
+    left.max(seats * LEAST_SHARE)
+}
+
+fn whole_time(
+    service: Option<&ServiceState>,
+    estimate: CostEstimate,
+    output: u32,
+    objectives: &ServiceObjectives,
+) -> Duration {
+    let Some(service) = service else {
+        return Duration::ZERO;
+    };
+    let miss_share = service.miss_share.value().unwrap_or(1.0);
+    let uncached = f64::from(estimate.prompt) * miss_share;
+    let speed = service.usual_speed(objectives);
+    Duration::from_secs_f64(speed.whole(uncached, f64::from(output)).min(3_600.0))
+}
+
+pub(super) fn objectives_of(name: &ServiceName, view: SchedulerView<'_>) -> ServiceObjectives {
+    let spec = view.config.services.get(name);
+    spec.map(|spec| spec.objectives).unwrap_or_default()
+}
+
+fn detail_of(code: RefusalCode) -> &'static str {
+    match code {
+        RefusalCode::TierShed => "this tier is not admitted now; come back after the given time",
+        RefusalCode::DeadlineExceeded => {
+            "the deadline can't be met any more; come back after the given time or allow more"
+        }
+        RefusalCode::NoUpstream => "no upstream of the service can be reached",
+        _ => "the work that goes first would use up the deadline; come back after the given time",
+    }
+}
--- /dev/null
+++ b/crates/savorywood-core/src/scheduler/cost.rs
@@ -0,0 +1,135 @@
+//! Predicted size of a request: prompt and output tokens by service, route and team.
+
+mod quantile;
+
+use crate::request::QueuedRequest;
+use quantile::QuantileSketch;
+use savorywood_protocol::{ServiceName, TeamName};
+use std::collections::BTreeMap;
+
+/// Routes told apart in a service. Callers choose paths, so their number must have a bound;
+/// further ones share one sketch.
+const MAX_ROUTES: usize = 256;
+/// Teams with a sketch of their own, over all routes.
+const MAX_TEAM_SKETCHES: usize = 16_384;
+/// Samples before a team's own sketch is believed.
+const TEAM_MIN_WEIGHT: u32 = 8;
+/// Output tokens assumed before anything was seen.
+const DEFAULT_OUTPUT_TOKENS: u32 = 256;
+/// Sketches looked at to find an idle one.
+const EVICTION_SCAN: usize = 32;
+
+/// Predicted size of one request, in tokens.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CostEstimate {
+    /// Tokens of the prompt, cached or not.
+    pub prompt: u32,
+    /// Output in the middle case.
+    pub output_median: u32,
+    /// Output on average; larger than the median, since lengths are skewed.
+    pub output_mean: u32,
+    /// Output that a quarter of requests stay below.
+    pub output_low: u32,
+}
+
+impl CostEstimate {
+    /// Tokens that the request is expected to hold in a batch.
+    #[must_use]
+    pub fn batch_tokens(&self) -> u64 {
+        u64::from(self.prompt) + u64::from(self.output_mean)
+    }
+}
+
+#[derive(Debug)]
+struct TeamSketch {
+    sketch: QuantileSketch,
+    used_at: u64,
+}
+
+#[derive(Debug, Default)]
+struct RouteSketch {
+    sketch: QuantileSketch,
+    teams: BTreeMap<TeamName, TeamSketch>,
+}
+
+/// Learned output lengths. Memory is bounded by [`MAX_ROUTES`] and [`MAX_TEAM_SKETCHES`].
+#[derive(Debug, Default)]
+pub struct CostModel {
+    services: BTreeMap<ServiceName, BTreeMap<String, RouteSketch>>,
+    team_sketches: usize,
+    clock: u64,
+}
+
+impl CostModel {
+    /// Predicts a request. A team that is rare on the route borrows the route's lengths.
+    pub fn predict(&self, request: &QueuedRequest, by_team: bool) -> CostEstimate {
+        let route = self.route(request);
+        let team = route
+            .and_then(|route| route.teams.get(&request.team))
+            .filter(|team| by_team && team.sketch.weight() >= TEAM_MIN_WEIGHT);
+        let sketch = match (team, route) {
+            (Some(team), _) => Some(&team.sketch),
+            (None, Some(route)) => Some(&route.sketch),
+            (None, None) => None,
+        };
+        let most = request.prompt.max_output_tokens.unwrap_or(u32::MAX).max(1);
+        let read = |value: Option<u32>| value.unwrap_or(DEFAULT_OUTPUT_TOKENS).clamp(1, most);
+        CostEstimate {
+            prompt: request.prompt.tokens,
+            output_median: read(sketch.and_then(|sketch| sketch.quantile(500))),
+            output_mean: read(sketch.and_then(QuantileSketch::mean)),
+            output_low: read(sketch.and_then(|sketch| sketch.quantile(250))),
+        }
+    }
+
+    fn route(&self, request: &QueuedRequest) -> Option<&RouteSketch> {
+        let routes = self.services.get(&request.service)?;
+        routes.get(&request.route).or_else(|| routes.get(""))
+    }
+
+    /// Learns from a finished answer.
+    pub fn record(&mut self, request: &QueuedRequest, output_tokens: u32) {
+        self.clock += 1;
+        let routes = self.services.entry(request.service.clone()).or_default();
+        let known = routes.contains_key(&request.route);
+        let label = if known || routes.len() < MAX_ROUTES {
+            request.route.as_str()
+        } else {
+            ""
+        };
+        if !routes.contains_key(label) {
+            routes.insert(label.to_owned(), RouteSketch::default());
+        }
+        let Some(route) = routes.get_mut(label) else {
+            return;
+        };
+        route.sketch.record(output_tokens);
+        if let Some(team) = route.teams.get_mut(&request.team) {
+            team.sketch.record(output_tokens);
+            team.used_at = self.clock;
+            return;
+        }
+        if self.team_sketches >= MAX_TEAM_SKETCHES && !evict_idle(route) {
+            return;
+        }
+        if self.team_sketches < MAX_TEAM_SKETCHES {
+            self.team_sketches += 1;
+        }
+        let mut sketch = QuantileSketch::default();
+        sketch.record(output_tokens);
+        let used_at = self.clock;
+        let team = TeamSketch { sketch, used_at };
+        route.teams.insert(request.team.clone(), team);
+    }
+}
+
+/// Drops the idlest of a few teams of a route; says whether there was one. The few are those
+/// after the team that was dropped last in name order, which is as good as a random sample.
+fn evict_idle(route: &mut RouteSketch) -> bool {
+    let sample = route.teams.iter().take(EVICTION_SCAN);
+    let idlest = sample.min_by_key(|(_, team)| team.used_at);
+    let Some(name) = idlest.map(|(name, _)| name.clone()) else {
+        return false;
+    };
+    route.teams.remove(&name).is_some()
+}
--- /dev/null
+++ b/crates/savorywood-core/src/scheduler/fleet.rs
@@ -0,0 +1,220 @@
+//! What this daemon knows of each upstream.
+
+use super::{
+    SeatGrant,
+    health::UpstreamHealth,
+    limit::{AdaptiveLimit, LimitUse},
+    speed::{SpeedEstimate, SpeedMeter},
+};
+use crate::event::LoadReport;
+use savorywood_protocol::{
+    MonotonicTime, ServiceName, UpstreamName, VersionName, ZoneName, resource::UpstreamSpec,
+};
+use std::{collections::BTreeMap, time::Duration};
+
+/// Load reports older than this say nothing.
+const MAX_HINT_AGE: Duration = Duration::from_secs(10);
+/// Time after which a load report counts for a third.
+const HINT_TAU: Duration = Duration::from_secs(3);
+/// Gaps between tokens that are still no silence.
+const SILENT_GAPS: f64 = 16.0;
+
+/// Short name of an upstream within one scheduler. Never used again for another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct UpstreamId(pub u32);
+
+/// How much work an upstream may hold of this daemon's.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WorkAllowance {
+    /// Requests at once.
+    pub seats: u32,
+    /// Batch tokens at once.
+    pub tokens: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LoadHint {
+    report: LoadReport,
+    received_at: MonotonicTime,
+}
+
+/// State of one upstream.
+#[derive(Debug)]
+pub struct UpstreamState {
+    /// Its name.
+    pub name: UpstreamName,
+    /// Service that it runs.
+    pub service: ServiceName,
+    /// Version that it runs.
+    pub version: VersionName,
+    /// Whether it stands in this daemon's availability zone.
+    pub local: bool,
+    /// Whether it gets no new work: drained by an operator or no longer declared.
+    pub closed: bool,
+    /// Limit of seats and tokens.
+    pub limit: AdaptiveLimit,
+    /// Failures and silence.
+    pub health: UpstreamHealth,
+    /// Learned speed.
+    pub speed: SpeedMeter,
+    /// Attempts of this daemon under way there.
+    pub seats_used: u32,
+    /// Batch tokens of those attempts.
+    pub tokens_used: u64,
+    /// Prompt tokens dispatched of which no first token has come.
+    pub pending_prefill: u64,
+    hint: Option<LoadHint>,
+}
+
+impl UpstreamState {
+    /// State of an upstream that has just been declared.
+    #[must_use]
+    pub fn new(now: MonotonicTime, name: UpstreamName, spec: &UpstreamSpec, cold: bool) -> Self {
+        Self {
+            name,
+            service: spec.service.clone(),
+            version: spec.version.clone(),
+            local: false,
+            closed: false,
+            limit: AdaptiveLimit::new(spec.seats, spec.batch_tokens),
+            health: UpstreamHealth::new(now, cold),
+            speed: SpeedMeter::default(),
+            seats_used: 0,
+            tokens_used: 0,
+            pending_prefill: 0,
+            hint: None,
+        }
+    }
+
+    /// Takes over what operators may change while it runs.
+    pub fn refresh(&mut self, spec: &UpstreamSpec, zone: &ZoneName) {
+        self.version.clone_from(&spec.version);
+        self.local = spec.zone == *zone;
+        self.closed = spec.draining;
+    }
+
+    /// What it may hold now.
+    #[must_use]
+    pub fn allowance(&self, now: MonotonicTime, grant: Option<&SeatGrant>) -> WorkAllowance {
+        let limit = self.limit.seats();
+        let granted = grant.map_or(limit, |grant| grant.seats.min(limit));
+        let share = self.health.share(now);
+        if self.closed || granted == 0 || share <= 0.0 {
+            return WorkAllowance::default();
+        }
+        let seats = ((f64::from(granted) * share) as u32).max(1);
+        let tokens = self.limit.tokens() * u64::from(seats) / u64::from(limit);
+        WorkAllowance { seats, tokens }
+    }
+
+    /// Whether work of this size fits. Any size fits an empty upstream.
+    #[must_use]
+    pub fn has_room(&self, allowance: WorkAllowance, batch_tokens: u64) -> bool {
+        let fits = self.tokens_used + batch_tokens <= allowance.tokens;
+        self.seats_used < allowance.seats && (fits || self.seats_used == 0)
+    }
+
+    /// Whether nothing has come from it for too long although it has work.
+    #[must_use]
+    pub fn is_silent(&self, now: MonotonicTime, speed: SpeedEstimate) -> bool {
+        if self.seats_used == 0 {
+            return false;
+        }
+        let first = speed.first_token(self.pending_prefill as f64);
+        let usual = Duration::from_secs_f64(first + speed.gap * SILENT_GAPS);
+        self.health.is_silent(now, usual)
+    }
+
+    /// Notes the use of the allowance for the limit.
+    pub fn note_use(&mut self, allowance: WorkAllowance) {
+        let seats = f64::from(self.seats_used) / f64::from(allowance.seats.max(1));
+        let tokens = self.tokens_used as f64 / allowance.tokens.max(1) as f64;
+        self.limit.note_use(LimitUse { seats, tokens });
+    }
+
+    /// Notes a load report.
+    pub fn note_load(&mut self, now: MonotonicTime, report: LoadReport) {
+        self.hint = Some(LoadHint {
+            report,
+            received_at: now,
+        });
+    }
+
+    /// Requests that are said to wait inside the engine; old reports count for less.
+    #[must_use]
+    pub fn waiting_hint(&self, now: MonotonicTime) -> f64 {
+        let Some(hint) = self.hint else {
+            return 0.0;
+        };
+        let age = now.since(hint.received_at) + hint.report.age;
+        if age > MAX_HINT_AGE {
+            return 0.0;
+        }
+        let weight = (-age.as_secs_f64() / HINT_TAU.as_secs_f64()).exp();
+        f64::from(hint.report.waiting) * weight
+    }
+}
+
+/// All upstreams known.
+#[derive(Debug, Default)]
+pub struct UpstreamFleet {
+    ids: BTreeMap<UpstreamName, UpstreamId>,
+    states: BTreeMap<UpstreamId, UpstreamState>,
+    next_id: u32,
+}
+
+impl UpstreamFleet {
+    /// Short name of an upstream.
+    #[must_use]
+    pub fn id(&self, name: &UpstreamName) -> Option<UpstreamId> {
+        self.ids.get(name).copied()
+    }
+
+    /// State of an upstream.
+    #[must_use]
+    pub fn get(&self, id: UpstreamId) -> Option<&UpstreamState> {
+        self.states.get(&id)
+    }
+
+    /// State of an upstream, to change it.
+    pub fn get_mut(&mut self, id: UpstreamId) -> Option<&mut UpstreamState> {
+        self.states.get_mut(&id)
+    }
+
+    /// Adds an upstream.
+    pub fn insert(&mut self, state: UpstreamState) -> UpstreamId {
+        let id = UpstreamId(self.next_id);
+        self.next_id += 1;
+        self.ids.insert(state.name.clone(), id);
+        self.states.insert(id, state);
+        id
+    }
+
+    /// Closes the upstreams that `keep` does not know any more, and forgets those of them that
+    /// have no work. Gives the forgotten ones.
+    pub fn retire(&mut self, keep: impl Fn(&UpstreamState) -> bool) -> Vec<UpstreamId> {
+        let mut gone = Vec::new();
+        for (id, state) in &mut self.states {
+            if keep(state) {
+                continue;
+            }
+            state.closed = true;
+            if state.seats_used == 0 {
+                gone.push(*id);
+            }
+        }
+        for id in &gone {
+            if let Some(state) = self.states.remove(id)
+                && self.ids.get(&state.name) == Some(id)
+            {
+                self.ids.remove(&state.name);
+            }
+        }
+        gone
+    }
+
+    /// Lets another upstream of the same name be declared while the old one's work ends.
+    pub fn release_name(&mut self, name: &UpstreamName) {
+        self.ids.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/savorywood-core/src/scheduler/prefix.rs
@@ -0,0 +1,211 @@
+//! Which upstream holds which prompt prefix, as far as late and gappy cache events tell.
+//!
+//! Only prefixes of prompts that this daemon has seen are kept, at a few positions of a prompt:
+//! prefixes of all lengths in an engine's cache would not fit, and a match a little too short
+//! costs little.
+
+use super::fleet::UpstreamId;
+use crate::event::{CacheEvent, CacheEventBatch};
+use savorywood_protocol::MonotonicTime;
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+/// Prefixes known at most.
+const MAX_PREFIXES: usize = 65_536;
+/// Upstreams remembered for a prefix.
+const MAX_HOLDERS: usize = 6;
+/// Positions of a prompt looked at for each doubling of the length.
+const POSITIONS_PER_OCTAVE: f64 = 4.0;
+/// Cache events may be this late. One that is older than a dispatch of ours by less says nothing
+/// of what the dispatch stored.
+const EVENT_LAG: Duration = Duration::from_secs(10);
+/// Weight of a match that a gap in the events has made unsure.
+const UNSURE_WEIGHT: f64 = 0.7;
+/// Knowledge that nothing has confirmed for this long is dropped.
+const MAX_AGE: Duration = Duration::from_secs(600);
+
+#[derive(Debug, Clone, Copy)]
+struct PrefixHolder {
+    upstream: UpstreamId,
+    seen_at: MonotonicTime,
+    epoch: u32,
+}
+
+#[derive(Debug, Default)]
+struct PrefixEntry {
+    holders: Vec<PrefixHolder>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct EventFeed {
+    next_sequence: Option<u64>,
+    epoch: u32,
+}
+
+/// An upstream that holds the first blocks of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PrefixMatch {
+    /// Who.
+    pub upstream: UpstreamId,
+    /// Blocks it is expected to hold, less when this is unsure.
+    pub blocks: f64,
+}
+
+/// Known holders of prefixes. Memory is bounded by [`MAX_PREFIXES`].
+#[derive(Debug, Default)]
+pub struct PrefixIndex {
+    entries: BTreeMap<u64, PrefixEntry>,
+    order: VecDeque<u64>,
+    feeds: BTreeMap<UpstreamId, EventFeed>,
+}
+
+impl PrefixIndex {
+    /// Notes that an upstream is given a prompt and so will hold its prefixes.
+    pub fn note_dispatch(&mut self, now: MonotonicTime, upstream: UpstreamId, hashes: &[u64]) {
+        let epoch = self.epoch(upstream);
+        for index in positions(hashes.len()) {
+            let Some(hash) = hashes.get(index) else {
+                continue;
+            };
+            let entry = self.entry(*hash);
+            entry.hold(PrefixHolder {
+                upstream,
+                seen_at: now,
+                epoch,
+            });
+        }
+    }
+
+    fn epoch(&self, upstream: UpstreamId) -> u32 {
+        self.feeds.get(&upstream).map_or(0, |feed| feed.epoch)
+    }
+
+    fn entry(&mut self, hash: u64) -> &mut PrefixEntry {
+        if !self.entries.contains_key(&hash) {
+            if self.entries.len() >= MAX_PREFIXES
+                && let Some(oldest) = self.order.pop_front()
+            {
+                self.entries.remove(&oldest);
+            }
+            self.order.push_back(hash);
+        }
+        self.entries.entry(hash).or_default()
+    }
+
+    /// Upstreams that hold a prefix of the prompt, longest match first.
+    pub fn find(&self, now: MonotonicTime, hashes: &[u64]) -> Vec<PrefixMatch> {
+        let mut matches: Vec<PrefixMatch> = Vec::new();
+        for index in positions(hashes.len()).rev() {
+            let Some(entry) = hashes.get(index).and_then(|hash| self.entries.get(hash)) else {
+                continue;
+            };
+            for holder in &entry.holders {
+                let known = matches
+                    .iter()
+                    .any(|found| found.upstream == holder.upstream);
+                if known || now.since(holder.seen_at) > MAX_AGE {
+                    continue;
+                }
+                let sure = holder.epoch == self.epoch(holder.upstream);
+                let weight = if sure { 1.0 } else { UNSURE_WEIGHT };
+                let blocks = (index + 1) as f64 * weight;
+                let upstream = holder.upstream;
+                matches.push(PrefixMatch { upstream, blocks });
+            }
+            if matches.len() >= MAX_HOLDERS {
+                break;
+            }
+        }
+        matches
+    }
+
+    /// Takes in events of an upstream's cache. A jump in their numbers makes all that is known of
+    /// that upstream unsure: a lost `Removed` would leave a prefix that is gone, a lost `Stored`
+    /// costs nothing but a chance.
+    pub fn note_events(
+        &mut self,
+        now: MonotonicTime,
+        upstream: UpstreamId,
+        batch: &CacheEventBatch,
+    ) {
+        let feed = self.feeds.entry(upstream).or_default();
+        let expected = feed.next_sequence.unwrap_or(batch.first_sequence);
+        if batch.first_sequence > expected {
+            feed.epoch += 1;
+        }
+        feed.next_sequence = Some(batch.first_sequence + batch.events.len() as u64);
+        let epoch = feed.epoch;
+        for event in &batch.events {
+            match event {
+                CacheEvent::Stored(hash) => {
+                    if let Some(entry) = self.entries.get_mut(hash) {
+                        entry.hold(PrefixHolder {
+                            upstream,
+                            seen_at: now,
+                            epoch,
+                        });
+                    }
+                }
+                CacheEvent::Removed(hash) => {
+                    if let Some(entry) = self.entries.get_mut(hash) {
+                        entry.release(now, upstream);
+                    }
+                }
+                CacheEvent::Cleared => self.clear(now, upstream),
+            }
+        }
+    }
+
+    fn clear(&mut self, now: MonotonicTime, upstream: UpstreamId) {
+        for entry in self.entries.values_mut() {
+            entry.release(now, upstream);
+        }
+    }
+
+    /// Forgets an upstream that is gone.
+    pub fn forget(&mut self, upstream: UpstreamId) {
+        self.feeds.remove(&upstream);
+        for entry in self.entries.values_mut() {
+            entry.holders.retain(|holder| holder.upstream != upstream);
+        }
+    }
+}
+
+impl PrefixEntry {
+    fn hold(&mut self, holder: PrefixHolder) {
+        let mut holders = self.holders.iter_mut();
+        if let Some(known) = holders.find(|known| known.upstream == holder.upstream) {
+            *known = holder;
+            return;
+        }
+        if self.holders.len() >= MAX_HOLDERS {
+            let oldest = self.holders.iter().enumerate();
+            let oldest = oldest.min_by_key(|(_, known)| known.seen_at);
+            if let Some((index, _)) = oldest {
+                self.holders.swap_remove(index);
+            }
+        }
+        self.holders.push(holder);
+    }
+
+    fn release(&mut self, now: MonotonicTime, upstream: UpstreamId) {
+        self.holders.retain(|holder| {
+            let newer = now.since(holder.seen_at) < EVENT_LAG;
+            holder.upstream != upstream || newer
+        });
+    }
+}
+
+/// Positions of a prompt at which its prefixes are known: all short ones, then ever fewer.
+fn positions(blocks: usize) -> impl DoubleEndedIterator<Item = usize> {
+    let octaves = (blocks.max(1) as f64).log2() * POSITIONS_PER_OCTAVE;
+    let steps = 0..=(octaves as usize);
+    let lengths = steps.map(|step| (step as f64 / POSITIONS_PER_OCTAVE).exp2() as usize);
+    let last = blocks.checked_sub(1);
+    lengths
+        .map(|length| length - 1)
+        .filter(move |index| Some(*index) != last)
+        .chain(last)
+}
--- /dev/null
+++ b/crates/savorywood-core/src/scheduler/queue/fair.rs
@@ -0,0 +1,197 @@
+//! Start-time fair queueing of teams, by tokens.
+//!
+//! Each team has a lane with a tag in virtual time; the lane with the smallest tag is next and
+//! moves on by the size of what it sent over its weight. Cost of an operation grows with the
+//! logarithm of the teams that have requests waiting; idle teams are forgotten as soon as their
+//! tag is in the past.
+
+use super::WaitingRequest;
+use savorywood_protocol::{RequestId, TeamName};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Virtual time of one token of a team with weight one.
+const TAG_SCALE: u64 = 1_024;
+
+/// Team of a lane; `None` when all teams share one.
+pub type LaneKey = Option<TeamName>;
+
+#[derive(Debug, Default)]
+struct TeamLane {
+    waiting: BTreeMap<u64, WaitingRequest>,
+    tag: u64,
+    weight: u64,
+    work: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct LaneTurn {
+    tag: u64,
+    lane: LaneKey,
+}
+
+/// Waiting requests of one tier.
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    lanes: BTreeMap<LaneKey, TeamLane>,
+    turns: BTreeSet<LaneTurn>,
+    idle: BTreeSet<LaneTurn>,
+    order: BTreeMap<u64, LaneKey>,
+    virtual_time: u64,
+    active_weight: u64,
+    work: u64,
+}
+
+impl FairQueue {
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// Seat time of all that wait, in microseconds.
+    pub fn work(&self) -> u64 {
+        self.work
+    }
+
+    /// Adds a request to its team's lane.
+    pub fn push(&mut self, key: LaneKey, sequence: u64, waiting: WaitingRequest) {
+        let lane = self.lanes.entry(key.clone()).or_default();
+        if lane.waiting.is_empty() {
+            let tag = lane.tag;
+            let lane_key = key.clone();
+            self.idle.remove(&LaneTurn {
+                tag,
+                lane: lane_key,
+            });
+            lane.tag = tag.max(self.virtual_time);
+            lane.weight = u64::from(waiting.request.weight.max(1));
+            self.active_weight += lane.weight;
+            self.turns.insert(LaneTurn {
+                tag: lane.tag,
+                lane: key.clone(),
+            });
+        }
+        self.work += waiting.seat_micros;
+        lane.work += waiting.seat_micros;
+        lane.waiting.insert(sequence, waiting);
+        self.order.insert(sequence, key);
+    }
+
+    /// First request of each lane, next lane first.
+    pub fn heads(&self) -> impl Iterator<Item = &WaitingRequest> {
+        self.turns.iter().filter_map(|turn| {
+            let lane = self.lanes.get(&turn.lane)?;
+            lane.waiting.values().next()
+        })
+    }
+
+    /// Newest request of the tier.
+    pub fn newest(&self) -> Option<RequestId> {
+        let (sequence, key) = self.order.last_key_value()?;
+        let waiting = self.lanes.get(key)?.waiting.get(sequence)?;
+        Some(waiting.request.request)
+    }
+
+    /// Takes a request out and charges its team.
+    pub fn take(&mut self, sequence: u64) -> Option<WaitingRequest> {
+        let tag = self.tag_of(sequence)?;
+        self.virtual_time = self.virtual_time.max(tag);
+        let taken = self.detach(sequence, true);
+        self.forget_idle();
+        taken
+    }
+
+    /// Takes a request out without a charge.
+    pub fn remove(&mut self, sequence: u64) -> Option<WaitingRequest> {
+        let removed = self.detach(sequence, false);
+        self.forget_idle();
+        removed
+    }
+
+    fn tag_of(&self, sequence: u64) -> Option<u64> {
+        let key = self.order.get(&sequence)?;
+        self.lanes.get(key).map(|lane| lane.tag)
+    }
+
+    fn detach(&mut self, sequence: u64, charge: bool) -> Option<WaitingRequest> {
+        let key = self.order.remove(&sequence)?;
+        let lane = self.lanes.get_mut(&key)?;
+        let waiting = lane.waiting.remove(&sequence)?;
+        self.work -= waiting.seat_micros;
+        lane.work -= waiting.seat_micros;
+        let mut turn = LaneTurn {
+            tag: lane.tag,
+            lane: key,
+        };
+        self.turns.remove(&turn);
+        if charge {
+            lane.tag += scaled(waiting.estimate.batch_tokens(), lane.weight);
+        }
+        turn.tag = lane.tag;
+        if lane.waiting.is_empty() {
+            self.active_weight -= lane.weight;
+            self.idle.insert(turn);
+        } else {
+            self.turns.insert(turn);
+        }
+        Some(waiting)
+    }
+
+    /// Corrects what a team was charged. A lane that is forgotten has nothing to correct.
+    pub fn correct(&mut self, key: &LaneKey, weight: u32, charged: u64, actual: u64) {
+        let Some(lane) = self.lanes.get_mut(key) else {
+            return;
+        };
+        let weight = u64::from(weight.max(1));
+        let mut turn = LaneTurn {
+            tag: lane.tag,
+            lane: key.clone(),
+        };
+        let set = if lane.waiting.is_empty() {
+            &mut self.idle
+        } else {
+            &mut self.turns
+        };
+        set.remove(&turn);
+        let tag = (lane.tag + scaled(actual, weight)).saturating_sub(scaled(charged, weight));
+        lane.tag = tag.max(self.virtual_time);
+        turn.tag = lane.tag;
+        set.insert(turn);
+    }
+
+    fn forget_idle(&mut self) {
+        if self.order.is_empty() {
+            // With nobody waiting there is no competition to remember shares of.
+            self.idle.clear();
+            self.lanes.clear();
+            return;
+        }
+        while let Some(turn) = self.idle.first()
+            && turn.tag <= self.virtual_time
+        {
+            if let Some(turn) = self.idle.pop_first() {
+                self.lanes.remove(&turn.lane);
+            }
+        }
+    }
+
+    /// Seat time that goes before a new request of a team. Its own lane's work is stretched by
+    /// what the other lanes take meanwhile.
+    pub fn work_ahead(&self, key: &LaneKey, weight: u32) -> u64 {
+        let weight = u64::from(weight.max(1));
+        let (own, others) = match self.lanes.get(key) {
+            Some(lane) if !lane.waiting.is_empty() => (lane.work, self.active_weight - lane.weight),
+            _ => (0, self.active_weight),
+        };
+        let shared = own.saturating_mul(weight + others) / weight;
+        shared.min(self.work)
+    }
+}
+
+fn scaled(tokens: u64, weight: u64) -> u64 {
+    (tokens * TAG_SCALE / weight).max(1)
+}
--- /dev/null
+++ b/crates/savorywood-core/src/scheduler/routing.rs
@@ -0,0 +1,330 @@
+//! Which upstream gets a request.
+
+use super::{
+    RequestScheduler, SchedulerMechanism, SchedulerView,
+    admission::objectives_of,
+    fleet::{UpstreamId, UpstreamState, WorkAllowance},
+    prefix::PrefixMatch,
+    queue::WaitingRequest,
+    service::ServiceState,
+    speed::SpeedEstimate,
+    split::SplitSide,
+};
+use crate::view::VersionSplit;
+use savorywood_protocol::{MonotonicTime, ServiceName, VersionName, resource::ServiceObjectives};
+
+/// Upstreams compared besides those that hold the prefix. Two would do against herding; a few
+/// more find the faster generations.
+const SAMPLE_SIZE: usize = 6;
+/// Services with no more upstreams than this have all of them compared.
+const COMPARE_ALL: usize = 16;
+/// What an upstream in another availability zone must be better by.
+const REMOTE_FACTOR: f64 = 1.05;
+/// Growth of the time between tokens from an empty to a full batch, until it has been seen.
+const BATCH_FACTOR: f64 = 0.5;
+/// Weight of a late first token against a second of the whole time.
+const LATE_FIRST_WEIGHT: f64 = 4.0;
+
+/// Why no upstream was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PickFailure {
+    /// None has room.
+    Full,
+    /// Only upstreams of the version whose turn it is not have room.
+    OtherVersion,
+}
+
+/// An upstream chosen for a request.
+#[derive(Debug, Clone, Copy)]
+pub struct PickedUpstream {
+    /// Who.
+    pub upstream: UpstreamId,
+    /// Prompt tokens that it is expected to have to prefill.
+    pub uncached: u32,
+    /// Prompt tokens that the best other upstream is known to have cached.
+    pub cached_elsewhere: u32,
+    /// Version that it runs, while traffic moves.
+    pub side: Option<SplitSide>,
+    score: f64,
+}
+
+/// Numbers for one choice, drawn from one number of the scheduler's generator.
+#[derive(Debug, Clone, Copy)]
+pub struct SampleDraw(pub u64);
+
+impl SampleDraw {
+    /// A number below `bound`; zero when that is zero.
+    fn below(&mut self, bound: usize) -> usize {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let bound = bound.max(1) as u64;
+        ((mixed >> 32) % bound) as usize
+    }
+}
+
+/// What is the same for all upstreams compared for one request.
+struct PickContext<'a> {
+    now: MonotonicTime,
+    view: SchedulerView<'a>,
+    waiting: &'a WaitingRequest,
+    objectives: ServiceObjectives,
+    usual: SpeedEstimate,
+    matches: Vec<PrefixMatch>,
+    check_silence: bool,
+    wanted: WantedVersion<'a>,
+}
+
+/// Versions that may get a request.
+#[derive(Debug, Clone, Copy)]
+enum WantedVersion<'a> {
+    /// Any.
+    Any,
+    /// One.
+    Only(&'a VersionName),
+    /// One while traffic moves.
+    Side(&'a VersionSplit, SplitSide),
+}
+
+impl WantedVersion<'_> {
+    /// Says under which side of a split a version may get the request, if it may.
+    fn allows(self, version: &VersionName) -> Result<Option<SplitSide>, PickFailure> {
+        match self {
+            Self::Any => Ok(None),
+            Self::Only(only) if only == version => Ok(None),
+            Self::Side(split, SplitSide::New) if *version == split.new => Ok(Some(SplitSide::New)),
+            // The new version may be full while its turn is: the old one then helps out, and the
+            // share is made up for later. Never the other way round: the share is a bound.
+            Self::Side(split, _) if *version == split.old => Ok(Some(SplitSide::Old)),
+            Self::Side(split, SplitSide::Old) if *version == split.new => {
+                Err(PickFailure::OtherVersion)
+            }
+            Self::Only(_) | Self::Side(..) => Err(PickFailure::Full),
+        }
+    }
+
+    fn prefers(self, side: Option<SplitSide>) -> bool {
+        match self {
+            Self::Any | Self::Only(_) => true,
+            Self::Side(_, wanted) => side == Some(wanted),
+        }
+    }
+}
+
+impl RequestScheduler {
+    /// Chooses the upstream on which a request is expected to be whole first.
+    pub(super) fn pick(
+        &self,
+        now: MonotonicTime,
+        waiting: &WaitingRequest,
+        view: SchedulerView<'_>,
+        mut draw: SampleDraw,
+    ) -> Result<PickedUpstream, PickFailure> {
+        let name = &waiting.request.service;
+        let Some(service) = self.services.get(name) else {
+            return Err(PickFailure::Full);
+        };
+        let sample = sample_members(service, &mut draw);
+        let context = self.context(now, name, service, waiting, view);
+        let holders = context.matches.iter().map(|found| found.upstream);
+        let compared = self.best_of(&context, sample.into_iter().chain(holders));
+        if compared.is_ok() || service.members.len() <= COMPARE_ALL {
+            return compared;
+        }
+        // None of the sample has room: look at all, beginning anywhere.
+        let offset = draw.below(service.members.len());
+        let (front, back) = service.members.split_at(offset);
+        let all = back.iter().chain(front).copied();
+        let mut found = Err(compared.err().unwrap_or(PickFailure::Full));
+        for id in all {
+            match self.appraise_upstream(&context, id) {
+                Ok(picked) if context.wanted.prefers(picked.side) => return Ok(picked),
+                Ok(picked) => found = Ok(picked),
+                Err(PickFailure::OtherVersion) if found.is_err() => {
+                    found = Err(PickFailure::OtherVersion);
+                }
+                Err(_) => {}
+            }
+        }
+        found
+    }
+
+    /// Checks whether one upstream that has just become free may have a request.
+    pub(super) fn pick_this(
+        &self,
+        now: MonotonicTime,
+        waiting: &WaitingRequest,
+        upstream: UpstreamId,
+        view: SchedulerView<'_>,
+    ) -> Result<PickedUpstream, PickFailure> {
+        let name = &waiting.request.service;
+        let Some(service) = self.services.get(name) else {
+            return Err(PickFailure::Full);
+        };
+        let context = self.context(now, name, service, waiting, view);
+        self.appraise_upstream(&context, upstream)
+    }
+
+    fn context<'a>(
+        &self,
+        now: MonotonicTime,
+        name: &ServiceName,
+        service: &ServiceState,
+        waiting: &'a WaitingRequest,
+        view: SchedulerView<'a>,
+    ) -> PickContext<'a> {
+        let objectives = objectives_of(name, view);
+        let hashes = &waiting.request.prompt.prefix_hashes;
+        let matches = if self.options.has(SchedulerMechanism::Affinity) {
+            self.prefixes.find(now, hashes)
+        } else {
+            Vec::new()
+        };
+        PickContext {
+            now,
+            view,
+            waiting,
+            objectives,
+            usual: service.usual_speed(&objectives),
+            matches,
+            check_silence: self.options.has(SchedulerMechanism::Ejection)
+                && service.members.len() > 1,
+            wanted: self.wanted_version(name, service, waiting, view),
+        }
+    }
+
+    fn wanted_version<'a>(
+        &self,
+        name: &ServiceName,
+        service: &ServiceState,
+        waiting: &WaitingRequest,
+        view: SchedulerView<'a>,
+    ) -> WantedVersion<'a> {
+        if let Some(split) = view.splits.get(name) {
+            let route = waiting.request.route.as_str();
+            let side = service.splits.wanted(split, route, self.options.seed());
+            return WantedVersion::Side(split, side);
+        }
+        let spec = view.config.services.get(name);
+        let version = spec.and_then(|spec| spec.version.as_ref());
+        version.map_or(WantedVersion::Any, WantedVersion::Only)
+    }
+
+    fn best_of(
+        &self,
+        context: &PickContext<'_>,
+        candidates: impl Iterator<Item = UpstreamId>,
+    ) -> Result<PickedUpstream, PickFailure> {
+        let mut best = Err(PickFailure::Full);
+        for id in candidates {
+            best = match (best, self.appraise_upstream(context, id)) {
+                (Ok(old), Ok(new)) => Ok(better(context, old, new)),
+                (Err(_), Ok(new)) => Ok(new),
+                (Err(_), Err(PickFailure::OtherVersion)) => Err(PickFailure::OtherVersion),
+                (kept, Err(_)) => kept,
+            };
+        }
+        best
+    }
+
+    /// Says how long the request would take on one upstream, if it may go there.
+    fn appraise_upstream(
+        &self,
+        context: &PickContext<'_>,
+        id: UpstreamId,
+    ) -> Result<PickedUpstream, PickFailure> {
+        let Some(state) = self.fleet.get(id) else {
+            return Err(PickFailure::Full);
+        };
+        let waiting = context.waiting;
+        let grant = context.view.grants.get(&state.name);
+        let allowance = state.allowance(context.now, grant);
+        let room = state.has_room(allowance, waiting.estimate.batch_tokens());
+        if !room || waiting.avoid == Some(id) {
+            return Err(PickFailure::Full);
+        }
+        let speed = state.speed.estimate(context.usual);
+        if context.check_silence && state.is_silent(context.now, speed) {
+            return Err(PickFailure::Full);
+        }
+        let side = context.wanted.allows(&state.version)?;
+        let uncached = uncached_tokens(context, id);
+        Ok(PickedUpstream {
+            upstream: id,
+            uncached,
+            cached_elsewhere: cached_elsewhere(context, id),
+            side,
+            score: score(context, state, allowance, speed, uncached),
+        })
+    }
+}
+
+/// The better of two, the version whose turn it is before speed.
+fn better(context: &PickContext<'_>, old: PickedUpstream, new: PickedUpstream) -> PickedUpstream {
+    let old_first = context.wanted.prefers(old.side);
+    let new_first = context.wanted.prefers(new.side);
+    match (old_first, new_first) {
+        (true, false) => old,
+        (false, true) => new,
+        _ if new.score < old.score => new,
+        _ => old,
+    }
+}
+
+fn sample_members(service: &ServiceState, draw: &mut SampleDraw) -> Vec<UpstreamId> {
+    let members = &service.members;
+    if members.len() <= COMPARE_ALL {
+        return members.clone();
+    }
+    let local = SAMPLE_SIZE * 2 / 3;
+    let mut sample = Vec::with_capacity(SAMPLE_SIZE);
+    for number in 0..SAMPLE_SIZE {
+        let pool = if number < local && !service.local_members.is_empty() {
+            &service.local_members
+        } else {
+            members
+        };
+        sample.extend(pool.get(draw.below(pool.len())));
+    }
+    sample
+}
+
+/// Expected seconds to the whole answer, with a penalty for a late first token. Nothing in it is
+/// shared between daemons but what they measure themselves, so they don't all run to the same
+/// upstream on the same old report.
+fn score(
+    context: &PickContext<'_>,
+    state: &UpstreamState,
+    allowance: WorkAllowance,
+    speed: SpeedEstimate,
+    uncached: u32,
+) -> f64 {
+    let pending = state.pending_prefill as f64;
+    let hint = state.waiting_hint(context.now) * speed.first_token(f64::from(uncached));
+    let first = speed.first_token(pending + f64::from(uncached)) + hint;
+    let full = f64::from(state.seats_used + 1) / f64::from(allowance.seats.max(1));
+    let gap = speed.gap * (1.0 + BATCH_FACTOR * full);
+    let whole = first + gap * f64::from(context.waiting.estimate.output_mean);
+    let target = f64::from(context.objectives.first_token_ms) / 1_000.0;
+    let late = (first - target).max(0.0) * LATE_FIRST_WEIGHT;
+    let factor = if state.local { 1.0 } else { REMOTE_FACTOR };
+    (whole + late) * factor
+}
+
+fn cached_tokens(context: &PickContext<'_>, blocks: f64) -> u32 {
+    let prompt = &context.waiting.request.prompt;
+    let all = prompt.prefix_hashes.len().max(1) as f64;
+    (f64::from(prompt.tokens) * (blocks / all).min(1.0)) as u32
+}
+
+fn uncached_tokens(context: &PickContext<'_>, id: UpstreamId) -> u32 {
+    let mut matches = context.matches.iter();
+    let own = matches.find(|found| found.upstream == id);
+    let cached = own.map_or(0, |found| cached_tokens(context, found.blocks));
+    context.waiting.request.prompt.tokens.saturating_sub(cached)
+}
+
+fn cached_elsewhere(context: &PickContext<'_>, id: UpstreamId) -> u32 {
+    let others = context.matches.iter().filter(|found| found.upstream != id);
+    let best = others.map(|found| found.blocks).fold(0.0, f64::max);
+    cached_tokens(context, best)
+}
--- a/crates/savorywood-core/src/scheduler/table.rs
+++ b/crates/savorywood-core/src/scheduler/table.rs
@@ -1,8 +1,18 @@
 //! Which requests are under way, and where.
 
+use super::{cost::CostEstimate, fleet::UpstreamId};
 use crate::request::QueuedRequest;
-use savorywood_protocol::{AttemptNumber, RequestId, UpstreamName};
-use std::collections::BTreeMap;
+use savorywood_protocol::{AttemptNumber, MonotonicTime, RequestId, TierRank};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Names one attempt of one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptKey {
+    /// Which request.
+    pub request: RequestId,
+    /// Which attempt of it.
+    pub attempt: AttemptNumber,
+}
 
 /// One attempt under way.
 #[derive(Debug)]
@@ -10,16 +20,45 @@
     /// What was sent.
     pub request: QueuedRequest,
     /// To whom.
-    pub upstream: UpstreamName,
+    pub upstream: UpstreamId,
     /// Which attempt.
     pub attempt: AttemptNumber,
+    /// Predicted size.
+    pub estimate: CostEstimate,
+    /// Prompt tokens that are expected not to be cached there.
+    pub uncached: u32,
+    /// Prompt tokens that the best other upstream was known to have cached.
+    pub cached_elsewhere: u32,
+    /// When it was dispatched.
+    pub sent_at: MonotonicTime,
+    /// When its first token came.
+    pub first_at: Option<MonotonicTime>,
+    /// When its last token came.
+    pub heard_at: MonotonicTime,
+    /// Tokens that came.
+    pub tokens: u32,
+}
+
+impl AttemptRecord {
+    /// Tokens that it is expected to hold in a batch.
+    #[must_use]
+    pub fn batch_tokens(&self) -> u64 {
+        self.estimate.batch_tokens()
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct AttemptDeadline {
+    at: MonotonicTime,
+    request: RequestId,
 }
 
 /// Attempts under way, at most one a request.
 #[derive(Debug, Default)]
 pub struct AttemptTable {
     records: BTreeMap<RequestId, AttemptRecord>,
-    seats: BTreeMap<UpstreamName, u32>,
+    deadlines: BTreeSet<AttemptDeadline>,
+    seats: BTreeMap<UpstreamId, BTreeMap<TierRank, u32>>,
 }
 
 impl AttemptTable {
@@ -29,19 +68,25 @@
         if self.records.contains_key(&request) {
             return false;
         }
-        *self.seats.entry(record.upstream.clone()).or_default() += 1;
+        let seats = self.seats.entry(record.upstream).or_default();
+        *seats.entry(record.request.rank).or_default() += 1;
+        self.deadlines.insert(deadline_of(&record));
         self.records.insert(request, record);
         true
     }
 
     /// Takes a record out. An older attempt's late event finds nothing.
-    pub fn remove(&mut self, request: RequestId, attempt: AttemptNumber) -> Option<AttemptRecord> {
-        if self.current(request) != Some(attempt) {
+    pub fn remove(&mut self, key: AttemptKey) -> Option<AttemptRecord> {
+        if self.current(key.request) != Some(key.attempt) {
             return None;
         }
-        let record = self.records.remove(&request)?;
+        let record = self.records.remove(&key.request)?;
+        self.deadlines.remove(&deadline_of(&record));
         if let Some(seats) = self.seats.get_mut(&record.upstream) {
-            *seats = seats.saturating_sub(1);
+            if let Some(count) = seats.get_mut(&record.request.rank) {
+                *count = count.saturating_sub(1);
+            }
+            seats.retain(|_, count| *count > 0);
         }
         Some(record)
     }
@@ -51,9 +96,35 @@
         self.records.get(&request).map(|record| record.attempt)
     }
 
-    /// Attempts under way on an upstream.
-    pub fn used_seats(&self, upstream: &UpstreamName) -> u32 {
-        self.seats.get(upstream).copied().unwrap_or_default()
+    /// Record of an attempt, unless it is an older one.
+    pub fn get_mut(&mut self, key: AttemptKey) -> Option<&mut AttemptRecord> {
+        let record = self.records.get_mut(&key.request)?;
+        (record.attempt == key.attempt).then_some(record)
+    }
+
+    /// Attempts under way on an upstream, by tier.
+    pub fn seats_by_tier(
+        &self,
+        upstream: UpstreamId,
+    ) -> impl Iterator<Item = (TierRank, u32)> + '_ {
+        let seats = self.seats.get(&upstream).into_iter().flatten();
+        seats.map(|(rank, count)| (*rank, *count))
+    }
+
+    /// Earliest deadline of an attempt under way.
+    pub fn next_deadline(&self) -> Option<MonotonicTime> {
+        self.deadlines.first().map(|deadline| deadline.at)
+    }
+
+    /// Request whose deadline has passed.
+    pub fn overdue(&self, now: MonotonicTime) -> Option<RequestId> {
+        let first = self.deadlines.first()?;
+        (first.at <= now).then_some(first.request)
+    }
+
+    /// Forgets the seats of an upstream that is gone.
+    pub fn forget(&mut self, upstream: UpstreamId) {
+        self.seats.remove(&upstream);
     }
 
     /// Attempts under way.
@@ -61,3 +132,10 @@
         self.records.len()
     }
 }
+
+fn deadline_of(record: &AttemptRecord) -> AttemptDeadline {
+    AttemptDeadline {
+        at: record.request.deadline_at,
+        request: record.request.request,
+    }
+}
--- /dev/null
+++ b/crates/savorywood-core/src/scheduler/timers.rs
@@ -0,0 +1,78 @@
+//! The scheduler's timers, set again only when their time changes.
+
+use super::{RequestScheduler, SchedulerView, progress::TICK_TIME};
+use crate::{
+    effect::EffectQueue,
+    event::{DutyKind, TimerKey},
+};
+use savorywood_protocol::MonotonicTime;
+
+/// Fires when a waiting request becomes hopeless.
+const WAIT_TIMER: u64 = 0;
+/// Fires when the deadline of an attempt passes.
+const ATTEMPT_TIMER: u64 = 1;
+/// Fires now and then while requests wait.
+const TICK_TIMER: u64 = 2;
+
+/// Times at which the timers are set to fire.
+#[derive(Debug, Default)]
+pub struct TimerPlan {
+    wait_at: Option<MonotonicTime>,
+    attempt_at: Option<MonotonicTime>,
+    tick_at: Option<MonotonicTime>,
+}
+
+impl RequestScheduler {
+    pub(super) fn timer(
+        &mut self,
+        now: MonotonicTime,
+        number: u64,
+        view: SchedulerView<'_>,
+        effects: &mut EffectQueue,
+    ) {
+        match number {
+            WAIT_TIMER => self.timers.wait_at = None,
+            ATTEMPT_TIMER => self.timers.attempt_at = None,
+            TICK_TIMER => {
+                self.timers.tick_at = None;
+                self.look_again(now, view, effects);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn plan_timers(&mut self, now: MonotonicTime, effects: &mut EffectQueue) {
+        let wait_at = self.waits.next_limit();
+        set_earlier(&mut self.timers.wait_at, wait_at, WAIT_TIMER, effects);
+        let attempt_at = self.attempts.next_deadline();
+        set_earlier(
+            &mut self.timers.attempt_at,
+            attempt_at,
+            ATTEMPT_TIMER,
+            effects,
+        );
+        if self.waits.len() > 0 && self.timers.tick_at.is_none() {
+            let tick_at = Some(now + TICK_TIME);
+            set_earlier(&mut self.timers.tick_at, tick_at, TICK_TIMER, effects);
+        }
+    }
+}
+
+/// Sets a timer unless it fires early enough already. One that fires too early is set again then:
+/// that is cheaper than moving it with every request that comes and goes.
+fn set_earlier(
+    planned: &mut Option<MonotonicTime>,
+    wanted: Option<MonotonicTime>,
+    number: u64,
+    effects: &mut EffectQueue,
+) {
+    let Some(wanted) = wanted else {
+        return;
+    };
+    if planned.is_some_and(|planned| planned <= wanted) {
+        return;
+    }
+    *planned = Some(wanted);
+    let duty = DutyKind::Scheduler;
+    effects.set_timer(TimerKey { duty, number }, wanted);
+}
--- /dev/null
+++ b/crates/savorywood-core/src/scheduler/topology.rs
@@ -0,0 +1,126 @@
+//! Services and upstreams as the configuration declares them.
+
+use super::{
+    RequestScheduler, SchedulerMechanism, SchedulerView,
+    fleet::{UpstreamId, UpstreamState},
+    queue::QueueOrder,
+    service::ServiceState,
+};
+use crate::effect::EffectQueue;
+use savorywood_protocol::{
+    ConfigRevision, MonotonicTime, ServiceName, UpstreamName, resource::UpstreamSpec,
+};
+use std::collections::BTreeMap;
+
+impl RequestScheduler {
+    /// Looks again at every service in which something waits.
+    pub(super) fn look_again(
+        &mut self,
+        now: MonotonicTime,
+        view: SchedulerView<'_>,
+        effects: &mut EffectQueue,
+    ) {
+        let waiting = self.services.iter();
+        let waiting = waiting.filter(|(_, service)| !service.queue.is_empty());
+        let names: Vec<ServiceName> = waiting.map(|(name, _)| name.clone()).collect();
+        for name in &names {
+            self.enforce_floor(now, name, view, effects);
+            if let Some(service) = self.services.get_mut(name) {
+                service.saturated = false;
+            }
+            self.drain(now, name, view, effects);
+        }
+    }
+
+    /// Takes over a configuration of another revision. One without a revision, as embedders and
+    /// tests may install, is looked through at every change of the view.
+    pub(super) fn refresh_topology(
+        &mut self,
+        now: MonotonicTime,
+        view: SchedulerView<'_>,
+        changed: bool,
+    ) {
+        let revision = view.config.revision;
+        let numbered = revision != ConfigRevision::default();
+        let same_size = self.declared == view.config.upstreams.len();
+        if self.revision == Some(revision) && same_size && (numbered || !changed) {
+            return;
+        }
+        self.declared = view.config.upstreams.len();
+        let warm = self.revision.is_some();
+        self.revision = Some(revision);
+        for name in view.config.services.keys() {
+            self.ensure_service(name);
+        }
+        for (name, spec) in &view.config.upstreams {
+            self.ensure_upstream(now, name, spec, warm, view);
+        }
+        self.retire_upstreams(view);
+        self.index_members(view);
+    }
+
+    fn ensure_service(&mut self, name: &ServiceName) {
+        if self.services.contains_key(name) {
+            return;
+        }
+        let order = QueueOrder {
+            tiers: self.options.has(SchedulerMechanism::Tiers),
+            fair: self.options.has(SchedulerMechanism::FairShare),
+        };
+        self.services.insert(name.clone(), ServiceState::new(order));
+    }
+
+    fn ensure_upstream(
+        &mut self,
+        now: MonotonicTime,
+        name: &UpstreamName,
+        spec: &UpstreamSpec,
+        warm: bool,
+        view: SchedulerView<'_>,
+    ) {
+        self.ensure_service(&spec.service);
+        let known = self.fleet.id(name);
+        let state = known.and_then(|id| self.fleet.get_mut(id));
+        match state {
+            Some(state) if state.service == spec.service => state.refresh(spec, view.zone),
+            other => {
+                if other.is_some() {
+                    self.fleet.release_name(name);
+                }
+                let mut state = UpstreamState::new(now, name.clone(), spec, warm);
+                state.refresh(spec, view.zone);
+                self.fleet.insert(state);
+            }
+        }
+    }
+
+    fn retire_upstreams(&mut self, view: SchedulerView<'_>) {
+        let declared = &view.config.upstreams;
+        let gone = self.fleet.retire(|state| {
+            let spec = declared.get(&state.name);
+            spec.is_some_and(|spec| spec.service == state.service)
+        });
+        for id in gone {
+            self.prefixes.forget(id);
+            self.attempts.forget(id);
+        }
+    }
+
+    fn index_members(&mut self, view: SchedulerView<'_>) {
+        let mut members: BTreeMap<&ServiceName, Vec<UpstreamId>> = BTreeMap::new();
+        for (name, spec) in &view.config.upstreams {
+            if let Some(id) = self.fleet.id(name) {
+                members.entry(&spec.service).or_default().push(id);
+            }
+        }
+        for (name, service) in &mut self.services {
+            service.members = members.remove(name).unwrap_or_default();
+            let local = service.members.iter().filter(|id| {
+                let state = self.fleet.get(**id);
+                state.is_some_and(|state| state.local)
+            });
+            service.local_members = local.copied().collect();
+            service.saturated = false;
+        }
+    }
+}
--- /dev/null
+++ b/crates/savorywood-core/tests/scheduler_rules/main.rs
@@ -0,0 +1,7 @@
+//! Rules that the scheduler keeps under load and faults.
+
+mod fixture;
+mod limits;
+mod order;
+mod records;
+mod repeat;
