Add the configuration reducer

Cause: a daemon had no accepted configuration; the thin core installs one by hand.

Telling a lost commit's fate by the resource row's nonce alone (a later change of the same resource hides it; the head row remembers 16 changes instead). Saying "refused" after one read back that shows the old head (a write that lands late would then take effect; the same transaction is sent again, only one of both can). One peer's word as a confirmation (two cut-off daemons confirm each other for ever; a majority of the members known at the last read of the table is the default).

--- /dev/null
+++ b/crates/savorywood-core/src/config/applying.rs
@@ -0,0 +1,238 @@
+//! Putting newer revisions in force, and never older ones.
+
+use super::ConfigState;
+use crate::{
+    config::{
+        change_log::ConfigChange,
+        row::{self, HEAD_KEY, HeadMark, HeadRow, ResourceRow},
+        table_poll::ScanResult,
+    },
+    effect::{EffectQueue, LogLevel, LogLine},
+    invariant::{self, InvariantName},
+    snapshot::ConfigSnapshot,
+    view::ConfigView,
+};
+use savorywood_protocol::{
+    ConfigRevision, CoreTime, WallTime,
+    resource::{ResourceDocument, ResourceKey},
+    table::TableRow,
+};
+use std::{collections::BTreeSet, sync::Arc};
+
+/// One resource to put in force.
+struct ResourceChange {
+    key: ResourceKey,
+    revision: ConfigRevision,
+    document: Option<ResourceDocument>,
+}
+
+impl ConfigState {
+    /// Applies what a scan found. Says whether the view is now what the table held when the scan
+    /// was asked for, or newer.
+    pub(super) fn apply_scan(
+        &mut self,
+        now: CoreTime,
+        scan: ScanResult,
+        effects: &mut EffectQueue,
+    ) -> bool {
+        let mut rows = scan.rows;
+        rows.sort_by_key(|row| row.revision);
+        let head = rows.iter().rfind(|row| row.key == HEAD_KEY);
+        let mark = match head.map(HeadMark::read).transpose() {
+            Ok(Some(mark)) => mark,
+            Ok(None) => return self.apply_nothing(now, &rows, effects),
+            Err(error) => {
+                let line = LogLine::new(LogLevel::Error, "config-head-unreadable");
+                effects.log(line.with("error", error));
+                return false;
+            }
+        };
+        // An own commit may have been applied while the scan was under way: then the scan is the
+        // older of the two.
+        if self.is_ready() && mark.commit <= self.mark.commit {
+            return true;
+        }
+        if mark.head.revision < self.view.revision {
+            let line = LogLine::new(LogLevel::Error, "config-table-went-back")
+                .with("table_revision", mark.head.revision)
+                .with("in_force", self.view.revision);
+            effects.log(line);
+            return false;
+        }
+        // Peers have a newer revision in force, so this read came from a copy that lags. A daemon
+        // that began with it would serve a configuration that was already replaced.
+        let behind = mark.head.revision < self.newest_heard;
+        if behind && !self.is_ready() {
+            let line = LogLine::new(LogLevel::Warn, "config-table-behind-peers")
+                .with("table_revision", mark.head.revision)
+                .with("newest_heard", self.newest_heard);
+            effects.log(line);
+            return false;
+        }
+        let changes = read_changes(&rows, effects);
+        self.install(now.wall, mark, changes, effects);
+        !behind
+    }
+
+    fn apply_nothing(
+        &mut self,
+        now: CoreTime,
+        rows: &[TableRow],
+        effects: &mut EffectQueue,
+    ) -> bool {
+        if !rows.is_empty() {
+            effects.log(LogLine::new(LogLevel::Error, "config-rows-without-head"));
+            return false;
+        }
+        if self.view.revision < self.newest_heard {
+            return false;
+        }
+        self.mark_loaded(now.wall);
+        true
+    }
+
+    /// Applies a change that this daemon committed itself.
+    pub(super) fn apply_own(
+        &mut self,
+        wall: WallTime,
+        mark: HeadMark,
+        key: ResourceKey,
+        row: ResourceRow,
+        effects: &mut EffectQueue,
+    ) {
+        let change = ResourceChange {
+            key,
+            revision: row.revision,
+            document: row.document,
+        };
+        self.install(wall, mark, vec![change], effects);
+    }
+
+    /// Applies a peer's whole configuration, if it is newer.
+    pub(super) fn apply_snapshot(
+        &mut self,
+        now: CoreTime,
+        snapshot: ConfigSnapshot,
+        effects: &mut EffectQueue,
+    ) {
+        if self.is_ready() && snapshot.revision <= self.view.revision {
+            return;
+        }
+        let mark = HeadMark {
+            commit: snapshot.table_revision,
+            head: HeadRow {
+                revision: snapshot.revision,
+                recent: Vec::new(),
+            },
+        };
+        let changes = self.differences(snapshot);
+        self.install(now.wall, mark, changes, effects);
+    }
+
+    fn differences(&self, snapshot: ConfigSnapshot) -> Vec<ResourceChange> {
+        let revision = snapshot.revision;
+        let kept: BTreeSet<_> = snapshot
+            .documents
+            .iter()
+            .map(ResourceDocument::key)
+            .collect();
+        let gone = self.view.documents.keys().filter(|key| !kept.contains(key));
+        let gone = gone.map(|key| ResourceChange {
+            key: key.clone(),
+            revision,
+            document: None,
+        });
+        let gone: Vec<_> = gone.collect();
+        let known = &self.view.documents;
+        let written = snapshot.documents.into_iter().filter_map(|document| {
+            let key = document.key();
+            let same = known.get(&key).map(|known| known.revision) == Some(document.revision);
+            (!same).then(|| ResourceChange {
+                revision: document.revision.unwrap_or_default(),
+                key,
+                document: Some(document),
+            })
+        });
+        let mut changes: Vec<_> = written.chain(gone).collect();
+        changes.sort_by_key(|change| change.revision);
+        changes
+    }
+
+    fn install(
+        &mut self,
+        wall: WallTime,
+        mark: HeadMark,
+        changes: Vec<ResourceChange>,
+        effects: &mut EffectQueue,
+    ) {
+        let next = mark.head.revision;
+        let grows = next >= self.view.revision;
+        invariant::check(effects, InvariantName::ConfigNeverReverts, grows, || {
+            format!(
+                "revision={next} would follow revision={}",
+                self.view.revision
+            )
+        });
+        if !grows {
+            return;
+        }
+        let view = Arc::make_mut(&mut self.view);
+        for change in changes {
+            if self.loaded_at.is_some() {
+                self.log.push(ConfigChange {
+                    revision: change.revision,
+                    key: change.key.clone(),
+                    applied_at: wall,
+                });
+            }
+            put(view, change, effects);
+        }
+        view.revision = next;
+        self.mark = mark;
+        self.newest_heard = self.newest_heard.max(next);
+        self.mark_loaded(wall);
+        let line = LogLine::new(LogLevel::Info, "config-in-force").with("revision", next);
+        effects.log(line);
+    }
+
+    fn mark_loaded(&mut self, wall: WallTime) {
+        if self.loaded_at.is_none() {
+            self.loaded_at = Some(wall);
+            self.log.restart(self.view.revision);
+        }
+    }
+}
+
+fn put(view: &mut ConfigView, change: ResourceChange, effects: &mut EffectQueue) {
+    let Some(document) = change.document else {
+        view.remove(&change.key);
+        return;
+    };
+    if let Err(error) = view.insert(document) {
+        let line = LogLine::new(LogLevel::Error, "config-row-refused")
+            .with("resource", change.key)
+            .with("error", error);
+        effects.log(line);
+    }
+}
+
+/// Reads the resources of a scan. A row of a kind that this version does not know is left out
+/// and named in the log: refusing the whole scan would hold up every other change as well.
+fn read_changes(rows: &[TableRow], effects: &mut EffectQueue) -> Vec<ResourceChange> {
+    let mut changes = Vec::new();
+    for row in rows.iter().filter(|row| row.key != HEAD_KEY) {
+        let key = row::resource_key(&row.key);
+        match (key, row::read_resource(row)) {
+            (Some(key), Ok(content)) => changes.push(ResourceChange {
+                key,
+                revision: content.revision,
+                document: content.document,
+            }),
+            (None, _) | (_, Err(_)) => {
+                let line = LogLine::new(LogLevel::Error, "config-row-unreadable");
+                effects.log(line.with("row", &row.key));
+            }
+        }
+    }
+    changes
+}
--- /dev/null
+++ b/crates/savorywood-core/src/config/options.rs
@@ -0,0 +1,65 @@
+//! Settings of the configuration duty.
+
+use crate::config::currency::PeerConfirmation;
+use savorywood_protocol::HostName;
+use std::time::Duration;
+
+/// How long a daemon may go on without a confirmation that its configuration is current.
+///
+/// Long enough for three polls at the longest period and for a switch of the table's own
+/// replicas, which takes seconds, so that neither makes a daemon refuse work; short enough that a
+/// daemon that is cut off stops serving an old configuration within half a minute. The price is
+/// that for so long a daemon cut off from both may serve what was replaced elsewhere.
+pub const DEFAULT_ALLOWED_AGE: Duration = Duration::from_secs(30);
+
+/// Settings of the configuration duty.
+#[derive(Debug, Clone)]
+pub struct ConfigOptions {
+    pub(super) host: HostName,
+    pub(super) seed: u64,
+    pub(super) allowed_age: Duration,
+    pub(super) confirmation: PeerConfirmation,
+    pub(super) write_limit: Duration,
+}
+
+impl ConfigOptions {
+    /// Defaults for a host. `seed` must differ between the lives of a host and between hosts: it
+    /// makes the nonces by which a writer knows its own change.
+    #[must_use]
+    pub fn new(host: HostName, seed: u64) -> Self {
+        Self {
+            host,
+            seed,
+            allowed_age: DEFAULT_ALLOWED_AGE,
+            confirmation: PeerConfirmation::default(),
+            write_limit: Duration::from_secs(10),
+        }
+    }
+
+    /// Sets how old a confirmation may be.
+    #[must_use]
+    pub fn allowed_age(self, allowed_age: Duration) -> Self {
+        Self {
+            allowed_age,
+            ..self
+        }
+    }
+
+    /// Sets whose word counts while the table can't be read.
+    #[must_use]
+    pub fn confirmation(self, confirmation: PeerConfirmation) -> Self {
+        Self {
+            confirmation,
+            ..self
+        }
+    }
+
+    /// Sets how long an operator waits at most for the table.
+    #[must_use]
+    pub fn write_limit(self, write_limit: Duration) -> Self {
+        Self {
+            write_limit,
+            ..self
+        }
+    }
+}
--- /dev/null
+++ b/crates/savorywood-core/src/config/refreshing.rs
@@ -0,0 +1,261 @@
+//! When to read the table, and what to do when it can't be read.
+
+use super::{ConfigState, ConfigTimer, SnapshotFetch};
+use crate::{
+    config::{
+        pending_write::WriteStage,
+        table_poll::{PageVerdict, page_request, poll_period},
+    },
+    effect::{DaemonEffect, EffectQueue, LogLevel, LogLine},
+    snapshot::ConfigSnapshot,
+    view::{MemberRecord, MemberView},
+};
+use rand::{Rng, seq::IteratorRandom};
+use savorywood_protocol::{
+    ConfigRevision, CoreTime, HostName,
+    peer::{ConfigMessage, PeerMessage},
+    table::TableAnswer,
+};
+use std::time::Duration;
+
+/// Longest wait between hearing of a newer revision and reading it. Spreads the reads of all
+/// daemons, which hear of it within the same moment.
+const NOTICE_SPREAD: Duration = Duration::from_millis(300);
+
+/// A peer's snapshot that has not come for so long is asked for elsewhere.
+const FETCH_LIMIT: Duration = Duration::from_secs(10);
+
+/// Peers that are told of a new revision by each daemon that applies it.
+const GOSSIP_PEERS: usize = 3;
+
+impl ConfigState {
+    pub(super) fn start(&mut self, now: CoreTime, effects: &mut EffectQueue) {
+        self.begin_scan(now, effects);
+        self.set_poll(now, 1, effects);
+    }
+
+    pub(super) fn timer(
+        &mut self,
+        now: CoreTime,
+        number: u64,
+        members: &MemberView,
+        effects: &mut EffectQueue,
+    ) {
+        match ConfigTimer::from_number(number) {
+            Some(ConfigTimer::Poll) => {
+                self.begin_scan(now, effects);
+                self.set_poll(now, members.serving().count(), effects);
+            }
+            Some(ConfigTimer::Notice) => self.begin_scan(now, effects),
+            Some(ConfigTimer::Write) => self.retry_write(now, effects),
+            None => {}
+        }
+    }
+
+    fn set_poll(&mut self, now: CoreTime, members: usize, effects: &mut EffectQueue) {
+        let period = poll_period(members);
+        let early = period.mul_f64(self.rng.random_range(0.0..0.2));
+        effects.set_timer(ConfigTimer::Poll.key(), now.monotonic + (period - early));
+    }
+
+    pub(super) fn begin_scan(&mut self, now: CoreTime, effects: &mut EffectQueue) {
+        let number = self.next_call();
+        let after = self.mark.commit;
+        if let Some(request) = self.poll.begin(now.monotonic, number, after) {
+            self.send_call(number, request, effects);
+        }
+    }
+
+    pub(super) fn scan_answered(
+        &mut self,
+        now: CoreTime,
+        answer: TableAnswer,
+        members: &MemberView,
+        effects: &mut EffectQueue,
+    ) {
+        match answer {
+            TableAnswer::Rows { rows, more, .. } => {
+                let number = self.next_call();
+                match self.poll.take_page(rows, more, number) {
+                    Some(PageVerdict::More(after)) => {
+                        self.send_call(number, page_request(after), effects);
+                    }
+                    Some(PageVerdict::Done(scan)) => {
+                        let asked_at = scan.asked_at;
+                        if self.apply_scan(now, scan, effects) {
+                            self.currency.confirm_by_table(asked_at, members);
+                        }
+                        self.wake_writes(effects);
+                    }
+                    None => {}
+                }
+            }
+            TableAnswer::Committed { .. }
+            | TableAnswer::Conflict { .. }
+            | TableAnswer::Unavailable
+            | TableAnswer::Lost => {
+                self.poll.fail();
+                self.refuse_waiting(effects);
+                self.ask_peers(now, members, effects);
+            }
+        }
+        if self.poll.take_again() {
+            self.begin_scan(now, effects);
+        }
+    }
+
+    /// The table can't be read: peers may say that nothing is newer, or have what is.
+    fn ask_peers(&mut self, now: CoreTime, members: &MemberView, effects: &mut EffectQueue) {
+        if self.is_ready() && self.peers_agree(self.view.revision, members) {
+            self.currency.confirm_by_peers(now.monotonic);
+            return;
+        }
+        let waiting = self.fetch.as_ref();
+        if waiting.is_some_and(|fetch| now.monotonic.since(fetch.asked_at) < FETCH_LIMIT) {
+            return;
+        }
+        let Some((host, member)) = self.pick_source(members) else {
+            return;
+        };
+        let from = host.clone();
+        let address = member.peer_address;
+        self.fetch = Some(SnapshotFetch {
+            from: from.clone(),
+            asked_at: now.monotonic,
+        });
+        effects.push(DaemonEffect::FetchSnapshot { from, address });
+    }
+
+    fn peers_agree(&self, revision: ConfigRevision, members: &MemberView) -> bool {
+        let own = &self.options.host;
+        let rule = self.options.confirmation;
+        self.currency.peers_agree(own, revision, rule, members)
+    }
+
+    /// One of the members with the newest revision, if it is newer than ours.
+    fn pick_source<'a>(
+        &mut self,
+        members: &'a MemberView,
+    ) -> Option<(&'a HostName, &'a MemberRecord)> {
+        let own = &self.options.host;
+        let others = || members.serving().filter(|(host, _)| *host != own);
+        let newest = others().map(|(_, member)| member.config_revision).max()?;
+        if self.is_ready() && newest <= self.view.revision {
+            return None;
+        }
+        others()
+            .filter(|(_, member)| member.config_revision == newest)
+            .choose(&mut self.rng)
+    }
+
+    pub(super) fn take_snapshot(
+        &mut self,
+        now: CoreTime,
+        from: &HostName,
+        snapshot: Option<Box<ConfigSnapshot>>,
+        members: &MemberView,
+        effects: &mut EffectQueue,
+    ) {
+        if self.fetch.as_ref().is_some_and(|fetch| fetch.from == *from) {
+            self.fetch = None;
+        }
+        let Some(snapshot) = snapshot else {
+            return;
+        };
+        let revision = snapshot.revision;
+        self.hear_members(now, members, effects);
+        // A daemon that begins must not serve what is older than what callers met before it was
+        // restarted. It would show as a resource that goes back for some seconds. So it takes a
+        // snapshot only when most members have that revision and it has heard of none newer.
+        let sure = revision >= self.newest_heard && self.peers_agree(revision, members);
+        if !self.is_ready() && !sure {
+            let line = LogLine::new(LogLevel::Warn, "config-snapshot-refused")
+                .with("peer", from)
+                .with("revision", revision)
+                .with("newest_heard", self.newest_heard);
+            effects.log(line);
+            return;
+        }
+        self.apply_snapshot(now, *snapshot, effects);
+        if self.view.revision == revision && self.peers_agree(revision, members) {
+            self.currency.confirm_by_peers(now.monotonic);
+        }
+    }
+
+    pub(super) fn hear(
+        &mut self,
+        now: CoreTime,
+        message: &ConfigMessage,
+        effects: &mut EffectQueue,
+    ) {
+        let ConfigMessage::InForce { revision } = message;
+        self.hear_revision(now, *revision, effects);
+    }
+
+    pub(super) fn hear_members(
+        &mut self,
+        now: CoreTime,
+        members: &MemberView,
+        effects: &mut EffectQueue,
+    ) {
+        let newest = members
+            .members
+            .values()
+            .map(|member| member.config_revision)
+            .max();
+        self.hear_revision(now, newest.unwrap_or_default(), effects);
+    }
+
+    fn hear_revision(
+        &mut self,
+        now: CoreTime,
+        revision: ConfigRevision,
+        effects: &mut EffectQueue,
+    ) {
+        if revision <= self.newest_heard {
+            return;
+        }
+        self.newest_heard = revision;
+        if revision <= self.view.revision {
+            return;
+        }
+        let wait = NOTICE_SPREAD.mul_f64(self.rng.random());
+        effects.set_timer(ConfigTimer::Notice.key(), now.monotonic + wait);
+    }
+
+    /// Tells a few peers of a new revision. Each daemon does so once a revision, so the news
+    /// reaches all in a few rounds at some 300 bytes a daemon and change.
+    pub(super) fn gossip(&mut self, members: &MemberView, effects: &mut EffectQueue) {
+        let revision = self.view.revision;
+        if revision <= self.gossiped {
+            return;
+        }
+        self.gossiped = revision;
+        let own = &self.options.host;
+        let behind = members
+            .serving()
+            .filter(|(host, member)| *host != own && member.config_revision < revision);
+        let chosen = behind.choose_multiple(&mut self.rng, GOSSIP_PEERS);
+        for (host, member) in chosen {
+            effects.push(DaemonEffect::SendPeer {
+                to: host.clone(),
+                address: member.peer_address,
+                message: PeerMessage::Config(ConfigMessage::InForce { revision }),
+            });
+        }
+    }
+
+    fn wake_writes(&mut self, effects: &mut EffectQueue) {
+        let serial = self.poll.serial();
+        if !self.is_ready() {
+            self.refuse_waiting(effects);
+            return;
+        }
+        for write in &mut self.writes {
+            if matches!(write.stage, WriteStage::Refreshing { serial: wanted } if wanted <= serial)
+            {
+                write.mark_refreshed();
+            }
+        }
+    }
+}
