--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! events in the same order always give the same effects.
 
 pub mod burn;
+pub mod config;
 pub mod daemon;
 pub mod effect;
 pub mod event;
