Add the fault proxy and the command line of the stand-ins

Cause: process tests need every stand-in as a process of its own, and links that break. Ruled out: fixed ports; each verb takes a free one and announces it on stdout. Change: FaultProxy for TCP and datagrams, verbs engine, plain, platform and proxy.

--- a/crates/savorywood-standin/src/lib.rs
+++ b/crates/savorywood-standin/src/lib.rs
@@ -5,10 +5,12 @@
 //! `docs/PLATFORM.md`; their faults are set over HTTP under `/standin/`.
 
 mod body;
+pub mod command;
 pub mod engine;
 mod http;
 pub mod plain;
 pub mod platform;
+pub mod proxy;
 pub mod runs;
 mod tasks;
 
@@ -17,4 +19,5 @@
 };
 pub use plain::{PlainFaults, PlainOptions, PlainServer};
 pub use platform::{OutageKind, PlatformFaults, PlatformOptions, PlatformServer, TableStore};
+pub use proxy::{FaultProxy, LinkDirection, LinkMode, ProxyFaults, ProxyLink, ProxyOptions};
 pub use runs::{RunRecord, RunReport, RunState};
--- a/crates/savorywood-standin/src/main.rs
+++ b/crates/savorywood-standin/src/main.rs
@@ -1,3 +1,7 @@
 //! The `savorywood-standin` binary: a thin wrapper around the stand-in library.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    savorywood_standin::command::run()
+}
