--- a/crates/savorywood-cli/src/commands/report.rs
+++ b/crates/savorywood-cli/src/commands/report.rs
@@ -81,7 +81,12 @@
     super::print("printing", &text)
 }
 
-async fn collect(client: &OperatorClient) -> Result<ReportInput, CommandError> {
+/// Asks all live daemons for their counts.
+///
+/// # Errors
+///
+/// When the daemon that is asked for the others does not answer or refuses.
+pub async fn collect(client: &OperatorClient) -> Result<ReportInput, CommandError> {
     let mut input = ReportInput::default();
     for kind in [ResourceKind::Service, ResourceKind::Tier] {
         input.resources.extend(client.list(kind).await?.items);
--- a/crates/savorywood-cli/src/lib.rs
+++ b/crates/savorywood-cli/src/lib.rs
@@ -27,8 +27,8 @@
     };
     match commands::run(options) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(CommandError::Usage { message }) => {
-            eprintln!("{message}");
+        Err(error @ CommandError::Usage { .. }) => {
+            eprintln!("{error}");
             ExitCode::from(EXIT_USAGE)
         }
         Err(error) => {
--- a/crates/savorywood-settings/src/builder/number.rs
+++ b/crates/savorywood-settings/src/builder/number.rs
@@ -24,15 +24,18 @@
 
 number_rule!(CALL_TIMEOUT, "platform.call_timeout_ms", 10..=60_000, 2_000);
 number_rule!(CONNECTIONS, "limits.connections", 1..=1_000_000, 4_096);
-number_rule!(HEAD_BYTES, "limits.head_bytes", 1_024..=1_048_576, 16_384);
+// The HTTP library reads heads of up to 8 KB.
+number_rule!(HEAD_BYTES, "limits.head_bytes", 1_024..=8_000, 8_000);
 number_rule!(
     BODY_BYTES,
     "limits.body_bytes",
     1_024..=1_073_741_824,
     8_388_608
 );
-number_rule!(HEAD_TIME, "limits.head_time_ms", 100..=60_000, 5_000);
-number_rule!(IDLE_TIME, "limits.idle_time_ms", 1_000..=3_600_000, 75_000);
+number_rule!(HEAD_TIME, "limits.head_time_ms", 100..=60_000, 10_000);
+number_rule!(BODY_TIME, "limits.body_time_ms", 100..=600_000, 30_000);
+number_rule!(WRITE_TIME, "limits.write_time_ms", 100..=600_000, 60_000);
+number_rule!(IDLE_TIME, "limits.idle_time_ms", 1_000..=3_600_000, 60_000);
 number_rule!(THREADS, "limits.executor_threads", 1..=256, 2);
 number_rule!(POOL, "limits.upstream_connections", 1..=65_536, 256);
 number_rule!(DRAIN, "stop.drain_seconds", 1..=86_400, 900);
--- a/crates/savorywood-settings/src/builder/parts.rs
+++ b/crates/savorywood-settings/src/builder/parts.rs
@@ -31,6 +31,8 @@
         head_bytes: number::HEAD_BYTES.read_size(raw.head_bytes, faults),
         body_bytes: number::BODY_BYTES.read_size(raw.body_bytes, faults),
         head_time: number::HEAD_TIME.read_millis(raw.head_time_ms, faults),
+        body_time: number::BODY_TIME.read_millis(raw.body_time_ms, faults),
+        write_time: number::WRITE_TIME.read_millis(raw.write_time_ms, faults),
         idle_time: number::IDLE_TIME.read_millis(raw.idle_time_ms, faults),
         executor_threads: number::THREADS.read_size(raw.executor_threads, faults),
         upstream_connections: number::POOL.read_size(raw.upstream_connections, faults),
--- a/crates/savorywood-settings/src/daemon.rs
+++ b/crates/savorywood-settings/src/daemon.rs
@@ -47,6 +47,10 @@
     pub body_bytes: usize,
     /// Longest time in which a head must have arrived.
     pub head_time: Duration,
+    /// Longest time in which a body must have arrived.
+    pub body_time: Duration,
+    /// Longest time that a caller may take for some bytes of its answer.
+    pub write_time: Duration,
     /// Longest time that a connection may stay open without a request.
     pub idle_time: Duration,
     /// Threads that run tasks.
--- a/crates/savorywood-settings/src/fault.rs
+++ b/crates/savorywood-settings/src/fault.rs
@@ -69,9 +69,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "error: ")?;
         if !self.path.is_empty() {
-            write!(f, "`{}`: ", self.path)?;
+            write!(f, "`{}`: ", printable(&self.path))?;
         }
-        writeln!(f, "{}", self.message)?;
+        writeln!(f, "{}", printable(&self.message))?;
         let SourcePosition { line, column } = self.position;
         writeln!(f, "  --> {}:{line}:{column}", self.file)?;
         if !self.excerpt.is_empty() {
@@ -81,16 +81,27 @@
                 .count()
                 .saturating_sub(column - 1)
                 .max(1);
-            writeln!(f, "{line:>4} | {}", self.excerpt)?;
+            writeln!(f, "{line:>4} | {}", printable(&self.excerpt))?;
             writeln!(f, "     | {}{}", " ".repeat(column - 1), "^".repeat(marked))?;
         }
         if !self.allowed.is_empty() {
-            writeln!(f, "     = allowed: {}", self.allowed)?;
+            writeln!(f, "     = allowed: {}", printable(&self.allowed))?;
         }
-        write!(f, "     = remedy: {}", self.remedy)
+        write!(f, "     = remedy: {}", printable(&self.remedy))
     }
 }
 
+/// A text without control characters. A file with escape sequences in it could otherwise recolour
+/// or overwrite the operator's terminal. Each becomes one character, so that marks stay in place.
+fn printable(text: &str) -> String {
+    let shown = text.chars().map(|c| match c {
+        '\t' => ' ',
+        c if c.is_control() => char::REPLACEMENT_CHARACTER,
+        c => c,
+    });
+    shown.collect()
+}
+
 /// All faults of a file, in the order of their places.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FaultReport {
--- a/crates/savorywood-settings/src/raw.rs
+++ b/crates/savorywood-settings/src/raw.rs
@@ -79,6 +79,10 @@
     pub body_bytes: Option<u64>,
     /// See [`crate::LimitSettings::head_time`].
     pub head_time_ms: Option<u64>,
+    /// See [`crate::LimitSettings::body_time`].
+    pub body_time_ms: Option<u64>,
+    /// See [`crate::LimitSettings::write_time`].
+    pub write_time_ms: Option<u64>,
     /// See [`crate::LimitSettings::idle_time`].
     pub idle_time_ms: Option<u64>,
     /// See [`crate::LimitSettings::executor_threads`].
