--- a/crates/savorywood-standin/src/command/engine.rs
+++ b/crates/savorywood-standin/src/command/engine.rs
@@ -5,15 +5,15 @@
 use bpaf::{Bpaf, Parser};
 use std::{fmt::Display, io, net::SocketAddr, str::FromStr, time::Duration};
 
+/// Shown under the options of this verb.
+const EXAMPLES: &str = r#"Examples:
+ savorywood-standin engine --listen 127.0.0.1:9001 --model-version v1
+ savorywood-standin engine --slots 4 --decode 20 --ignore-fencing
+ curl -X PUT -d '{"heat_per_mille":2500}' 127.0.0.1:9001/standin/faults"#;
+
 /// Stands in for a model engine: OpenAI-compatible completions by continuous batching.
-///
-/// Examples:
-///
-///     savorywood-standin engine --listen 127.0.0.1:9001 --model-version v1
-///     savorywood-standin engine --slots 4 --decode 20 --ignore-fencing
-///     curl -X PUT -d '{"heat_per_mille":2500}' 127.0.0.1:9001/standin/faults
 #[derive(Debug, Clone, Bpaf)]
-#[bpaf(command("engine"), generate(engine_command))]
+#[bpaf(command("engine"), generate(engine_command), footer(EXAMPLES))]
 pub(super) struct EngineCommand {
     /// Address to listen on; port 0 takes a free one
     #[bpaf(argument("ADDRESS"), fallback(runtime::free_port()), display_fallback)]
--- a/crates/savorywood-standin/src/command/plain.rs
+++ b/crates/savorywood-standin/src/command/plain.rs
@@ -5,15 +5,15 @@
 use bpaf::Bpaf;
 use std::{io, net::SocketAddr};
 
+/// Shown under the options of this verb.
+const EXAMPLES: &str = r#"Examples:
+ savorywood-standin plain --listen 127.0.0.1:9101
+ savorywood-standin plain --faults '{"latency_ms":200}'
+ curl 127.0.0.1:9101/standin/runs"#;
+
 /// Stands in for a plain service: echoes each call and counts what it ran.
-///
-/// Examples:
-///
-///     savorywood-standin plain --listen 127.0.0.1:9101
-///     savorywood-standin plain --faults '{"latency_ms":200}'
-///     curl 127.0.0.1:9101/standin/runs
 #[derive(Debug, Clone, Bpaf)]
-#[bpaf(command("plain"), generate(plain_command))]
+#[bpaf(command("plain"), generate(plain_command), footer(EXAMPLES))]
 pub(super) struct PlainCommand {
     /// Address to listen on; port 0 takes a free one
     #[bpaf(argument("ADDRESS"), fallback(runtime::free_port()), display_fallback)]
--- a/crates/savorywood-standin/src/command/platform.rs
+++ b/crates/savorywood-standin/src/command/platform.rs
@@ -5,15 +5,15 @@
 use bpaf::Bpaf;
 use std::{io, net::SocketAddr};
 
+/// Shown under the options of this verb.
+const EXAMPLES: &str = r#"Examples:
+ savorywood-standin platform --listen 127.0.0.1:9200
+ curl -X PUT -d '{"outage":"refuse"}' 127.0.0.1:9200/standin/faults
+ curl 127.0.0.1:9200/v1/hosts"#;
+
 /// Stands in for the platform: table service, object store, host list and weight store.
-///
-/// Examples:
-///
-///     savorywood-standin platform --listen 127.0.0.1:9200
-///     curl -X PUT -d '{"outage":"refuse"}' 127.0.0.1:9200/standin/faults
-///     curl 127.0.0.1:9200/v1/hosts
 #[derive(Debug, Clone, Bpaf)]
-#[bpaf(command("platform"), generate(platform_command))]
+#[bpaf(command("platform"), generate(platform_command), footer(EXAMPLES))]
 pub(super) struct PlatformCommand {
     /// Address to listen on; port 0 takes a free one
     #[bpaf(argument("ADDRESS"), fallback(runtime::free_port()), display_fallback)]
--- a/crates/savorywood-standin/src/command/proxy.rs
+++ b/crates/savorywood-standin/src/command/proxy.rs
@@ -5,15 +5,15 @@
 use bpaf::Bpaf;
 use std::{io, net::SocketAddr};
 
+/// Shown under the options of this verb.
+const EXAMPLES: &str = r#"Examples:
+ savorywood-standin proxy --control 127.0.0.1:9300 --tcp 127.0.0.1:9301 --tcp-target 127.0.0.1:9001
+ savorywood-standin proxy --udp-target 127.0.0.1:7000 --faults '{"drop_per_mille":100}'
+ curl -X PUT -d '{"mode":"half-open"}' 127.0.0.1:9300/standin/faults"#;
+
 /// Leads TCP connections and datagrams to a target and breaks them on purpose.
-///
-/// Examples:
-///
-///     savorywood-standin proxy --control 127.0.0.1:9300 --tcp 127.0.0.1:9301 --tcp-target 127.0.0.1:9001
-///     savorywood-standin proxy --udp-target 127.0.0.1:7000 --faults '{"drop_per_mille":100}'
-///     curl -X PUT -d '{"mode":"half-open"}' 127.0.0.1:9300/standin/faults
 #[derive(Debug, Clone, Bpaf)]
-#[bpaf(command("proxy"), generate(proxy_command))]
+#[bpaf(command("proxy"), generate(proxy_command), footer(EXAMPLES))]
 pub(super) struct ProxyCommand {
     /// Address on which it is steered; port 0 takes a free one
     #[bpaf(argument("ADDRESS"), fallback(runtime::free_port()), display_fallback)]
