--- a/crates/savorywood-testing/src/lib.rs
+++ b/crates/savorywood-testing/src/lib.rs
@@ -1,1 +1,18 @@
-//! Helpers shared by tests: free ports, child processes and small HTTP calls.
+//! Helpers shared by tests: free ports, child processes and small blocking HTTP calls.
+//!
+//! Everything blocks and everything is bounded in time: a test that waits for what never comes
+//! fails and says what it waited for. Only tests start processes; no daemon does.
+
+pub mod background;
+pub mod binary;
+pub mod http;
+pub mod port;
+pub mod process;
+pub mod wait;
+
+pub use background::background_executor;
+pub use binary::{BinaryName, binary_path};
+pub use http::{PartialBody, TestCall, TestReply, TestStream};
+pub use port::free_address;
+pub use process::{ChildProcess, ProcessSignal};
+pub use wait::{wait_for, wait_until};
