--- a/crates/savorywood-testing/src/lib.rs
+++ b/crates/savorywood-testing/src/lib.rs
@@ -5,14 +5,18 @@
 
 pub mod background;
 pub mod binary;
+pub mod cluster;
 pub mod http;
 pub mod port;
 pub mod process;
+pub mod standin;
 pub mod wait;
 
 pub use background::background_executor;
 pub use binary::{BinaryName, binary_path};
+pub use cluster::{ClusterPlan, OPERATOR_TOKEN, TEAM_TOKEN, TestCluster, TestDaemon};
 pub use http::{PartialBody, TestCall, TestReply, TestStream};
 pub use port::free_address;
 pub use process::{ChildProcess, ProcessSignal};
+pub use standin::{RunView, StandinProcess};
 pub use wait::{wait_for, wait_until};
