--- a/crates/savorywood-protocol/src/resource/validate/traffic_move.rs
+++ b/crates/savorywood-protocol/src/resource/validate/traffic_move.rs
@@ -104,7 +104,7 @@
                 rival.name, spec.service, other.finish_by
             ),
             format!(
-                "wait for it, or delete move `{}` to take it back",
+                "wait until it is over; deleting move `{}` takes it back",
                 rival.name
             ),
         ));
