Read what is there once per kind, and end watches that fall silent

Cause: applying thousands of teams read each by itself; a watch on a connection whose host was cut off waited for ever; a closed pipe kept a watch running. Ruled out: waiting for each resource by itself, since daemons apply revisions in order and the newest stands for all.

--- a/crates/savorywood-cli/src/commands.rs
+++ b/crates/savorywood-cli/src/commands.rs
@@ -10,11 +10,14 @@
 pub mod watch;
 
 use crate::{
-    error::CommandError,
+    error::{CommandError, OutputSnafu},
     logging,
     options::{CliCommand, CliOptions},
 };
 use log::LevelFilter;
+use serde::Serialize;
+use snafu::ResultExt;
+use std::io::{Write, stdout};
 
 /// Runs one command.
 ///
@@ -42,23 +45,15 @@
     }
 }
 
-/// Writes to standard output. A reader that went away, such as `head`, is no failure.
+/// Writes to standard output.
 fn print(step: &str, text: &str) -> Result<(), CommandError> {
-    use std::io::{ErrorKind, Write, stdout};
     let mut out = stdout().lock();
     let written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
-    match written {
-        Err(error) if error.kind() == ErrorKind::BrokenPipe => Ok(()),
-        Err(source) => Err(CommandError::Output {
-            step: step.to_owned(),
-            source,
-        }),
-        Ok(()) => Ok(()),
-    }
+    written.context(OutputSnafu { step })
 }
 
 /// Indented JSON with a line break at its end.
-fn json_text<T: serde::Serialize>(step: &str, value: &T) -> Result<String, CommandError> {
+fn json_text<T: Serialize>(step: &str, value: &T) -> Result<String, CommandError> {
     let text = serde_json::to_string_pretty(value).map_err(|error| CommandError::Failed {
         step: step.to_owned(),
         reason: error.to_string(),
--- a/crates/savorywood-cli/src/commands/apply.rs
+++ b/crates/savorywood-cli/src/commands/apply.rs
@@ -1,6 +1,7 @@
 //! `savorywood apply`: creates or changes resources.
 
 mod plan;
+mod present;
 mod wait;
 mod write;
 
@@ -13,6 +14,7 @@
     options::{ServerOptions, server_options},
 };
 use bpaf::Bpaf;
+use present::PresentResources;
 use savorywood_protocol::{
     ConfigRevision,
     resource::{ResourceDocument, ResourceKey},
@@ -64,9 +66,10 @@
     let documents = read_all(&options.files)?;
     let patience = Duration::from_secs(options.wait_seconds);
     async_io::block_on(async {
-        let applied = apply_all(&client, documents).await?;
-        if options.wait {
-            wait::wait_for_all(&client, &applied, patience).await?;
+        let newest = apply_all(&client, documents).await?;
+        // Daemons apply revisions in order, so that the newest stands for all.
+        if let Some(newest) = newest.filter(|_| options.wait) {
+            wait::wait_for(&client, &newest, patience).await?;
             super::print("printing", "in force on all live daemons\n")?;
         }
         Ok(())
@@ -92,11 +95,13 @@
 async fn apply_all(
     client: &OperatorClient,
     documents: Vec<ResourceDocument>,
-) -> Result<Vec<AppliedResource>, CommandError> {
-    let mut applied: Vec<AppliedResource> = Vec::new();
-    for step in plan_steps(documents) {
+) -> Result<Option<AppliedResource>, CommandError> {
+    let steps = plan_steps(documents);
+    let mut present = PresentResources::read(client, &steps).await?;
+    let mut newest: Option<AppliedResource> = None;
+    for step in &steps {
         let key = step.document.key();
-        let written = write::write(client, &step).await?;
+        let written = write::write(client, step, &mut present).await?;
         let (word, revision) = match written {
             WriteResult::Unchanged(revision) => ("unchanged", revision),
             WriteResult::Created(revision) => ("created", revision),
@@ -107,8 +112,12 @@
             "printing",
             &format!("{key} {word} at revision {revision}\n"),
         )?;
-        applied.retain(|earlier| earlier.key != key);
-        applied.push(AppliedResource { key, revision });
+        if newest
+            .as_ref()
+            .is_none_or(|newest| newest.revision <= revision)
+        {
+            newest = Some(AppliedResource { key, revision });
+        }
     }
-    Ok(applied)
+    Ok(newest)
 }
--- a/crates/savorywood-cli/src/commands/apply/wait.rs
+++ b/crates/savorywood-cli/src/commands/apply/wait.rs
@@ -22,45 +22,39 @@
     status.observed_revision >= revision && everywhere
 }
 
-/// Polls the status of each resource until its revision is in force. A failed look is tried again
+/// Polls the status of a resource until its revision is in force. A failed look is tried again
 /// while there is time: the write itself is done.
-pub(super) async fn wait_for_all(
+pub(super) async fn wait_for(
     client: &OperatorClient,
-    applied: &[AppliedResource],
+    resource: &AppliedResource,
     patience: Duration,
 ) -> Result<(), CommandError> {
     let start = Instant::now();
-    for resource in applied {
-        loop {
-            let state = match client.get(&resource.key).await {
-                Ok(Some(document)) => match document.status {
-                    Some(status) if is_in_force(&status, resource.revision) => break,
-                    Some(status) => format!(
-                        "in force on {} of {} live daemons",
-                        status.members_in_force, status.members_live
-                    ),
-                    None => "no status yet".to_owned(),
-                },
-                Ok(None) => "deleted by somebody else".to_owned(),
-                Err(error) => error.to_string(),
-            };
-            if start.elapsed() >= patience {
-                return Err(CommandError::NotReached {
-                    step: format!(
-                        "waiting for {} at revision {} at {}",
-                        resource.key,
-                        resource.revision,
-                        client.address()
-                    ),
-                    state,
-                    seconds: patience.as_secs(),
-                    remedy: "the change is accepted and stays; see `savorywood get` for where \
-                             it is not yet in force"
-                        .to_owned(),
-                });
-            }
-            Timer::after(POLL_PAUSE).await;
+    loop {
+        let state = match client.get(&resource.key).await {
+            Ok(Some(document)) => match document.status {
+                Some(status) if is_in_force(&status, resource.revision) => return Ok(()),
+                Some(status) => format!(
+                    "in force on {} of {} live daemons",
+                    status.members_in_force, status.members_live
+                ),
+                None => "no status yet".to_owned(),
+            },
+            Ok(None) => "deleted by somebody else".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        if start.elapsed() >= patience {
+            let AppliedResource { key, revision } = resource;
+            let peer = client.address();
+            return Err(CommandError::NotReached {
+                step: format!("waiting for {key} at revision {revision} at {peer}"),
+                state,
+                seconds: patience.as_secs(),
+                remedy: "the change is accepted and stays; list the members at /v1/members to \
+                         see where it is not yet in force"
+                    .to_owned(),
+            });
         }
+        Timer::after(POLL_PAUSE).await;
     }
-    Ok(())
 }
--- a/crates/savorywood-cli/src/commands/apply/write.rs
+++ b/crates/savorywood-cli/src/commands/apply/write.rs
@@ -1,6 +1,9 @@
 //! One write, with what to do when its answer is lost.
 
-use super::plan::{ApplyStage, ApplyStep};
+use super::{
+    plan::{ApplyStage, ApplyStep},
+    present::PresentResources,
+};
 use crate::{
     client::{OperatorClient, WriteCondition},
     error::{CommandError, ProblemText},
@@ -36,27 +39,36 @@
 pub(super) async fn write(
     client: &OperatorClient,
     step: &ApplyStep,
+    present: &mut PresentResources,
 ) -> Result<WriteResult, CommandError> {
     let document = &step.document;
-    let present = client.get(&document.key()).await?;
-    let condition = match &present {
+    let before = present.get(&document.key());
+    let condition = match before {
         Some(_) if step.stage == ApplyStage::NewServices => return Ok(WriteResult::NotNeeded),
-        Some(present) if present.spec == document.spec => {
-            return Ok(WriteResult::Unchanged(present.revision.unwrap_or_default()));
-        }
-        // A file that names the revision it was edited from must not overwrite a later one. A
-        // write without it is bound to what was just read, so that of two operators one is told.
-        Some(present) => {
-            let known = document.revision.or(present.revision);
-            known.map_or(WriteCondition::Always, WriteCondition::Revision)
+        Some(before) if before.spec == document.spec => {
+            return Ok(WriteResult::Unchanged(before.revision.unwrap_or_default()));
         }
+        Some(before) => condition_for(document, before),
         None => WriteCondition::Absent,
     };
+    let created = before.is_none();
     let revision = put_surely(client, document, condition).await?;
-    match present {
-        Some(_) => Ok(WriteResult::Changed(revision)),
-        None => Ok(WriteResult::Created(revision)),
-    }
+    present.put(ResourceDocument {
+        revision: Some(revision),
+        ..document.clone()
+    });
+    Ok(if created {
+        WriteResult::Created(revision)
+    } else {
+        WriteResult::Changed(revision)
+    })
+}
+
+/// A file that names the revision it was edited from must not overwrite a later one. A write
+/// without it is bound to what was just read, so that of two operators one is told.
+fn condition_for(document: &ResourceDocument, before: &ResourceDocument) -> WriteCondition {
+    let known = document.revision.or(before.revision);
+    known.map_or(WriteCondition::Always, WriteCondition::Revision)
 }
 
 /// Writes until it is known what became of it, within bounds.
--- a/crates/savorywood-cli/src/commands/check.rs
+++ b/crates/savorywood-cli/src/commands/check.rs
@@ -52,7 +52,8 @@
             }
             Ok(CheckedFile::Resources(file)) => {
                 let count = file.documents.len();
-                sound.push_str(&format!("{name}: {count} resources: ok\n"));
+                let plural = if count == 1 { "" } else { "s" };
+                sound.push_str(&format!("{name}: {count} resource{plural}: ok\n"));
                 resources.push(file);
             }
             Err(report) => faults.extend(report.into_faults()),
--- a/crates/savorywood-cli/src/commands/get.rs
+++ b/crates/savorywood-cli/src/commands/get.rs
@@ -49,7 +49,11 @@
                 let document = find(&client, kind, &name.0).await?;
                 match options.format {
                     ResourceFormat::Json => super::json_text("printing", &document),
-                    ResourceFormat::Table => Ok(table_of(kind, &[document]).to_string()),
+                    ResourceFormat::Table => {
+                        let conditions = conditions_of(&document);
+                        let table = table_of(kind, &[document]);
+                        Ok(format!("{table}\n{conditions}"))
+                    }
                 }
             }
             None => {
@@ -106,6 +110,23 @@
     table
 }
 
+/// One line a condition, with its reason.
+#[must_use]
+pub fn conditions_of(document: &ResourceDocument) -> TextTable {
+    let mut table = TextTable::new(&["CONDITION", "HOLDS", "SINCE", "REASON", "MESSAGE"]);
+    let status = document.status.as_ref();
+    for condition in status.into_iter().flat_map(|status| &status.conditions) {
+        table.push(vec![
+            condition.kind.to_string(),
+            condition.holds.to_string(),
+            condition.since.to_string(),
+            condition.reason.clone(),
+            condition.message.clone(),
+        ]);
+    }
+    table
+}
+
 fn spec_heading(kind: ResourceKind) -> &'static [&'static str] {
     match kind {
         ResourceKind::Service => &["PROTOCOL", "VERSION"],
--- a/crates/savorywood-cli/src/commands/watch.rs
+++ b/crates/savorywood-cli/src/commands/watch.rs
@@ -7,6 +7,7 @@
 };
 use async_io::Timer;
 use bpaf::Bpaf;
+use futures_lite::future;
 use http_types::Method;
 use savorywood_http::{AnswerBody, CallAnswer};
 use savorywood_protocol::{
@@ -19,12 +20,16 @@
 /// Status of a revision whose changes are no longer kept.
 const GONE: u16 = 410;
 
-/// Failed connections in a row after which the command gives up.
+/// Connections in a row without an answer after which the command gives up.
 const MAX_FAILURES: u32 = 10;
 
 /// Pause before the next connection.
 const RECONNECT_PAUSE: Duration = Duration::from_secs(1);
 
+/// Longest silence of a connection. A host that is cut off leaves it open without a word, and the
+/// watch would miss every change from then on; a new connection goes on from the last one.
+const MAX_SILENCE: Duration = Duration::from_secs(60);
+
 /// Longest line that is read, in bytes. A longer one is no event of a daemon.
 const MAX_LINE_BYTES: usize = 1 << 20;
 
@@ -76,14 +81,12 @@
     };
     let mut failures = 0;
     loop {
-        let before = revision;
         match Box::pin(follow(client, kind, &mut revision)).await {
-            Ok(StreamEnd::Closed) => failures += 1,
+            Ok(StreamEnd::Closed) => failures = 0,
             // Events between the two revisions are gone; only the present state can be shown.
             Ok(StreamEnd::Compacted) => {
                 log::warn!("event=watch-compacted kind={kind} revision={revision}");
                 revision = show_present(client, kind).await?;
-                failures += 1;
             }
             Err(error @ CommandError::Unanswered { .. }) if failures < MAX_FAILURES => {
                 log::warn!(
@@ -94,9 +97,6 @@
             }
             Err(error) => return Err(error),
         }
-        if revision > before {
-            failures = 0;
-        }
         Timer::after(RECONNECT_PAUSE).await;
     }
 }
@@ -195,7 +195,8 @@
 }
 
 impl LineReader {
-    /// The next whole line; `None` when the body ends, breaks or has too long a line.
+    /// The next whole line; `None` when the body ends, breaks, falls silent or has too long a
+    /// line.
     async fn next(&mut self, body: &mut AnswerBody) -> Option<Vec<u8>> {
         let mut piece = vec![0; 16_384];
         let mut searched = 0;
@@ -209,9 +210,14 @@
             if searched > MAX_LINE_BYTES {
                 return None;
             }
-            match body.read(&mut piece).await {
-                Ok(0) | Err(_) => return None,
-                Ok(count) => self.pending.extend_from_slice(&piece[..count]),
+            let read = async { body.read(&mut piece).await.unwrap_or_default() };
+            let silence = async {
+                Timer::after(MAX_SILENCE).await;
+                0
+            };
+            match future::or(read, silence).await {
+                0 => return None,
+                count => self.pending.extend_from_slice(&piece[..count]),
             }
         }
     }
--- a/crates/savorywood-cli/src/lib.rs
+++ b/crates/savorywood-cli/src/lib.rs
@@ -11,7 +11,7 @@
 pub use error::CommandError;
 pub use options::{CliCommand, CliOptions};
 
-use std::process::ExitCode;
+use std::{io::ErrorKind, process::ExitCode};
 
 /// Exit code of a command line that can't be understood.
 const EXIT_USAGE: u8 = 2;
@@ -31,6 +31,10 @@
             eprintln!("{error}");
             ExitCode::from(EXIT_USAGE)
         }
+        // The reader went away, such as `head` after its last line: it has what it wanted.
+        Err(CommandError::Output { source, .. }) if source.kind() == ErrorKind::BrokenPipe => {
+            ExitCode::SUCCESS
+        }
         Err(error) => {
             eprintln!("{error}");
             ExitCode::FAILURE
