Share the reading of event streams between tests

Cause: several tests read the tokens of a stream. Change: module sse of savorywood-testing, used by the engine's tests. Conclusion: none open.

--- a/crates/savorywood-standin/src/platform/server.rs
+++ b/crates/savorywood-standin/src/platform/server.rs
@@ -13,6 +13,7 @@
     host_list::HostDocument,
     table::{TableAnswer, TableRequest},
 };
+use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
     io,
@@ -43,7 +44,7 @@
 }
 
 /// Calls answered, for budgets; refused and lost ones count too.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallCounts {
     /// Commits of the table service and writes of objects.
     pub writes: u64,
--- a/crates/savorywood-standin/tests/engine.rs
+++ b/crates/savorywood-standin/tests/engine.rs
@@ -5,7 +5,7 @@
 use savorywood_standin::{
     BatchSettings, EngineFaults, EngineOptions, EngineServer, RunState, chat_prompt, output_text,
 };
-use savorywood_testing::{TestCall, background_executor, wait_until};
+use savorywood_testing::{TestCall, background_executor, has_end_mark, streamed_text, wait_until};
 use serde_json::{Value, json};
 use std::time::Duration;
 
@@ -39,18 +39,6 @@
     TestCall::post(engine.address(), "/v1/chat/completions", body.to_string())
 }
 
-/// Text of the tokens in a stream of chunks.
-fn streamed_text(bytes: &[u8]) -> String {
-    let text = String::from_utf8_lossy(bytes);
-    let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
-    let chunks = events.filter_map(|event| serde_json::from_str::<Value>(event).ok());
-    let texts = chunks.map(|chunk| {
-        let content = &chunk["choices"][0]["delta"]["content"];
-        content.as_str().unwrap_or_default().to_owned()
-    });
-    texts.collect()
-}
-
 #[test]
 fn the_same_request_gets_the_same_text_streamed_or_whole() {
     let engine = start(fast());
@@ -61,7 +49,7 @@
     assert_eq!(whole.json()["usage"]["completion_tokens"], 5);
     let streamed = chat(&engine, "hello", 5, true).send().expect("an answer");
     assert_eq!(streamed_text(&streamed.body), expected);
-    assert!(streamed.body.ends_with(b"data: [DONE]\n\n"));
+    assert!(has_end_mark(&streamed.body));
 }
 
 #[test]
@@ -97,7 +85,7 @@
         .expect("the rest");
     let all = [first.bytes, rest.body].concat();
     assert_eq!(streamed_text(&all), output_text(&chat_prompt("hello"), 10));
-    assert!(all.ends_with(b"data: [DONE]\n\n"));
+    assert!(has_end_mark(&all));
     assert_eq!(engine.runs().total, 1, "a resume is no second run");
 }
 
--- a/crates/savorywood-testing/src/lib.rs
+++ b/crates/savorywood-testing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http;
 pub mod port;
 pub mod process;
+pub mod sse;
 pub mod standin;
 pub mod wait;
 
@@ -18,5 +19,6 @@
 pub use http::{PartialBody, TestCall, TestReply, TestStream};
 pub use port::free_address;
 pub use process::{ChildProcess, ProcessSignal};
+pub use sse::{has_end_mark, streamed_text};
 pub use standin::{RunView, StandinProcess};
 pub use wait::{wait_for, wait_until};
