Check a whole set at once, and keep reports of faults short

Cause: checking a file of 24,000 teams compared each with all others; a file without line breaks was shown whole for each of its faults. Ruled out: an index inside the reducer's check, which sees one change at a time. Change: check_set with an index of tokens, excerpts of at most 180 characters, 500 faults a report, plain words for the numbers that are allowed.

--- a/crates/savorywood-cli/src/commands/check.rs
+++ b/crates/savorywood-cli/src/commands/check.rs
@@ -11,6 +11,7 @@
     node::SourceNode,
 };
 use std::{
+    collections::BTreeMap,
     path::{Path, PathBuf},
     time::SystemTime,
 };
@@ -92,10 +93,12 @@
 #[must_use]
 pub fn cross_faults(files: &[ResourceFile], now: WallTime) -> Vec<SettingsFault> {
     let mut set = ResourceSet::new();
+    let mut places = BTreeMap::new();
     let mut faults = Vec::new();
     for file in files {
         for (index, document) in file.documents.iter().enumerate() {
-            if set.insert(document.key(), document.clone()).is_some() {
+            let place = DocumentPlace { file, index };
+            if places.insert(document.key(), place).is_some() {
                 let fault = ResourceFault {
                     path: "name".to_owned(),
                     message: "there are two resources of this kind and name".to_owned(),
@@ -103,19 +106,20 @@
                 };
                 faults.push(file.locate(index, &fault));
             }
+            set.insert(document.key(), document.clone());
         }
     }
-    for file in files {
-        for (index, document) in file.documents.iter().enumerate() {
-            // Without itself in the set a move counts as new, so that its deadline is checked.
-            let key = document.key();
-            let own = set.remove(&key);
-            let found = validate::check_document(document, &set, now);
-            faults.extend(found.iter().map(|fault| file.locate(index, fault)));
-            if let Some(own) = own {
-                set.insert(key, own);
-            }
+    for found in validate::check_set(&set, now) {
+        if let Some(place) = places.get(&found.key) {
+            faults.push(place.file.locate(place.index, &found.fault));
         }
     }
     faults
 }
+
+/// Where a document stands.
+#[derive(Debug, Clone, Copy)]
+struct DocumentPlace<'a> {
+    file: &'a ResourceFile,
+    index: usize,
+}
--- a/crates/savorywood-protocol/src/resource/validate.rs
+++ b/crates/savorywood-protocol/src/resource/validate.rs
@@ -13,7 +13,7 @@
 
 use super::{ResourceDocument, ResourceKey, ResourceSpec, TierSpec, VersionSpec};
 use crate::{WallTime, name};
-use lookup::ResourceLookup;
+use lookup::{ResourceLookup, TokenIndex};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -49,19 +49,51 @@
     others: &ResourceSet,
     now: WallTime,
 ) -> Vec<ResourceFault> {
-    let lookup = ResourceLookup::new(document, others);
+    check_with(&ResourceLookup::new(document, others), document, now)
+}
+
+/// One thing wrong with one resource of a set.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SetFault {
+    /// Which resource.
+    pub key: ResourceKey,
+    /// What is wrong with it.
+    pub fault: ResourceFault,
+}
+
+/// Faults of all resources of a set that is to be written anew, in the order of their keys.
+#[must_use]
+pub fn check_set(set: &ResourceSet, now: WallTime) -> Vec<SetFault> {
+    let index = TokenIndex::new(set);
+    let mut faults = Vec::new();
+    for (key, document) in set {
+        let lookup = ResourceLookup::new(document, set).indexed(&index);
+        let found = check_with(&lookup, document, now).into_iter();
+        faults.extend(found.map(|fault| SetFault {
+            key: key.clone(),
+            fault,
+        }));
+    }
+    faults
+}
+
+fn check_with(
+    lookup: &ResourceLookup<'_>,
+    document: &ResourceDocument,
+    now: WallTime,
+) -> Vec<ResourceFault> {
     let mut faults = Vec::new();
     if let Err(error) = name::check_name(&document.name) {
         let remedy = "rename the resource";
         faults.push(ResourceFault::new("name", error.to_string(), remedy));
     }
     match &document.spec {
-        ResourceSpec::Service(spec) => service::check(spec, &lookup, &mut faults),
-        ResourceSpec::Tier(spec) => check_tier(spec, &lookup, &mut faults),
-        ResourceSpec::Team(spec) => team::check(spec, &lookup, &mut faults),
-        ResourceSpec::Upstream(spec) => upstream::check(spec, &lookup, &mut faults),
-        ResourceSpec::Version(spec) => check_version(spec, &lookup, &mut faults),
-        ResourceSpec::Move(spec) => traffic_move::check(spec, &lookup, now, &mut faults),
+        ResourceSpec::Service(spec) => service::check(spec, lookup, &mut faults),
+        ResourceSpec::Tier(spec) => check_tier(spec, lookup, &mut faults),
+        ResourceSpec::Team(spec) => team::check(spec, lookup, &mut faults),
+        ResourceSpec::Upstream(spec) => upstream::check(spec, lookup, &mut faults),
+        ResourceSpec::Version(spec) => check_version(spec, lookup, &mut faults),
+        ResourceSpec::Move(spec) => traffic_move::check(spec, lookup, now, &mut faults),
     }
     faults
 }
--- a/crates/savorywood-protocol/src/resource/validate/lookup.rs
+++ b/crates/savorywood-protocol/src/resource/validate/lookup.rs
@@ -8,16 +8,37 @@
         TrafficMoveSpec, UpstreamSpec, VersionSpec,
     },
 };
+use std::collections::BTreeMap;
 use strum::IntoEnumIterator;
 
 /// Names listed in a message at most.
 const LISTED_NAMES: usize = 6;
 
+/// Who holds which token, for checks of a whole set: a walk over all teams for each team would
+/// take seconds with 24,000 of them.
+pub(super) struct TokenIndex<'a> {
+    holders: BTreeMap<String, Vec<&'a str>>,
+}
+
+impl<'a> TokenIndex<'a> {
+    pub(super) fn new(set: &'a ResourceSet) -> Self {
+        let mut holders: BTreeMap<String, Vec<&'a str>> = BTreeMap::new();
+        for document in of_kind(set, ResourceKind::Team) {
+            if let ResourceSpec::Team(spec) = &document.spec {
+                let digest = spec.token_sha256.to_ascii_lowercase();
+                holders.entry(digest).or_default().push(&document.name);
+            }
+        }
+        Self { holders }
+    }
+}
+
 /// The other resources as one document sees them: itself left out.
 pub(super) struct ResourceLookup<'a> {
     document: &'a ResourceDocument,
     own_key: ResourceKey,
     set: &'a ResourceSet,
+    index: Option<&'a TokenIndex<'a>>,
 }
 
 impl<'a> ResourceLookup<'a> {
@@ -26,6 +47,16 @@
             document,
             own_key: document.key(),
             set,
+            index: None,
+        }
+    }
+
+    /// The same look-up with an index of the set, in which the document itself is what is checked
+    /// and not a former form of it.
+    pub(super) fn indexed(self, index: &'a TokenIndex<'a>) -> Self {
+        Self {
+            index: Some(index),
+            ..self
         }
     }
 
@@ -36,7 +67,25 @@
 
     /// The document as it stands before the write.
     pub(super) fn former(&self) -> Option<&'a ResourceDocument> {
-        self.set.get(&self.own_key)
+        match self.index {
+            Some(_) => None,
+            None => self.set.get(&self.own_key),
+        }
+    }
+
+    /// Another team that holds a token.
+    pub(super) fn holder_of(&self, token_sha256: &str) -> Option<&'a str> {
+        match self.index {
+            Some(index) => {
+                let holders = index.holders.get(&token_sha256.to_ascii_lowercase())?;
+                let others = holders.iter().copied();
+                others.into_iter().find(|name| *name != self.own_name())
+            }
+            None => self
+                .teams()
+                .find(|(_, other)| other.token_sha256.eq_ignore_ascii_case(token_sha256))
+                .map(|(name, _)| name),
+        }
     }
 
     fn others(&self, kind: ResourceKind) -> impl Iterator<Item = &'a ResourceDocument> {
@@ -52,7 +101,7 @@
         })
     }
 
-    pub(super) fn teams(&self) -> impl Iterator<Item = (&'a str, &'a TeamSpec)> {
+    fn teams(&self) -> impl Iterator<Item = (&'a str, &'a TeamSpec)> {
         let others = self.others(ResourceKind::Team);
         others.filter_map(|document| match &document.spec {
             ResourceSpec::Team(spec) => Some((document.name.as_str(), spec)),
--- a/crates/savorywood-protocol/src/resource/validate/team.rs
+++ b/crates/savorywood-protocol/src/resource/validate/team.rs
@@ -38,10 +38,7 @@
         return;
     }
     // Whoever sends the token would be taken for one team or the other by chance.
-    let holder = lookup
-        .teams()
-        .find(|(_, other)| other.token_sha256.eq_ignore_ascii_case(digest));
-    if let Some((holder, _)) = holder {
+    if let Some(holder) = lookup.holder_of(digest) {
         faults.push(ResourceFault::new(
             path,
             format!("team `{holder}` holds this token; each token is allowed once"),
--- a/crates/savorywood-settings/src/daemon.rs
+++ b/crates/savorywood-settings/src/daemon.rs
@@ -3,7 +3,7 @@
 use crate::{
     builder::SettingsBuilder,
     decode,
-    fault::{FaultReport, SettingsFault},
+    fault::FaultReport,
     node::{SourceNode, SpannedFault},
     path::MemberPath,
     secret::SecretFile,
@@ -127,12 +127,9 @@
     ///
     /// All faults of the text.
     pub fn parse(source: &SourceText, folder: &Path) -> Result<Self, FaultReport> {
-        let report = |faults: Vec<SpannedFault>| {
-            let faults = faults.into_iter();
-            let faults = faults.map(|found| SettingsFault::at(source, &found.span, found.fault));
-            FaultReport::new(faults.collect())
-        };
-        let (node, mut faults) = SourceNode::parse(source).map_err(|fault| report(vec![fault]))?;
+        let parsed = SourceNode::parse(source);
+        let (node, mut faults) =
+            parsed.map_err(|fault| FaultReport::locate(source, vec![fault]))?;
         let decoded = decode::decode_partly(&node, &MemberPath::default());
         faults.extend(decoded.faults);
         let raw = decoded.value.unwrap_or_default();
@@ -146,7 +143,7 @@
                 faults.extend(found.map(|fault| place(&node, fault)));
             }
         }
-        Err(report(faults))
+        Err(FaultReport::locate(source, faults))
     }
 }
 
--- a/crates/savorywood-settings/src/decode.rs
+++ b/crates/savorywood-settings/src/decode.rs
@@ -181,11 +181,27 @@
     MemberFault {
         path: path.to_string(),
         message: message.to_owned(),
-        allowed: allowed.to_owned(),
+        allowed: in_plain_words(allowed),
         remedy: format!("correct the value{}", example_of(path.last_member())),
     }
 }
 
+/// Says what serde expected without the names of types.
+fn in_plain_words(expected: &str) -> String {
+    let most = match expected {
+        "u8" => u64::from(u8::MAX),
+        "u16" => u64::from(u16::MAX),
+        "u32" => u64::from(u32::MAX),
+        "u64" => u64::MAX,
+        "a string" | "path string" => return "a text in quotes".to_owned(),
+        "a boolean" => return "true or false".to_owned(),
+        "a sequence" => return "an array".to_owned(),
+        other if other.starts_with("struct ") => return "an object".to_owned(),
+        other => return other.to_owned(),
+    };
+    format!("a whole number from 0 to {most}")
+}
+
 /// An example of what belongs in a member whose form is not plain from its type.
 fn example_of(name: &str) -> &'static str {
     if name.starts_with("listen_") || name.starts_with("advertise_") || name.ends_with("address") {
--- a/crates/savorywood-settings/src/fault.rs
+++ b/crates/savorywood-settings/src/fault.rs
@@ -1,6 +1,9 @@
 //! Faults of files, shown one block each.
 
-use crate::source::{SourcePosition, SourceText};
+use crate::{
+    node::SpannedFault,
+    source::{SourceExcerpt, SourcePosition, SourceText},
+};
 use std::{error::Error, fmt, ops::Range};
 
 /// One thing wrong with a value, before its place in a file is known.
@@ -31,8 +34,8 @@
     pub allowed: String,
     /// What to do.
     pub remedy: String,
-    /// The line, up to the end of what is wrong.
-    pub excerpt: String,
+    /// The line, up to the end of what is wrong; `None` when the whole file is wrong.
+    pub excerpt: Option<SourceExcerpt>,
 }
 
 impl SettingsFault {
@@ -46,7 +49,7 @@
             message: message.into(),
             allowed: String::new(),
             remedy: remedy.into(),
-            excerpt: String::new(),
+            excerpt: None,
         }
     }
 
@@ -60,7 +63,7 @@
             message: fault.message,
             allowed: fault.allowed,
             remedy: fault.remedy,
-            excerpt: source.excerpt(span).to_owned(),
+            excerpt: Some(source.excerpt(span)),
         }
     }
 }
@@ -74,15 +77,13 @@
         writeln!(f, "{}", printable(&self.message))?;
         let SourcePosition { line, column } = self.position;
         writeln!(f, "  --> {}:{line}:{column}", self.file)?;
-        if !self.excerpt.is_empty() {
-            let marked = self
-                .excerpt
-                .chars()
-                .count()
-                .saturating_sub(column - 1)
-                .max(1);
-            writeln!(f, "{line:>4} | {}", printable(&self.excerpt))?;
-            writeln!(f, "     | {}{}", " ".repeat(column - 1), "^".repeat(marked))?;
+        if let Some(excerpt) = &self.excerpt {
+            let before = printable(&excerpt.before);
+            let marked = printable(&excerpt.marked);
+            let blank = " ".repeat(before.chars().count());
+            let marks = "^".repeat(marked.chars().count().max(1));
+            writeln!(f, "{line:>4} | {before}{marked}")?;
+            writeln!(f, "     | {blank}{marks}")?;
         }
         if !self.allowed.is_empty() {
             writeln!(f, "     = allowed: {}", printable(&self.allowed))?;
@@ -102,10 +103,14 @@
     shown.collect()
 }
 
+/// Faults shown at most. Whoever mends that many checks again anyway.
+pub const MAX_REPORTED: usize = 500;
+
 /// All faults of a file, in the order of their places.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FaultReport {
     faults: Vec<SettingsFault>,
+    omitted: usize,
 }
 
 impl FaultReport {
@@ -114,10 +119,24 @@
     pub fn new(mut faults: Vec<SettingsFault>) -> Self {
         faults.sort_by(|a, b| (&a.file, a.position).cmp(&(&b.file, b.position)));
         faults.dedup();
-        Self { faults }
+        let omitted = faults.len().saturating_sub(MAX_REPORTED);
+        faults.truncate(MAX_REPORTED);
+        Self { faults, omitted }
     }
 
-    /// The faults, at least one.
+    /// Finds the places of faults in a text.
+    #[must_use]
+    pub fn locate(source: &SourceText, mut found: Vec<SpannedFault>) -> Self {
+        found.sort_by_key(|found| found.span.start);
+        let omitted = found.len().saturating_sub(MAX_REPORTED);
+        found.truncate(MAX_REPORTED);
+        let located = found.into_iter();
+        let located = located.map(|found| SettingsFault::at(source, &found.span, found.fault));
+        let report = Self::new(located.collect());
+        Self { omitted, ..report }
+    }
+
+    /// The faults, at least one and at most [`MAX_REPORTED`].
     #[must_use]
     pub fn faults(&self) -> &[SettingsFault] {
         &self.faults
@@ -138,7 +157,10 @@
             }
             fault.fmt(f)?;
         }
-        Ok(())
+        match self.omitted {
+            0 => Ok(()),
+            omitted => write!(f, "\n\n{omitted} more faults are not shown"),
+        }
     }
 }
 
--- a/crates/savorywood-settings/src/lib.rs
+++ b/crates/savorywood-settings/src/lib.rs
@@ -25,4 +25,4 @@
 pub use path::MemberPath;
 pub use resources::{ResourceFile, read_resources};
 pub use secret::{SecretBytes, SecretError, SecretFile};
-pub use source::{SourcePosition, SourceText};
+pub use source::{SourceExcerpt, SourcePosition, SourceText};
--- a/crates/savorywood-settings/src/resources.rs
+++ b/crates/savorywood-settings/src/resources.rs
@@ -57,7 +57,7 @@
         let parsed = SourceNode::parse(&source);
         let (node, mut faults) = match parsed {
             Ok(parsed) => parsed,
-            Err(fault) => return Err(report(&source, vec![fault])),
+            Err(fault) => return Err(FaultReport::locate(&source, vec![fault])),
         };
         let (nodes, in_array) = match node.value {
             SourceValue::Array(elements) => (elements, true),
@@ -82,7 +82,7 @@
                 nodes,
             });
         }
-        Err(report(&source, faults))
+        Err(FaultReport::locate(&source, faults))
     }
 
     /// Shows a fault of the document with this index at its place in the file.
@@ -109,12 +109,6 @@
     }
 }
 
-fn report(source: &SourceText, faults: Vec<SpannedFault>) -> FaultReport {
-    let faults = faults.into_iter();
-    let faults = faults.map(|found| SettingsFault::at(source, &found.span, found.fault));
-    FaultReport::new(faults.collect())
-}
-
 /// Reads one document. The spec is read by its kind rather than through the tagged enum, which
 /// buffers its content and so loses the path to a fault within it.
 fn read_document(
--- a/crates/savorywood-settings/src/source.rs
+++ b/crates/savorywood-settings/src/source.rs
@@ -20,6 +20,21 @@
     pub const START: Self = Self { line: 1, column: 1 };
 }
 
+/// Characters of a line that are shown before a fault.
+const MAX_BEFORE: usize = 100;
+
+/// Characters of a fault that are shown.
+const MAX_MARKED: usize = 80;
+
+/// What is shown of a file around a fault.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SourceExcerpt {
+    /// The line before the fault, or its end when it is long.
+    pub before: String,
+    /// What is wrong, or its beginning when it is long.
+    pub marked: String,
+}
+
 /// A file's name and text.
 #[derive(Debug, Clone)]
 pub struct SourceText {
@@ -96,18 +111,27 @@
         SourcePosition { line, column }
     }
 
-    /// The line that holds the start of `span`, cut off where the span ends. What follows the
-    /// span is left out because it may be a secret that was pasted in the wrong place.
+    /// Part of the line that holds the start of `span`, cut off where the span ends. What follows
+    /// the span is left out because it may be a secret that was pasted in the wrong place.
     #[must_use]
-    pub fn excerpt(&self, span: &Range<usize>) -> &str {
-        let start_offset = self.floor_boundary(span.start);
-        let position = self.position(start_offset);
-        let index = position.line - 1;
-        let start = self.line_starts.get(index).copied().unwrap_or_default();
+    pub fn excerpt(&self, span: &Range<usize>) -> SourceExcerpt {
+        let start = self.floor_boundary(span.start);
+        let index = self.position(start).line - 1;
+        let line_start = self.line_starts.get(index).copied().unwrap_or_default();
         let next = self.line_starts.get(index + 1).copied();
         let line_end = next.map_or(self.text.len(), |next| next - 1);
-        let span_end = self.floor_boundary(span.end).max(start_offset);
-        self.text[start..line_end.min(span_end).max(start)].trim_end()
+        let end = self
+            .floor_boundary(span.end)
+            .clamp(start, line_end.max(start));
+        let before = &self.text[line_start..start];
+        // A file without line breaks would otherwise be shown whole for each fault.
+        let cut = before.char_indices().rev().nth(MAX_BEFORE - 1);
+        let before = cut.map_or(before, |(place, _)| &before[place..]);
+        let marked: String = self.text[start..end].chars().take(MAX_MARKED).collect();
+        SourceExcerpt {
+            before: before.to_owned(),
+            marked: marked.trim_end().to_owned(),
+        }
     }
 
     fn floor_boundary(&self, offset: usize) -> usize {
--- a/crates/savorywood-settings/tests/resources.rs
+++ b/crates/savorywood-settings/tests/resources.rs
@@ -126,3 +126,19 @@
     let located = file.locate(0, &elsewhere);
     assert_eq!(located.position.line, 4);
 }
+
+/// A program writes thousands of resources without a line break, and each has a fault. Shown with
+/// its whole line, each of them would print megabytes.
+#[test]
+fn long_lines_and_many_faults_are_cut() {
+    let one = r#"{"kind": "tier", "name": "t", "spec": {"rank": 300}}"#;
+    let many = vec![one; 3_000].join(",");
+    let report = parse(&format!("[{many}]")).unwrap_err();
+    assert_eq!(report.faults().len(), 500);
+    let text = report.to_string();
+    assert!(text.ends_with("2500 more faults are not shown"));
+    assert!(text.lines().all(|line| line.chars().count() < 200));
+    assert_eq!(report.faults()[0].allowed, "a whole number from 0 to 255");
+    let column = one.len() * 2 + 3 + one.find("300").unwrap();
+    assert_eq!(report.faults()[2].position.column, column + 1);
+}
