--- a/crates/savorywood-cli/src/options.rs
+++ b/crates/savorywood-cli/src/options.rs
@@ -18,7 +18,13 @@
 
 /// Schedules requests between callers and model engines or plain services
 #[derive(Debug, Clone, Bpaf)]
-#[bpaf(options, version)]
+#[bpaf(
+    options,
+    version,
+    footer(
+        "Completion for the shell, to be sourced at its start:\n   savorywood --bpaf-complete-style-bash\n   savorywood --bpaf-complete-style-zsh\n   savorywood --bpaf-complete-style-fish\n Exit codes: 0 done, 1 failed, 2 the command line can't be understood."
+    )
+)]
 pub struct CliOptions {
     /// Daemon to talk to, also after the command
     #[bpaf(external)]
