--- a/crates/savorywood-core/tests/scheduler_rules/repeat.rs
+++ b/crates/savorywood-core/tests/scheduler_rules/repeat.rs
@@ -85,7 +85,7 @@
             });
         }
         BenchAction::Pass { millis } => {
-            bench.fire_timers(Duration::from_millis(u64::from(*millis)))
+            bench.fire_timers(Duration::from_millis(u64::from(*millis)));
         }
         BenchAction::Look => {
             bench.step(SchedulerEvent::ViewChanged);
@@ -94,7 +94,7 @@
             let (request, attempt) = (order.request, order.attempt);
             bench.upstream(UpstreamEvent::FirstToken { request, attempt });
         }),
-        BenchAction::Finish { pick } => on_order(bench, *pick, |bench, order| bench.finish(order)),
+        BenchAction::Finish { pick } => on_order(bench, *pick, SchedulerBench::finish),
         BenchAction::Break { pick } => on_order(bench, *pick, |bench, order| {
             bench.upstream(UpstreamEvent::Broken {
                 request: order.request,
--- a/crates/savorywood-experiment/src/main.rs
+++ b/crates/savorywood-experiment/src/main.rs
@@ -1,3 +1,5 @@
 //! The `savorywood-experiment` binary: a thin wrapper around the experiment library.
 
-fn main() {}
+fn main() -> std::process::ExitCode {
+    savorywood_experiment::cli::run()
+}
