Serve through the platform: membership, configuration, address answers, dev and serve

Cause: the path ran on a configuration put in by hand; daemons did not know one another. Ruled out: waiting for every duty before composing (the process tests need a daemon that runs). Conclusion: the whole path runs on the real table protocol.

--- a/crates/savorywood-cli/src/lib.rs
+++ b/crates/savorywood-cli/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod logging;
 pub mod options;
+mod process;
 pub mod table;
 
 pub use error::CommandError;
--- a/crates/savorywood-core/src/daemon.rs
+++ b/crates/savorywood-core/src/daemon.rs
@@ -1,18 +1,29 @@
 //! The whole daemon: one reducer over all events.
 
+mod callers;
+mod objectives;
+mod reads;
+
+pub use reads::DaemonUnready;
+
 use crate::{
+    burn::BurnLedger,
+    config::{ConfigEvent, ConfigOptions, ConfigState, ConfigVerdict},
+    discovery::DiscoveryOptions,
     effect::{DaemonEffect, EffectQueue},
-    event::{CallerEvent, DaemonEvent, DutyKind},
-    intake,
-    request::RequestArrival,
-    scheduler::{RequestScheduler, SchedulerEvent, SchedulerView},
-    view::{ConfigView, MemberView},
+    event::{CallerEvent, DaemonEvent, DutyKind, TimerKey},
+    membership::{MembershipEvent, MembershipOptions, MembershipState},
+    scheduler::{RequestScheduler, SchedulerEvent, SchedulerOptions, SchedulerView, SeatGrant},
+    view::{ConfigView, MemberView, VersionSplit},
 };
+use objectives::ObjectiveTracker;
 use savorywood_protocol::{
-    ConfigRevision, CoreTime, HostIncarnation, HostName, RefusalCode, RegionName, RequestRefusal,
-    ZoneName, resource::ResourceDocument,
+    CoreTime, HostIncarnation, HostName, MonotonicTime, RegionName, ServiceName, TierRank,
+    UpstreamName, ZoneName,
+    peer::{PeerMessage, membership::MemberPlace},
+    table::TableAnswer,
 };
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 /// What a daemon knows of itself from its settings.
 #[derive(Debug, Clone)]
@@ -29,17 +40,43 @@
     pub peer_address: SocketAddr,
     /// Where callers reach it.
     pub caller_address: SocketAddr,
+    /// How long callers may keep an address.
+    pub address_max_age: Duration,
     /// Seed of all its random numbers.
     pub seed: u64,
 }
 
+impl CoreOptions {
+    fn place(&self) -> MemberPlace {
+        MemberPlace {
+            peer_address: self.peer_address,
+            caller_address: self.caller_address,
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+        }
+    }
+}
+
+/// What duties tell the scheduler.
+#[derive(Debug, Default)]
+struct SchedulerInputs {
+    splits: BTreeMap<ServiceName, VersionSplit>,
+    grants: BTreeMap<UpstreamName, SeatGrant>,
+    floors: BTreeMap<ServiceName, TierRank>,
+}
+
 /// State of one daemon.
 #[derive(Debug)]
 pub struct DaemonCore {
     options: CoreOptions,
-    config: Arc<ConfigView>,
-    members: MemberView,
+    discovery: DiscoveryOptions,
+    config: ConfigState,
+    membership: MembershipState,
     scheduler: RequestScheduler,
+    inputs: SchedulerInputs,
+    burn: BurnLedger,
+    objectives: ObjectiveTracker,
+    started_at: MonotonicTime,
     stopping: bool,
 }
 
@@ -47,120 +84,202 @@
     /// A daemon that has not begun.
     #[must_use]
     pub fn new(options: CoreOptions) -> Self {
+        let host = options.host.clone();
+        let seed = options.seed;
+        let membership = MembershipOptions::new(host.clone(), options.incarnation, options.place());
+        let discovery = DiscoveryOptions {
+            max_age: options.address_max_age,
+            ..DiscoveryOptions::default()
+        };
         Self {
-            options,
-            config: Arc::default(),
-            members: MemberView::default(),
-            scheduler: RequestScheduler::default(),
+            discovery,
+            config: ConfigState::new(ConfigOptions::new(host, seed)),
+            membership: MembershipState::new(membership.with_seed(seed)),
+            scheduler: RequestScheduler::new(SchedulerOptions::new(seed)),
+            inputs: SchedulerInputs::default(),
+            burn: BurnLedger::default(),
+            objectives: ObjectiveTracker::default(),
+            started_at: MonotonicTime::default(),
             stopping: false,
+            options,
         }
     }
 
     /// Configuration in force.
     #[must_use]
     pub fn config(&self) -> &Arc<ConfigView> {
-        &self.config
+        self.config.view()
     }
 
-    /// Daemons known.
+    /// Daemons known, this one included.
     #[must_use]
     pub fn members(&self) -> &MemberView {
-        &self.members
+        self.membership.view()
     }
 
-    /// Whether new work is taken; if not, why.
-    ///
-    /// # Errors
-    ///
-    /// Names the reason in one word.
-    pub fn readiness(&self, _now: CoreTime) -> Result<(), &'static str> {
-        if self.stopping {
-            return Err("stopping");
-        }
-        if self.config.revision == ConfigRevision::default() {
-            return Err("no-configuration");
-        }
-        Ok(())
+    /// Own life, with which datagrams are sealed.
+    #[must_use]
+    pub fn incarnation(&self) -> HostIncarnation {
+        self.membership.incarnation()
     }
 
-    /// A resource with what the system says of it now.
-    #[must_use]
-    pub fn with_status(&self, _now: CoreTime, document: &ResourceDocument) -> ResourceDocument {
-        document.clone()
+    /// Handles one event.
+    pub fn step(&mut self, now: CoreTime, event: DaemonEvent, effects: &mut EffectQueue) {
+        let before = effects.as_slice().len();
+        self.handle(now, event, effects);
+        self.measure_refusals(now, &effects.as_slice()[before..]);
+        if self.stopping && self.scheduler.open_requests() == 0 {
+            effects.push(DaemonEffect::Exit);
+        }
     }
 
-    /// Puts a configuration in force without the table, for embedding and tests.
-    pub fn install_config(&mut self, now: CoreTime, config: ConfigView, effects: &mut EffectQueue) {
-        self.config = Arc::new(config);
-        effects.push(DaemonEffect::ConfigChanged);
-        self.schedule(now, SchedulerEvent::ViewChanged, effects);
+    /// A refused request missed its deadline, whichever duty refused it.
+    fn measure_refusals(&mut self, now: CoreTime, effects: &[DaemonEffect]) {
+        for effect in effects {
+            if let DaemonEffect::Refuse { request, .. } = effect {
+                self.objectives
+                    .refused(now.monotonic, *request, &mut self.burn);
+            }
+        }
     }
 
-    /// Handles one event.
-    pub fn step(&mut self, now: CoreTime, event: DaemonEvent, effects: &mut EffectQueue) {
+    fn handle(&mut self, now: CoreTime, event: DaemonEvent, effects: &mut EffectQueue) {
         match event {
-            DaemonEvent::Caller(CallerEvent::Arrived(arrival)) => {
-                self.arrive(now, &arrival, effects);
-            }
-            DaemonEvent::Caller(CallerEvent::Left { request }) => {
-                self.schedule(now, SchedulerEvent::CallerLeft { request }, effects);
-            }
+            DaemonEvent::Started => self.start(now, effects),
+            DaemonEvent::TimerFired(key) => self.timer(now, key, effects),
+            DaemonEvent::Caller(event) => self.caller(now, event, effects),
             DaemonEvent::Upstream(event) => {
+                self.objectives
+                    .upstream(now.monotonic, &event, &mut self.burn);
                 self.schedule(now, SchedulerEvent::Upstream(event), effects);
             }
-            DaemonEvent::TimerFired(key) => match key.duty {
-                DutyKind::Scheduler => {
-                    let event = SchedulerEvent::TimerFired { number: key.number };
-                    self.schedule(now, event, effects);
-                }
-                DutyKind::Credits
-                | DutyKind::Membership
-                | DutyKind::Config
-                | DutyKind::Leases
-                | DutyKind::Moves
-                | DutyKind::Orders
-                | DutyKind::Claims
-                | DutyKind::Stop => {}
-            },
-            DaemonEvent::StopRequested => self.stopping = true,
-            DaemonEvent::Caller(CallerEvent::Resumed(_))
-            | DaemonEvent::Started
-            | DaemonEvent::Peer { .. }
-            | DaemonEvent::Table { .. }
-            | DaemonEvent::Operator { .. }
-            | DaemonEvent::SnapshotFetched { .. }
-            | DaemonEvent::OrderAnswered { .. }
-            | DaemonEvent::AnswerKept { .. }
-            | DaemonEvent::HostsListed(_) => {}
+            DaemonEvent::Peer { from, message } => self.peer(now, from, message, effects),
+            DaemonEvent::Table { call, answer } => {
+                self.table(now, call.duty, call.number, answer, effects);
+            }
+            DaemonEvent::Operator { call, request } => {
+                let event = ConfigEvent::Operator { call, request };
+                self.configure(now, event, effects);
+            }
+            DaemonEvent::SnapshotFetched { from, snapshot } => {
+                let event = ConfigEvent::SnapshotFetched { from, snapshot };
+                self.configure(now, event, effects);
+            }
+            DaemonEvent::HostsListed(hosts) => {
+                self.join(now, MembershipEvent::HostsListed(hosts), effects);
+            }
+            DaemonEvent::StopRequested => {
+                self.stopping = true;
+                self.join(now, MembershipEvent::Leave, effects);
+            }
+            DaemonEvent::OrderAnswered { .. } | DaemonEvent::AnswerKept { .. } => {}
         }
-        if self.stopping && self.scheduler.open_requests() == 0 {
-            effects.push(DaemonEffect::Exit);
+    }
+
+    fn start(&mut self, now: CoreTime, effects: &mut EffectQueue) {
+        self.started_at = now.monotonic;
+        self.join(now, MembershipEvent::Started, effects);
+        self.configure(now, ConfigEvent::Started, effects);
+    }
+
+    fn timer(&mut self, now: CoreTime, key: TimerKey, effects: &mut EffectQueue) {
+        let number = key.number;
+        match key.duty {
+            DutyKind::Scheduler => {
+                self.schedule(now, SchedulerEvent::TimerFired { number }, effects);
+            }
+            DutyKind::Membership => self.join(now, MembershipEvent::TimerFired, effects),
+            DutyKind::Config => self.configure(now, ConfigEvent::TimerFired { number }, effects),
+            DutyKind::Credits
+            | DutyKind::Leases
+            | DutyKind::Moves
+            | DutyKind::Orders
+            | DutyKind::Claims
+            | DutyKind::Stop => {}
         }
     }
 
-    fn arrive(&mut self, now: CoreTime, arrival: &RequestArrival, effects: &mut EffectQueue) {
-        match intake::resolve(now.monotonic, arrival, &self.config) {
-            Ok(request) if request.idempotent => {
-                let event = SchedulerEvent::Arrived(Box::new(request));
-                self.schedule(now, event, effects);
+    fn peer(
+        &mut self,
+        now: CoreTime,
+        from: HostName,
+        message: PeerMessage,
+        effects: &mut EffectQueue,
+    ) {
+        match message {
+            PeerMessage::Membership(message) => {
+                self.join(now, MembershipEvent::Peer { from, message }, effects);
             }
-            Ok(request) => {
-                let detail = "claims need the table service, which is not connected";
-                let refusal = RequestRefusal::not_run(RefusalCode::StoreUnavailable, detail);
-                effects.refuse(request.request, refusal);
+            PeerMessage::Config(message) => {
+                self.configure(now, ConfigEvent::Peer { from, message }, effects);
             }
-            Err(refusal) => effects.refuse(arrival.request, refusal),
+            PeerMessage::Credits(_) | PeerMessage::Moves(_) => {}
+        }
+    }
+
+    fn table(
+        &mut self,
+        now: CoreTime,
+        duty: DutyKind,
+        number: u64,
+        answer: TableAnswer,
+        effects: &mut EffectQueue,
+    ) {
+        match duty {
+            DutyKind::Config => {
+                let event = ConfigEvent::Table { number, answer };
+                self.configure(now, event, effects);
+            }
+            DutyKind::Scheduler
+            | DutyKind::Credits
+            | DutyKind::Membership
+            | DutyKind::Leases
+            | DutyKind::Moves
+            | DutyKind::Orders
+            | DutyKind::Claims
+            | DutyKind::Stop => {}
+        }
+    }
+
+    /// Steps the configuration duty and tells the others what came of it.
+    fn configure(&mut self, now: CoreTime, event: ConfigEvent, effects: &mut EffectQueue) {
+        let verdict = self
+            .config
+            .step(now, event, self.membership.view(), effects);
+        if verdict == ConfigVerdict::Changed {
+            let revision = self.config.view().revision;
+            self.join(now, MembershipEvent::RevisionInForce(revision), effects);
+            self.schedule(now, SchedulerEvent::ViewChanged, effects);
+        }
+    }
+
+    /// Steps the membership duty and tells the others what came of it.
+    fn join(&mut self, now: CoreTime, event: MembershipEvent, effects: &mut EffectQueue) {
+        let change = self.membership.step(now, event, effects);
+        if change.newer_revision.is_some() {
+            self.configure(now, ConfigEvent::MembersChanged, effects);
         }
     }
 
     fn schedule(&mut self, now: CoreTime, event: SchedulerEvent, effects: &mut EffectQueue) {
         let view = SchedulerView {
-            config: &self.config,
+            config: self.config.view(),
             zone: &self.options.zone,
-            splits: &BTreeMap::new(),
-            grants: &BTreeMap::new(),
-            floors: &BTreeMap::new(),
+            splits: &self.inputs.splits,
+            grants: &self.inputs.grants,
+            floors: &self.inputs.floors,
         };
         self.scheduler.step(now, event, view, effects);
     }
+
+    fn caller(&mut self, now: CoreTime, event: CallerEvent, effects: &mut EffectQueue) {
+        match event {
+            CallerEvent::Arrived(arrival) => self.arrive(now, &arrival, effects),
+            CallerEvent::Left { request } => {
+                self.objectives.forget(request);
+                self.schedule(now, SchedulerEvent::CallerLeft { request }, effects);
+            }
+            CallerEvent::Resumed(_) => {}
+        }
+    }
 }
--- /dev/null
+++ b/crates/savorywood-core/src/daemon/callers.rs
@@ -0,0 +1,56 @@
+//! Arrivals: what is checked before a request is scheduled.
+
+use super::DaemonCore;
+use crate::{effect::EffectQueue, intake, request::RequestArrival, scheduler::SchedulerEvent};
+use savorywood_protocol::{CoreTime, RefusalCode, RequestRefusal};
+use std::time::Duration;
+
+/// When to come back to a daemon that can't confirm its configuration.
+const STALE_RETRY: Duration = Duration::from_secs(2);
+
+impl DaemonCore {
+    pub(super) fn arrive(
+        &mut self,
+        now: CoreTime,
+        arrival: &RequestArrival,
+        effects: &mut EffectQueue,
+    ) {
+        if let Err(refusal) = self.check_current(now) {
+            effects.refuse(arrival.request, refusal);
+            return;
+        }
+        let config = self.config.view();
+        match intake::resolve(now.monotonic, arrival, config) {
+            Ok(request) if request.idempotent => {
+                let objectives = config.services.get(&request.service);
+                let objectives = objectives.map(|spec| spec.objectives).unwrap_or_default();
+                self.objectives.arrive(&request, objectives);
+                let event = SchedulerEvent::Arrived(Box::new(request));
+                self.schedule(now, event, effects);
+            }
+            Ok(request) => {
+                let detail = "claims need the table service, which is not connected";
+                let refusal = RequestRefusal::not_run(RefusalCode::StoreUnavailable, detail);
+                effects.refuse(request.request, refusal);
+            }
+            Err(refusal) => effects.refuse(arrival.request, refusal),
+        }
+    }
+
+    /// A daemon that is cut off from table and peers may not know that a team was shut out or an
+    /// upstream taken away. Callers would see work go where it was stopped long ago; so it turns
+    /// them away to a daemon that knows.
+    fn check_current(&self, now: CoreTime) -> Result<(), RequestRefusal> {
+        if !self.config.is_ready() {
+            let detail = "this daemon has not read the configuration yet; use another address";
+            let refusal = RequestRefusal::not_run(RefusalCode::NotReady, detail);
+            return Err(refusal.with_retry_after(STALE_RETRY));
+        }
+        if !self.config.is_current(now) {
+            let detail = "this daemon can't confirm its configuration; use another address";
+            let refusal = RequestRefusal::not_run(RefusalCode::ConfigStale, detail);
+            return Err(refusal.with_retry_after(STALE_RETRY));
+        }
+        Ok(())
+    }
+}
--- a/crates/savorywood-daemon/src/api/operators.rs
+++ b/crates/savorywood-daemon/src/api/operators.rs
@@ -1,5 +1,8 @@
 //! Operators' interface: create, edit and watch resources.
 
+mod fleet;
+mod watch;
+
 use super::{health, not_found, requests};
 use crate::{daemon::DaemonShared, problem};
 use http_types::{Method, Response};
@@ -7,26 +10,15 @@
 use savorywood_http::IncomingRequest;
 use savorywood_protocol::{
     ConfigRevision, RefusalCode, RequestRefusal,
+    api::{AcceptedChange, ResourceList},
     resource::{ResourceDocument, ResourceKey, ResourceKind},
 };
+use savorywood_settings::{ResourceFile, SourceText};
 use serde::Serialize;
 use serde_json::{Map, Value};
 use std::sync::Arc;
 use subtle::ConstantTimeEq;
 
-/// Resources of one kind at one revision.
-#[derive(Debug, Serialize)]
-struct ResourceList {
-    revision: ConfigRevision,
-    items: Vec<ResourceDocument>,
-}
-
-/// Answer to an accepted change.
-#[derive(Debug, Serialize)]
-struct AcceptedChange {
-    revision: ConfigRevision,
-}
-
 /// Answers one call of an operator.
 pub async fn route(shared: &Arc<DaemonShared>, mut incoming: IncomingRequest) -> Response {
     if !is_operator(shared, &incoming) {
@@ -34,6 +26,14 @@
         return requests::refuse(&RequestRefusal::not_run(RefusalCode::Unauthorized, detail));
     }
     let path = incoming.request.url().path().to_owned();
+    match path.as_str() {
+        "/v1/members" => return fleet::members(shared),
+        "/v1/burn" => return fleet::burn(shared),
+        _ => {}
+    }
+    if let Some(kind) = path.strip_prefix("/v1/watch/") {
+        return watch::follow(shared, &incoming, kind);
+    }
     let Some(rest) = path.strip_prefix("/v1/resources/") else {
         return not_found(&path);
     };
@@ -69,10 +69,13 @@
 fn list(shared: &DaemonShared, kind: ResourceKind) -> Response {
     let config = shared.driver.config();
     let documents = config.documents.values();
-    let items = documents
-        .filter(|document| document.spec.kind() == kind)
-        .map(|document| with_status(shared, document))
-        .collect();
+    let documents = documents.filter(|document| document.spec.kind() == kind);
+    // One visit to the core for all: teams come in tens of thousands.
+    let items = shared.driver.with_core(|core, _, _| {
+        documents
+            .map(|document| core.with_status(document))
+            .collect()
+    });
     health::json(&ResourceList {
         revision: config.revision,
         items,
@@ -102,7 +105,7 @@
 fn with_status(shared: &DaemonShared, document: &ResourceDocument) -> ResourceDocument {
     shared
         .driver
-        .with_core(|core, now, _| core.with_status(now, document))
+        .with_core(|core, _, _| core.with_status(document))
 }
 
 async fn put(
@@ -119,9 +122,9 @@
         Ok(body) => body,
         Err(fault) => return requests::refuse(&requests::body_refusal(&fault)),
     };
-    let document: ResourceDocument = match serde_json::from_slice(&body) {
+    let document = match read_document(&body) {
         Ok(document) => document,
-        Err(error) => return bad_document(&error.to_string()),
+        Err(reason) => return bad_document(&reason),
     };
     if document.spec.kind() != kind || document.name != name {
         return bad_document(&format!(
@@ -132,6 +135,18 @@
     change(shared, OperatorRequest::Apply { document, expected }).await
 }
 
+/// Reads a resource as strictly as `check` does: a misspelt member that were passed over would
+/// leave its default in force, and the operator would believe otherwise.
+fn read_document(body: &[u8]) -> Result<ResourceDocument, String> {
+    let text = std::str::from_utf8(body).map_err(|error| error.to_string())?;
+    let file = ResourceFile::parse(SourceText::new("body", text));
+    let mut documents = file.map_err(|report| report.to_string())?.documents;
+    match (documents.pop(), documents.is_empty()) {
+        (Some(document), true) => Ok(document),
+        _ => Err("exactly one resource is expected".to_owned()),
+    }
+}
+
 async fn delete(
     shared: &DaemonShared,
     incoming: &IncomingRequest,
--- a/crates/savorywood-daemon/src/daemon.rs
+++ b/crates/savorywood-daemon/src/daemon.rs
@@ -6,12 +6,17 @@
     driver::{CoreDriver, DriverParts},
     metrics::DaemonMetrics,
     options::DaemonOptions,
+    outbound::{self, OutboundLinks},
+    peers::{DatagramLink, SnapshotLink},
 };
+use async_channel::Receiver;
 use async_executor::Executor;
-use savorywood_core::{DaemonCore, DaemonEvent};
+use async_net::TcpListener;
+use savorywood_core::{DaemonCore, DaemonEffect, DaemonEvent, daemon::DaemonUnready};
 use savorywood_http::{HttpClient, HttpServer};
+use savorywood_platform::PlatformClient;
 use snafu::{ResultExt, Snafu};
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{future::Future, io, net::SocketAddr, sync::Arc};
 
 /// Why a daemon could not start.
 #[derive(Debug, Snafu)]
@@ -48,6 +53,7 @@
 pub struct RunningDaemon {
     shared: Arc<DaemonShared>,
     caller_address: SocketAddr,
+    peer_address: SocketAddr,
 }
 
 impl RunningDaemon {
@@ -68,6 +74,20 @@
         if options.core.caller_address.port() == 0 {
             options.core.caller_address.set_port(caller_address.port());
         }
+        let peers = options.listen_peers;
+        let host = options.core.host.clone();
+        let key = options.peer_key.clone();
+        let datagrams = DatagramLink::bind(peers, host.clone(), key.clone());
+        let datagrams = datagrams.await.context(ListenSnafu { address: peers })?;
+        let peers = datagrams
+            .local_address()
+            .context(ListenSnafu { address: peers })?;
+        if options.core.peer_address.port() == 0 {
+            options.core.peer_address.set_port(peers.port());
+        }
+        let snapshot_listener = TcpListener::bind(peers)
+            .await
+            .context(ListenSnafu { address: peers })?;
         let metrics = DaemonMetrics::new().context(MetricsSnafu)?;
         let core = DaemonCore::new(options.core.clone());
         let DriverParts { driver, outbound } =
@@ -79,10 +99,13 @@
             executor: Arc::clone(&executor),
             options,
         });
+        let links = Arc::new(OutboundLinks {
+            datagrams: Arc::new(datagrams),
+            snapshots: SnapshotLink::new(host, key),
+            platform: PlatformClient::new(shared.client.clone(), shared.options.platform.clone()),
+        });
         spawn_timers(&shared);
-        executor
-            .spawn(async move { while outbound.recv().await.is_ok() {} })
-            .detach();
+        spawn_links(&shared, &links, outbound, snapshot_listener);
         let handler = Arc::new(ApiHandler::new(Arc::clone(&shared)));
         executor
             .spawn(server.run(Arc::clone(&executor), handler))
@@ -91,6 +114,7 @@
         Ok(Self {
             shared,
             caller_address,
+            peer_address: peers,
         })
     }
 
@@ -100,22 +124,56 @@
         self.caller_address
     }
 
+    /// Where peers reach the daemon.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Whether new work is taken.
+    ///
+    /// # Errors
+    ///
+    /// Says why not.
+    pub fn readiness(&self) -> Result<(), DaemonUnready> {
+        self.shared
+            .driver
+            .with_core(|core, now, _| core.readiness(now))
+    }
+
+    /// Requests that wait or run.
+    #[must_use]
+    pub fn open_requests(&self) -> usize {
+        self.shared.driver.registry.len()
+    }
+
     /// Begins the planned stop.
     pub fn stop(&self) {
         self.shared.driver.step(DaemonEvent::StopRequested);
     }
 
-    /// Resolves when the planned stop is over.
-    pub async fn stopped(&self) {
-        self.shared.driver.exit_listener().await;
+    /// Resolves when the planned stop is over. Call it before [`stop`](Self::stop).
+    pub fn stopped(&self) -> impl Future<Output = ()> + use<> {
+        self.shared.driver.exit_listener()
     }
+}
 
-    /// Puts resources in force without the platform, for embedding and trials.
-    pub fn install_config(&self, config: savorywood_core::ConfigView) {
-        self.shared
-            .driver
-            .with_core(|core, now, effects| core.install_config(now, config, effects));
-    }
+fn spawn_links(
+    shared: &Arc<DaemonShared>,
+    links: &Arc<OutboundLinks>,
+    effects: Receiver<DaemonEffect>,
+    listener: TcpListener,
+) {
+    let executor = &shared.executor;
+    let driver = &shared.driver;
+    let run = outbound::run(Arc::clone(shared), Arc::clone(links), effects);
+    executor.spawn(run).detach();
+    let receive = Arc::clone(&links.datagrams).receive(Arc::clone(driver));
+    executor.spawn(receive).detach();
+    let snapshots = links.snapshots.clone();
+    let serve = snapshots.serve(listener, Arc::clone(driver), Arc::clone(executor));
+    executor.spawn(serve).detach();
+    outbound::spawn_loops(shared, links);
 }
 
 fn spawn_timers(shared: &Arc<DaemonShared>) {
--- a/crates/savorywood-daemon/src/driver.rs
+++ b/crates/savorywood-daemon/src/driver.rs
@@ -183,6 +183,11 @@
         Arc::clone(&config)
     }
 
+    /// Resolves at the next change of the configuration.
+    pub fn config_listener(&self) -> EventListener {
+        self.config_changed.listen()
+    }
+
     /// Resolves when the core says that the process may end.
     pub fn exit_listener(&self) -> EventListener {
         self.exit.listen()
--- a/crates/savorywood-daemon/src/lib.rs
+++ b/crates/savorywood-daemon/src/lib.rs
@@ -7,6 +7,8 @@
 mod logging;
 mod metrics;
 mod options;
+mod outbound;
+mod peers;
 mod problem;
 mod registry;
 mod relay;
@@ -14,4 +16,4 @@
 
 pub use clock::RuntimeClock;
 pub use daemon::{DaemonError, RunningDaemon};
-pub use options::{DaemonOptions, DaemonOptionsBuilder};
+pub use options::{DaemonLinks, DaemonOptions, DaemonOptionsBuilder, ListenAddresses};
--- a/crates/savorywood-daemon/src/metrics.rs
+++ b/crates/savorywood-daemon/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Metrics in the prometheus format.
 
 use prometheus::{
-    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 use savorywood_core::InvariantName;
 use savorywood_protocol::{RefusalCode, ServiceName};
@@ -26,6 +26,8 @@
     whole_answer: HistogramVec,
     open_requests: IntGauge,
     timer_lag: Gauge,
+    peer_bytes: IntCounter,
+    dropped_datagrams: IntCounter,
 }
 
 impl DaemonMetrics {
@@ -74,6 +76,14 @@
             "savorywood_timer_lag_seconds",
             "Lateness of the last timer; grows when the executor is starved",
         )?;
+        let peer_bytes = IntCounter::new(
+            "savorywood_peer_bytes_total",
+            "Bytes of datagrams sent to other daemons",
+        )?;
+        let dropped_datagrams = IntCounter::new(
+            "savorywood_dropped_datagrams_total",
+            "Datagrams dropped for a wrong tag, a replay or an old life",
+        )?;
         let metrics = Self {
             registry: Registry::new(),
             answers,
@@ -83,6 +93,8 @@
             whole_answer,
             open_requests,
             timer_lag,
+            peer_bytes,
+            dropped_datagrams,
         };
         metrics.register()?;
         Ok(metrics)
@@ -97,6 +109,8 @@
         registry.register(Box::new(self.whole_answer.clone()))?;
         registry.register(Box::new(self.open_requests.clone()))?;
         registry.register(Box::new(self.timer_lag.clone()))?;
+        registry.register(Box::new(self.peer_bytes.clone()))?;
+        registry.register(Box::new(self.dropped_datagrams.clone()))?;
         // A counter that is absent until its first breach can't be alerted on.
         for name in InvariantName::iter() {
             self.breaches
@@ -141,6 +155,16 @@
         histogram.observe(elapsed.as_secs_f64());
     }
 
+    /// Counts the bytes of a datagram that was sent.
+    pub fn count_peer_bytes(&self, bytes: usize) {
+        self.peer_bytes.inc_by(bytes as u64);
+    }
+
+    /// Counts a datagram that was dropped.
+    pub fn count_dropped_datagram(&self) {
+        self.dropped_datagrams.inc();
+    }
+
     /// Notes how late a timer was.
     pub fn observe_timer_lag(&self, lag: Duration) {
         self.timer_lag.set(lag.as_secs_f64());
--- a/crates/savorywood-daemon/src/options.rs
+++ b/crates/savorywood-daemon/src/options.rs
@@ -2,7 +2,9 @@
 
 use savorywood_core::{CoreOptions, TokenDigest};
 use savorywood_http::{ClientLimits, ServerLimits};
-use std::{net::SocketAddr, time::Duration};
+use savorywood_platform::PlatformOptions;
+use savorywood_protocol::peer::DatagramKey;
+use std::{fmt, net::SocketAddr, time::Duration};
 
 /// What a daemon is started with.
 #[derive(Debug, Clone)]
@@ -11,16 +13,52 @@
     pub core: CoreOptions,
     /// Where callers' connections are taken.
     pub listen_callers: SocketAddr,
+    /// Where peers' datagrams and connections are taken.
+    pub listen_peers: SocketAddr,
+    /// The platform's table, object store and host list.
+    pub platform: PlatformOptions,
+    /// Key that all daemons share.
+    pub peer_key: DatagramKey,
     /// What one caller may cost.
     pub server_limits: ServerLimits,
     /// What one upstream may cost.
     pub client_limits: ClientLimits,
     /// Digest of the operators' token; without one, operators are refused.
     pub operator_token: Option<TokenDigest>,
+    /// Key that signs the tokens with which callers resume streams.
+    pub resume_key: Option<ResumeKey>,
     /// Longest silence of an upstream in the middle of an answer.
     pub stall_time: Duration,
 }
 
+/// A key in memory. `Debug` hides it, so that no log line can show it.
+#[derive(Clone)]
+pub struct ResumeKey(pub Vec<u8>);
+
+impl fmt::Debug for ResumeKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ResumeKey(hidden)")
+    }
+}
+
+/// Where a daemon listens.
+#[derive(Debug, Clone, Copy)]
+pub struct ListenAddresses {
+    /// For callers and operators, by HTTP.
+    pub callers: SocketAddr,
+    /// For peers, by UDP and TCP.
+    pub peers: SocketAddr,
+}
+
+/// What a daemon needs to reach others.
+#[derive(Debug, Clone)]
+pub struct DaemonLinks {
+    /// The platform's services.
+    pub platform: PlatformOptions,
+    /// Key that all daemons share.
+    pub peer_key: DatagramKey,
+}
+
 /// Builds [`DaemonOptions`].
 #[derive(Debug, Clone)]
 pub struct DaemonOptionsBuilder {
@@ -30,13 +68,17 @@
 impl DaemonOptionsBuilder {
     /// Begins with defaults.
     #[must_use]
-    pub fn new(core: CoreOptions, listen_callers: SocketAddr) -> Self {
+    pub fn new(core: CoreOptions, listen: ListenAddresses, links: DaemonLinks) -> Self {
         let options = DaemonOptions {
             core,
-            listen_callers,
+            listen_callers: listen.callers,
+            listen_peers: listen.peers,
+            platform: links.platform,
+            peer_key: links.peer_key,
             server_limits: ServerLimits::default(),
             client_limits: ClientLimits::default(),
             operator_token: None,
+            resume_key: None,
             stall_time: Duration::from_secs(30),
         };
         Self { options }
@@ -63,6 +105,14 @@
         self
     }
 
+    /// Sets the key that signs the tokens with which callers resume streams. All daemons have the
+    /// same; without one no tokens are given.
+    #[must_use]
+    pub fn resume_key(mut self, key: &[u8]) -> Self {
+        self.options.resume_key = Some(ResumeKey(key.to_vec()));
+        self
+    }
+
     /// Sets the longest silence of an upstream in the middle of an answer.
     #[must_use]
     pub fn stall_time(mut self, time: Duration) -> Self {
--- /dev/null
+++ b/crates/savorywood-daemon/src/outbound/orders.rs
@@ -0,0 +1,83 @@
+//! Gives orders to engines and reads back what they run (`docs/UPSTREAM.md`).
+
+use crate::daemon::DaemonShared;
+use http_types::Method;
+use savorywood_core::{DaemonEvent, OrderAnswer, OrderCall, UpstreamOrder};
+use savorywood_http::{CallAnswer, CallRequest};
+use savorywood_protocol::{
+    VersionName,
+    extension::{FencedDocument, ORDERS_PATH, OrderDocument, OrderStateDocument},
+};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+/// Time for one order.
+const ORDER_TIME: Duration = Duration::from_secs(2);
+
+/// Gives an order, or reads back when it names no version.
+pub fn give(
+    shared: &Arc<DaemonShared>,
+    call: OrderCall,
+    address: SocketAddr,
+    order: UpstreamOrder,
+) {
+    let owner = Arc::clone(shared);
+    let run = async move {
+        let request = build(&owner, address, &order);
+        let answer = match owner.client.call(&request).await {
+            Ok(answer) => read_answer(&answer),
+            Err(error) => {
+                log::info!(
+                    "event=order-unanswered peer={address} error={:?}",
+                    error.to_string()
+                );
+                OrderAnswer::Lost
+            }
+        };
+        owner
+            .driver
+            .step(DaemonEvent::OrderAnswered { call, answer });
+    };
+    shared.executor.spawn(run).detach();
+}
+
+fn build(shared: &DaemonShared, address: SocketAddr, order: &UpstreamOrder) -> CallRequest {
+    let mut request = match &order.version {
+        None => CallRequest::new(address, Method::Get, ORDERS_PATH),
+        Some(version) => {
+            let config = shared.driver.config();
+            let spec = config.versions.get(version);
+            let document = OrderDocument {
+                fencing: order.fencing,
+                version: Some(version.to_string()),
+                weights: spec.and_then(|spec| spec.weights.clone()),
+                ..OrderDocument::default()
+            };
+            let body = serde_json::to_vec(&document).unwrap_or_default();
+            CallRequest::new(address, Method::Put, ORDERS_PATH).with_body(body)
+        }
+    };
+    request.timeout = ORDER_TIME;
+    request
+}
+
+fn read_answer(answer: &CallAnswer) -> OrderAnswer {
+    if answer.status == 409 {
+        let fenced: Option<FencedDocument> = serde_json::from_slice(&answer.body).ok();
+        return fenced.map_or(OrderAnswer::Lost, |fenced| OrderAnswer::Fenced {
+            newest: fenced.newest,
+        });
+    }
+    let state: Option<OrderStateDocument> = serde_json::from_slice(&answer.body).ok();
+    let state = state.filter(|_| answer.status < 300);
+    let version = state
+        .as_ref()
+        .and_then(|state| VersionName::new(&state.version).ok());
+    match (state, version) {
+        (Some(state), Some(version)) => OrderAnswer::Running {
+            version,
+            ready: state.ready,
+            fencing: state.fencing,
+        },
+        _ => OrderAnswer::Lost,
+    }
+}
--- /dev/null
+++ b/crates/savorywood-daemon/src/peers/datagrams.rs
@@ -0,0 +1,143 @@
+//! Authenticated datagrams.
+
+use crate::driver::CoreDriver;
+use async_net::UdpSocket;
+use savorywood_core::DaemonEvent;
+use savorywood_protocol::{
+    HostName,
+    peer::{
+        DatagramKey, PeerDatagram, PeerMessage,
+        datagram::{MAX_DATAGRAM_BYTES, ReplayGuard, ReplayVerdict},
+    },
+};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+/// How often senders that are no longer members are forgotten.
+const FORGET_PERIOD: Duration = Duration::from_secs(60);
+
+/// Sends and receives datagrams.
+#[derive(Debug)]
+pub struct DatagramLink {
+    socket: UdpSocket,
+    host: HostName,
+    key: DatagramKey,
+    sequence: AtomicU64,
+    guard: Mutex<ReplayGuard>,
+}
+
+impl DatagramLink {
+    /// Binds the peers' address.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be bound.
+    pub async fn bind(address: SocketAddr, host: HostName, key: DatagramKey) -> io::Result<Self> {
+        Ok(Self {
+            socket: UdpSocket::bind(address).await?,
+            host,
+            key,
+            sequence: AtomicU64::new(1),
+            guard: Mutex::default(),
+        })
+    }
+
+    /// Address that is listened on.
+    ///
+    /// # Errors
+    ///
+    /// When the system can't tell it.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Sends a message. A datagram that can't be sent is lost like any other: the duties repeat
+    /// what matters.
+    pub async fn send(
+        &self,
+        driver: &CoreDriver,
+        to: &HostName,
+        address: SocketAddr,
+        message: PeerMessage,
+    ) {
+        let datagram = PeerDatagram {
+            from: self.host.clone(),
+            incarnation: driver.with_core(|core, _, _| core.incarnation()),
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+            message,
+        };
+        let sealed = match datagram.seal(to, &self.key) {
+            Ok(sealed) => sealed,
+            Err(error) => {
+                log::error!(
+                    "event=datagram-not-sealed peer={to} error={:?}",
+                    error.to_string()
+                );
+                return;
+            }
+        };
+        driver.metrics.count_peer_bytes(sealed.len());
+        if let Err(error) = self.socket.send_to(&sealed, address).await {
+            log::debug!("event=datagram-not-sent peer={to} error={error:?}");
+        }
+    }
+
+    /// Receives datagrams for good.
+    pub async fn receive(self: Arc<Self>, driver: Arc<CoreDriver>) {
+        // One byte more than allowed, so that a longer one can be told from one that just fits.
+        let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+        let mut forgotten_at = Instant::now();
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((count, address)) => self.take(&driver, &buffer[..count], address),
+                Err(error) => log::debug!("event=datagram-not-received error={error:?}"),
+            }
+            if forgotten_at.elapsed() > FORGET_PERIOD {
+                forgotten_at = Instant::now();
+                self.forget(&driver);
+            }
+        }
+    }
+
+    fn take(&self, driver: &CoreDriver, bytes: &[u8], address: SocketAddr) {
+        let datagram = match PeerDatagram::open(bytes, &self.host, &self.key) {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                driver.metrics.count_dropped_datagram();
+                log::debug!(
+                    "event=datagram-dropped peer={address} error={:?}",
+                    error.to_string()
+                );
+                return;
+            }
+        };
+        let mut guard = self.guard.lock().unwrap_or_else(PoisonError::into_inner);
+        let verdict = guard.judge(&datagram.from, datagram.incarnation, datagram.sequence);
+        drop(guard);
+        if verdict != ReplayVerdict::Fresh {
+            driver.metrics.count_dropped_datagram();
+            log::debug!(
+                "event=datagram-dropped peer={address} host={} verdict={verdict:?}",
+                datagram.from
+            );
+            return;
+        }
+        driver.step(DaemonEvent::Peer {
+            from: datagram.from,
+            message: datagram.message,
+        });
+    }
+
+    fn forget(&self, driver: &CoreDriver) {
+        let members = driver.with_core(|core, _, _| core.members().clone());
+        let mut guard = self.guard.lock().unwrap_or_else(PoisonError::into_inner);
+        guard.retain(|host| members.members.contains_key(host));
+    }
+}
--- a/crates/savorywood-daemon/tests/whole_path.rs
+++ b/crates/savorywood-daemon/tests/whole_path.rs
@@ -5,19 +5,23 @@
 use async_executor::Executor;
 use futures_lite::future;
 use http_types::{Body, Method, Response, StatusCode};
-use savorywood_core::{ConfigView, CoreOptions, TokenDigest};
-use savorywood_daemon::{DaemonOptionsBuilder, RunningDaemon};
+use savorywood_core::{CoreOptions, TokenDigest};
+use savorywood_daemon::{DaemonLinks, DaemonOptionsBuilder, ListenAddresses, RunningDaemon};
 use savorywood_http::{
     CallAnswer, CallRequest, ClientLimits, HttpClient, HttpHandler, HttpServer, IncomingRequest,
     SendError, ServerLimits, body::BodyPair, body_channel,
 };
-use savorywood_protocol::{ConfigRevision, HostIncarnation, resource::ResourceDocument};
+use savorywood_platform::PlatformOptions;
+use savorywood_protocol::{HostIncarnation, peer::DatagramKey};
+use savorywood_standin::{PlatformOptions as StandinOptions, PlatformServer};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
-use std::{net::SocketAddr, sync::Arc, thread};
+use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
 
 const TOKEN: &str = "test-team-token";
 
+const OPERATOR_TOKEN: &str = "test-operator-token";
+
 /// Answers a chat with three tokens; cuts the stream off before its end mark when asked to.
 struct SmallEngine {
     executor: Arc<Executor<'static>>,
@@ -49,34 +53,24 @@
 
 struct TestRig {
     daemon: SocketAddr,
+    _platform: PlatformServer,
 }
 
 impl TestRig {
     fn start(upstream_is_up: bool) -> Self {
         let executor: Arc<Executor<'static>> = Arc::default();
-        let daemon = future::block_on(Self::start_parts(&executor, upstream_is_up));
         for _ in 0..2 {
             let executor = Arc::clone(&executor);
             thread::spawn(move || future::block_on(executor.run(future::pending::<()>())));
         }
-        Self { daemon }
+        future::block_on(Self::start_parts(&executor, upstream_is_up))
     }
 
-    async fn start_parts(executor: &Arc<Executor<'static>>, upstream_is_up: bool) -> SocketAddr {
+    async fn start_parts(executor: &Arc<Executor<'static>>, upstream_is_up: bool) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server = HttpServer::bind(any, ServerLimits::default())
-            .await
-            .unwrap();
-        let engine = server.local_address().unwrap();
-        if upstream_is_up {
-            let handler = SmallEngine {
-                executor: Arc::clone(executor),
-            };
-            let run = server.run(Arc::clone(executor), Arc::new(handler));
-            executor.spawn(run).detach();
-        } else {
-            drop(server);
-        }
+        let engine = start_engine(executor, upstream_is_up).await;
+        let platform = PlatformServer::start(executor, StandinOptions::default());
+        let platform = platform.await.unwrap();
         let core = CoreOptions {
             host: "host-1".parse().unwrap(),
             incarnation: HostIncarnation(1),
@@ -84,14 +78,46 @@
             region: "region-1".parse().unwrap(),
             peer_address: any,
             caller_address: any,
+            address_max_age: Duration::from_secs(1),
             seed: 1,
         };
-        let options = DaemonOptionsBuilder::new(core, any).build();
-        let daemon = RunningDaemon::start(options, Arc::clone(executor))
-            .await
-            .unwrap();
-        daemon.install_config(config(engine));
-        daemon.caller_address()
+        let listen = ListenAddresses {
+            callers: any,
+            peers: any,
+        };
+        let links = DaemonLinks {
+            platform: PlatformOptions::new(platform.address()),
+            peer_key: DatagramKey::derive(b"test"),
+        };
+        let digest = Sha256::digest(OPERATOR_TOKEN.as_bytes());
+        let options = DaemonOptionsBuilder::new(core, listen, links)
+            .operator_token(TokenDigest(digest.into()))
+            .build();
+        let daemon = RunningDaemon::start(options, Arc::clone(executor)).await;
+        let rig = Self {
+            daemon: daemon.unwrap().caller_address(),
+            _platform: platform,
+        };
+        rig.declare(engine);
+        rig
+    }
+
+    /// Puts the resources in force as an operator does; retries while the daemon begins.
+    fn declare(&self, engine: SocketAddr) {
+        for document in documents(engine).as_array().unwrap() {
+            let kind = document["kind"].as_str().unwrap();
+            let name = document["name"].as_str().unwrap();
+            let target = format!("/v1/resources/{kind}/{name}");
+            let put = CallRequest::new(self.daemon, Method::Put, target)
+                .with_token(OPERATOR_TOKEN)
+                .with_body(document.to_string().into_bytes());
+            let accepted = (0..100).any(|_| {
+                let answer = self.call(put.clone()).unwrap();
+                thread::sleep(Duration::from_millis(u64::from(answer.status == 503) * 50));
+                answer.status == 200
+            });
+            assert!(accepted, "{kind}/{name}");
+        }
     }
 
     fn call(&self, call: CallRequest) -> Result<CallAnswer, SendError> {
@@ -112,25 +138,33 @@
     }
 }
 
-fn config(engine: SocketAddr) -> ConfigView {
-    let digest = TokenDigest(Sha256::digest(TOKEN.as_bytes()).into());
-    let documents = json!([
+async fn start_engine(executor: &Arc<Executor<'static>>, is_up: bool) -> SocketAddr {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = HttpServer::bind(any, ServerLimits::default())
+        .await
+        .unwrap();
+    let address = server.local_address().unwrap();
+    if is_up {
+        let handler = SmallEngine {
+            executor: Arc::clone(executor),
+        };
+        let run = server.run(Arc::clone(executor), Arc::new(handler));
+        executor.spawn(run).detach();
+    }
+    address
+}
+
+fn documents(engine: SocketAddr) -> Value {
+    let digest = hex::encode(Sha256::digest(TOKEN.as_bytes()));
+    json!([
         {"kind": "tier", "name": "urgent", "spec": {"rank": 0}},
         {"kind": "service", "name": "notes", "spec": {"protocol": "model"}},
-        {"kind": "team", "name": "desk",
-         "spec": {"token_sha256": hex::encode(digest.0), "tiers": ["urgent"]}},
+        {"kind": "team", "name": "desk", "spec": {"token_sha256": digest, "tiers": ["urgent"]}},
         {"kind": "version", "name": "v1", "spec": {"service": "notes"}},
         {"kind": "upstream", "name": "engine-1", "spec": {
             "address": engine.to_string(), "service": "notes", "version": "v1",
             "zone": "zone-a"}},
-    ]);
-    let documents: Vec<ResourceDocument> = serde_json::from_value(documents).unwrap();
-    let mut config = ConfigView::default();
-    for document in documents {
-        config.insert(document).unwrap();
-    }
-    config.revision = ConfigRevision(1);
-    config
+    ])
 }
 
 fn problem_of(answer: &CallAnswer) -> Value {
--- a/crates/savorywood-load/src/mix/address_book.rs
+++ b/crates/savorywood-load/src/mix/address_book.rs
@@ -16,10 +16,15 @@
 
 #[derive(Debug, Deserialize)]
 struct AddressAnswer {
-    addresses: Vec<SocketAddr>,
+    addresses: Vec<RankedAddress>,
     max_age_seconds: u64,
 }
 
+#[derive(Debug, Deserialize)]
+struct RankedAddress {
+    address: SocketAddr,
+}
+
 #[derive(Debug, Clone)]
 struct HeldAddresses {
     addresses: Vec<SocketAddr>,
@@ -72,7 +77,11 @@
             return None;
         }
         Some(HeldAddresses {
-            addresses: answer.addresses,
+            addresses: answer
+                .addresses
+                .iter()
+                .map(|ranked| ranked.address)
+                .collect(),
             until: Instant::now() + Duration::from_secs(answer.max_age_seconds),
         })
     }
--- a/crates/savorywood-protocol/src/peer.rs
+++ b/crates/savorywood-protocol/src/peer.rs
@@ -5,6 +5,7 @@
 pub mod datagram;
 pub mod membership;
 pub mod moves;
+pub mod snapshot;
 
 pub use config::ConfigMessage;
 pub use credits::CreditMessage;
--- a/crates/savorywood-protocol/src/peer/datagram.rs
+++ b/crates/savorywood-protocol/src/peer/datagram.rs
@@ -8,6 +8,7 @@
 use crate::{HostIncarnation, HostName};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
+use std::fmt;
 
 /// Longest datagram sent, in bytes: it passes every path without being cut into fragments.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
@@ -19,6 +20,13 @@
 #[derive(Clone)]
 pub struct DatagramKey([u8; 32]);
 
+impl fmt::Debug for DatagramKey {
+    /// Hides the key, so that no log line can show it.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("DatagramKey(hidden)")
+    }
+}
+
 impl DatagramKey {
     /// Derives the key from the bytes of the key file.
     #[must_use]
@@ -30,7 +38,7 @@
     ///
     /// Without the name, a datagram copied off the wire could be played to another daemon: a
     /// grant of seats would then be used by two. The name is not sent, so it costs no byte.
-    fn tag(&self, content: &[u8], to: &HostName) -> blake3::Hash {
+    pub(super) fn tag(&self, content: &[u8], to: &HostName) -> blake3::Hash {
         let mut hasher = blake3::Hasher::new_keyed(&self.0);
         hasher.update(to.as_str().as_bytes());
         hasher.update(&[0]);
