--- /dev/null
+++ b/crates/savorywood-cli/tests/process_stop.rs
@@ -0,0 +1,48 @@
+//! Planned stops under load.
+
+use savorywood_testing::{
+    ClusterPlan, ProcessSignal, StandinProcess, TEAM_TOKEN, TestCall, TestCluster, has_end_mark,
+    wait_until,
+};
+use std::{thread, time::Duration};
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Streams at the daemon that stops: half of them run, the others wait.
+const REQUESTS: usize = 8;
+
+/// An operator replaces a host and stops its daemon with SIGTERM while it streams some answers
+/// and holds other requests in its queue. A caller that still keeps the daemon's address connects
+/// some moments later. None of them may notice anything, and the process ends by itself.
+#[test]
+fn a_planned_stop_cuts_off_nothing() {
+    let engine = StandinProcess::engine(&["--slots", "4", "--decode", "50"]);
+    let mut cluster = TestCluster::start(&ClusterPlan::default());
+    cluster.declare(&[engine.address()], &[]);
+
+    let calls = (0..REQUESTS).map(|n| cluster.chat(0, &format!("text {n}"), 60));
+    let callers = calls.map(|call| thread::spawn(move || call.send()));
+    let mut callers: Vec<_> = callers.collect();
+    wait_until("running requests", LIMIT, || engine.runs().total() >= 3);
+    cluster.daemons[0].signal(ProcessSignal::Terminate);
+    let late = cluster.chat(0, "late", 5);
+    callers.push(thread::spawn(move || late.send()));
+
+    let stopped = cluster.daemons[0].callers().to_string();
+    wait_until("addresses without the stopping daemon", LIMIT, || {
+        let target = "/v1/addresses?service=notes";
+        let call = TestCall::get(cluster.daemons[1].callers(), target).token(TEAM_TOKEN);
+        let list = call.send().expect("addresses").text();
+        !list.contains(&stopped)
+    });
+    for caller in callers {
+        let answer = caller.join().expect("a caller");
+        let answer = answer.expect("a whole answer");
+        assert_eq!(answer.status(), 200, "{}", answer.text());
+        assert!(has_end_mark(&answer.body));
+    }
+    let status = cluster.daemons[0].wait_for_end(Duration::from_secs(10));
+    assert!(status.success(), "{status}");
+    let other = cluster.chat(1, "after", 5).send().expect("an answer");
+    assert!(has_end_mark(&other.body), "{}", other.text());
+}
--- a/crates/savorywood-testing/src/cluster.rs
+++ b/crates/savorywood-testing/src/cluster.rs
@@ -21,6 +21,10 @@
 /// Daemons serve and agree within this time after their start.
 const START_TIME: Duration = Duration::from_secs(10);
 
+/// A daemon answers an operator within this time, also when the platform does not answer it: it
+/// waits ten seconds for the table, and its last call there may take some more.
+const CHANGE_TIME: Duration = Duration::from_secs(14);
+
 /// An accepted configuration is in force everywhere within this time.
 const IN_FORCE_TIME: Duration = Duration::from_secs(4);
 
@@ -77,7 +81,9 @@
         let target = format!("/v1/resources/{kind}/{name}");
         let address = self.daemons[daemon].callers();
         let call = TestCall::put(address, &target, body).token(OPERATOR_TOKEN);
-        call.send().expect("the daemon answers its operator")
+        call.timeout(CHANGE_TIME)
+            .send()
+            .expect("the daemon answers its operator")
     }
 
     /// Creates or edits a resource through the first daemon and gives the accepted revision.
