--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod intake;
 pub mod invariant;
 pub mod membership;
+pub mod leases;
 pub mod operator;
 pub mod order;
 pub mod rendezvous;
