Add claims of calls that may not be repeated

Cause: a caller's retry, a dead daemon or a lost answer of the store must not make a charge run twice.

Ruled out: taking over the claim of a dead daemon (it may have sent); deciding on a lost answer without reading the row.

Seen failing: lost answers taken for committed -> a_charge_runs_at_most_once red ("key 0 ran 3 times"); nonce not compared -> red ("key 0 ran 5 times"); the rest of a conflicting group dropped -> with_a_healthy_store_every_charge_runs red. Not red when off: reading back before refusing on Unavailable after Lost (it only keeps a key usable).

Known: a write that arrives after its claim was released leaves a key that answers "unknown"; nothing runs twice.

--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`DaemonEvent`] and the time, and pushes [`DaemonEffect`]s that a shell executes. The same
 //! events in the same order always give the same effects.
 
+pub mod claims;
 pub mod daemon;
 pub mod discovery;
 pub mod effect;
--- a/crates/savorywood-core/tests/membership_schedules.rs
+++ b/crates/savorywood-core/tests/membership_schedules.rs
@@ -150,6 +150,7 @@
     let rounds = rounds.and_then(|text| text.parse().ok()).unwrap_or(12);
     QuickCheck::new()
         .tests(rounds)
+        .max_tests(rounds)
         .quickcheck(holds as fn(u64, Vec<FleetMishap>) -> bool);
 }
 
