Add resume tokens and the order to read a stream on

Cause: after a daemon dies, another must carry on its streams without a write to the store and without a second dispatch. Ruled out: a row per stream (a write each; the store takes a few hundred a second).

--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod order;
 pub mod rendezvous;
 pub mod request;
+pub mod resume;
 pub mod scheduler;
 pub mod snapshot;
 pub mod view;
--- a/crates/savorywood-protocol/src/lib.rs
+++ b/crates/savorywood-protocol/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod outcome;
 pub mod peer;
 pub mod resource;
+pub mod resume_token;
 pub mod table;
 pub mod time;
 
--- /dev/null
+++ b/crates/savorywood-protocol/tests/resume_token.rs
@@ -0,0 +1,71 @@
+//! Resume tokens: what is believed and what is not.
+
+use quickcheck::quickcheck;
+use savorywood_protocol::{
+    AttemptNumber, TeamName, WallTime,
+    resume_token::{ResumeKey, ResumeToken, ResumeTokenError},
+};
+use std::time::Duration;
+
+const ISSUED: WallTime = WallTime(1_780_000_000_000);
+const MAX_AGE: Duration = Duration::from_secs(600);
+
+fn key() -> ResumeKey {
+    ResumeKey::derive(b"secret")
+}
+
+fn team(name: &str) -> TeamName {
+    TeamName::new(name).expect("a name")
+}
+
+fn token() -> ResumeToken {
+    ResumeToken {
+        upstream: "runner-7".parse().expect("a name"),
+        stream: "stream-42".to_owned(),
+        service: "notes".parse().expect("a name"),
+        team: team("survey"),
+        attempt: AttemptNumber(1),
+        issued_at: ISSUED,
+    }
+}
+
+fn verify(text: &str, by: &str, age: u64) -> Result<ResumeToken, ResumeTokenError> {
+    let now = ISSUED + Duration::from_secs(age);
+    ResumeToken::verify(text, &key(), &team(by), now, MAX_AGE)
+}
+
+#[test]
+fn a_signed_token_is_read_back() {
+    let text = token().sign(&key()).expect("signed");
+    assert_eq!(verify(&text, "survey", 60), Ok(token()));
+    assert!(
+        text.bytes()
+            .all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_')
+    );
+}
+
+/// A caller changes a token to read another's stream, or one team's token gets into another
+/// team's hands. Neither may see a byte of the stream.
+#[test]
+fn forged_foreign_and_stale_tokens_are_told_apart() {
+    let text = token().sign(&key()).expect("signed");
+    assert_eq!(verify(&text, "farm", 60), Err(ResumeTokenError::Foreign));
+    let stale = verify(&text, "survey", 601);
+    assert!(matches!(stale, Err(ResumeTokenError::Stale { .. })));
+    let other = token().sign(&ResumeKey::derive(b"other")).expect("signed");
+    assert_eq!(verify(&other, "survey", 60), Err(ResumeTokenError::Forged));
+    assert_eq!(verify("", "survey", 60), Err(ResumeTokenError::Malformed));
+    assert_eq!(verify("%", "survey", 60), Err(ResumeTokenError::Malformed));
+    for place in 0..text.len() {
+        let mut changed = text.clone().into_bytes();
+        changed[place] = if changed[place] == b'A' { b'B' } else { b'A' };
+        let changed = String::from_utf8(changed).expect("text");
+        assert!(verify(&changed, "survey", 60).is_err(), "place {place}");
+    }
+}
+
+quickcheck! {
+    fn any_text_is_refused_without_harm(text: String) -> bool {
+        verify(&text, "survey", 60).is_err()
+    }
+}
