--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod burn;
 pub mod config;
+pub mod claims;
 pub mod daemon;
 pub mod discovery;
 pub mod effect;
@@ -18,6 +19,7 @@
 pub mod order;
 pub mod rendezvous;
 pub mod request;
+pub mod resume;
 pub mod scheduler;
 pub mod snapshot;
 pub mod view;
--- a/crates/savorywood-protocol/src/lib.rs
+++ b/crates/savorywood-protocol/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod peer;
 pub mod prefix;
 pub mod resource;
+pub mod resume_token;
 pub mod table;
 pub mod time;
 
