--- a/crates/savorywood-core/src/scheduler/admission.rs
+++ b/crates/savorywood-core/src/scheduler/admission.rs
@@ -28,6 +28,11 @@
 /// Share of the predicted time that must be left when work begins. Below one, since a prediction
 /// that is a little too long would refuse what could have been done.
 const NEEDED_SHARE: f64 = 0.9;
+/// Share of the first-token objective for which a request may be kept for an upstream that holds
+/// its prefix.
+const PATIENT_SHARE: f64 = 0.5;
+/// Share of the time until it is hopeless for which it may be kept so.
+const PATIENT_SLACK: f64 = 0.25;
 const MICROS: f64 = 1e6;
 
 impl RequestScheduler {
@@ -42,7 +47,7 @@
         self.retries.earn();
         let name = request.service.clone();
         self.enforce_floor(now, &name, view, effects);
-        let waiting = self.appraise(request, AttemptNumber::default(), view);
+        let waiting = self.appraise(now, request, AttemptNumber::default(), view);
         if let Err(refusal) = self.admit(now, &waiting, view, effects) {
             self.shed(now, &waiting, refusal, effects);
             return;
@@ -58,6 +63,7 @@
     /// Predicts size and time of a request.
     pub(super) fn appraise(
         &self,
+        now: MonotonicTime,
         request: QueuedRequest,
         attempt: AttemptNumber,
         view: SchedulerView<'_>,
@@ -73,7 +79,18 @@
         } else {
             request.deadline_at
         };
+        let held_prefix = if self.options.has(SchedulerMechanism::Affinity) {
+            let hashes = &request.prompt.prefix_hashes;
+            self.prefixes.longest_held(now, hashes)
+        } else {
+            None
+        };
+        let first_token = Duration::from_millis(objectives.first_token_ms.into());
+        let patience = first_token.mul_f64(PATIENT_SHARE);
+        let slack = latest_start.since(now).mul_f64(PATIENT_SLACK);
         WaitingRequest {
+            patient_until: now + patience.min(slack),
+            held_prefix,
             request,
             attempt,
             estimate,
@@ -169,7 +186,12 @@
         Duration::from_secs_f64(((ahead + turnover) / seats).min(3_600.0))
     }
 
-    fn count_seats(&mut self, now: MonotonicTime, name: &ServiceName, view: SchedulerView<'_>) {
+    pub(super) fn count_seats(
+        &mut self,
+        now: MonotonicTime,
+        name: &ServiceName,
+        view: SchedulerView<'_>,
+    ) {
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
@@ -177,16 +199,21 @@
         if counted.is_some_and(|at| now.since(at) < COUNT_EVERY) {
             return;
         }
-        let members = service.members.iter();
-        let states = members.filter_map(|id| self.fleet.get(*id));
-        let seats = states.map(|state| {
-            let grant = view.grants.get(&state.name);
-            f64::from(state.allowance(now, grant).seats)
-        });
-        service.seat_count = SeatCount {
-            seats: seats.sum(),
+        let usual = service.usual_speed(&objectives_of(name, view));
+        let mut count = SeatCount {
+            seats: 0.0,
+            fast_gap: usual.gap,
             counted_at: Some(now),
         };
+        for state in service.members.iter().filter_map(|id| self.fleet.get(*id)) {
+            let grant = view.grants.get(&state.name);
+            let seats = state.allowance(now, grant).seats;
+            count.seats += f64::from(seats);
+            if seats > 0 {
+                count.fast_gap = count.fast_gap.min(state.speed.estimate(usual).gap);
+            }
+        }
+        service.seat_count = count;
     }
 
     /// Sheds what waits below the floor of a service, lowest tier first.
--- a/crates/savorywood-core/src/scheduler/cost.rs
+++ b/crates/savorywood-core/src/scheduler/cost.rs
@@ -28,8 +28,8 @@
     pub output_median: u32,
     /// Output on average; larger than the median, since lengths are skewed.
     pub output_mean: u32,
-    /// Output that a quarter of requests stay below.
-    pub output_low: u32,
+    /// Output that nine in ten requests stay below.
+    pub output_high: u32,
 }
 
 impl CostEstimate {
@@ -78,7 +78,7 @@
             prompt: request.prompt.tokens,
             output_median: read(sketch.and_then(|sketch| sketch.quantile(500))),
             output_mean: read(sketch.and_then(QuantileSketch::mean)),
-            output_low: read(sketch.and_then(|sketch| sketch.quantile(250))),
+            output_high: read(sketch.and_then(|sketch| sketch.quantile(900))),
         }
     }
 
--- a/crates/savorywood-core/src/scheduler/dispatch.rs
+++ b/crates/savorywood-core/src/scheduler/dispatch.rs
@@ -21,9 +21,10 @@
 const HEADS_COMPARED: usize = 6;
 /// Attempts of one request at most.
 const MAX_ATTEMPTS: u32 = 3;
-/// Share of a prompt that must be cached on a free upstream for a request to be preferred to
-/// those of other teams of its tier.
-const PREFERRED_HIT: f64 = 0.5;
+/// Requests of each team looked at for one whose prefix a free upstream holds.
+const FRONT_OF_EACH: usize = 8;
+/// Requests looked at for one whose prefix a free upstream holds, over all teams and tiers.
+const FRONT_COMPARED: usize = 48;
 
 /// A waiting request and where it goes.
 #[derive(Debug, Clone, Copy)]
@@ -41,6 +42,7 @@
         view: SchedulerView<'_>,
         effects: &mut EffectQueue,
     ) {
+        self.count_seats(now, name, view);
         loop {
             let draw = SampleDraw(self.rng.random());
             let Some(service) = self.services.get(name) else {
@@ -69,7 +71,9 @@
             let request = waiting.request.request;
             match self.pick(now, waiting, view, draw) {
                 Ok(picked) => return Some(PlannedDispatch { request, picked }),
-                Err(PickFailure::OtherVersion) => {}
+                Err(
+                    PickFailure::OtherVersion | PickFailure::TooSlow | PickFailure::HeldElsewhere,
+                ) => {}
                 // A request that could not reach one upstream must not hold up the others.
                 Err(PickFailure::Full) if waiting.avoid.is_some() => {}
                 Err(PickFailure::Full) => return None,
@@ -106,32 +110,28 @@
         if !service.saturated {
             return None;
         }
-        let mut first: Option<PlannedDispatch> = None;
-        let mut first_rank = None;
-        for waiting in service.queue.heads().take(HEADS_COMPARED) {
-            let rank = waiting.request.rank;
-            if first.is_some() && first_rank != Some(rank) {
-                break;
+        let mut second: Option<PlannedDispatch> = None;
+        for waiting in service.queue.front(FRONT_OF_EACH).take(FRONT_COMPARED) {
+            let hit = waiting
+                .held_prefix
+                .is_some_and(|hash| self.prefixes.holds(upstream, hash));
+            let unheld = waiting.held_prefix.is_none();
+            let urgent = unheld || waiting.patient_until <= now;
+            if !hit && (!urgent || second.is_some()) {
+                continue;
             }
             let request = waiting.request.request;
-            let picked = match self.pick_this(now, waiting, upstream, view) {
-                Ok(picked) => picked,
-                Err(PickFailure::OtherVersion) => continue,
-                Err(PickFailure::Full) if waiting.avoid == Some(upstream) => continue,
-                Err(PickFailure::Full) => break,
-            };
-            let planned = PlannedDispatch { request, picked };
-            let misses = f64::from(picked.uncached);
-            let prompt = f64::from(waiting.request.prompt.tokens);
-            if misses <= prompt * (1.0 - PREFERRED_HIT) {
-                return Some(planned);
+            match self.pick_this(now, waiting, upstream, view) {
+                Ok(picked) if hit => return Some(PlannedDispatch { request, picked }),
+                Ok(picked) => second = Some(PlannedDispatch { request, picked }),
+                Err(PickFailure::Full) if waiting.avoid != Some(upstream) => break,
+                Err(_) => {}
             }
-            if first.is_none() {
-                first = Some(planned);
-                first_rank = Some(rank);
+            if second.is_some() && waiting.patient_until <= now {
+                break;
             }
         }
-        first
+        second
     }
 
     fn dispatch(
@@ -268,7 +268,7 @@
         let upstream = record.upstream;
         let name = record.request.service.clone();
         self.note_failure(now, upstream);
-        let mut waiting = self.appraise(record.request, key.attempt.next(), view);
+        let mut waiting = self.appraise(now, record.request, key.attempt.next(), view);
         waiting.avoid = Some(upstream);
         let others = self.services.get(&name);
         let others = others.is_some_and(|service| service.members.len() > 1);
--- a/crates/savorywood-core/src/scheduler/limit.rs
+++ b/crates/savorywood-core/src/scheduler/limit.rs
@@ -1,34 +1,40 @@
 //! How much work an upstream gets at once: a limit that follows its latency.
+//!
+//! Two signs are read. First tokens that take several times longer than the best this upstream
+//! has shown for as much prefill mean that requests wait inside the engine: more than its batch
+//! holds. Gaps between tokens over the objective mean that the batch itself is too large. Either
+//! cuts the limit; the limit grows only on evidence of prompt first tokens while in full use.
 
-use super::speed::DecayedMean;
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
-/// Shortest time between two changes of a limit.
-const WINDOW_TIME: Duration = Duration::from_millis(500);
-/// First tokens without which a window says nothing of queueing inside the engine.
-const WINDOW_FIRST_TOKENS: u32 = 3;
-/// Gaps without which a window says nothing of the batch.
-const WINDOW_GAPS: u32 = 8;
+/// Shortest time between two verdicts of a kind: a cut must show its effect before the next.
+const WINDOW_TIME: Duration = Duration::from_millis(1_000);
+/// First tokens that a verdict needs.
+const WINDOW_FIRST_TOKENS: u32 = 4;
+/// Gaps that a verdict needs.
+const WINDOW_GAPS: u32 = 32;
 /// A first token this many times slower than the engine's best is a sign of a queue inside it.
-const STRETCH_LIMIT: f64 = 2.5;
+const STRETCH_LIMIT: f64 = 3.0;
 /// Least share kept in one cut. One window may be unlucky.
 const MIN_CUT: f64 = 0.8;
 /// Congestion below which a limit that is in full use grows. Between this and one it stays,
 /// which is what keeps it from swinging.
-const GROW_BELOW: f64 = 0.85;
+const GROW_BELOW: f64 = 0.7;
 /// Growth of a limit in full use, as a share.
-const GROW_SHARE: f64 = 0.08;
+const GROW_SHARE: f64 = 0.06;
 /// Use of the allowance from which the limit is taken to be what holds work back.
 const FULL_USE: f64 = 0.9;
 /// Share of the declared seats under which slow tokens alone don't cut the limit: an engine of
 /// an old generation may miss the objective with an empty batch too.
 const GAP_CUT_FLOOR: f64 = 0.5;
-/// A limit never grows beyond this many times the declared seats.
+/// A limit never grows beyond this many times the declared figure, nor falls below its inverse.
 const MAX_GROWTH: f64 = 8.0;
-/// Share of the best first-token time that is given up at each slower sample, so that the best
-/// of a cool hour is forgotten in a hot one.
-const BEST_DRIFT: f64 = 0.02;
+/// Time over which the best first-token time is forgotten: the best of a cool hour must not be
+/// the measure of a hot one, and a queue must not become the measure before it was cut away.
+const BEST_TAU: Duration = Duration::from_secs(60);
+/// Tokens that the fixed part of a first token is worth, to compare prompts of all lengths.
+const OVERHEAD_TOKENS: f64 = 512.0;
 
 /// Latency targets of the service.
 #[derive(Debug, Clone, Copy)]
@@ -48,52 +54,69 @@
     pub tokens: f64,
 }
 
+/// Samples since the last verdict of one kind.
 #[derive(Debug, Clone, Copy, Default)]
 struct LatencyWindow {
     started_at: MonotonicTime,
-    first_tokens: u32,
-    first_seconds: f64,
+    count: u32,
+    seconds: f64,
     stretch: f64,
-    gaps: u32,
-    gap_seconds: f64,
-    peak_seats: f64,
-    peak_tokens: f64,
 }
 
-/// Limit of one upstream.
-#[derive(Debug, Clone)]
-pub struct AdaptiveLimit {
-    start_seats: f64,
-    start_tokens: f64,
-    seats: f64,
-    tokens: f64,
-    window: LatencyWindow,
-    best: BestTime,
-    usual_gap: DecayedMean,
+impl LatencyWindow {
+    fn is_full(&self, now: MonotonicTime, enough: u32) -> bool {
+        self.count >= enough && now.since(self.started_at) >= WINDOW_TIME
+    }
+
+    fn take(&mut self, now: MonotonicTime) -> Self {
+        let empty = Self {
+            started_at: now,
+            ..Self::default()
+        };
+        std::mem::replace(self, empty)
+    }
+
+    fn mean(&self) -> f64 {
+        self.seconds / f64::from(self.count.max(1))
+    }
 }
 
 /// Shortest recent first-token time, relative to what was to be prefilled.
 #[derive(Debug, Clone, Copy, Default)]
 struct BestTime {
     ratio: Option<f64>,
+    updated_at: MonotonicTime,
 }
 
 impl BestTime {
     /// Says how many times longer than the best a sample took.
-    fn stretch(&mut self, sample: f64) -> f64 {
+    fn stretch(&mut self, now: MonotonicTime, sample: f64) -> f64 {
         let best = self.ratio.unwrap_or(sample);
+        let age = now.since(self.updated_at).as_secs_f64();
+        let forgotten = 1.0 - (-age / BEST_TAU.as_secs_f64()).exp();
         let next = if sample < best {
             (best + sample) / 2.0
         } else {
-            best + BEST_DRIFT * (sample - best).min(best)
+            best + forgotten * (sample - best).min(best)
         };
         self.ratio = Some(next);
+        self.updated_at = now;
         sample / next.max(f64::MIN_POSITIVE)
     }
 }
 
-/// Tokens that the fixed part of a first token is worth, to compare prompts of all lengths.
-const OVERHEAD_TOKENS: f64 = 512.0;
+/// Limit of one upstream.
+#[derive(Debug, Clone)]
+pub struct AdaptiveLimit {
+    start_seats: f64,
+    start_tokens: f64,
+    seats: f64,
+    tokens: f64,
+    peak: LimitUse,
+    firsts: LatencyWindow,
+    gaps: LatencyWindow,
+    best: BestTime,
+}
 
 impl AdaptiveLimit {
     /// A limit that begins at the declared figures.
@@ -106,9 +129,13 @@
             start_tokens,
             seats: start_seats,
             tokens: start_tokens,
-            window: LatencyWindow::default(),
+            peak: LimitUse {
+                seats: 0.0,
+                tokens: 0.0,
+            },
+            firsts: LatencyWindow::default(),
+            gaps: LatencyWindow::default(),
             best: BestTime::default(),
-            usual_gap: DecayedMean::default(),
         }
     }
 
@@ -126,86 +153,67 @@
 
     /// Notes how much of the allowance was in use.
     pub fn note_use(&mut self, used: LimitUse) {
-        self.window.peak_seats = self.window.peak_seats.max(used.seats);
-        self.window.peak_tokens = self.window.peak_tokens.max(used.tokens);
+        self.peak.seats = self.peak.seats.max(used.seats);
+        self.peak.tokens = self.peak.tokens.max(used.tokens);
     }
 
     /// Notes a first token.
-    pub fn note_first_token(&mut self, took: Duration, uncached: u32) {
+    pub fn note_first_token(&mut self, now: MonotonicTime, took: Duration, uncached: u32) {
         let took = took.as_secs_f64();
-        let stretch = self
-            .best
-            .stretch(took / (f64::from(uncached) + OVERHEAD_TOKENS));
-        self.window.first_tokens += 1;
-        self.window.first_seconds += took;
-        self.window.stretch += stretch;
+        let ratio = took / (f64::from(uncached) + OVERHEAD_TOKENS);
+        self.firsts.count += 1;
+        self.firsts.seconds += took;
+        self.firsts.stretch += self.best.stretch(now, ratio);
     }
 
     /// Notes tokens after the first.
     pub fn note_tokens(&mut self, took: Duration, count: u32) {
-        self.window.gaps += count;
-        self.window.gap_seconds += took.as_secs_f64();
+        self.gaps.count += count;
+        self.gaps.seconds += took.as_secs_f64();
     }
 
-    /// Changes the limit if the window has enough in it. Says whether it changed.
-    pub fn adjust(&mut self, now: MonotonicTime, targets: LatencyTargets) -> bool {
-        let window = self.window;
-        let enough = window.first_tokens >= WINDOW_FIRST_TOKENS || window.gaps >= WINDOW_GAPS;
-        if !enough || now.since(window.started_at) < WINDOW_TIME {
-            return false;
-        }
-        let congestion = self.congestion(now, targets);
-        self.window = LatencyWindow {
-            started_at: now,
-            ..LatencyWindow::default()
-        };
-        if congestion > 1.0 {
-            self.cut((1.0 / congestion).max(MIN_CUT), window);
-        } else if congestion < GROW_BELOW {
-            self.grow(window);
-        }
-        true
-    }
-
-    /// More than one when the window shows a queue in the engine or too large a batch.
-    fn congestion(&mut self, now: MonotonicTime, targets: LatencyTargets) -> f64 {
-        let window = self.window;
-        let mut congestion: f64 = 0.0;
-        if window.first_tokens >= WINDOW_FIRST_TOKENS {
-            let count = f64::from(window.first_tokens);
-            let first = window.first_seconds / count / targets.first_token;
-            let stretch = window.stretch / count / STRETCH_LIMIT;
-            congestion = congestion.max(stretch.min(first * 4.0));
-        }
-        if window.gaps >= WINDOW_GAPS {
-            let gap = window.gap_seconds / f64::from(window.gaps);
-            self.usual_gap.record(now, gap);
-            let over = gap / targets.gap;
+    /// Changes the limit if there is enough evidence.
+    pub fn adjust(&mut self, now: MonotonicTime, targets: LatencyTargets) {
+        if self.gaps.is_full(now, WINDOW_GAPS) {
+            let gap = self.gaps.take(now).mean();
             let floor = self.start_seats * GAP_CUT_FLOOR;
-            let over = if self.seats > floor {
-                over
-            } else {
-                over.min(0.9)
+            if gap > targets.gap && self.seats > floor {
+                self.cut(targets.gap / gap);
+            }
+        }
+        if self.firsts.is_full(now, WINDOW_FIRST_TOKENS) {
+            let window = self.firsts.take(now);
+            let stretch = window.stretch / f64::from(window.count) / STRETCH_LIMIT;
+            // A first token far within the objective is no trouble, however good the best was.
+            let congestion = stretch.min(2.0 * window.mean() / targets.first_token);
+            if congestion > 1.0 {
+                self.cut(1.0 / congestion);
+            } else if congestion < GROW_BELOW {
+                self.grow();
+            }
+            self.peak = LimitUse {
+                seats: 0.0,
+                tokens: 0.0,
             };
-            congestion = congestion.max(over);
         }
-        congestion
     }
 
-    fn cut(&mut self, factor: f64, window: LatencyWindow) {
-        if window.peak_seats >= window.peak_tokens {
+    fn cut(&mut self, factor: f64) {
+        let factor = factor.max(MIN_CUT);
+        if self.peak.seats >= self.peak.tokens {
             self.seats = (self.seats * factor).max(1.0);
         } else {
-            self.tokens = (self.tokens * factor).max(self.start_tokens / MAX_GROWTH);
+            let least = self.start_tokens / MAX_GROWTH;
+            self.tokens = (self.tokens * factor).max(least);
         }
     }
 
-    fn grow(&mut self, window: LatencyWindow) {
-        if window.peak_seats >= FULL_USE {
+    fn grow(&mut self) {
+        if self.peak.seats >= FULL_USE {
             let most = self.start_seats * MAX_GROWTH;
             self.seats = (self.seats + (self.seats * GROW_SHARE).max(0.5)).min(most);
         }
-        if window.peak_tokens >= FULL_USE {
+        if self.peak.tokens >= FULL_USE {
             let most = self.start_tokens * MAX_GROWTH;
             self.tokens = (self.tokens * (1.0 + GROW_SHARE)).min(most);
         }
--- a/crates/savorywood-core/src/scheduler/prefix.rs
+++ b/crates/savorywood-core/src/scheduler/prefix.rs
@@ -1,8 +1,8 @@
 //! Which upstream holds which prompt prefix, as far as late and gappy cache events tell.
 //!
-//! Only prefixes of prompts that this daemon has seen are kept, at a few positions of a prompt:
-//! prefixes of all lengths in an engine's cache would not fit, and a match a little too short
-//! costs little.
+//! Of this daemon's own prompts a few positions are kept: a match a little too short costs
+//! little. Of what events tell, all blocks are kept while they fit, then ever fewer: those whose
+//! hash ends in a growing number of zero bits, so that all upstreams are thinned alike.
 
 use super::fleet::UpstreamId;
 use crate::event::{CacheEvent, CacheEventBatch};
@@ -13,7 +13,9 @@
 };
 
 /// Prefixes known at most.
-const MAX_PREFIXES: usize = 65_536;
+const MAX_PREFIXES: usize = 262_144;
+/// Of the blocks that events tell of, one in two to this power is kept at least.
+const MAX_THINNING: u32 = 4;
 /// Upstreams remembered for a prefix.
 const MAX_HOLDERS: usize = 6;
 /// Positions of a prompt looked at for each doubling of the length.
@@ -58,6 +60,7 @@
 pub struct PrefixIndex {
     entries: BTreeMap<u64, PrefixEntry>,
     order: VecDeque<u64>,
+    thinning: u32,
     feeds: BTreeMap<UpstreamId, EventFeed>,
 }
 
@@ -82,18 +85,28 @@
         self.feeds.get(&upstream).map_or(0, |feed| feed.epoch)
     }
 
+    fn is_kept(&self, hash: u64) -> bool {
+        self.entries.contains_key(&hash) || hash.trailing_zeros() >= self.thinning
+    }
+
     fn entry(&mut self, hash: u64) -> &mut PrefixEntry {
         if !self.entries.contains_key(&hash) {
-            if self.entries.len() >= MAX_PREFIXES
-                && let Some(oldest) = self.order.pop_front()
-            {
-                self.entries.remove(&oldest);
+            while self.entries.len() >= MAX_PREFIXES {
+                self.make_room();
             }
             self.order.push_back(hash);
         }
         self.entries.entry(hash).or_default()
     }
 
+    /// Drops the oldest entries and takes in fewer new ones from now on.
+    fn make_room(&mut self) {
+        self.thinning = (self.thinning + 1).min(MAX_THINNING);
+        for oldest in self.order.drain(..MAX_PREFIXES / 4) {
+            self.entries.remove(&oldest);
+        }
+    }
+
     /// Upstreams that hold a prefix of the prompt, longest match first.
     pub fn find(&self, now: MonotonicTime, hashes: &[u64]) -> Vec<PrefixMatch> {
         let mut matches: Vec<PrefixMatch> = Vec::new();
@@ -121,6 +134,27 @@
         matches
     }
 
+    /// Longest known prefix of the prompt that some upstream holds.
+    pub fn longest_held(&self, now: MonotonicTime, hashes: &[u64]) -> Option<u64> {
+        let mut known = positions(hashes.len()).rev().filter_map(|index| {
+            let hash = hashes.get(index)?;
+            let entry = self.entries.get(hash)?;
+            let mut holders = entry.holders.iter();
+            let held = holders.any(|holder| now.since(holder.seen_at) <= MAX_AGE);
+            held.then_some(*hash)
+        });
+        known.next()
+    }
+
+    /// Whether an upstream is known to hold a prefix.
+    pub fn holds(&self, upstream: UpstreamId, hash: u64) -> bool {
+        let entry = self.entries.get(&hash);
+        entry.is_some_and(|entry| {
+            let mut holders = entry.holders.iter();
+            holders.any(|holder| holder.upstream == upstream)
+        })
+    }
+
     /// Takes in events of an upstream's cache. A jump in their numbers makes all that is known of
     /// that upstream unsure: a lost `Removed` would leave a prefix that is gone, a lost `Stored`
     /// costs nothing but a chance.
@@ -140,13 +174,15 @@
         for event in &batch.events {
             match event {
                 CacheEvent::Stored(hash) => {
-                    if let Some(entry) = self.entries.get_mut(hash) {
-                        entry.hold(PrefixHolder {
-                            upstream,
-                            seen_at: now,
-                            epoch,
-                        });
+                    if !self.is_kept(*hash) {
+                        continue;
                     }
+                    let entry = self.entry(*hash);
+                    entry.hold(PrefixHolder {
+                        upstream,
+                        seen_at: now,
+                        epoch,
+                    });
                 }
                 CacheEvent::Removed(hash) => {
                     if let Some(entry) = self.entries.get_mut(hash) {
--- a/crates/savorywood-core/src/scheduler/progress.rs
+++ b/crates/savorywood-core/src/scheduler/progress.rs
@@ -92,7 +92,7 @@
         if let Some(state) = self.fleet.get_mut(record.upstream) {
             state.health.note_heard(now);
             state.speed.first_token(now, took, uncached);
-            state.limit.note_first_token(took, uncached);
+            state.limit.note_first_token(now, took, uncached);
             state.pending_prefill = state.pending_prefill.saturating_sub(uncached.into());
         }
     }
--- a/crates/savorywood-core/src/scheduler/queue.rs
+++ b/crates/savorywood-core/src/scheduler/queue.rs
@@ -21,6 +21,10 @@
     pub seat_micros: u64,
     /// Dispatched later than this it can't meet its deadline.
     pub latest_start: MonotonicTime,
+    /// Until then it may be kept for an upstream that holds its prefix.
+    pub patient_until: MonotonicTime,
+    /// Hash of the longest prefix that some upstream was known to hold when it arrived.
+    pub held_prefix: Option<u64>,
     /// Upstream that could not be reached by the last attempt.
     pub avoid: Option<UpstreamId>,
 }
@@ -103,6 +107,12 @@
         self.tiers.values().flat_map(FairQueue::heads)
     }
 
+    /// The first few requests of each team that is next, highest tier first.
+    pub fn front(&self, of_each: usize) -> impl Iterator<Item = &WaitingRequest> {
+        let tiers = self.tiers.values();
+        tiers.flat_map(move |tier| tier.front(of_each))
+    }
+
     /// Takes a request out to dispatch it: its team is charged.
     pub fn take(&mut self, request: RequestId) -> Option<WaitingRequest> {
         let place = self.places.remove(&request)?;
--- a/crates/savorywood-core/src/scheduler/queue/fair.rs
+++ b/crates/savorywood-core/src/scheduler/queue/fair.rs
@@ -89,6 +89,15 @@
         })
     }
 
+    /// First few requests of each lane, next lane first.
+    pub fn front(&self, of_each: usize) -> impl Iterator<Item = &WaitingRequest> {
+        let lanes = self
+            .turns
+            .iter()
+            .filter_map(|turn| self.lanes.get(&turn.lane));
+        lanes.flat_map(move |lane| lane.waiting.values().take(of_each))
+    }
+
     /// Newest request of the tier.
     pub fn newest(&self) -> Option<RequestId> {
         let (sequence, key) = self.order.last_key_value()?;
--- a/crates/savorywood-core/src/scheduler/routing.rs
+++ b/crates/savorywood-core/src/scheduler/routing.rs
@@ -12,6 +12,7 @@
 };
 use crate::view::VersionSplit;
 use savorywood_protocol::{MonotonicTime, ServiceName, VersionName, resource::ServiceObjectives};
+use std::time::Duration;
 
 /// Upstreams compared besides those that hold the prefix. Two would do against herding; a few
 /// more find the faster generations.
@@ -24,6 +25,15 @@
 const BATCH_FACTOR: f64 = 0.5;
 /// Weight of a late first token against a second of the whole time.
 const LATE_FIRST_WEIGHT: f64 = 4.0;
+/// Weight of a late end against a second of the whole time.
+const LATE_END_WEIGHT: f64 = 8.0;
+/// Weight of the time of prefill that another upstream would not have to do: it is lost to all
+/// who wait, not only to this request.
+const MISS_WEIGHT: f64 = 6.0;
+/// An upstream this much slower than the fastest is not given what would be late there.
+const SLOW_FACTOR: f64 = 1.25;
+/// A request that must begin within this is not kept for a faster upstream any longer.
+const LAST_CALL: Duration = Duration::from_millis(500);
 
 /// Why no upstream was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,6 +42,10 @@
     Full,
     /// Only upstreams of the version whose turn it is not have room.
     OtherVersion,
+    /// Only upstreams have room that do not hold its prefix, and it can wait for one that does.
+    HeldElsewhere,
+    /// Only upstreams have room on which it would be late, and it can wait for a faster one.
+    TooSlow,
 }
 
 /// An upstream chosen for a request.
@@ -69,6 +83,7 @@
     waiting: &'a WaitingRequest,
     objectives: ServiceObjectives,
     usual: SpeedEstimate,
+    fast_gap: f64,
     matches: Vec<PrefixMatch>,
     check_silence: bool,
     wanted: WantedVersion<'a>,
@@ -110,6 +125,20 @@
     }
 }
 
+impl PickContext<'_> {
+    /// Keeps a request for a while for an upstream that holds its prefix, unless this one does.
+    fn keep_for_holder(&self, picked: PickedUpstream) -> Result<PickedUpstream, PickFailure> {
+        let prompt = self.waiting.request.prompt.tokens;
+        let cached = prompt - picked.uncached;
+        let missed = picked.cached_elsewhere.saturating_sub(cached);
+        let large = missed >= prompt / 4;
+        if large && self.now < self.waiting.patient_until {
+            return Err(PickFailure::HeldElsewhere);
+        }
+        Ok(picked)
+    }
+}
+
 impl RequestScheduler {
     /// Chooses the upstream on which a request is expected to be whole first.
     pub(super) fn pick(
@@ -127,6 +156,7 @@
         let context = self.context(now, name, service, waiting, view);
         let holders = context.matches.iter().map(|found| found.upstream);
         let compared = self.best_of(&context, sample.into_iter().chain(holders));
+        let compared = compared.and_then(|picked| context.keep_for_holder(picked));
         if compared.is_ok() || service.members.len() <= COMPARE_ALL {
             return compared;
         }
@@ -139,9 +169,8 @@
             match self.appraise_upstream(&context, id) {
                 Ok(picked) if context.wanted.prefers(picked.side) => return Ok(picked),
                 Ok(picked) => found = Ok(picked),
-                Err(PickFailure::OtherVersion) if found.is_err() => {
-                    found = Err(PickFailure::OtherVersion);
-                }
+                Err(PickFailure::Full) => {}
+                Err(failure) if found.is_err() => found = Err(failure),
                 Err(_) => {}
             }
         }
@@ -185,6 +214,7 @@
             waiting,
             objectives,
             usual: service.usual_speed(&objectives),
+            fast_gap: service.seat_count.fast_gap,
             matches,
             check_silence: self.options.has(SchedulerMechanism::Ejection)
                 && service.members.len() > 1,
@@ -219,7 +249,7 @@
             best = match (best, self.appraise_upstream(context, id)) {
                 (Ok(old), Ok(new)) => Ok(better(context, old, new)),
                 (Err(_), Ok(new)) => Ok(new),
-                (Err(_), Err(PickFailure::OtherVersion)) => Err(PickFailure::OtherVersion),
+                (Err(PickFailure::Full), Err(failure)) => Err(failure),
                 (kept, Err(_)) => kept,
             };
         }
@@ -248,12 +278,21 @@
         }
         let side = context.wanted.allows(&state.version)?;
         let uncached = uncached_tokens(context, id);
+        let cached_elsewhere = cached_elsewhere(context, id);
+        let cached = waiting.request.prompt.tokens - uncached;
+        let missed = cached_elsewhere.saturating_sub(cached);
+        let load = UpstreamLoad {
+            state,
+            allowance,
+            speed,
+        };
+        let score = score(context, load, uncached, missed)?;
         Ok(PickedUpstream {
             upstream: id,
             uncached,
-            cached_elsewhere: cached_elsewhere(context, id),
+            cached_elsewhere,
             side,
-            score: score(context, state, allowance, speed, uncached),
+            score,
         })
     }
 }
@@ -288,26 +327,47 @@
     sample
 }
 
-/// Expected seconds to the whole answer, with a penalty for a late first token. Nothing in it is
-/// shared between daemons but what they measure themselves, so they don't all run to the same
-/// upstream on the same old report.
-fn score(
-    context: &PickContext<'_>,
-    state: &UpstreamState,
+/// What one upstream is like now.
+#[derive(Debug, Clone, Copy)]
+struct UpstreamLoad<'a> {
+    state: &'a UpstreamState,
     allowance: WorkAllowance,
     speed: SpeedEstimate,
+}
+
+/// Expected seconds to the whole answer, with penalties for lateness and for prefill that could
+/// be spared. Nothing in it is shared between daemons but what they measure themselves, so they
+/// don't all run to the same upstream on the same old report.
+fn score(
+    context: &PickContext<'_>,
+    load: UpstreamLoad<'_>,
     uncached: u32,
-) -> f64 {
+    missed: u32,
+) -> Result<f64, PickFailure> {
+    let UpstreamLoad {
+        state,
+        allowance,
+        speed,
+    } = load;
+    let waiting = context.waiting;
     let pending = state.pending_prefill as f64;
     let hint = state.waiting_hint(context.now) * speed.first_token(f64::from(uncached));
     let first = speed.first_token(pending + f64::from(uncached)) + hint;
     let full = f64::from(state.seats_used + 1) / f64::from(allowance.seats.max(1));
     let gap = speed.gap * (1.0 + BATCH_FACTOR * full);
-    let whole = first + gap * f64::from(context.waiting.estimate.output_mean);
+    let left = waiting.request.deadline_at.since(context.now).as_secs_f64();
+    let long = first + speed.gap * f64::from(waiting.estimate.output_high);
+    let late_end = (long - left).max(0.0);
+    let can_wait = waiting.latest_start > context.now + LAST_CALL;
+    if late_end > 0.0 && can_wait && speed.gap > context.fast_gap * SLOW_FACTOR {
+        return Err(PickFailure::TooSlow);
+    }
+    let whole = first + gap * f64::from(waiting.estimate.output_mean);
     let target = f64::from(context.objectives.first_token_ms) / 1_000.0;
-    let late = (first - target).max(0.0) * LATE_FIRST_WEIGHT;
+    let late_first = (first - target).max(0.0) * LATE_FIRST_WEIGHT;
+    let miss = f64::from(missed) * speed.prefill * MISS_WEIGHT;
     let factor = if state.local { 1.0 } else { REMOTE_FACTOR };
-    (whole + late) * factor
+    Ok((whole + late_first + late_end * LATE_END_WEIGHT + miss) * factor)
 }
 
 fn cached_tokens(context: &PickContext<'_>, blocks: f64) -> u32 {
--- a/crates/savorywood-core/src/scheduler/service.rs
+++ b/crates/savorywood-core/src/scheduler/service.rs
@@ -47,6 +47,8 @@
 pub struct SeatCount {
     /// Seats allowed on all its upstreams.
     pub seats: f64,
+    /// Shortest usual time between tokens of those upstreams, in seconds.
+    pub fast_gap: f64,
     /// When they were counted; `None` if never.
     pub counted_at: Option<MonotonicTime>,
 }
--- a/crates/savorywood-experiment/src/engine.rs
+++ b/crates/savorywood-experiment/src/engine.rs
@@ -278,7 +278,7 @@
             .map(|other| f64::from(other.shape.prompt))
             .sum();
         let prefill = f64::from(shape.prompt - cached) + pending + queued;
-        let batch = self.load() as f64 + 1.0;
+        let batch = f64::from(self.spec.slots);
         let step = self.spec.step_base + self.spec.step_per_sequence * batch;
         let steps = f64::from(shape.output) + prefill / (PREFILL_SLICE * self.spec.prefill_rate);
         (steps * step + prefill / self.spec.prefill_rate) * slowdown
--- a/crates/savorywood-experiment/src/report.rs
+++ b/crates/savorywood-experiment/src/report.rs
@@ -1,6 +1,6 @@
 //! Tables in Markdown.
 
-use crate::run::RunResult;
+use crate::{run::RunResult, tally::RunTally};
 use std::fmt::Write;
 
 /// Heads of the table's columns.
@@ -12,8 +12,8 @@
     "tokens in time",
     "shed by tier %",
     "late by tier %",
-    "wasted prefill %",
-    "p95 first token / gap ms",
+    "wasted prefill % (late, broken, missed)",
+    "p95 first token / from dispatch / gap ms",
     "order breaches",
     "µs a request",
 ];
@@ -55,10 +55,11 @@
         tally.good_tokens.to_string(),
         by_tier(&|rank| tiers[rank].shed),
         by_tier(&|rank| tiers[rank].late + tiers[rank].broken),
-        format!("{:.1}", tally.prefill.wasted() * 100.0),
+        waste(tally),
         format!(
-            "{} / {}",
+            "{} / {} / {}",
             tally.first_token.value_at_quantile(0.95) / 1_000,
+            tally.engine_first.value_at_quantile(0.95) / 1_000,
             tally.token_gap.value_at_quantile(0.95) / 1_000
         ),
         (tally.order_breaches + tally.noticed_breaches).to_string(),
@@ -67,6 +68,14 @@
     format!("| {} |", cells.join(" | "))
 }
 
+/// Wasted prefill: all, then late, broken, missed.
+fn waste(tally: &RunTally) -> String {
+    let prefill = &tally.prefill;
+    let share = |part: f64| format!("{:.1}", part * 100.0 / prefill.total.max(1.0));
+    let parts = [prefill.late, prefill.broken, prefill.miss].map(share);
+    format!("{:.1} ({})", prefill.wasted() * 100.0, parts.join(" "))
+}
+
 fn percent(part: u64, whole: u64) -> String {
     format!("{:.1}", part as f64 * 100.0 / whole.max(1) as f64)
 }
--- a/crates/savorywood-experiment/src/tally.rs
+++ b/crates/savorywood-experiment/src/tally.rs
@@ -58,6 +58,8 @@
     pub good_tokens: u64,
     /// Times to the first token, in microseconds.
     pub first_token: Histogram<u64>,
+    /// Times from dispatch to the first token, in microseconds.
+    pub engine_first: Histogram<u64>,
     /// Times between tokens, in microseconds.
     pub token_gap: Histogram<u64>,
     /// Requests of a tier refused for load while a lower one waited at the same daemon.
@@ -83,6 +85,7 @@
             prefill: PrefillTally::default(),
             good_tokens: 0,
             first_token: histogram(),
+            engine_first: histogram(),
             token_gap: histogram(),
             order_breaches: 0,
             noticed_breaches: 0,
--- a/crates/savorywood-experiment/src/task.rs
+++ b/crates/savorywood-experiment/src/task.rs
@@ -36,6 +36,8 @@
     pub arrived_at: f64,
     /// When the answer must be whole, in seconds.
     pub deadline_at: f64,
+    /// When it was sent to an engine, in seconds.
+    pub sent_at: f64,
     /// When its first token came, in seconds.
     pub first_at: Option<f64>,
     /// Where it stands.
--- a/crates/savorywood-experiment/src/world.rs
+++ b/crates/savorywood-experiment/src/world.rs
@@ -26,6 +26,8 @@
 
 /// Seconds at the beginning whose requests are not counted: nothing has been learned yet.
 const WARM_UP: f64 = 20.0;
+/// Seconds at the end whose requests are not counted: load falls behind them.
+const COOL_DOWN: f64 = 60.0;
 /// Seconds of a message between a daemon and an engine.
 const NETWORK_TIME: f64 = 0.001;
 
@@ -110,7 +112,7 @@
         self.open = tasks.len();
         for (index, task) in tasks.into_iter().enumerate() {
             let rank = usize::from(self.shape.routes[task.route].rank);
-            let counted = task.at >= WARM_UP;
+            let counted = (WARM_UP..scenario.time - COOL_DOWN).contains(&task.at);
             let daemon = self.steer(&task, index);
             self.tally.tiers[rank].tasks += u64::from(counted);
             self.tasks.push(TaskRecord {
@@ -120,6 +122,7 @@
                 entry: 0,
                 arrived_at: 0.0,
                 deadline_at: 0.0,
+                sent_at: 0.0,
                 first_at: None,
                 state: TaskState::Away,
                 counted,
--- a/crates/savorywood-experiment/src/world/engines.rs
+++ b/crates/savorywood-experiment/src/world/engines.rs
@@ -83,6 +83,8 @@
         if record.counted {
             let micros = micros(now - record.arrived_at);
             self.tally.first_token.saturating_record(micros.max(1));
+            let inside = crate::agenda::micros(now - record.sent_at);
+            self.tally.engine_first.saturating_record(inside.max(1));
         }
         let (request, attempt) = identity(key);
         self.hear(now, key, UpstreamEvent::FirstToken { request, attempt });
