--- a/crates/savorywood-core/src/scheduler/admission.rs
+++ b/crates/savorywood-core/src/scheduler/admission.rs
@@ -30,7 +30,8 @@
 const NEEDED_SHARE: f64 = 0.9;
 /// Share of the first-token objective for which a request may be kept for an upstream that holds
 /// its prefix.
-const PATIENT_SHARE: f64 = 0.5;
+fn pressing_share() -> f64 { std::env::var("PRESS").ok().and_then(|s| s.parse().ok()).unwrap_or(0.6) }
+fn patient_share() -> f64 { std::env::var("PAT").ok().and_then(|s| s.parse().ok()).unwrap_or(0.5) }
 /// Share of the time until it is hopeless for which it may be kept so.
 const PATIENT_SLACK: f64 = 0.25;
 const MICROS: f64 = 1e6;
@@ -56,6 +57,10 @@
             let meter = service.arrivals.entry(waiting.request.rank).or_default();
             meter.record(now, waiting.seat_micros as f64 / MICROS);
         }
+        let mut waiting = waiting;
+        let wait = self.expected_wait(now, &waiting, view);
+        let slack = waiting.latest_start.since(now).mul_f64(PATIENT_SLACK);
+        waiting.patient_until = waiting.patient_until.max(now + wait.min(slack));
         self.enqueue(waiting);
         self.drain(now, &name, view, effects);
     }
@@ -86,10 +91,11 @@
             None
         };
         let first_token = Duration::from_millis(objectives.first_token_ms.into());
-        let patience = first_token.mul_f64(PATIENT_SHARE);
+        let patience = first_token.mul_f64(patient_share());
         let slack = latest_start.since(now).mul_f64(PATIENT_SLACK);
         WaitingRequest {
             patient_until: now + patience.min(slack),
+            pressing_at: now + latest_start.since(now).mul_f64(pressing_share()),
             held_prefix,
             request,
             attempt,
--- a/crates/savorywood-core/src/scheduler/dispatch.rs
+++ b/crates/savorywood-core/src/scheduler/dispatch.rs
@@ -5,6 +5,7 @@
     fleet::UpstreamId,
     queue::WaitingRequest,
     routing::{PickFailure, PickedUpstream, SampleDraw},
+    service::WantedSeats,
     table::{AttemptKey, AttemptRecord},
 };
 use crate::{
@@ -96,6 +97,12 @@
         while let Some(planned) = self.plan_this(now, &name, upstream, view) {
             self.dispatch(now, planned, view, effects);
         }
+        if let Some(service) = self.services.get_mut(&name)
+            && service.queue.is_empty()
+        {
+            service.saturated = false;
+            service.wanted = WantedSeats::default();
+        }
         self.drain(now, &name, view, effects);
     }
 
@@ -110,13 +117,14 @@
         if !service.saturated {
             return None;
         }
+        let full = self.fleet.get(upstream)?.use_share(now, view);
         let mut second: Option<PlannedDispatch> = None;
         for waiting in service.queue.front(FRONT_OF_EACH).take(FRONT_COMPARED) {
             let hit = waiting
                 .held_prefix
                 .is_some_and(|hash| self.prefixes.holds(upstream, hash));
             let unheld = waiting.held_prefix.is_none();
-            let urgent = unheld || waiting.patient_until <= now;
+            let urgent = unheld || waiting.is_out_of_patience(now, full);
             if !hit && (!urgent || second.is_some()) {
                 continue;
             }
@@ -127,7 +135,7 @@
                 Err(PickFailure::Full) if waiting.avoid != Some(upstream) => break,
                 Err(_) => {}
             }
-            if second.is_some() && waiting.patient_until <= now {
+            if second.is_some() && waiting.pressing_at <= now {
                 break;
             }
         }
--- a/crates/savorywood-core/src/scheduler/prefix.rs
+++ b/crates/savorywood-core/src/scheduler/prefix.rs
@@ -17,7 +17,7 @@
 /// Of the blocks that events tell of, one in two to this power is kept at least.
 const MAX_THINNING: u32 = 4;
 /// Upstreams remembered for a prefix.
-const MAX_HOLDERS: usize = 6;
+const MAX_HOLDERS: usize = 16;
 /// Positions of a prompt looked at for each doubling of the length.
 const POSITIONS_PER_OCTAVE: f64 = 4.0;
 /// Cache events may be this late. One that is older than a dispatch of ours by less says nothing
@@ -146,6 +146,12 @@
         known.next()
     }
 
+    /// Upstreams that are known to hold a prefix.
+    pub fn holders(&self, hash: u64) -> impl Iterator<Item = UpstreamId> + '_ {
+        let entry = self.entries.get(&hash).into_iter();
+        entry.flat_map(|entry| entry.holders.iter().map(|holder| holder.upstream))
+    }
+
     /// Whether an upstream is known to hold a prefix.
     pub fn holds(&self, upstream: UpstreamId, hash: u64) -> bool {
         let entry = self.entries.get(&hash);
--- a/crates/savorywood-core/src/scheduler/pressure.rs
+++ b/crates/savorywood-core/src/scheduler/pressure.rs
@@ -1,11 +1,15 @@
 //! What other duties read of the scheduler: demand, limits and pressure.
 
-use super::RequestScheduler;
+use super::{RequestScheduler, fleet::UpstreamId, service::WantedSeats};
 use savorywood_protocol::{
     MonotonicTime, ServiceName, TierRank, UpstreamName, peer::credits::TierDemand,
 };
 use std::{collections::BTreeMap, time::Duration};
 
+/// What waits is counted again after this long.
+const COUNT_EVERY: Duration = Duration::from_millis(90);
+/// Waiting requests looked at in one count.
+const MAX_SAMPLE: usize = 512;
 /// A tier counts as being shed for this long after a refusal for load.
 const SHED_MEMORY: Duration = Duration::from_secs(1);
 
@@ -26,23 +30,66 @@
         let Some(id) = self.fleet.id(upstream) else {
             return Vec::new();
         };
-        let mut seats: BTreeMap<TierRank, u32> = self.attempts.seats_by_tier(id).collect();
+        let mut seats: BTreeMap<TierRank, f64> = BTreeMap::new();
         if let Some(state) = self.fleet.get(id)
             && let Some(service) = self.services.get(&state.service)
         {
-            let members = service.members.len().max(1);
-            for (rank, waiting) in service.queue.waiting_by_tier() {
-                let share = waiting.div_ceil(members);
-                let share = u32::try_from(share).unwrap_or(u32::MAX);
-                *seats.entry(rank).or_default() += share;
+            let members = service.members.len().max(1) as f64;
+            for (rank, wanted) in &service.wanted.anywhere {
+                *seats.entry(*rank).or_default() += wanted / members;
             }
+            for (rank, wanted) in service.wanted.held.get(&id).into_iter().flatten() {
+                *seats.entry(*rank).or_default() += wanted;
+            }
+        }
+        for (rank, used) in self.attempts.seats_by_tier(id) {
+            *seats.entry(rank).or_default() += f64::from(used);
         }
         let demands = seats.into_iter();
         demands
-            .map(|(rank, seats)| TierDemand { rank, seats })
+            .map(|(rank, seats)| TierDemand {
+                rank,
+                seats: seats.ceil() as u32,
+            })
             .collect()
     }
 
+    /// Counts what waits by where it would like to go. A part is looked at and taken for all.
+    pub(super) fn count_wanted(&mut self, now: MonotonicTime, name: &ServiceName) {
+        let Some(service) = self.services.get(name) else {
+            return;
+        };
+        let counted = service.wanted.counted_at;
+        if counted.is_some_and(|at| now.since(at) < COUNT_EVERY) {
+            return;
+        }
+        let mut wanted = WantedSeats {
+            counted_at: Some(now),
+            ..WantedSeats::default()
+        };
+        let sampled = service.queue.len().min(MAX_SAMPLE);
+        let weight = service.queue.len() as f64 / sampled.max(1) as f64;
+        for waiting in service.queue.front(usize::MAX).take(sampled) {
+            let rank = waiting.request.rank;
+            let hash = waiting.held_prefix;
+            let holders: Vec<UpstreamId> = hash
+                .into_iter()
+                .flat_map(|hash| self.prefixes.holders(hash))
+                .collect();
+            if holders.is_empty() {
+                *wanted.anywhere.entry(rank).or_default() += weight;
+            }
+            let share = weight / holders.len().max(1) as f64;
+            for holder in holders {
+                let tiers = wanted.held.entry(holder).or_default();
+                *tiers.entry(rank).or_default() += share;
+            }
+        }
+        if let Some(service) = self.services.get_mut(name) {
+            service.wanted = wanted;
+        }
+    }
+
     /// Seats that this daemon believes the upstream can carry; `None` for an unknown one.
     #[must_use]
     pub fn limit(&self, upstream: &UpstreamName) -> Option<u32> {
--- a/crates/savorywood-core/src/scheduler/queue.rs
+++ b/crates/savorywood-core/src/scheduler/queue.rs
@@ -23,12 +23,24 @@
     pub latest_start: MonotonicTime,
     /// Until then it may be kept for an upstream that holds its prefix.
     pub patient_until: MonotonicTime,
+    /// From then on it goes before others of its tier, whatever is cached where.
+    pub pressing_at: MonotonicTime,
     /// Hash of the longest prefix that some upstream was known to hold when it arrived.
     pub held_prefix: Option<u64>,
     /// Upstream that could not be reached by the last attempt.
     pub avoid: Option<UpstreamId>,
 }
 
+impl WaitingRequest {
+    /// Whether it takes an upstream that does not hold its prefix. The fuller that upstream is,
+    /// the longer it waits for another: an idle one loses nothing by a new prefix.
+    #[must_use]
+    pub fn is_out_of_patience(&self, now: MonotonicTime, full: f64) -> bool {
+        let patience = self.patient_until.since(self.request.arrived_at);
+        now >= self.request.arrived_at + patience.mul_f64(full.clamp(0.0, 1.0))
+    }
+}
+
 /// Where a request waits.
 #[derive(Debug, Clone, Copy)]
 struct WaitingPlace {
--- a/crates/savorywood-core/src/scheduler/service.rs
+++ b/crates/savorywood-core/src/scheduler/service.rs
@@ -53,6 +53,17 @@
     pub counted_at: Option<MonotonicTime>,
 }
 
+/// Seats wanted by waiting requests, by upstream and tier.
+#[derive(Debug, Default)]
+pub struct WantedSeats {
+    /// Seats wanted on upstreams that hold the prefix.
+    pub held: BTreeMap<UpstreamId, BTreeMap<TierRank, f64>>,
+    /// Seats wanted anywhere.
+    pub anywhere: BTreeMap<TierRank, f64>,
+    /// When they were counted; `None` if never.
+    pub counted_at: Option<MonotonicTime>,
+}
+
 /// State of one service.
 #[derive(Debug)]
 pub struct ServiceState {
@@ -76,6 +87,8 @@
     pub arrivals: BTreeMap<TierRank, RateMeter>,
     /// Seats counted last.
     pub seat_count: SeatCount,
+    /// Seats wanted by what waits, where its prefixes are held.
+    pub wanted: WantedSeats,
     /// When a request of a tier was refused for load last.
     pub shed_at: BTreeMap<TierRank, MonotonicTime>,
 }
@@ -95,6 +108,7 @@
             miss_share: DecayedMean::default(),
             arrivals: BTreeMap::new(),
             seat_count: SeatCount::default(),
+            wanted: WantedSeats::default(),
             shed_at: BTreeMap::new(),
         }
     }
--- a/crates/savorywood-core/src/scheduler/topology.rs
+++ b/crates/savorywood-core/src/scheduler/topology.rs
@@ -7,6 +7,7 @@
     service::ServiceState,
 };
 use crate::effect::EffectQueue;
+use rand::Rng;
 use savorywood_protocol::{
     ConfigRevision, MonotonicTime, ServiceName, UpstreamName, resource::UpstreamSpec,
 };
@@ -24,11 +25,20 @@
         let waiting = waiting.filter(|(_, service)| !service.queue.is_empty());
         let names: Vec<ServiceName> = waiting.map(|(name, _)| name.clone()).collect();
         for name in &names {
+            self.count_wanted(now, name);
             self.enforce_floor(now, name, view, effects);
-            if let Some(service) = self.services.get_mut(name) {
-                service.saturated = false;
+            let Some(service) = self.services.get(name) else {
+                continue;
+            };
+            let mut members = service.members.clone();
+            if members.is_empty() {
+                continue;
+            }
+            let offset = self.rng.random_range(0..members.len());
+            members.rotate_left(offset);
+            for upstream in members {
+                self.fill(now, upstream, view, effects);
             }
-            self.drain(now, name, view, effects);
         }
     }
 
--- a/crates/savorywood-experiment/src/cli.rs
+++ b/crates/savorywood-experiment/src/cli.rs
@@ -21,7 +21,7 @@
     let time = long("seconds")
         .help("Simulated seconds of arrivals")
         .argument("SECONDS")
-        .fallback(240.0);
+        .fallback(360.0);
     let threads = long("threads")
         .help("Runs at once")
         .argument("N")
--- a/crates/savorywood-experiment/src/deployment.rs
+++ b/crates/savorywood-experiment/src/deployment.rs
@@ -1,8 +1,17 @@
 //! The two users' deployments: daemons, engines, routes, teams.
 
-use crate::engine::EngineSpec;
+use crate::{engine::EngineSpec, workload::draw_task};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
+/// Objective of the first token, in seconds.
+pub const FIRST_TOKEN_OBJECTIVE: f64 = 1.6;
+/// Objective between tokens, in seconds.
+const GAP_OBJECTIVE: f64 = 0.079;
+/// Requests drawn to work out capacity.
+const CAPACITY_SAMPLES: u32 = 4_000;
+
 /// Which user.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, EnumString, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -30,10 +39,8 @@
     pub own_prompt: u32,
     /// Median tokens of the answer.
     pub output: u32,
-    /// Spread of the answer's length (standard deviation of its logarithm).
-    pub output_spread: f64,
-    /// Seconds within which the whole answer must be there.
-    pub deadline: f64,
+    /// Tokens of the longest answer.
+    pub longest: u32,
 }
 
 /// One team of callers.
@@ -62,6 +69,15 @@
     pub teams: Vec<TeamShape>,
 }
 
+impl RouteShape {
+    /// Seconds within which the whole answer must be there: the longest one at the objectives for
+    /// first token and gap, and a fifth more for waiting.
+    #[must_use]
+    pub fn deadline(&self) -> f64 {
+        1.2 * (FIRST_TOKEN_OBJECTIVE + GAP_OBJECTIVE * f64::from(self.longest))
+    }
+}
+
 impl DeploymentKind {
     /// Figures of the deployment.
     #[must_use]
@@ -78,26 +94,21 @@
     /// prefix cached. Load 1.0 is this rate.
     #[must_use]
     pub fn capacity(&self) -> f64 {
-        let shares: f64 = self.routes.iter().map(|route| route.share).sum();
-        let mean = |of: fn(&RouteShape) -> f64| {
-            let weighted = self.routes.iter().map(|route| route.share * of(route));
-            weighted.sum::<f64>() / shares
-        };
-        let own = mean(|route| f64::from(route.own_prompt) * log_mean(0.6));
-        let prompt = own + mean(|route| f64::from(route.shared_prompt));
-        let output = mean(|route| f64::from(route.output) * log_mean(route.output_spread));
+        let mut rng = ChaCha8Rng::seed_from_u64(0);
+        let mut own = 0.0;
+        let mut prompt = 0.0;
+        let mut output = 0.0;
+        for unique in 0..CAPACITY_SAMPLES {
+            let shape = draw_task(self, 0.0, unique, &mut rng).shape;
+            own += f64::from(shape.prompt - shape.shared) / f64::from(CAPACITY_SAMPLES);
+            prompt += f64::from(shape.prompt) / f64::from(CAPACITY_SAMPLES);
+            output += f64::from(shape.output) / f64::from(CAPACITY_SAMPLES);
+        }
         let engines = self.engines.iter();
-        engines
-            .map(|engine| engine.capacity(own, prompt, output))
-            .sum()
+        engines.map(|engine| engine.capacity(own, prompt, output)).sum()
     }
 }
 
-/// Mean over median of a log-normal law.
-fn log_mean(spread: f64) -> f64 {
-    (spread * spread / 2.0).exp()
-}
-
 fn engines(generations: &[u8], zones: usize) -> Vec<EngineSpec> {
     let engines = generations.iter().enumerate();
     engines
@@ -106,26 +117,25 @@
 }
 
 fn ionoveld() -> DeploymentShape {
-    let route = |path, rank, share, shared, own, output, deadline| RouteShape {
+    let route = |path, rank, share, prompt: [u32; 2], output: [u32; 2]| RouteShape {
         path,
         rank,
         share,
-        shared_prompt: shared,
+        shared_prompt: prompt[0],
         groups: 40,
-        own_prompt: own,
-        output,
-        output_spread: 0.6,
-        deadline,
+        own_prompt: prompt[1],
+        output: output[0],
+        longest: output[1],
     };
     DeploymentShape {
         daemons: 8,
         zones: 4,
         engines: engines(&[1, 2, 2, 3, 3, 3, 4, 4, 1, 2, 5, 4], 4),
         routes: vec![
-            route("/v1/briefing", 0, 0.04, 3_072, 1_200, 900, 90.0),
-            route("/v1/summary", 1, 0.20, 2_048, 500, 220, 30.0),
-            route("/v1/note", 2, 0.66, 1_024, 100, 30, 8.0),
-            route("/v1/archive", 3, 0.10, 1_536, 600, 300, 120.0),
+            route("/v1/briefing", 0, 0.04, [3_072, 1_200], [800, 1_600]),
+            route("/v1/summary", 1, 0.20, [2_048, 500], [220, 600]),
+            route("/v1/note", 2, 0.66, [1_024, 100], [30, 120]),
+            route("/v1/archive", 3, 0.10, [1_536, 600], [300, 900]),
         ],
         teams: vec![
             team("flanders-survey", 0.40, 1.0),
@@ -138,26 +148,25 @@
 }
 
 fn fil_presse() -> DeploymentShape {
-    let route = |path, rank, share, shared, groups, output, deadline| RouteShape {
+    let route = |path, rank, share, prompt: [u32; 2], output: [u32; 2]| RouteShape {
         path,
         rank,
         share,
-        shared_prompt: shared,
-        groups,
+        shared_prompt: prompt[0],
+        groups: prompt[1],
         own_prompt: 250,
-        output,
-        output_spread: 0.7,
-        deadline,
+        output: output[0],
+        longest: output[1],
     };
     DeploymentShape {
         daemons: 7,
         zones: 3,
         engines: engines(&[2, 3, 1, 4, 3, 2, 5, 1, 3, 4], 3),
         routes: vec![
-            route("/v1/legislature", 0, 0.08, 6_144, 24, 500, 60.0),
-            route("/v1/lead", 1, 0.27, 1_024, 40, 120, 15.0),
-            route("/v1/digest", 2, 0.15, 4_096, 40, 350, 60.0),
-            route("/v1/metadata", 3, 0.50, 512, 100, 20, 10.0),
+            route("/v1/legislature", 0, 0.08, [6_144, 24], [450, 1_200]),
+            route("/v1/lead", 1, 0.27, [1_024, 40], [120, 300]),
+            route("/v1/digest", 2, 0.15, [4_096, 40], [300, 900]),
+            route("/v1/metadata", 3, 0.50, [512, 100], [20, 80]),
         ],
         teams: vec![
             team("parliament-desk", 0.30, 1.2),
--- a/crates/savorywood-experiment/src/workload.rs
+++ b/crates/savorywood-experiment/src/workload.rs
@@ -13,8 +13,8 @@
 const BURST_TIME: f64 = 10.0;
 /// Rate in a burst over the average.
 const BURST_FACTOR: f64 = 1.8;
-/// Longest answer in tokens.
-const MAX_OUTPUT: f64 = 4_096.0;
+/// Spread of lengths (standard deviation of the logarithm).
+const OUTPUT_SPREAD: f64 = 0.6;
 
 /// What a request asks of an engine. The output length is known to engines only.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -114,7 +114,8 @@
     Exp::new(rate.max(1e-9)).map_or(1.0, |law| law.sample(rng))
 }
 
-fn draw_task(shape: &DeploymentShape, at: f64, unique: u32, rng: &mut ChaCha8Rng) -> CallerTask {
+/// Draws one request.
+pub fn draw_task(shape: &DeploymentShape, at: f64, unique: u32, rng: &mut ChaCha8Rng) -> CallerTask {
     let route = draw_weighted(shape.routes.iter().map(|route| route.share), rng);
     let team = draw_weighted(shape.teams.iter().map(|team| team.share), rng);
     let kind = &shape.routes[route];
@@ -151,14 +152,14 @@
     let skewed = rng.random::<f64>().powi(2);
     let member = (skewed * f64::from(kind.groups)) as u32;
     let group = u32::try_from(route).unwrap_or_default() * 10_000 + member;
-    let own = log_normal(f64::from(kind.own_prompt), 0.6, rng);
-    let output = log_normal(f64::from(kind.output) * scale, kind.output_spread, rng);
+    let own = log_normal(f64::from(kind.own_prompt), OUTPUT_SPREAD, rng);
+    let output = log_normal(f64::from(kind.output) * scale, OUTPUT_SPREAD, rng);
     let shared = kind.shared_prompt / BLOCK_TOKENS * BLOCK_TOKENS;
     TaskShape {
         prompt: shared + own.clamp(16.0, 12_000.0) as u32,
         shared,
         group,
-        output: output.clamp(4.0, MAX_OUTPUT) as u32,
+        output: output.clamp(4.0, f64::from(kind.longest)) as u32,
         unique,
     }
 }
--- a/crates/savorywood-experiment/src/world.rs
+++ b/crates/savorywood-experiment/src/world.rs
@@ -27,7 +27,7 @@
 /// Seconds at the beginning whose requests are not counted: nothing has been learned yet.
 const WARM_UP: f64 = 20.0;
 /// Seconds at the end whose requests are not counted: load falls behind them.
-const COOL_DOWN: f64 = 60.0;
+const COOL_DOWN: f64 = 100.0;
 /// Seconds of a message between a daemon and an engine.
 const NETWORK_TIME: f64 = 0.001;
 
--- a/crates/savorywood-experiment/src/world/callers.rs
+++ b/crates/savorywood-experiment/src/world/callers.rs
@@ -4,6 +4,7 @@
 use crate::{
     agenda::WorldEvent,
     central::{CentralEntry, CentralOrder},
+    deployment::FIRST_TOKEN_OBJECTIVE,
     task::{TaskState, parts_of, request_id},
     workload::CallerTask,
 };
@@ -22,8 +23,6 @@
 const ASTRAY_SHARE: f64 = 0.2;
 /// Seconds after a deadline until which a scheduler may still act on it.
 const DEADLINE_GRACE: f64 = 0.05;
-/// Objective of the first token, in seconds.
-const FIRST_TOKEN_OBJECTIVE: f64 = 1.6;
 
 impl RunWorld {
     /// Daemon of a request: prompts of a group mostly meet at one.
@@ -40,7 +39,7 @@
         let route = self.shape.routes[self.tasks[index].task.route];
         let record = &mut self.tasks[index];
         record.arrived_at = now;
-        record.deadline_at = now + route.deadline;
+        record.deadline_at = now + route.deadline();
         record.first_at = None;
         record.state = TaskState::Waiting;
         let (entry, daemon, rank) = (record.entry, record.daemon, record.rank);
@@ -87,7 +86,7 @@
             rank: TierRank(route.rank),
             idempotent: true,
             arrived_at,
-            deadline_at: arrived_at + Duration::from_secs_f64(route.deadline),
+            deadline_at: arrived_at + Duration::from_secs_f64(route.deadline()),
             prompt: PromptShape {
                 tokens: record.task.shape.prompt,
                 prefix_hashes: record.task.shape.all_hashes(),
