--- a/crates/savorywood-core/src/scheduler/admission.rs
+++ b/crates/savorywood-core/src/scheduler/admission.rs
@@ -25,15 +25,17 @@
 const COUNT_EVERY: Duration = Duration::from_millis(50);
 /// Least share of the seats that a tier is taken to get when higher ones want them all.
 const LEAST_SHARE: f64 = 0.02;
-/// Share of the predicted time that must be left when work begins. Below one, since a prediction
-/// that is a little too long would refuse what could have been done.
-const NEEDED_SHARE: f64 = 0.9;
+/// Share of the predicted time that must be left when work begins. More than one: work that is
+/// begun and then late has cost a seat and its prefill, a refusal costs neither.
+const NEEDED_SHARE: f64 = 1.2;
 /// Share of the first-token objective for which a request may be kept for an upstream that holds
 /// its prefix.
-fn pressing_share() -> f64 { std::env::var("PRESS").ok().and_then(|s| s.parse().ok()).unwrap_or(0.6) }
-fn patient_share() -> f64 { std::env::var("PAT").ok().and_then(|s| s.parse().ok()).unwrap_or(0.5) }
+/// Share of the time until it is hopeless after which a request goes first in its tier, whatever is
+/// cached where.
+const PRESSING_SHARE: f64 = 0.9;
+const PATIENT_SHARE: f64 = 0.8;
 /// Share of the time until it is hopeless for which it may be kept so.
-const PATIENT_SLACK: f64 = 0.25;
+const PATIENT_SLACK: f64 = 0.6;
 const MICROS: f64 = 1e6;
 
 impl RequestScheduler {
@@ -91,11 +93,11 @@
             None
         };
         let first_token = Duration::from_millis(objectives.first_token_ms.into());
-        let patience = first_token.mul_f64(patient_share());
+        let patience = first_token.mul_f64(PATIENT_SHARE);
         let slack = latest_start.since(now).mul_f64(PATIENT_SLACK);
         WaitingRequest {
             patient_until: now + patience.min(slack),
-            pressing_at: now + latest_start.since(now).mul_f64(pressing_share()),
+            pressing_at: now + latest_start.since(now).mul_f64(PRESSING_SHARE),
             held_prefix,
             request,
             attempt,
--- a/crates/savorywood-core/src/scheduler/dispatch.rs
+++ b/crates/savorywood-core/src/scheduler/dispatch.rs
@@ -117,14 +117,13 @@
         if !service.saturated {
             return None;
         }
-        let full = self.fleet.get(upstream)?.use_share(now, view);
         let mut second: Option<PlannedDispatch> = None;
         for waiting in service.queue.front(FRONT_OF_EACH).take(FRONT_COMPARED) {
             let hit = waiting
                 .held_prefix
                 .is_some_and(|hash| self.prefixes.holds(upstream, hash));
             let unheld = waiting.held_prefix.is_none();
-            let urgent = unheld || waiting.is_out_of_patience(now, full);
+            let urgent = unheld || waiting.patient_until <= now;
             if !hit && (!urgent || second.is_some()) {
                 continue;
             }
--- a/crates/savorywood-core/src/scheduler/fleet.rs
+++ b/crates/savorywood-core/src/scheduler/fleet.rs
@@ -1,7 +1,7 @@
 //! What this daemon knows of each upstream.
 
 use super::{
-    SchedulerView, SeatGrant,
+    SeatGrant,
     health::UpstreamHealth,
     limit::{AdaptiveLimit, LimitUse},
     speed::{SpeedEstimate, SpeedMeter},
@@ -114,13 +114,6 @@
         self.seats_used < allowance.seats && (fits || self.seats_used == 0)
     }
 
-    /// Share of its allowance that is in use.
-    #[must_use]
-    pub fn use_share(&self, now: MonotonicTime, view: SchedulerView<'_>) -> f64 {
-        let allowance = self.allowance(now, view.grants.get(&self.name));
-        f64::from(self.seats_used) / f64::from(allowance.seats.max(1))
-    }
-
     /// Whether nothing has come from it for too long although it has work.
     #[must_use]
     pub fn is_silent(&self, now: MonotonicTime, speed: SpeedEstimate) -> bool {
--- a/crates/savorywood-core/src/scheduler/limit.rs
+++ b/crates/savorywood-core/src/scheduler/limit.rs
@@ -23,6 +23,8 @@
 const GROW_BELOW: f64 = 0.7;
 /// Growth of a limit in full use, as a share.
 const GROW_SHARE: f64 = 0.06;
+/// The same before the first cut, while the declared figure may be far too low.
+const SEARCH_SHARE: f64 = 0.25;
 /// Use of the allowance from which the limit is taken to be what holds work back.
 const FULL_USE: f64 = 0.9;
 /// Share of the declared seats under which slow tokens alone don't cut the limit: an engine of
@@ -116,6 +118,7 @@
     firsts: LatencyWindow,
     gaps: LatencyWindow,
     best: BestTime,
+    searching: bool,
 }
 
 impl AdaptiveLimit {
@@ -136,6 +139,7 @@
             firsts: LatencyWindow::default(),
             gaps: LatencyWindow::default(),
             best: BestTime::default(),
+            searching: true,
         }
     }
 
@@ -199,6 +203,7 @@
     }
 
     fn cut(&mut self, factor: f64) {
+        self.searching = false;
         let factor = factor.max(MIN_CUT);
         if self.peak.seats >= self.peak.tokens {
             self.seats = (self.seats * factor).max(1.0);
@@ -209,13 +214,18 @@
     }
 
     fn grow(&mut self) {
+        let share = if self.searching {
+            SEARCH_SHARE
+        } else {
+            GROW_SHARE
+        };
         if self.peak.seats >= FULL_USE {
             let most = self.start_seats * MAX_GROWTH;
-            self.seats = (self.seats + (self.seats * GROW_SHARE).max(0.5)).min(most);
+            self.seats = (self.seats + (self.seats * share).max(0.5)).min(most);
         }
         if self.peak.tokens >= FULL_USE {
             let most = self.start_tokens * MAX_GROWTH;
-            self.tokens = (self.tokens * (1.0 + GROW_SHARE)).min(most);
+            self.tokens = (self.tokens * (1.0 + share)).min(most);
         }
     }
 }
--- a/crates/savorywood-core/src/scheduler/queue.rs
+++ b/crates/savorywood-core/src/scheduler/queue.rs
@@ -31,16 +31,6 @@
     pub avoid: Option<UpstreamId>,
 }
 
-impl WaitingRequest {
-    /// Whether it takes an upstream that does not hold its prefix. The fuller that upstream is,
-    /// the longer it waits for another: an idle one loses nothing by a new prefix.
-    #[must_use]
-    pub fn is_out_of_patience(&self, now: MonotonicTime, full: f64) -> bool {
-        let patience = self.patient_until.since(self.request.arrived_at);
-        now >= self.request.arrived_at + patience.mul_f64(full.clamp(0.0, 1.0))
-    }
-}
-
 /// Where a request waits.
 #[derive(Debug, Clone, Copy)]
 struct WaitingPlace {
--- a/crates/savorywood-core/src/scheduler/routing.rs
+++ b/crates/savorywood-core/src/scheduler/routing.rs
@@ -27,11 +27,13 @@
 const LATE_FIRST_WEIGHT: f64 = 4.0;
 /// Weight of a late end against a second of the whole time.
 const LATE_END_WEIGHT: f64 = 8.0;
+/// Weight of the time to generate: as long as the deadline is met it matters little.
+const DECODE_WEIGHT: f64 = 0.1;
+/// Seconds that the last seat of an upstream counts for against the first, to spread work.
+const FULL_WEIGHT: f64 = 0.5;
 /// Weight of the time of prefill that another upstream would not have to do: it is lost to all
 /// who wait, not only to this request.
-fn decode_weight() -> f64 { std::env::var("DEC").ok().and_then(|s| s.parse().ok()).unwrap_or(0.1) }
-fn full_weight() -> f64 { std::env::var("FULL").ok().and_then(|s| s.parse().ok()).unwrap_or(0.5) }
-fn miss_weight() -> f64 { std::env::var("MISS").ok().and_then(|s| s.parse().ok()).unwrap_or(30.0) }
+const MISS_WEIGHT: f64 = 30.0;
 /// An upstream this much slower than the fastest is not given what would be late there.
 const SLOW_FACTOR: f64 = 1.25;
 /// A request that must begin within this is not kept for a faster upstream any longer.
@@ -364,11 +366,11 @@
     if late_end > 0.0 && can_wait && speed.gap > context.fast_gap * SLOW_FACTOR {
         return Err(PickFailure::TooSlow);
     }
-    let decode = gap * f64::from(waiting.estimate.output_mean) * decode_weight();
-    let whole = first + decode + full * full_weight();
+    let decode = gap * f64::from(waiting.estimate.output_mean) * DECODE_WEIGHT;
+    let whole = first + decode + full * FULL_WEIGHT;
     let target = f64::from(context.objectives.first_token_ms) / 1_000.0;
     let late_first = (first - target).max(0.0) * LATE_FIRST_WEIGHT;
-    let miss = f64::from(missed) * speed.prefill * miss_weight();
+    let miss = f64::from(missed) * speed.prefill * MISS_WEIGHT;
     let factor = if state.local { 1.0 } else { REMOTE_FACTOR };
     Ok((whole + late_first + late_end * LATE_END_WEIGHT + miss) * factor)
 }
--- a/crates/savorywood-experiment/src/deployment.rs
+++ b/crates/savorywood-experiment/src/deployment.rs
@@ -105,7 +105,9 @@
             output += f64::from(shape.output) / f64::from(CAPACITY_SAMPLES);
         }
         let engines = self.engines.iter();
-        engines.map(|engine| engine.capacity(own, prompt, output)).sum()
+        engines
+            .map(|engine| engine.capacity(own, prompt, output))
+            .sum()
     }
 }
 
--- a/crates/savorywood-experiment/src/workload.rs
+++ b/crates/savorywood-experiment/src/workload.rs
@@ -115,7 +115,12 @@
 }
 
 /// Draws one request.
-pub fn draw_task(shape: &DeploymentShape, at: f64, unique: u32, rng: &mut ChaCha8Rng) -> CallerTask {
+pub fn draw_task(
+    shape: &DeploymentShape,
+    at: f64,
+    unique: u32,
+    rng: &mut ChaCha8Rng,
+) -> CallerTask {
     let route = draw_weighted(shape.routes.iter().map(|route| route.share), rng);
     let team = draw_weighted(shape.teams.iter().map(|team| team.share), rng);
     let kind = &shape.routes[route];
