Do not scale the batch tokens of an upstream by the grant

Cause: a grant of two of sixteen seats allowed an eighth of the batch tokens, which one request with a long prompt fills, so top tiers waited for seats that were free, gave up on the upstream that held their prefix and prefilled it elsewhere. Change: the grant bounds seats only.

--- a/crates/savorywood-core/src/scheduler/fleet.rs
+++ b/crates/savorywood-core/src/scheduler/fleet.rs
@@ -103,7 +103,7 @@
             return WorkAllowance::default();
         }
         let seats = ((f64::from(granted) * share) as u32).max(1);
-        let tokens = self.limit.tokens() * u64::from(seats) / u64::from(limit);
+        let tokens = (self.limit.tokens() as f64 * share) as u64;
         WorkAllowance { seats, tokens }
     }
 
