--- a/crates/savorywood-core/src/scheduler/admission.rs
+++ b/crates/savorywood-core/src/scheduler/admission.rs
@@ -81,7 +81,8 @@
         let objectives = objectives_of(&request.service, view);
         let mean = whole_time(service, estimate, estimate.output_mean, &objectives);
         let needed = whole_time(service, estimate, estimate.output_median, &objectives);
-        let latest_start = if self.options.has(SchedulerMechanism::DeadlineAdmission) {
+        let known = estimate.learned && service.is_some_and(|service| service.speed.is_known());
+        let latest_start = if known && self.options.has(SchedulerMechanism::DeadlineAdmission) {
             request.deadline_at - needed.mul_f64(NEEDED_SHARE)
         } else {
             request.deadline_at
--- a/crates/savorywood-core/src/scheduler/cost.rs
+++ b/crates/savorywood-core/src/scheduler/cost.rs
@@ -30,6 +30,9 @@
     pub output_mean: u32,
     /// Output that nine in ten requests stay below.
     pub output_high: u32,
+    /// Whether the figures were learned; otherwise they are a guess on which no request may be
+    /// refused.
+    pub learned: bool,
 }
 
 impl CostEstimate {
@@ -75,6 +78,7 @@
         let most = request.prompt.max_output_tokens.unwrap_or(u32::MAX).max(1);
         let read = |value: Option<u32>| value.unwrap_or(DEFAULT_OUTPUT_TOKENS).clamp(1, most);
         CostEstimate {
+            learned: sketch.is_some(),
             prompt: request.prompt.tokens,
             output_median: read(sketch.and_then(|sketch| sketch.quantile(500))),
             output_mean: read(sketch.and_then(QuantileSketch::mean)),
--- a/crates/savorywood-core/src/scheduler/dispatch.rs
+++ b/crates/savorywood-core/src/scheduler/dispatch.rs
@@ -117,13 +117,16 @@
         if !service.saturated {
             return None;
         }
+        // Others want its seats: they may hold what this daemon would have to prefill.
+        let contended = view.grants.contains_key(&self.fleet.get(upstream)?.name);
         let mut second: Option<PlannedDispatch> = None;
         for waiting in service.queue.front(FRONT_OF_EACH).take(FRONT_COMPARED) {
             let hit = waiting
                 .held_prefix
                 .is_some_and(|hash| self.prefixes.holds(upstream, hash));
             let unheld = waiting.held_prefix.is_none();
-            let urgent = unheld || waiting.patient_until <= now;
+            let pressing = waiting.pressing_at <= now;
+            let urgent = unheld || pressing || (waiting.patient_until <= now && !contended);
             if !hit && (!urgent || second.is_some()) {
                 continue;
             }
--- a/crates/savorywood-core/src/scheduler/speed.rs
+++ b/crates/savorywood-core/src/scheduler/speed.rs
@@ -91,6 +91,12 @@
         }
     }
 
+    /// Whether the time between tokens was seen, without which no end can be predicted.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.gap.value().is_some()
+    }
+
     /// The figures, with those of `fallback` for what was not seen yet.
     #[must_use]
     pub fn estimate(&self, fallback: SpeedEstimate) -> SpeedEstimate {
--- a/crates/savorywood-core/tests/scheduler_rules/fixture.rs
+++ b/crates/savorywood-core/tests/scheduler_rules/fixture.rs
@@ -153,6 +153,26 @@
         });
     }
 
+    /// Lets the scheduler learn that an answer has 50 tokens and takes about `time`.
+    pub fn teach(&mut self, time: Duration) {
+        for _ in 0..10 {
+            let request = self.send(&BenchRequest::default());
+            let order = self.dispatches().pop().unwrap();
+            let attempt = order.attempt;
+            self.pass(time / 50);
+            self.upstream(UpstreamEvent::FirstToken { request, attempt });
+            self.pass(time);
+            let count = 49;
+            self.upstream(UpstreamEvent::Tokens {
+                request,
+                attempt,
+                count,
+            });
+            self.finish(&order);
+        }
+        self.effects.clear();
+    }
+
     pub fn pass(&mut self, time: Duration) {
         self.now = self.now.after(time);
     }
--- a/crates/savorywood-core/tests/scheduler_rules/order.rs
+++ b/crates/savorywood-core/tests/scheduler_rules/order.rs
@@ -39,6 +39,7 @@
 #[test]
 fn hopeless_request_is_refused_long_before_its_deadline() {
     let mut bench = SchedulerBench::new(1, 1);
+    bench.teach(Duration::from_secs(8));
     bench.send(&BenchRequest::default());
     let waiting = bench.send(&BenchRequest {
         deadline: Duration::from_secs(30),
@@ -52,6 +53,23 @@
     assert_eq!(bench.scheduler.open_requests(), 1);
 }
 
+/// A daemon has just started and has seen no answer. If it refused on a guess, it would turn
+/// away all short deadlines and never learn that they can be met.
+#[test]
+fn nothing_is_refused_on_a_guess() {
+    let mut bench = SchedulerBench::new(1, 1);
+    for millis in [200, 400, 800] {
+        let request = bench.send(&BenchRequest {
+            deadline: Duration::from_millis(millis),
+            ..BenchRequest::default()
+        });
+        assert!(!bench.refusals().contains_key(&request));
+        let order = bench.dispatches().pop().unwrap();
+        assert_eq!(order.request, request);
+        bench.finish(&order);
+    }
+}
+
 /// One large team sends many requests before a small one sends its first. First come, first
 /// served would make the small team wait for all of them.
 #[test]
@@ -104,6 +122,7 @@
 #[test]
 fn refused_callers_are_told_different_times() {
     let mut bench = SchedulerBench::new(1, 1);
+    bench.teach(Duration::from_secs(8));
     for _ in 0..200 {
         bench.send(&BenchRequest {
             deadline: Duration::from_secs(20),
