--- a/crates/savorywood-core/src/scheduler/service.rs
+++ b/crates/savorywood-core/src/scheduler/service.rs
@@ -47,6 +47,19 @@
 pub struct SeatCount {
     /// Seats allowed on all its upstreams.
     pub seats: f64,
+    /// Shortest usual time between tokens of those upstreams, in seconds.
+    pub fast_gap: f64,
+    /// When they were counted; `None` if never.
+    pub counted_at: Option<MonotonicTime>,
+}
+
+/// Seats wanted by waiting requests, by upstream and tier.
+#[derive(Debug, Default)]
+pub struct WantedSeats {
+    /// Seats wanted on upstreams that hold the prefix.
+    pub held: BTreeMap<UpstreamId, BTreeMap<TierRank, f64>>,
+    /// Seats wanted anywhere.
+    pub anywhere: BTreeMap<TierRank, f64>,
     /// When they were counted; `None` if never.
     pub counted_at: Option<MonotonicTime>,
 }
@@ -74,6 +87,8 @@
     pub arrivals: BTreeMap<TierRank, RateMeter>,
     /// Seats counted last.
     pub seat_count: SeatCount,
+    /// Seats wanted by what waits, where its prefixes are held.
+    pub wanted: WantedSeats,
     /// When a request of a tier was refused for load last.
     pub shed_at: BTreeMap<TierRank, MonotonicTime>,
 }
@@ -93,6 +108,7 @@
             miss_share: DecayedMean::default(),
             arrivals: BTreeMap::new(),
             seat_count: SeatCount::default(),
+            wanted: WantedSeats::default(),
             shed_at: BTreeMap::new(),
         }
     }
--- a/crates/savorywood-experiment/src/world/callers.rs
+++ b/crates/savorywood-experiment/src/world/callers.rs
@@ -4,6 +4,7 @@
 use crate::{
     agenda::WorldEvent,
     central::{CentralEntry, CentralOrder},
+    deployment::FIRST_TOKEN_OBJECTIVE,
     task::{TaskState, parts_of, request_id},
     workload::CallerTask,
 };
@@ -22,8 +23,6 @@
 const ASTRAY_SHARE: f64 = 0.2;
 /// Seconds after a deadline until which a scheduler may still act on it.
 const DEADLINE_GRACE: f64 = 0.05;
-/// Objective of the first token, in seconds.
-const FIRST_TOKEN_OBJECTIVE: f64 = 1.6;
 
 impl RunWorld {
     /// Daemon of a request: prompts of a group mostly meet at one.
@@ -40,7 +39,7 @@
         let route = self.shape.routes[self.tasks[index].task.route];
         let record = &mut self.tasks[index];
         record.arrived_at = now;
-        record.deadline_at = now + route.deadline;
+        record.deadline_at = now + route.deadline();
         record.first_at = None;
         record.state = TaskState::Waiting;
         let (entry, daemon, rank) = (record.entry, record.daemon, record.rank);
@@ -65,6 +64,7 @@
                     entry,
                     rank,
                     shape: record.task.shape,
+                    arrived_at: now,
                     deadline_at: record.deadline_at,
                 };
                 queue.push(waiting, &self.engines);
@@ -86,7 +86,7 @@
             rank: TierRank(route.rank),
             idempotent: true,
             arrived_at,
-            deadline_at: arrived_at + Duration::from_secs_f64(route.deadline),
+            deadline_at: arrived_at + Duration::from_secs_f64(route.deadline()),
             prompt: PromptShape {
                 tokens: record.task.shape.prompt,
                 prefix_hashes: record.task.shape.all_hashes(),
@@ -109,7 +109,7 @@
             match order {
                 CentralOrder::Send { entry, engine } => {
                     // Nothing is delayed here, so the engine knows of it before the next choice.
-                    self.mark_sent(entry.task, engine, 0);
+                    self.mark_sent(now, entry.task, engine, 0);
                     let key = parts_of(request_id(entry.task, entry.entry), 0);
                     self.reach(now, engine, key);
                 }
@@ -118,8 +118,9 @@
         }
     }
 
-    fn mark_sent(&mut self, index: usize, engine: usize, attempt: u32) {
+    fn mark_sent(&mut self, now: f64, index: usize, engine: usize, attempt: u32) {
         let record = &mut self.tasks[index];
+        record.sent_at = now;
         if record.state == TaskState::Waiting {
             self.waiting[record.daemon][record.rank] -= 1;
         }
@@ -127,7 +128,7 @@
     }
 
     fn send(&mut self, now: f64, index: usize, engine: usize, attempt: u32) {
-        self.mark_sent(index, engine, attempt);
+        self.mark_sent(now, index, engine, attempt);
         let key = parts_of(request_id(index, self.tasks[index].entry), attempt);
         let event = WorldEvent::Reach { engine, key };
         self.agenda.add(now + NETWORK_TIME, event);
