Compose claims, resume tokens and a gate before every dispatch

Cause: calls that may not be repeated were refused for want of claims, streams could not be read on after a daemon died, and two invariants (at most one dispatch, a true not-run) hung on the scheduler's own table. Ruled out: checking inside each duty (none sees all refusals). Change: a gate between decisions and effects checks at-most-once, not-run and leaving upstreams over all duties; claims are granted before the scheduler sees a call; a caller that leaves, or a deadline, does not cut a call that may not be repeated; signed resume tokens with each stream and GET /v1/streams. Conclusion: every refusal and dispatch passes one place.

--- a/crates/savorywood-cli/src/commands/dev.rs
+++ b/crates/savorywood-cli/src/commands/dev.rs
@@ -16,7 +16,7 @@
 use savorywood_platform::PlatformOptions;
 use savorywood_protocol::{
     HostIncarnation, HostName, RegionName, WallTime, ZoneName, host_list::HostDocument,
-    peer::DatagramKey,
+    peer::DatagramKey, resume_token::ResumeKey,
 };
 use sha2::{Digest, Sha256};
 use standins::DevStandins;
@@ -109,6 +109,7 @@
         peer_address: listen.peers,
         caller_address: listen.callers,
         address_max_age: ADDRESS_MAX_AGE,
+        resume_key: Some(ResumeKey::derive(b"only this process")),
         seed: started_at.0,
     })
 }
--- a/crates/savorywood-cli/src/commands/serve.rs
+++ b/crates/savorywood-cli/src/commands/serve.rs
@@ -11,7 +11,7 @@
 };
 use savorywood_http::{ClientLimits, ServerLimits};
 use savorywood_platform::PlatformOptions;
-use savorywood_protocol::{HostIncarnation, WallTime, peer::DatagramKey};
+use savorywood_protocol::{HostIncarnation, WallTime, peer::DatagramKey, resume_token::ResumeKey};
 use savorywood_settings::{DaemonSettings, SecretBytes};
 use sha2::{Digest, Sha256};
 use snafu::ResultExt;
@@ -87,15 +87,14 @@
         peers: settings.listen_peers,
     };
     let digest = Sha256::digest(secrets.operator_token.expose());
-    DaemonOptionsBuilder::new(core_options(settings), listen, links)
+    DaemonOptionsBuilder::new(core_options(settings, secrets), listen, links)
         .server_limits(server_limits(settings))
         .client_limits(client_limits(settings))
         .operator_token(TokenDigest(digest.into()))
-        .resume_key(secrets.resume_key.expose())
         .build()
 }
 
-fn core_options(settings: &DaemonSettings) -> CoreOptions {
+fn core_options(settings: &DaemonSettings, secrets: &DaemonSecrets) -> CoreOptions {
     let started_at = WallTime::from_system(SystemTime::now());
     CoreOptions {
         host: settings.host.clone(),
@@ -107,6 +106,7 @@
         peer_address: settings.advertise_peers,
         caller_address: settings.advertise_callers,
         address_max_age: settings.stop.address_max_age,
+        resume_key: Some(ResumeKey::derive(secrets.resume_key.expose())),
         seed: settings.seed.unwrap_or(started_at.0),
     }
 }
--- a/crates/savorywood-core/src/daemon.rs
+++ b/crates/savorywood-core/src/daemon.rs
@@ -1,6 +1,8 @@
 //! The whole daemon: one reducer over all events.
 
 mod callers;
+mod deciding;
+mod gate;
 mod objectives;
 mod reads;
 
@@ -8,19 +10,22 @@
 
 use crate::{
     burn::BurnLedger,
+    claims::{ClaimEvent, ClaimOptions, ClaimState},
     config::{ConfigEvent, ConfigOptions, ConfigState, ConfigVerdict},
     discovery::DiscoveryOptions,
     effect::{DaemonEffect, EffectQueue},
-    event::{CallerEvent, DaemonEvent, DutyKind, TimerKey},
+    event::{DaemonEvent, DutyKind, TimerKey},
     membership::{MembershipEvent, MembershipOptions, MembershipState},
-    scheduler::{RequestScheduler, SchedulerEvent, SchedulerOptions, SchedulerView, SeatGrant},
+    scheduler::{RequestScheduler, SchedulerEvent, SchedulerOptions, SeatGrant},
     view::{ConfigView, MemberView, VersionSplit},
 };
+use gate::DispatchGate;
 use objectives::ObjectiveTracker;
 use savorywood_protocol::{
     CoreTime, HostIncarnation, HostName, MonotonicTime, RegionName, ServiceName, TierRank,
     UpstreamName, ZoneName,
     peer::{PeerMessage, membership::MemberPlace},
+    resume_token::ResumeKey,
     table::TableAnswer,
 };
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
@@ -42,6 +47,8 @@
     pub caller_address: SocketAddr,
     /// How long callers may keep an address.
     pub address_max_age: Duration,
+    /// Key that signs resume tokens; without one, streams can't be resumed through this daemon.
+    pub resume_key: Option<ResumeKey>,
     /// Seed of all its random numbers.
     pub seed: u64,
 }
@@ -72,6 +79,8 @@
     discovery: DiscoveryOptions,
     config: ConfigState,
     membership: MembershipState,
+    claims: ClaimState,
+    gate: DispatchGate,
     scheduler: RequestScheduler,
     inputs: SchedulerInputs,
     burn: BurnLedger,
@@ -95,6 +104,12 @@
             discovery,
             config: ConfigState::new(ConfigOptions::new(host, seed)),
             membership: MembershipState::new(membership.with_seed(seed)),
+            claims: ClaimState::new(ClaimOptions::new(
+                options.host.clone(),
+                options.incarnation,
+                seed,
+            )),
+            gate: DispatchGate::default(),
             scheduler: RequestScheduler::new(SchedulerOptions::new(seed)),
             inputs: SchedulerInputs::default(),
             burn: BurnLedger::default(),
@@ -128,7 +143,7 @@
         let before = effects.as_slice().len();
         self.handle(now, event, effects);
         self.measure_refusals(now, &effects.as_slice()[before..]);
-        if self.stopping && self.scheduler.open_requests() == 0 {
+        if self.stopping && self.is_drained() {
             effects.push(DaemonEffect::Exit);
         }
     }
@@ -148,11 +163,7 @@
             DaemonEvent::Started => self.start(now, effects),
             DaemonEvent::TimerFired(key) => self.timer(now, key, effects),
             DaemonEvent::Caller(event) => self.caller(now, event, effects),
-            DaemonEvent::Upstream(event) => {
-                self.objectives
-                    .upstream(now.monotonic, &event, &mut self.burn);
-                self.schedule(now, SchedulerEvent::Upstream(event), effects);
-            }
+            DaemonEvent::Upstream(event) => self.upstream(now, event, effects),
             DaemonEvent::Peer { from, message } => self.peer(now, from, message, effects),
             DaemonEvent::Table { call, answer } => {
                 self.table(now, call.duty, call.number, answer, effects);
@@ -172,7 +183,10 @@
                 self.stopping = true;
                 self.join(now, MembershipEvent::Leave, effects);
             }
-            DaemonEvent::OrderAnswered { .. } | DaemonEvent::AnswerKept { .. } => {}
+            DaemonEvent::AnswerKept { request, answer } => {
+                self.claim(now, ClaimEvent::AnswerKept { request, answer }, effects);
+            }
+            DaemonEvent::OrderAnswered { .. } => {}
         }
     }
 
@@ -180,6 +194,7 @@
         self.started_at = now.monotonic;
         self.join(now, MembershipEvent::Started, effects);
         self.configure(now, ConfigEvent::Started, effects);
+        self.claim(now, ClaimEvent::Started, effects);
     }
 
     fn timer(&mut self, now: CoreTime, key: TimerKey, effects: &mut EffectQueue) {
@@ -190,11 +205,11 @@
             }
             DutyKind::Membership => self.join(now, MembershipEvent::TimerFired, effects),
             DutyKind::Config => self.configure(now, ConfigEvent::TimerFired { number }, effects),
+            DutyKind::Claims => self.claim(now, ClaimEvent::TimerFired { number }, effects),
             DutyKind::Credits
             | DutyKind::Leases
             | DutyKind::Moves
             | DutyKind::Orders
-            | DutyKind::Claims
             | DutyKind::Stop => {}
         }
     }
@@ -230,13 +245,15 @@
                 let event = ConfigEvent::Table { number, answer };
                 self.configure(now, event, effects);
             }
+            DutyKind::Claims => {
+                self.claim(now, ClaimEvent::Table { number, answer }, effects);
+            }
             DutyKind::Scheduler
             | DutyKind::Credits
             | DutyKind::Membership
             | DutyKind::Leases
             | DutyKind::Moves
             | DutyKind::Orders
-            | DutyKind::Claims
             | DutyKind::Stop => {}
         }
     }
@@ -260,26 +277,4 @@
             self.configure(now, ConfigEvent::MembersChanged, effects);
         }
     }
-
-    fn schedule(&mut self, now: CoreTime, event: SchedulerEvent, effects: &mut EffectQueue) {
-        let view = SchedulerView {
-            config: self.config.view(),
-            zone: &self.options.zone,
-            splits: &self.inputs.splits,
-            grants: &self.inputs.grants,
-            floors: &self.inputs.floors,
-        };
-        self.scheduler.step(now, event, view, effects);
-    }
-
-    fn caller(&mut self, now: CoreTime, event: CallerEvent, effects: &mut EffectQueue) {
-        match event {
-            CallerEvent::Arrived(arrival) => self.arrive(now, &arrival, effects),
-            CallerEvent::Left { request } => {
-                self.objectives.forget(request);
-                self.schedule(now, SchedulerEvent::CallerLeft { request }, effects);
-            }
-            CallerEvent::Resumed(_) => {}
-        }
-    }
 }
--- a/crates/savorywood-core/src/daemon/callers.rs
+++ b/crates/savorywood-core/src/daemon/callers.rs
@@ -1,7 +1,13 @@
 //! Arrivals: what is checked before a request is scheduled.
 
 use super::DaemonCore;
-use crate::{effect::EffectQueue, intake, request::RequestArrival, scheduler::SchedulerEvent};
+use crate::{
+    claims::{ClaimEvent, ClaimWish},
+    effect::EffectQueue,
+    intake,
+    request::RequestArrival,
+    scheduler::SchedulerEvent,
+};
 use savorywood_protocol::{CoreTime, RefusalCode, RequestRefusal};
 use std::time::Duration;
 
@@ -20,21 +26,26 @@
             return;
         }
         let config = self.config.view();
-        match intake::resolve(now.monotonic, arrival, config) {
-            Ok(request) if request.idempotent => {
-                let objectives = config.services.get(&request.service);
-                let objectives = objectives.map(|spec| spec.objectives).unwrap_or_default();
-                self.objectives.arrive(&request, objectives);
-                let event = SchedulerEvent::Arrived(Box::new(request));
-                self.schedule(now, event, effects);
-            }
-            Ok(request) => {
-                let detail = "claims need the table service, which is not connected";
-                let refusal = RequestRefusal::not_run(RefusalCode::StoreUnavailable, detail);
-                effects.refuse(request.request, refusal);
-            }
-            Err(refusal) => effects.refuse(arrival.request, refusal),
+        let request = match intake::resolve(now.monotonic, arrival, config) {
+            Ok(request) => request,
+            Err(refusal) => return effects.refuse(arrival.request, refusal),
+        };
+        let spec = config.services.get(&request.service);
+        let objectives = spec.map(|spec| spec.objectives).unwrap_or_default();
+        let retention = spec.map(|spec| spec.claims).unwrap_or_default();
+        self.objectives.arrive(&request, objectives);
+        self.gate.open(request.request, request.idempotent);
+        if request.idempotent {
+            let event = SchedulerEvent::Arrived(Box::new(request));
+            return self.schedule(now, event, effects);
         }
+        let wish = ClaimWish {
+            request,
+            key: arrival.idempotency_key.clone().unwrap_or_default(),
+            fingerprint: arrival.fingerprint,
+            retention,
+        };
+        self.claim(now, ClaimEvent::Wanted(Box::new(wish)), effects);
     }
 
     /// A daemon that is cut off from table and peers may not know that a team was shut out or an
--- /dev/null
+++ b/crates/savorywood-core/src/daemon/deciding.rs
@@ -0,0 +1,157 @@
+//! Scheduling and claiming: how their decisions become effects.
+
+use super::DaemonCore;
+use crate::{
+    claims::{ClaimEvent, ClaimVerdict, ClaimView},
+    effect::{DaemonEffect, DispatchOrder, EffectQueue},
+    event::{CallerEvent, UpstreamEvent},
+    request::ResumeArrival,
+    resume::resolve_resume,
+    scheduler::{SchedulerEvent, SchedulerView},
+};
+use savorywood_protocol::{CoreTime, RefusalCode, RequestId, RequestRefusal};
+
+impl DaemonCore {
+    /// Steps the scheduler and passes its decisions on.
+    pub(super) fn schedule(
+        &mut self,
+        now: CoreTime,
+        event: SchedulerEvent,
+        effects: &mut EffectQueue,
+    ) {
+        let view = SchedulerView {
+            config: self.config.view(),
+            zone: &self.options.zone,
+            splits: &self.inputs.splits,
+            grants: &self.inputs.grants,
+            floors: &self.inputs.floors,
+        };
+        let mut decided = EffectQueue::new();
+        self.scheduler.step(now, event, view, &mut decided);
+        for effect in decided.drain() {
+            match effect {
+                DaemonEffect::Dispatch(order) => self.dispatch(now, order, effects),
+                DaemonEffect::Refuse { request, refusal } => {
+                    self.refuse(now, request, refusal, effects);
+                }
+                other => effects.push(other),
+            }
+        }
+    }
+
+    fn dispatch(&mut self, now: CoreTime, order: DispatchOrder, effects: &mut EffectQueue) {
+        let request = order.request;
+        let idempotent = self.gate.is_idempotent(request);
+        let passes = self.gate.dispatch(&order, self.config.view(), effects)
+            && self.claims.may_dispatch(request, idempotent, effects);
+        if passes {
+            effects.push(DaemonEffect::Dispatch(order));
+            return;
+        }
+        let detail = "the daemon kept the request from being sent wrongly; send it again";
+        let refusal = RequestRefusal::unknown(RefusalCode::Internal, detail);
+        self.refuse(now, request, refusal, effects);
+        self.schedule(now, SchedulerEvent::CallerLeft { request }, effects);
+    }
+
+    /// Gives a request its final answer and closes what other duties hold for it.
+    pub(super) fn refuse(
+        &mut self,
+        now: CoreTime,
+        request: RequestId,
+        refusal: RequestRefusal,
+        effects: &mut EffectQueue,
+    ) {
+        let idempotent = self.gate.is_idempotent(request);
+        let refusal = self.gate.refuse(request, refusal, effects);
+        if !idempotent {
+            self.claim(now, ClaimEvent::Closed { request }, effects);
+        }
+        effects.refuse(request, refusal);
+    }
+
+    /// Steps the claim duty; calls whose claim holds go to the scheduler.
+    pub(super) fn claim(&mut self, now: CoreTime, event: ClaimEvent, effects: &mut EffectQueue) {
+        let view = ClaimView {
+            members: self.membership.view(),
+        };
+        let mut decided = EffectQueue::new();
+        let verdicts = self.claims.step(now, event, view, &mut decided);
+        for effect in decided.drain() {
+            match effect {
+                DaemonEffect::Refuse { request, refusal } => {
+                    let refusal = self.gate.refuse(request, refusal, effects);
+                    effects.refuse(request, refusal);
+                }
+                DaemonEffect::Replay { request, answer } => {
+                    self.gate.close(request);
+                    self.objectives.forget(request);
+                    effects.push(DaemonEffect::Replay { request, answer });
+                }
+                other => effects.push(other),
+            }
+        }
+        for ClaimVerdict::Granted(request) in verdicts {
+            self.schedule(now, SchedulerEvent::Arrived(request), effects);
+        }
+    }
+
+    pub(super) fn upstream(
+        &mut self,
+        now: CoreTime,
+        event: UpstreamEvent,
+        effects: &mut EffectQueue,
+    ) {
+        self.objectives
+            .upstream(now.monotonic, &event, &mut self.burn);
+        if self.claims.open_claims() > 0 {
+            self.claim(now, ClaimEvent::Upstream(event.clone()), effects);
+        }
+        self.gate.upstream(&event);
+        self.schedule(now, SchedulerEvent::Upstream(event), effects);
+    }
+
+    pub(super) fn caller(&mut self, now: CoreTime, event: CallerEvent, effects: &mut EffectQueue) {
+        match event {
+            CallerEvent::Arrived(arrival) => self.arrive(now, &arrival, effects),
+            CallerEvent::Left { request } => self.caller_left(now, request, effects),
+            CallerEvent::Resumed(arrival) => self.resume(now, &arrival, effects),
+        }
+    }
+
+    /// A call that may not be repeated and may have reached its upstream goes on without its
+    /// caller: cancelled halfway, its outcome would stay unknown for good, and the caller's retry
+    /// could not be answered.
+    fn caller_left(&mut self, now: CoreTime, request: RequestId, effects: &mut EffectQueue) {
+        let idempotent = self.gate.is_idempotent(request);
+        let dispatched = self.gate.is_dispatched(request);
+        if dispatched && !idempotent {
+            return;
+        }
+        self.objectives.forget(request);
+        if !dispatched {
+            self.gate.close(request);
+            self.claim(now, ClaimEvent::Closed { request }, effects);
+        }
+        self.schedule(now, SchedulerEvent::CallerLeft { request }, effects);
+    }
+
+    fn resume(&mut self, now: CoreTime, arrival: &ResumeArrival, effects: &mut EffectQueue) {
+        let Some(key) = &self.options.resume_key else {
+            let detail = "this daemon has no key for resume tokens";
+            let refusal = RequestRefusal::unknown(RefusalCode::BadResumeToken, detail);
+            return effects.refuse(arrival.request, refusal);
+        };
+        match resolve_resume(now, arrival, key, self.config.view()) {
+            Ok(order) => effects.push(DaemonEffect::Resume(order)),
+            Err(refusal) => effects.refuse(arrival.request, refusal),
+        }
+    }
+
+    /// Whether nothing is open that a planned stop waits for.
+    pub(super) fn is_drained(&self) -> bool {
+        self.scheduler.open_requests() == 0
+            && self.gate.len() == 0
+            && self.claims.open_claims() == 0
+    }
+}
--- /dev/null
+++ b/crates/savorywood-core/src/daemon/gate.rs
@@ -0,0 +1,134 @@
+//! The last look at a decision before it becomes an effect: invariants over all duties.
+
+use crate::{
+    effect::{DispatchOrder, EffectQueue},
+    event::UpstreamEvent,
+    invariant::{self, InvariantName},
+    view::ConfigView,
+};
+use savorywood_protocol::{AttemptNumber, OutcomeKind, RequestId, RequestRefusal};
+use std::collections::BTreeMap;
+
+/// How far a request has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum GateStage {
+    /// No byte of it can have left this host.
+    Here,
+    /// It may have reached an upstream in this attempt.
+    Dispatched(AttemptNumber),
+}
+
+/// One open request.
+#[derive(Debug, Clone, Copy)]
+struct GateEntry {
+    stage: GateStage,
+    idempotent: bool,
+}
+
+/// Open requests, and how far each has come.
+#[derive(Debug, Default)]
+pub struct DispatchGate {
+    entries: BTreeMap<RequestId, GateEntry>,
+}
+
+impl DispatchGate {
+    /// Notes a request that was let in.
+    pub fn open(&mut self, request: RequestId, idempotent: bool) {
+        let stage = GateStage::Here;
+        self.entries
+            .insert(request, GateEntry { stage, idempotent });
+    }
+
+    /// Forgets a request that is over.
+    pub fn close(&mut self, request: RequestId) {
+        self.entries.remove(&request);
+    }
+
+    /// Requests that are open.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether a request may run twice without harm; unknown ones may not.
+    pub fn is_idempotent(&self, request: RequestId) -> bool {
+        let entry = self.entries.get(&request);
+        entry.is_some_and(|entry| entry.idempotent)
+    }
+
+    /// Whether a request may have reached an upstream.
+    pub fn is_dispatched(&self, request: RequestId) -> bool {
+        let entry = self.entries.get(&request);
+        entry.is_some_and(|entry| entry.stage != GateStage::Here)
+    }
+
+    /// Checks a dispatch and notes it; `false` when it must not happen.
+    ///
+    /// A second dispatch of the same request would run it twice: two charges, two bulletins. The
+    /// scheduler's table keeps it from happening; this look does not depend on that table.
+    pub fn dispatch(
+        &mut self,
+        order: &DispatchOrder,
+        config: &ConfigView,
+        effects: &mut EffectQueue,
+    ) -> bool {
+        let spec = config.upstreams.get(&order.upstream);
+        let takes_work = spec.is_some_and(|spec| !spec.draining);
+        invariant::check(
+            effects,
+            InvariantName::LeavingGetsNothing,
+            takes_work,
+            || format!("request={} upstream={}", order.request, order.upstream),
+        );
+        let entry = self.entries.get_mut(&order.request);
+        let first = entry.filter(|entry| entry.stage == GateStage::Here);
+        let once = first.is_some();
+        if let Some(entry) = first {
+            entry.stage = GateStage::Dispatched(order.attempt);
+        }
+        invariant::check(effects, InvariantName::DispatchAtMostOnce, once, || {
+            format!("request={} attempt={}", order.request, order.attempt)
+        });
+        once && takes_work
+    }
+
+    /// Notes what an upstream did. A late event of an older attempt changes nothing.
+    pub fn upstream(&mut self, event: &UpstreamEvent) {
+        match event {
+            UpstreamEvent::NotSent { request, attempt } => {
+                if let Some(entry) = self.entries.get_mut(request)
+                    && entry.stage == GateStage::Dispatched(*attempt)
+                {
+                    entry.stage = GateStage::Here;
+                }
+            }
+            UpstreamEvent::Finished { request, .. } | UpstreamEvent::Broken { request, .. } => {
+                self.close(*request);
+            }
+            UpstreamEvent::FirstToken { .. }
+            | UpstreamEvent::Tokens { .. }
+            | UpstreamEvent::LoadReported { .. }
+            | UpstreamEvent::CacheChanged { .. } => {}
+        }
+    }
+
+    /// Checks a refusal, corrects it if it says too much, and closes the request.
+    ///
+    /// A caller that is told "not run" sends the request again. If it did run, it runs twice.
+    pub fn refuse(
+        &mut self,
+        request: RequestId,
+        mut refusal: RequestRefusal,
+        effects: &mut EffectQueue,
+    ) -> RequestRefusal {
+        let claims_not_run = refusal.outcome == OutcomeKind::NotRun;
+        let is_true = !(claims_not_run && self.is_dispatched(request));
+        invariant::check(effects, InvariantName::NotRunIsTrue, is_true, || {
+            format!("request={request} code={}", refusal.code)
+        });
+        if !is_true {
+            refusal.outcome = OutcomeKind::Unknown;
+        }
+        self.close(request);
+        refusal
+    }
+}
--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -5,16 +5,16 @@
 //! events in the same order always give the same effects.
 
 pub mod burn;
-pub mod config;
 pub mod claims;
+pub mod config;
 pub mod daemon;
 pub mod discovery;
 pub mod effect;
 pub mod event;
 pub mod intake;
 pub mod invariant;
-pub mod membership;
 pub mod leases;
+pub mod membership;
 pub mod operator;
 pub mod order;
 pub mod rendezvous;
--- a/crates/savorywood-daemon/src/api.rs
+++ b/crates/savorywood-daemon/src/api.rs
@@ -6,6 +6,7 @@
 mod operators;
 mod plain;
 mod requests;
+mod streams;
 
 use crate::{daemon::DaemonShared, problem};
 use http_types::Response;
@@ -38,6 +39,7 @@
             "/v1/chat/completions" | "/v1/completions" => {
                 Box::pin(model::complete(shared, incoming)).await
             }
+            "/v1/streams" => Box::pin(streams::resume(shared, incoming)).await,
             path if path.starts_with("/services/") => Box::pin(plain::call(shared, incoming)).await,
             path if path.starts_with("/v1/") => Box::pin(operators::route(shared, incoming)).await,
             _ => not_found(&path),
--- a/crates/savorywood-daemon/src/api/model.rs
+++ b/crates/savorywood-daemon/src/api/model.rs
@@ -53,8 +53,7 @@
 /// Lists the model services.
 pub fn list(shared: &DaemonShared, incoming: &IncomingRequest) -> Response {
     let config = shared.driver.config();
-    let team = requests::bearer_digest(incoming).and_then(|token| config.team_of(&token).cloned());
-    if team.is_none() {
+    if requests::team(shared, incoming).is_none() {
         let detail = "send `Authorization: Bearer TOKEN` with a token of one of the teams";
         let refusal = RequestRefusal::not_run(RefusalCode::Unauthorized, detail);
         return requests::refuse(&refusal);
@@ -85,7 +84,7 @@
         Ok(body) => body,
         Err(fault) => return requests::refuse(&requests::body_refusal(&fault)),
     };
-    match prepare(&incoming, body) {
+    match prepare(shared, &incoming, body) {
         Ok(prepared) => RequestTask::serve(shared, prepared.arrival, prepared.call).await,
         Err(refusal) => requests::refuse(&refusal),
     }
@@ -96,7 +95,11 @@
     call: OutgoingCall,
 }
 
-fn prepare(incoming: &IncomingRequest, body: Vec<u8>) -> Result<PreparedRequest, RequestRefusal> {
+fn prepare(
+    shared: &DaemonShared,
+    incoming: &IncomingRequest,
+    body: Vec<u8>,
+) -> Result<PreparedRequest, RequestRefusal> {
     let parsed: CompletionBody = serde_json::from_slice(&body).map_err(|error| {
         let detail = format!("the body is not a completion request: {error}");
         RequestRefusal::not_run(RefusalCode::BadRequest, detail)
@@ -121,6 +124,7 @@
         headers: passed_headers(incoming),
         body,
         idempotent: true,
+        team: requests::team(shared, incoming),
     };
     Ok(PreparedRequest { arrival, call })
 }
--- a/crates/savorywood-daemon/src/api/plain.rs
+++ b/crates/savorywood-daemon/src/api/plain.rs
@@ -80,6 +80,7 @@
         headers: passed_headers(incoming),
         body,
         idempotent,
+        team: None,
     };
     Ok(PreparedCall { arrival, call })
 }
--- a/crates/savorywood-daemon/src/api/requests.rs
+++ b/crates/savorywood-daemon/src/api/requests.rs
@@ -1,10 +1,10 @@
 //! What model calls and plain calls have in common on their way in.
 
-use crate::problem;
+use crate::{daemon::DaemonShared, problem};
 use http_types::Response;
 use savorywood_core::TokenDigest;
 use savorywood_http::{BodyFault, IncomingRequest};
-use savorywood_protocol::{RefusalCode, RequestId, RequestRefusal};
+use savorywood_protocol::{RefusalCode, RequestId, RequestRefusal, TeamName};
 use sha2::{Digest, Sha256};
 use std::time::Duration;
 
@@ -31,6 +31,12 @@
     is_bearer.then(|| TokenDigest(Sha256::digest(token.as_bytes()).into()))
 }
 
+/// Team whose token the caller sent.
+pub fn team(shared: &DaemonShared, incoming: &IncomingRequest) -> Option<TeamName> {
+    let token = bearer_digest(incoming)?;
+    shared.driver.config().team_of(&token).cloned()
+}
+
 /// SHA-256 over what makes a call the same call.
 pub fn fingerprint(method: &str, target: &str, body: &[u8]) -> [u8; 32] {
     let mut hasher = Sha256::new();
--- a/crates/savorywood-daemon/src/options.rs
+++ b/crates/savorywood-daemon/src/options.rs
@@ -4,7 +4,7 @@
 use savorywood_http::{ClientLimits, ServerLimits};
 use savorywood_platform::PlatformOptions;
 use savorywood_protocol::peer::DatagramKey;
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 /// What a daemon is started with.
 #[derive(Debug, Clone)]
@@ -25,22 +25,10 @@
     pub client_limits: ClientLimits,
     /// Digest of the operators' token; without one, operators are refused.
     pub operator_token: Option<TokenDigest>,
-    /// Key that signs the tokens with which callers resume streams.
-    pub resume_key: Option<ResumeKey>,
     /// Longest silence of an upstream in the middle of an answer.
     pub stall_time: Duration,
 }
 
-/// A key in memory. `Debug` hides it, so that no log line can show it.
-#[derive(Clone)]
-pub struct ResumeKey(pub Vec<u8>);
-
-impl fmt::Debug for ResumeKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("ResumeKey(hidden)")
-    }
-}
-
 /// Where a daemon listens.
 #[derive(Debug, Clone, Copy)]
 pub struct ListenAddresses {
@@ -78,7 +66,6 @@
             server_limits: ServerLimits::default(),
             client_limits: ClientLimits::default(),
             operator_token: None,
-            resume_key: None,
             stall_time: Duration::from_secs(30),
         };
         Self { options }
@@ -105,14 +92,6 @@
         self
     }
 
-    /// Sets the key that signs the tokens with which callers resume streams. All daemons have the
-    /// same; without one no tokens are given.
-    #[must_use]
-    pub fn resume_key(mut self, key: &[u8]) -> Self {
-        self.options.resume_key = Some(ResumeKey(key.to_vec()));
-        self
-    }
-
     /// Sets the longest silence of an upstream in the middle of an answer.
     #[must_use]
     pub fn stall_time(mut self, time: Duration) -> Self {
--- a/crates/savorywood-daemon/src/problem.rs
+++ b/crates/savorywood-daemon/src/problem.rs
@@ -12,6 +12,9 @@
 /// Header that names the request in logs.
 pub const REQUEST_HEADER: &str = "x-request-id";
 
+/// Header that carries a resume token, both ways.
+pub const RESUME_HEADER: &str = "x-savorywood-resume-token";
+
 /// Media type of problems.
 const PROBLEM_TYPE: &str = "application/problem+json";
 
--- a/crates/savorywood-daemon/src/relay/attempt.rs
+++ b/crates/savorywood-daemon/src/relay/attempt.rs
@@ -4,7 +4,7 @@
     observer::{AnswerObserver, ObservedEnd},
     task::{OutgoingCall, RequestTask},
 };
-use crate::problem::{OUTCOME_HEADER, REQUEST_HEADER};
+use crate::problem::{OUTCOME_HEADER, REQUEST_HEADER, RESUME_HEADER};
 use async_io::Timer;
 use futures_lite::future;
 use http_types::{Body, Method, Request, Response, Url};
@@ -17,6 +17,7 @@
 use savorywood_protocol::{
     OutcomeKind, ServiceName,
     resource::{ServiceProtocol, UpstreamExtension},
+    resume_token::ResumeToken,
 };
 use std::{io, time::Duration};
 
@@ -280,13 +281,26 @@
         response.insert_header(REQUEST_HEADER, self.task.request.to_string());
         response.insert_header("x-savorywood-upstream", self.order.upstream.as_str());
         if let Some(token) = self.resume_token() {
-            response.insert_header("x-savorywood-resume-token", token);
+            response.insert_header(RESUME_HEADER, token);
         }
         response
     }
 
+    /// Token with which the caller reads the stream on at any daemon after this one died.
     fn resume_token(&self) -> Option<String> {
-        None
+        if !self.extensions.contains(&UpstreamExtension::Resume) {
+            return None;
+        }
+        let key = self.task.shared.options.core.resume_key.as_ref()?;
+        let token = ResumeToken {
+            upstream: self.order.upstream.clone(),
+            stream: self.stream_name(),
+            service: self.service.clone()?,
+            team: self.task.call.team.clone()?,
+            attempt: self.order.attempt,
+            issued_at: self.task.shared.driver.clock().now().wall,
+        };
+        token.sign(key).ok()
     }
 
     /// Tells the engine to stop, so that it does not generate what nobody reads.
--- a/crates/savorywood-daemon/src/relay/resume.rs
+++ b/crates/savorywood-daemon/src/relay/resume.rs
@@ -57,17 +57,50 @@
         let outcome: &'static str = OutcomeKind::Ran.into();
         response.insert_header(OUTCOME_HEADER, outcome);
         response.insert_header(REQUEST_HEADER, self.request.to_string());
+        let is_events = answer
+            .header("content-type")
+            .is_some_and(|kind| kind.starts_with("text/event-stream"));
         self.reply(response);
         let mut piece = vec![0; READ_BYTES];
+        let mut tail = StreamTail::default();
         // Any error drops the sender, which breaks the caller's body off.
         while let Ok(count) = answer.body.read(&mut piece).await {
             if count == 0 {
-                let _ = sender.finish().await;
+                if !is_events || tail.ends_stream() {
+                    let _ = sender.finish().await;
+                }
                 return;
             }
+            tail.push(&piece[..count]);
             if sender.send(piece[..count].to_vec()).await.is_err() {
                 return;
             }
         }
     }
 }
+
+/// End of a token stream.
+const END_MARK: &[u8] = b"data: [DONE]";
+
+/// The last bytes of a stream's rest. The rest may begin anywhere, even within the end mark.
+#[derive(Debug, Default)]
+struct StreamTail {
+    bytes: Vec<u8>,
+}
+
+impl StreamTail {
+    /// Room for the mark and the line ends after it.
+    const ROOM: usize = END_MARK.len() + 8;
+
+    fn push(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+        let surplus = self.bytes.len().saturating_sub(Self::ROOM);
+        self.bytes.drain(..surplus);
+    }
+
+    /// Whether the stream's end mark came, here or before the rest began.
+    fn ends_stream(&self) -> bool {
+        let end = self.bytes.trim_ascii_end();
+        end.ends_with(END_MARK) || END_MARK.ends_with(end)
+    }
+}
--- a/crates/savorywood-daemon/src/relay/task.rs
+++ b/crates/savorywood-daemon/src/relay/task.rs
@@ -13,7 +13,7 @@
     CallerEvent, DaemonEvent, DispatchOrder, KeptAnswer, RequestArrival, UpstreamEvent,
 };
 use savorywood_protocol::{
-    AttemptNumber, MonotonicTime, OutcomeKind, RefusalCode, RequestId, RequestRefusal,
+    AttemptNumber, MonotonicTime, OutcomeKind, RefusalCode, RequestId, RequestRefusal, TeamName,
     resource::ServiceProtocol,
 };
 use std::sync::Arc;
@@ -33,6 +33,8 @@
     pub body: Vec<u8>,
     /// The call may run twice without harm.
     pub idempotent: bool,
+    /// Team that calls, as far as its token names one.
+    pub team: Option<TeamName>,
 }
 
 /// One header that is passed on.
@@ -150,7 +152,13 @@
         let attempt = RequestAttempt::new(self, &order);
         let cancelled = async {
             self.wait_for_cancel(order.attempt).await;
-            AttemptEnd::Cancelled
+            if self.call.idempotent {
+                return AttemptEnd::Cancelled;
+            }
+            // Given up halfway, its outcome would stay unknown for good. The caller is told now;
+            // the call goes on, so that a retry with the same key gets its outcome.
+            self.reply(problem::problem(&deadline_passed(), Some(self.request)));
+            future::pending().await
         };
         let end = future::or(attempt.run(), cancelled).await;
         let request = self.request;
@@ -193,8 +201,7 @@
         };
         self.shared.driver.step(DaemonEvent::Upstream(event));
         let refusal = if cause == savorywood_core::BreakCause::Cancelled {
-            let detail = "the deadline passed while the request ran";
-            RequestRefusal::unknown(RefusalCode::DeadlineExceeded, detail)
+            deadline_passed()
         } else {
             let detail = format!("upstream {} broke off: {reason}", order.upstream);
             RequestRefusal::unknown(RefusalCode::UpstreamFailed, detail)
@@ -219,6 +226,11 @@
     }
 }
 
+fn deadline_passed() -> RequestRefusal {
+    let detail = "the deadline passed while the request ran";
+    RequestRefusal::unknown(RefusalCode::DeadlineExceeded, detail)
+}
+
 /// Whether the request goes on after an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum NextStep {
--- a/crates/savorywood-daemon/tests/whole_path.rs
+++ b/crates/savorywood-daemon/tests/whole_path.rs
@@ -79,6 +79,7 @@
             peer_address: any,
             caller_address: any,
             address_max_age: Duration::from_secs(1),
+            resume_key: None,
             seed: 1,
         };
         let listen = ListenAddresses {
