--- a/crates/savorywood-core/src/scheduler/admission.rs
+++ b/crates/savorywood-core/src/scheduler/admission.rs
@@ -32,7 +32,7 @@
 /// its prefix.
 /// Share of the time until it is hopeless after which a request goes first in its tier, whatever is
 /// cached where.
-const PRESSING_SHARE: f64 = 0.9;
+const PRESSING_SHARE: f64 = 0.75;
 const PATIENT_SHARE: f64 = 0.8;
 /// Share of the time until it is hopeless for which it may be kept so.
 const PATIENT_SLACK: f64 = 0.6;
--- a/crates/savorywood-core/src/scheduler/dispatch.rs
+++ b/crates/savorywood-core/src/scheduler/dispatch.rs
@@ -133,7 +133,12 @@
             let request = waiting.request.request;
             match self.pick_this(now, waiting, upstream, view) {
                 Ok(picked) if hit => return Some(PlannedDispatch { request, picked }),
-                Ok(picked) => second = Some(PlannedDispatch { request, picked }),
+                Ok(picked)
+                    if pressing || unheld || waiting.is_worth_a_miss(now, picked.miss_time) =>
+                {
+                    second = Some(PlannedDispatch { request, picked });
+                }
+                Ok(_) => {}
                 Err(PickFailure::Full) if waiting.avoid != Some(upstream) => break,
                 Err(_) => {}
             }
--- a/crates/savorywood-core/src/scheduler/queue.rs
+++ b/crates/savorywood-core/src/scheduler/queue.rs
@@ -6,7 +6,10 @@
 use crate::request::QueuedRequest;
 use fair::{FairQueue, LaneKey};
 use savorywood_protocol::{AttemptNumber, MonotonicTime, RequestId, TierRank};
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
+
+/// Times that a prefill which another upstream could spare is waited out, before it is done.
+const MISS_PATIENCE: f64 = 4.0;
 
 /// A request that waits for an upstream.
 #[derive(Debug, Clone)]
@@ -31,6 +34,15 @@
     pub avoid: Option<UpstreamId>,
 }
 
+impl WaitingRequest {
+    /// Whether it has waited long enough for an upstream that holds its prefix to take one that
+    /// needs `miss_time` to prefill it: the longer that takes, the longer it waits.
+    #[must_use]
+    pub fn is_worth_a_miss(&self, now: MonotonicTime, miss_time: Duration) -> bool {
+        now >= self.patient_until + miss_time.mul_f64(MISS_PATIENCE)
+    }
+}
+
 /// Where a request waits.
 #[derive(Debug, Clone, Copy)]
 struct WaitingPlace {
--- a/crates/savorywood-core/src/scheduler/routing.rs
+++ b/crates/savorywood-core/src/scheduler/routing.rs
@@ -63,6 +63,8 @@
     pub cached_elsewhere: u32,
     /// Version that it runs, while traffic moves.
     pub side: Option<SplitSide>,
+    /// Time that it takes to prefill what another upstream has cached.
+    pub miss_time: Duration,
     score: f64,
 }
 
@@ -296,6 +298,7 @@
             uncached,
             cached_elsewhere,
             side,
+            miss_time: Duration::from_secs_f64(f64::from(missed) * speed.prefill),
             score,
         })
     }
