--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! events in the same order always give the same effects.
 
 pub mod burn;
+pub mod claims;
 pub mod config;
 pub mod daemon;
 pub mod discovery;
@@ -12,11 +13,13 @@
 pub mod event;
 pub mod intake;
 pub mod invariant;
+pub mod leases;
 pub mod membership;
 pub mod operator;
 pub mod order;
 pub mod rendezvous;
 pub mod request;
+pub mod resume;
 pub mod scheduler;
 pub mod snapshot;
 pub mod view;
--- a/crates/savorywood-core/src/scheduler/admission.rs
+++ b/crates/savorywood-core/src/scheduler/admission.rs
@@ -25,9 +25,17 @@
 const COUNT_EVERY: Duration = Duration::from_millis(50);
 /// Least share of the seats that a tier is taken to get when higher ones want them all.
 const LEAST_SHARE: f64 = 0.02;
-/// Share of the predicted time that must be left when work begins. Below one, since a prediction
-/// that is a little too long would refuse what could have been done.
-const NEEDED_SHARE: f64 = 0.9;
+/// Share of the predicted time that must be left when work begins. More than one: work that is
+/// begun and then late has cost a seat and its prefill, a refusal costs neither.
+const NEEDED_SHARE: f64 = 1.2;
+/// Share of the first-token objective for which a request may be kept for an upstream that holds
+/// its prefix.
+/// Share of the time until it is hopeless after which a request goes first in its tier, whatever is
+/// cached where.
+const PRESSING_SHARE: f64 = 0.75;
+const PATIENT_SHARE: f64 = 0.8;
+/// Share of the time until it is hopeless for which it may be kept so.
+const PATIENT_SLACK: f64 = 0.6;
 const MICROS: f64 = 1e6;
 
 impl RequestScheduler {
@@ -42,7 +50,7 @@
         self.retries.earn();
         let name = request.service.clone();
         self.enforce_floor(now, &name, view, effects);
-        let waiting = self.appraise(request, AttemptNumber::default(), view);
+        let waiting = self.appraise(now, request, AttemptNumber::default(), view);
         if let Err(refusal) = self.admit(now, &waiting, view, effects) {
             self.shed(now, &waiting, refusal, effects);
             return;
@@ -51,6 +59,10 @@
             let meter = service.arrivals.entry(waiting.request.rank).or_default();
             meter.record(now, waiting.seat_micros as f64 / MICROS);
         }
+        let mut waiting = waiting;
+        let wait = self.expected_wait(now, &waiting, view);
+        let slack = waiting.latest_start.since(now).mul_f64(PATIENT_SLACK);
+        waiting.patient_until = waiting.patient_until.max(now + wait.min(slack));
         self.enqueue(waiting);
         self.drain(now, &name, view, effects);
     }
@@ -58,6 +70,7 @@
     /// Predicts size and time of a request.
     pub(super) fn appraise(
         &self,
+        now: MonotonicTime,
         request: QueuedRequest,
         attempt: AttemptNumber,
         view: SchedulerView<'_>,
@@ -68,12 +81,25 @@
         let objectives = objectives_of(&request.service, view);
         let mean = whole_time(service, estimate, estimate.output_mean, &objectives);
         let needed = whole_time(service, estimate, estimate.output_median, &objectives);
-        let latest_start = if self.options.has(SchedulerMechanism::DeadlineAdmission) {
+        let known = estimate.learned && service.is_some_and(|service| service.speed.is_known());
+        let latest_start = if known && self.options.has(SchedulerMechanism::DeadlineAdmission) {
             request.deadline_at - needed.mul_f64(NEEDED_SHARE)
         } else {
             request.deadline_at
         };
+        let held_prefix = if self.options.has(SchedulerMechanism::Affinity) {
+            let hashes = &request.prompt.prefix_hashes;
+            self.prefixes.longest_held(now, hashes)
+        } else {
+            None
+        };
+        let first_token = Duration::from_millis(objectives.first_token_ms.into());
+        let patience = first_token.mul_f64(PATIENT_SHARE);
+        let slack = latest_start.since(now).mul_f64(PATIENT_SLACK);
         WaitingRequest {
+            patient_until: now + patience.min(slack),
+            pressing_at: now + latest_start.since(now).mul_f64(PRESSING_SHARE),
+            held_prefix,
             request,
             attempt,
             estimate,
@@ -169,7 +195,12 @@
         Duration::from_secs_f64(((ahead + turnover) / seats).min(3_600.0))
     }
 
-    fn count_seats(&mut self, now: MonotonicTime, name: &ServiceName, view: SchedulerView<'_>) {
+    pub(super) fn count_seats(
+        &mut self,
+        now: MonotonicTime,
+        name: &ServiceName,
+        view: SchedulerView<'_>,
+    ) {
         let Some(service) = self.services.get_mut(name) else {
             return;
         };
@@ -177,16 +208,21 @@
         if counted.is_some_and(|at| now.since(at) < COUNT_EVERY) {
             return;
         }
-        let members = service.members.iter();
-        let states = members.filter_map(|id| self.fleet.get(*id));
-        let seats = states.map(|state| {
-            let grant = view.grants.get(&state.name);
-            f64::from(state.allowance(now, grant).seats)
-        });
-        service.seat_count = SeatCount {
-            seats: seats.sum(),
+        let usual = service.usual_speed(&objectives_of(name, view));
+        let mut count = SeatCount {
+            seats: 0.0,
+            fast_gap: usual.gap,
             counted_at: Some(now),
         };
+        for state in service.members.iter().filter_map(|id| self.fleet.get(*id)) {
+            let grant = view.grants.get(&state.name);
+            let seats = state.allowance(now, grant).seats;
+            count.seats += f64::from(seats);
+            if seats > 0 {
+                count.fast_gap = count.fast_gap.min(state.speed.estimate(usual).gap);
+            }
+        }
+        service.seat_count = count;
     }
 
     /// Sheds what waits below the floor of a service, lowest tier first.
--- a/crates/savorywood-core/src/scheduler/queue.rs
+++ b/crates/savorywood-core/src/scheduler/queue.rs
@@ -6,7 +6,10 @@
 use crate::request::QueuedRequest;
 use fair::{FairQueue, LaneKey};
 use savorywood_protocol::{AttemptNumber, MonotonicTime, RequestId, TierRank};
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
+
+/// Times that a prefill which another upstream could spare is waited out, before it is done.
+const MISS_PATIENCE: f64 = 4.0;
 
 /// A request that waits for an upstream.
 #[derive(Debug, Clone)]
@@ -21,10 +24,25 @@
     pub seat_micros: u64,
     /// Dispatched later than this it can't meet its deadline.
     pub latest_start: MonotonicTime,
+    /// Until then it may be kept for an upstream that holds its prefix.
+    pub patient_until: MonotonicTime,
+    /// From then on it goes before others of its tier, whatever is cached where.
+    pub pressing_at: MonotonicTime,
+    /// Hash of the longest prefix that some upstream was known to hold when it arrived.
+    pub held_prefix: Option<u64>,
     /// Upstream that could not be reached by the last attempt.
     pub avoid: Option<UpstreamId>,
 }
 
+impl WaitingRequest {
+    /// Whether it has waited long enough for an upstream that holds its prefix to take one that
+    /// needs `miss_time` to prefill it: the longer that takes, the longer it waits.
+    #[must_use]
+    pub fn is_worth_a_miss(&self, now: MonotonicTime, miss_time: Duration) -> bool {
+        now >= self.patient_until + miss_time.mul_f64(MISS_PATIENCE)
+    }
+}
+
 /// Where a request waits.
 #[derive(Debug, Clone, Copy)]
 struct WaitingPlace {
@@ -103,6 +121,12 @@
         self.tiers.values().flat_map(FairQueue::heads)
     }
 
+    /// The first few requests of each team that is next, highest tier first.
+    pub fn front(&self, of_each: usize) -> impl Iterator<Item = &WaitingRequest> {
+        let tiers = self.tiers.values();
+        tiers.flat_map(move |tier| tier.front(of_each))
+    }
+
     /// Takes a request out to dispatch it: its team is charged.
     pub fn take(&mut self, request: RequestId) -> Option<WaitingRequest> {
         let place = self.places.remove(&request)?;
