Bound peers' bytes in the shell, give each platform service its address and breaker

Ruled out: one breaker over all services (an outage of the host list would hold up the table). Change: datagrams pass the budget by class, held-back ones are counted; PlatformOptions names table, objects and host list; a breaker an address; a bound on all writes of a daemon.

--- a/crates/savorywood-cli/src/commands/serve.rs
+++ b/crates/savorywood-cli/src/commands/serve.rs
@@ -79,7 +79,11 @@
 fn daemon_options(settings: &DaemonSettings, secrets: &DaemonSecrets) -> DaemonOptions {
     let platform = &settings.platform;
     let links = DaemonLinks {
-        platform: PlatformOptions::new(platform.table_address).call_time(platform.call_timeout),
+        platform: PlatformOptions::new(platform.table_address)
+            .object_address(platform.object_address)
+            .host_list_address(platform.host_list_address)
+            .call_time(platform.call_timeout)
+            .writes_per_second(settings.budgets.table_writes_per_second),
         peer_key: DatagramKey::derive(secrets.peer_key.expose()),
     };
     let listen = ListenAddresses {
@@ -91,6 +95,7 @@
         .server_limits(server_limits(settings))
         .client_limits(client_limits(settings))
         .operator_token(TokenDigest(digest.into()))
+        .peer_bytes_per_second(settings.budgets.peer_bytes_per_second)
         .build()
 }
 
--- a/crates/savorywood-daemon/src/daemon.rs
+++ b/crates/savorywood-daemon/src/daemon.rs
@@ -77,7 +77,8 @@
         let peers = options.listen_peers;
         let host = options.core.host.clone();
         let key = options.peer_key.clone();
-        let datagrams = DatagramLink::bind(peers, host.clone(), key.clone());
+        let bytes = options.peer_bytes_per_second;
+        let datagrams = DatagramLink::bind(peers, host.clone(), key.clone(), bytes);
         let datagrams = datagrams.await.context(ListenSnafu { address: peers })?;
         let peers = datagrams
             .local_address()
--- a/crates/savorywood-daemon/src/metrics.rs
+++ b/crates/savorywood-daemon/src/metrics.rs
@@ -28,6 +28,7 @@
     timer_lag: Gauge,
     peer_bytes: IntCounter,
     dropped_datagrams: IntCounter,
+    unsent_datagrams: IntCounter,
 }
 
 impl DaemonMetrics {
@@ -84,6 +85,10 @@
             "savorywood_dropped_datagrams_total",
             "Datagrams dropped for a wrong tag, a replay or an old life",
         )?;
+        let unsent_datagrams = IntCounter::new(
+            "savorywood_unsent_datagrams_total",
+            "Datagrams to other daemons that the byte budget held back",
+        )?;
         let metrics = Self {
             registry: Registry::new(),
             answers,
@@ -95,6 +100,7 @@
             timer_lag,
             peer_bytes,
             dropped_datagrams,
+            unsent_datagrams,
         };
         metrics.register()?;
         Ok(metrics)
@@ -111,6 +117,7 @@
         registry.register(Box::new(self.timer_lag.clone()))?;
         registry.register(Box::new(self.peer_bytes.clone()))?;
         registry.register(Box::new(self.dropped_datagrams.clone()))?;
+        registry.register(Box::new(self.unsent_datagrams.clone()))?;
         // A counter that is absent until its first breach can't be alerted on.
         for name in InvariantName::iter() {
             self.breaches
@@ -165,6 +172,11 @@
         self.dropped_datagrams.inc();
     }
 
+    /// Counts a datagram that the byte budget held back.
+    pub fn count_unsent_datagram(&self) {
+        self.unsent_datagrams.inc();
+    }
+
     /// Notes how late a timer was.
     pub fn observe_timer_lag(&self, lag: Duration) {
         self.timer_lag.set(lag.as_secs_f64());
--- a/crates/savorywood-daemon/src/options.rs
+++ b/crates/savorywood-daemon/src/options.rs
@@ -1,6 +1,6 @@
 //! What a daemon is started with.
 
-use savorywood_core::{CoreOptions, TokenDigest};
+use savorywood_core::{CoreOptions, TokenDigest, membership::CONTROL_BYTES_PER_SECOND};
 use savorywood_http::{ClientLimits, ServerLimits};
 use savorywood_platform::PlatformOptions;
 use savorywood_protocol::peer::DatagramKey;
@@ -27,6 +27,8 @@
     pub operator_token: Option<TokenDigest>,
     /// Longest silence of an upstream in the middle of an answer.
     pub stall_time: Duration,
+    /// Bytes of datagrams that may be sent to peers a second, heads of packets included.
+    pub peer_bytes_per_second: u64,
 }
 
 /// Where a daemon listens.
@@ -67,6 +69,7 @@
             client_limits: ClientLimits::default(),
             operator_token: None,
             stall_time: Duration::from_secs(30),
+            peer_bytes_per_second: CONTROL_BYTES_PER_SECOND,
         };
         Self { options }
     }
@@ -92,6 +95,13 @@
         self
     }
 
+    /// Sets the bytes of datagrams that may be sent to peers a second.
+    #[must_use]
+    pub fn peer_bytes_per_second(mut self, bytes: u32) -> Self {
+        self.options.peer_bytes_per_second = bytes.into();
+        self
+    }
+
     /// Sets the longest silence of an upstream in the middle of an answer.
     #[must_use]
     pub fn stall_time(mut self, time: Duration) -> Self {
--- a/crates/savorywood-daemon/src/peers/datagrams.rs
+++ b/crates/savorywood-daemon/src/peers/datagrams.rs
@@ -2,7 +2,10 @@
 
 use crate::driver::CoreDriver;
 use async_net::UdpSocket;
-use savorywood_core::DaemonEvent;
+use savorywood_core::{
+    DaemonEvent,
+    membership::{BudgetClass, PeerBudget},
+};
 use savorywood_protocol::{
     HostName,
     peer::{
@@ -20,6 +23,9 @@
     time::{Duration, Instant},
 };
 
+/// Bytes of the IPv4 and UDP heads of a datagram.
+const HEAD_BYTES: usize = 28;
+
 /// How often senders that are no longer members are forgotten.
 const FORGET_PERIOD: Duration = Duration::from_secs(60);
 
@@ -31,6 +37,7 @@
     key: DatagramKey,
     sequence: AtomicU64,
     guard: Mutex<ReplayGuard>,
+    budget: Mutex<PeerBudget>,
 }
 
 impl DatagramLink {
@@ -39,13 +46,19 @@
     /// # Errors
     ///
     /// When it can't be bound.
-    pub async fn bind(address: SocketAddr, host: HostName, key: DatagramKey) -> io::Result<Self> {
+    pub async fn bind(
+        address: SocketAddr,
+        host: HostName,
+        key: DatagramKey,
+        bytes_per_second: u64,
+    ) -> io::Result<Self> {
         Ok(Self {
             socket: UdpSocket::bind(address).await?,
             host,
             key,
             sequence: AtomicU64::new(1),
             guard: Mutex::default(),
+            budget: Mutex::new(PeerBudget::new(bytes_per_second)),
         })
     }
 
@@ -67,6 +80,7 @@
         address: SocketAddr,
         message: PeerMessage,
     ) {
+        let class = BudgetClass::of(&message);
         let datagram = PeerDatagram {
             from: self.host.clone(),
             incarnation: driver.with_core(|core, _, _| core.incarnation()),
@@ -83,12 +97,23 @@
                 return;
             }
         };
-        driver.metrics.count_peer_bytes(sealed.len());
+        let bytes = sealed.len() + HEAD_BYTES;
+        if !self.admit(driver, class, bytes) {
+            driver.metrics.count_unsent_datagram();
+            return;
+        }
+        driver.metrics.count_peer_bytes(bytes);
         if let Err(error) = self.socket.send_to(&sealed, address).await {
             log::debug!("event=datagram-not-sent peer={to} error={error:?}");
         }
     }
 
+    fn admit(&self, driver: &CoreDriver, class: BudgetClass, bytes: usize) -> bool {
+        let now = driver.clock().now().monotonic;
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.admit(now, class, bytes)
+    }
+
     /// Receives datagrams for good.
     pub async fn receive(self: Arc<Self>, driver: Arc<CoreDriver>) {
         // One byte more than allowed, so that a longer one can be told from one that just fits.
--- a/crates/savorywood-platform/src/budget.rs
+++ b/crates/savorywood-platform/src/budget.rs
@@ -82,6 +82,8 @@
 pub struct DutyBudgets {
     members: u32,
     buckets: BTreeMap<BucketKey, TokenBucket>,
+    /// Writes of all duties together, where the settings bound them.
+    writes: Option<TokenBucket>,
 }
 
 impl DutyBudgets {
@@ -89,8 +91,19 @@
     #[must_use]
     pub fn new(members: u32) -> Self {
         let members = members.max(1);
-        let buckets = BTreeMap::new();
-        Self { members, buckets }
+        Self {
+            members,
+            buckets: BTreeMap::new(),
+            writes: None,
+        }
+    }
+
+    /// The same budgets with a bound on the writes of all duties together.
+    #[must_use]
+    pub fn with_write_bound(self, per_second: u32, now: Instant) -> Self {
+        let rate = f64::from(per_second);
+        let writes = Some(TokenBucket::new(rate, rate.max(1.0), now));
+        Self { writes, ..self }
     }
 
     /// Tells how many daemons share the rates.
@@ -107,6 +120,12 @@
         let rate = duty.rate(kind);
         let per_second = own_rate(rate, self.members);
         let write = kind == CallKind::Write;
+        if let Some(writes) = self.writes.as_mut().filter(|_| write) {
+            let verdict = writes.take(now);
+            if verdict != TakeVerdict::Taken {
+                return verdict;
+            }
+        }
         let bucket = self
             .buckets
             .entry(BucketKey { duty, write })
--- a/crates/savorywood-platform/src/client.rs
+++ b/crates/savorywood-platform/src/client.rs
@@ -5,13 +5,15 @@
 use crate::{
     breaker::{BreakerState, CallBreaker},
     budget::{DutyBudgets, TakeVerdict},
-    duty::{CallKind, PlatformDuty},
+    duty::{CallKind, PlatformDuty, PlatformService},
     error::{BreakerOpenSnafu, OverBudgetSnafu, PlatformError, PlatformStep},
     options::PlatformOptions,
 };
 use async_io::Timer;
 use savorywood_http::{CallAnswer, CallRequest, HttpClient};
 use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -35,7 +37,22 @@
 #[derive(Debug)]
 struct CallGate {
     budgets: Mutex<DutyBudgets>,
-    breaker: Mutex<CallBreaker>,
+    breakers: Mutex<BTreeMap<SocketAddr, CallBreaker>>,
+}
+
+impl CallGate {
+    /// One breaker an address: an outage of the host list must not hold up the table.
+    fn with_breaker<T>(&self, address: SocketAddr, work: impl FnOnce(&mut CallBreaker) -> T) -> T {
+        work(lock(&self.breakers).entry(address).or_default())
+    }
+}
+
+fn own_budgets(options: &PlatformOptions) -> DutyBudgets {
+    let budgets = DutyBudgets::new(options.members);
+    match options.writes_per_second {
+        Some(writes) => budgets.with_write_bound(writes, Instant::now()),
+        None => budgets,
+    }
 }
 
 /// One call with what decides whether it is made.
@@ -50,13 +67,14 @@
 /// would keep the breaker open for good, and the daemon would never notice the end of an outage.
 struct AdmittedCall<'a> {
     gate: &'a CallGate,
+    address: SocketAddr,
     ended: bool,
 }
 
 impl Drop for AdmittedCall<'_> {
     fn drop(&mut self) {
         if !self.ended {
-            lock(&self.gate.breaker).abandon();
+            self.gate.with_breaker(self.address, CallBreaker::abandon);
         }
     }
 }
@@ -66,8 +84,8 @@
     #[must_use]
     pub fn new(http: HttpClient, options: PlatformOptions) -> Self {
         let gate = CallGate {
-            budgets: Mutex::new(DutyBudgets::new(options.members)),
-            breaker: Mutex::default(),
+            budgets: Mutex::new(own_budgets(&options)),
+            breakers: Mutex::default(),
         };
         Self {
             http,
@@ -81,10 +99,20 @@
         lock(&self.gate.budgets).set_members(members, Instant::now());
     }
 
-    /// What the breaker does with calls now.
+    /// What the breaker of a service does with calls now.
     #[must_use]
-    pub fn breaker_state(&self) -> BreakerState {
-        lock(&self.gate.breaker).state(Instant::now())
+    pub fn breaker_state(&self, service: PlatformService) -> BreakerState {
+        let address = self.address_of(service);
+        self.gate
+            .with_breaker(address, |breaker| breaker.state(Instant::now()))
+    }
+
+    fn address_of(&self, service: PlatformService) -> SocketAddr {
+        match service {
+            PlatformService::Table => self.options.address,
+            PlatformService::Objects => self.options.object_address,
+            PlatformService::HostList => self.options.host_list_address,
+        }
     }
 
     /// Makes a call within its budget, reads with one more try.
@@ -108,26 +136,30 @@
 
     async fn try_call(&self, call: &GatedCall<'_>) -> Result<CallAnswer, PlatformError> {
         let step = call.step;
-        let peer = self.options.address;
+        let peer = call.request.address;
         self.wait_for_budget(call).await?;
-        if !lock(&self.gate.breaker).admit(Instant::now()) {
+        let admits = |breaker: &mut CallBreaker| breaker.admit(Instant::now());
+        if !self.gate.with_breaker(peer, admits) {
             return BreakerOpenSnafu { step, peer }.fail();
         }
         let mut admitted = AdmittedCall {
             gate: &self.gate,
+            address: peer,
             ended: false,
         };
         let result = self.http.call(call.request).await;
         let result = calls::check_status(step, peer, result);
         let success = result.as_ref().err().is_none_or(|error| !error.is_outage());
         admitted.ended = true;
-        lock(&self.gate.breaker).record(Instant::now(), success, fastrand::f64());
+        self.gate.with_breaker(peer, |breaker| {
+            breaker.record(Instant::now(), success, fastrand::f64());
+        });
         result
     }
 
     async fn wait_for_budget(&self, call: &GatedCall<'_>) -> Result<(), PlatformError> {
         let step = call.step;
-        let peer = self.options.address;
+        let peer = call.request.address;
         let give_up_at = Instant::now() + self.options.budget_wait;
         loop {
             let now = Instant::now();
--- a/crates/savorywood-platform/src/client/calls.rs
+++ b/crates/savorywood-platform/src/client/calls.rs
@@ -2,7 +2,7 @@
 
 use super::{GatedCall, PlatformClient};
 use crate::{
-    duty::{CallKind, PlatformDuty},
+    duty::{CallKind, PlatformDuty, PlatformService},
     error::{BadAnswerSnafu, BadStatusSnafu, NoAnswerSnafu, PlatformError, PlatformStep},
 };
 use http_types::Method;
@@ -50,7 +50,7 @@
             TableRequest::Commit(_) => CallKind::Write,
         };
         let body = serde_json::to_vec(request).context(BadAnswerSnafu { step, peer })?;
-        let call = self.request(Method::Post, "/v1/table".to_owned());
+        let call = self.request(PlatformService::Table, Method::Post, "/v1/table".to_owned());
         let call = call.with_body(body);
         let answer = self.gated(duty, kind, step, &call).await?;
         serde_json::from_slice(&answer.body).context(BadAnswerSnafu { step, peer })
@@ -62,7 +62,11 @@
     ///
     /// [`PlatformError::had_no_effect`] tells whether it may be there all the same.
     pub async fn put_object(&self, key: &str, bytes: Vec<u8>) -> Result<(), PlatformError> {
-        let call = self.request(Method::Put, format!("/v1/objects/{key}"));
+        let call = self.request(
+            PlatformService::Objects,
+            Method::Put,
+            format!("/v1/objects/{key}"),
+        );
         let call = call.with_body(bytes);
         let step = PlatformStep::PutObject;
         self.gated(PlatformDuty::Objects, CallKind::Write, step, &call)
@@ -76,7 +80,11 @@
     ///
     /// When the store can't be asked.
     pub async fn get_object(&self, key: &str) -> Result<Option<Vec<u8>>, PlatformError> {
-        let call = self.request(Method::Get, format!("/v1/objects/{key}"));
+        let call = self.request(
+            PlatformService::Objects,
+            Method::Get,
+            format!("/v1/objects/{key}"),
+        );
         let step = PlatformStep::GetObject;
         let read = self.gated(PlatformDuty::Objects, CallKind::Read, step, &call);
         found(read.await)
@@ -88,7 +96,11 @@
     ///
     /// [`PlatformError::had_no_effect`] tells whether it may be gone all the same.
     pub async fn delete_object(&self, key: &str) -> Result<(), PlatformError> {
-        let call = self.request(Method::Delete, format!("/v1/objects/{key}"));
+        let call = self.request(
+            PlatformService::Objects,
+            Method::Delete,
+            format!("/v1/objects/{key}"),
+        );
         let step = PlatformStep::DeleteObject;
         let delete = self.gated(PlatformDuty::Objects, CallKind::Write, step, &call);
         found(delete.await).map(drop)
@@ -100,7 +112,11 @@
     ///
     /// When the store can't be asked.
     pub async fn get_weights(&self, key: &str) -> Result<Option<Vec<u8>>, PlatformError> {
-        let call = self.request(Method::Get, format!("/v1/weights/{key}"));
+        let call = self.request(
+            PlatformService::Objects,
+            Method::Get,
+            format!("/v1/weights/{key}"),
+        );
         let step = PlatformStep::GetWeights;
         let read = self.gated(PlatformDuty::Weights, CallKind::Read, step, &call);
         found(read.await)
@@ -113,16 +129,20 @@
     /// When the list can't be had.
     pub async fn list_hosts(&self) -> Result<Vec<HostDocument>, PlatformError> {
         let step = PlatformStep::ListHosts;
-        let peer = self.options.address;
-        let call = self.request(Method::Get, "/v1/hosts".to_owned());
+        let peer = self.options.host_list_address;
+        let call = self.request(
+            PlatformService::HostList,
+            Method::Get,
+            "/v1/hosts".to_owned(),
+        );
         let answer = self
             .gated(PlatformDuty::Hosts, CallKind::Read, step, &call)
             .await?;
         serde_json::from_slice(&answer.body).context(BadAnswerSnafu { step, peer })
     }
 
-    fn request(&self, method: Method, target: String) -> CallRequest {
-        let mut call = CallRequest::new(self.options.address, method, target);
+    fn request(&self, service: PlatformService, method: Method, target: String) -> CallRequest {
+        let mut call = CallRequest::new(self.address_of(service), method, target);
         call.timeout = self.options.call_time;
         call.token.clone_from(&self.options.token);
         call
--- a/crates/savorywood-platform/src/duty.rs
+++ b/crates/savorywood-platform/src/duty.rs
@@ -40,6 +40,18 @@
     Weights,
 }
 
+/// A service of the platform. Each may fail by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum PlatformService {
+    /// The transactional table.
+    Table,
+    /// Objects and weights.
+    Objects,
+    /// The list of hosts.
+    HostList,
+}
+
 /// Whether a call only reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/savorywood-platform/src/lib.rs
+++ b/crates/savorywood-platform/src/lib.rs
@@ -14,6 +14,6 @@
 pub use breaker::{BreakerState, CallBreaker};
 pub use budget::{DutyBudgets, TakeVerdict, TokenBucket};
 pub use client::PlatformClient;
-pub use duty::{CallKind, PlatformDuty};
+pub use duty::{CallKind, PlatformDuty, PlatformService};
 pub use error::{PlatformError, PlatformStep};
 pub use options::PlatformOptions;
--- a/crates/savorywood-platform/src/options.rs
+++ b/crates/savorywood-platform/src/options.rs
@@ -6,6 +6,9 @@
 #[derive(Debug, Clone)]
 pub struct PlatformOptions {
     pub(crate) address: SocketAddr,
+    pub(crate) object_address: SocketAddr,
+    pub(crate) host_list_address: SocketAddr,
+    pub(crate) writes_per_second: Option<u32>,
     pub(crate) token: Option<String>,
     pub(crate) call_time: Duration,
     pub(crate) budget_wait: Duration,
@@ -13,11 +16,14 @@
 }
 
 impl PlatformOptions {
-    /// Defaults for the service at an address.
+    /// Defaults for a platform whose services are all at one address.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            object_address: address,
+            host_list_address: address,
+            writes_per_second: None,
             token: None,
             call_time: Duration::from_secs(3),
             budget_wait: Duration::from_millis(500),
@@ -25,6 +31,33 @@
         }
     }
 
+    /// Sets where the object store and the weight store are, if not beside the table.
+    #[must_use]
+    pub fn object_address(self, object_address: SocketAddr) -> Self {
+        Self {
+            object_address,
+            ..self
+        }
+    }
+
+    /// Sets where the host list is, if not beside the table.
+    #[must_use]
+    pub fn host_list_address(self, host_list_address: SocketAddr) -> Self {
+        Self {
+            host_list_address,
+            ..self
+        }
+    }
+
+    /// Sets the writes a second of this daemon over all duties, below what each duty may do.
+    #[must_use]
+    pub fn writes_per_second(self, writes: u32) -> Self {
+        Self {
+            writes_per_second: Some(writes),
+            ..self
+        }
+    }
+
     /// Sets the bearer token.
     #[must_use]
     pub fn token(self, token: Option<String>) -> Self {
--- a/crates/savorywood-platform/tests/platform_faults.rs
+++ b/crates/savorywood-platform/tests/platform_faults.rs
@@ -7,7 +7,7 @@
 use savorywood_http::{ClientLimits, HttpClient};
 use savorywood_platform::{
     BreakerState, CallKind, DutyBudgets, PlatformClient, PlatformDuty,
-    PlatformOptions as ClientOptions, TakeVerdict, TokenBucket,
+    PlatformOptions as ClientOptions, PlatformService, TakeVerdict, TokenBucket,
 };
 use savorywood_protocol::{
     host_list::HostDocument,
@@ -145,14 +145,20 @@
         for _ in 0..6 {
             client.execute(PlatformDuty::Config, &write("a/1")).await;
         }
-        assert_eq!(client.breaker_state(), BreakerState::Open);
+        assert_eq!(
+            client.breaker_state(PlatformService::Table),
+            BreakerState::Open
+        );
         server.set_faults(PlatformFaults::default());
         let began = Instant::now();
         while client.execute(PlatformDuty::Config, &read("a/1")).await == TableAnswer::Unavailable {
             assert!(began.elapsed() < Duration::from_secs(4), "still open");
             async_io::Timer::after(Duration::from_millis(20)).await;
         }
-        assert_eq!(client.breaker_state(), BreakerState::Closed);
+        assert_eq!(
+            client.breaker_state(PlatformService::Table),
+            BreakerState::Closed
+        );
     });
 }
 
@@ -176,7 +182,7 @@
         }
         server.set_faults(hang);
         let began = Instant::now();
-        while client.breaker_state() != BreakerState::Trying {
+        while client.breaker_state(PlatformService::Table) != BreakerState::Trying {
             assert!(began.elapsed() < Duration::from_secs(4), "never tries");
             async_io::Timer::after(Duration::from_millis(10)).await;
         }
