Export what scheduler and claims count

Cause: wasted prefill by cause, refusals by tier and claims stood in the core's counters only. Change: a scrape takes them over into prometheus counters. Conclusion: operators see them on /metrics.

--- a/crates/savorywood-core/src/daemon/reads.rs
+++ b/crates/savorywood-core/src/daemon/reads.rs
@@ -2,8 +2,10 @@
 
 use super::DaemonCore;
 use crate::{
+    claims::ClaimCounters,
     config::ChangeList,
     discovery::{AddressAnswer, AddressQuery, rank_addresses},
+    scheduler::SchedulerCounters,
     snapshot::ConfigSnapshot,
 };
 use savorywood_protocol::{
@@ -81,6 +83,18 @@
         )
     }
 
+    /// What the scheduler counted.
+    #[must_use]
+    pub fn scheduler_counters(&self) -> &SchedulerCounters {
+        self.scheduler.counters()
+    }
+
+    /// What the claim duty counted.
+    #[must_use]
+    pub fn claim_counters(&self) -> ClaimCounters {
+        self.claims.counters()
+    }
+
     /// Counts of met and missed objectives.
     #[must_use]
     pub fn burn(&self, now: CoreTime) -> DaemonBurn {
--- a/crates/savorywood-daemon/src/api/health.rs
+++ b/crates/savorywood-daemon/src/api/health.rs
@@ -21,8 +21,12 @@
 /// All metrics.
 pub fn metrics(shared: &DaemonShared) -> Response {
     let open = shared.driver.registry.len();
+    let metrics = &shared.driver.metrics;
+    shared
+        .driver
+        .with_core(|core, _, _| metrics.take_core(core));
     let mut response = Response::new(StatusCode::Ok);
-    response.set_body(shared.driver.metrics.render(open));
+    response.set_body(metrics.render(open));
     response.insert_header("content-type", "text/plain; version=0.0.4");
     response
 }
--- a/crates/savorywood-daemon/src/metrics.rs
+++ b/crates/savorywood-daemon/src/metrics.rs
@@ -1,10 +1,13 @@
 //! Metrics in the prometheus format.
 
+mod core;
+
+use self::core::CoreMetrics;
 use prometheus::{
     Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
 };
-use savorywood_core::InvariantName;
+use savorywood_core::{DaemonCore, InvariantName};
 use savorywood_protocol::{RefusalCode, ServiceName};
 use std::time::Duration;
 use strum::IntoEnumIterator;
@@ -29,6 +32,7 @@
     peer_bytes: IntCounter,
     dropped_datagrams: IntCounter,
     unsent_datagrams: IntCounter,
+    core: CoreMetrics,
 }
 
 impl DaemonMetrics {
@@ -89,8 +93,10 @@
             "savorywood_unsent_datagrams_total",
             "Datagrams to other daemons that the byte budget held back",
         )?;
+        let registry = Registry::new();
         let metrics = Self {
-            registry: Registry::new(),
+            core: CoreMetrics::register(&registry)?,
+            registry,
             answers,
             refusals,
             breaches,
@@ -182,6 +188,12 @@
         self.timer_lag.set(lag.as_secs_f64());
     }
 
+    /// Takes over what the core's duties counted.
+    pub fn take_core(&self, core: &DaemonCore) {
+        self.core.take_scheduler(core.scheduler_counters());
+        self.core.take_claims(&core.claim_counters());
+    }
+
     /// The text that a scrape gets.
     pub fn render(&self, open_requests: usize) -> Vec<u8> {
         self.open_requests
