Add credits with the shed floor, and the planned stop

Cause: engines know no priorities, so the daemons must not send low work while high work waits at another daemon, nor shed high work while low waits elsewhere; and a stop must cut off nothing.

Change: an arbiter for each contended upstream by rendezvous hash within its zone; demands only while contended; grants for a short term, highest tier first; a floor that rises one tier a round; shed_advice, which asks before it lets shed, and judges alone, logged and counted, when nobody answers. The stop serves for the max-age and the spread of the leaving mark, then until all is quiet.

Ruled out: granting from the first demand (all seats went to the first that asked); the mean of the limits as capacity (four limits of two would be granted two seats); letting the floor alone allow a shed (an asker that had not heard of its end shed while others took low work in again).

Seen failing: floor without answer and spread -> the_floor_rises_from_the_ bottom red; no asking -> the_lowest_tier_anywhere_yields_first red; busy seats ignored -> shares_and_busy_seats_fit_the_capacity red; sequences ignored -> an_older_grant_does_not_undo_a_newer_one red; no settling -> a_new_arbiter_listens_before_it_grants red; floor raised at once -> the_floor_rises_one_tier_a_round red; lapsed grant unbounded -> a_dead_arbiter_is_followed_by_the_next red (15 at once on 8 seats); grants on calm upstreams taken -> contention_ends_with_the_rush red; daemons without work left out -> a_daemon_without_work_is_told_of_the_ floor red; exit before the max-age -> an_idle_daemon_serves... red; exit without quiet -> a_long_stream_is_finished red (StopCutsNothing).

--- /dev/null
+++ b/crates/savorywood-core/src/credits/arbiter.rs
@@ -0,0 +1,140 @@
+//! The arbiter's side: gathers demands on an upstream and grants its seats.
+
+use super::allocate;
+use savorywood_protocol::{
+    HostName, MonotonicTime, TierRank,
+    peer::credits::{NO_FLOOR, UpstreamDemand},
+};
+use std::{collections::BTreeMap, time::Duration};
+
+/// What an arbiter knows of one upstream.
+#[derive(Debug)]
+pub struct ArbiterRecord {
+    demands: BTreeMap<HostName, UpstreamDemand>,
+    heard: BTreeMap<HostName, MonotonicTime>,
+    floor: TierRank,
+    last_ask: Option<MonotonicTime>,
+    since: MonotonicTime,
+    /// When the next survey of further users is due.
+    pub next_survey: MonotonicTime,
+    /// Surveys made so far.
+    pub surveys: u32,
+    /// Whether the grants must go out before their round.
+    pub urgent: bool,
+}
+
+impl ArbiterRecord {
+    /// A record without demands.
+    #[must_use]
+    pub fn new(now: MonotonicTime) -> Self {
+        Self {
+            demands: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            floor: NO_FLOOR,
+            last_ask: None,
+            since: now,
+            next_survey: now,
+            surveys: 0,
+            urgent: true,
+        }
+    }
+
+    /// Takes in a daemon's demand.
+    pub fn report(&mut self, now: MonotonicTime, from: &HostName, demand: UpstreamDemand) {
+        if demand.shedding.is_some() {
+            self.last_ask = Some(now);
+            self.urgent = true;
+        }
+        // While a floor is up, daemons that have nothing left are told of it too: they have
+        // nothing just because of it, and would take lower work in again.
+        let floored = self.floor != NO_FLOOR;
+        if demand.tiers.is_empty() && demand.in_use == 0 && !floored {
+            self.demands.remove(from);
+            self.heard.remove(from);
+            return;
+        }
+        let before = self.demands.get(from).map_or(0, total_wanted);
+        self.urgent |= total_wanted(&demand) > before;
+        self.heard.insert(from.clone(), now);
+        self.demands.insert(from.clone(), demand);
+    }
+
+    /// Forgets daemons that have not been heard of for a term: their grants have lapsed.
+    pub fn expire(&mut self, now: MonotonicTime, term: Duration) {
+        self.heard.retain(|_, heard| now.since(*heard) < term);
+        let heard = &self.heard;
+        self.demands.retain(|host, _| heard.contains_key(host));
+    }
+
+    /// Whether those that use the upstream have had time to say so. Granting before gives all
+    /// seats to the first that asks, while the others still use theirs.
+    #[must_use]
+    pub fn is_settled(&self, now: MonotonicTime, time: Duration) -> bool {
+        now.since(self.since) >= time
+    }
+
+    /// Whether nobody asks any longer.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.demands.is_empty()
+    }
+
+    /// Daemons that have told their demand.
+    pub fn reporters(&self) -> impl Iterator<Item = &HostName> {
+        self.demands.keys()
+    }
+
+    /// Whether all daemons together want more than there is, or one is about to shed. `declared`
+    /// are the seats that the upstream's resource names.
+    #[must_use]
+    pub fn is_contended(&self, declared: u32) -> bool {
+        let wanted: u32 = self.demands.values().map(total_wanted).sum();
+        let sheds = self
+            .demands
+            .values()
+            .any(|demand| demand.shedding.is_some());
+        sheds || wanted > allocate::capacity_of(&self.demands, declared)
+    }
+
+    /// Seats for each daemon. `declared` are the seats that the upstream's resource names.
+    #[must_use]
+    pub fn shares(&self, declared: u32) -> allocate::SeatShares {
+        let capacity = allocate::capacity_of(&self.demands, declared);
+        allocate::allocate(&self.demands, capacity)
+    }
+
+    /// Lowest tier still admitted.
+    #[must_use]
+    pub fn floor(&self) -> TierRank {
+        self.floor
+    }
+
+    /// Raises the floor by one tier, if somebody is about to shed a tier above the lowest that
+    /// is still asked for anywhere. It rises from the bottom, one tier a round: the daemon that
+    /// asked sheds only once nothing lower is left.
+    pub fn move_floor(&mut self, now: MonotonicTime, hold: Duration) {
+        let asks = self.demands.values().filter_map(|demand| demand.shedding);
+        let Some(asked) = asks.min() else {
+            if self.last_ask.is_none_or(|at| now.since(at) >= hold) {
+                self.floor = NO_FLOOR;
+            }
+            return;
+        };
+        if self.floor <= asked {
+            return;
+        }
+        let ranks = allocate::ranks_of(&self.demands);
+        let lower = ranks
+            .into_iter()
+            .filter(|rank| *rank > asked && *rank <= self.floor);
+        self.floor = match lower.max() {
+            Some(lowest) => TierRank(lowest.0 - 1),
+            None => asked,
+        };
+        self.urgent = true;
+    }
+}
+
+fn total_wanted(demand: &UpstreamDemand) -> u32 {
+    demand.tiers.iter().map(|tier| tier.seats).sum()
+}
--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! events in the same order always give the same effects.
 
 pub mod claims;
+pub mod credits;
 pub mod daemon;
 pub mod discovery;
 pub mod effect;
@@ -19,6 +20,7 @@
 pub mod resume;
 pub mod scheduler;
 pub mod snapshot;
+pub mod stop;
 pub mod view;
 
 pub use daemon::{CoreOptions, DaemonCore};
--- a/crates/savorywood-core/src/membership/budget.rs
+++ b/crates/savorywood-core/src/membership/budget.rs
@@ -7,7 +7,7 @@
 
 use savorywood_protocol::{
     MonotonicTime,
-    peer::{CreditMessage, MembershipMessage, PeerMessage},
+    peer::{CreditMessage, MembershipMessage, PeerMessage, credits::NO_FLOOR},
 };
 use std::time::Duration;
 
@@ -44,10 +44,23 @@
             | PeerMessage::Config(_)
             | PeerMessage::Membership(MembershipMessage::News { .. }) => Self::Urgent,
             PeerMessage::Membership(_) => Self::Normal,
-            PeerMessage::Credits(message) => match message {
-                CreditMessage::Demand { tiers, .. } if tiers.is_empty() => Self::Urgent,
-                CreditMessage::Demand { .. } | CreditMessage::Grant { .. } => Self::Low,
-            },
+            PeerMessage::Credits(message) => Self::of_credits(message),
+        }
+    }
+
+    /// Work is about to be shed, or seats come free: both concern requests that wait now.
+    fn of_credits(message: &CreditMessage) -> Self {
+        let pressing = match message {
+            CreditMessage::Demand { upstreams, .. } => {
+                let mut upstreams = upstreams.iter();
+                upstreams.any(|demand| demand.shedding.is_some() || demand.tiers.is_empty())
+            }
+            CreditMessage::Grant { grants, .. } => grants.iter().any(|g| g.floor != NO_FLOOR),
+            CreditMessage::Survey { .. } => false,
+        };
+        match pressing {
+            true => Self::Normal,
+            false => Self::Low,
         }
     }
 
--- /dev/null
+++ b/crates/savorywood-core/tests/credit/fleet.rs
@@ -0,0 +1,519 @@
+//! A few daemons that share upstreams, each with a plain scheduler: strict tiers, no more than
+//! its own limit and its grant, and a question to the credit duty before it sheds.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use savorywood_core::{
+    ConfigView, DaemonEffect, EffectQueue, MemberRecord, MemberView, TimerKey,
+    credits::{CreditEvent, CreditOptions, CreditState, CreditView, LocalDemand, ShedAdvice},
+};
+use savorywood_protocol::{
+    ConfigRevision, CoreTime, HostIncarnation, HostName, MonotonicTime, ServiceName, TierRank,
+    UpstreamName, WallTime,
+    peer::{
+        CreditMessage, PeerMessage,
+        credits::{NO_FLOOR, TierDemand},
+        datagram::MAX_DATAGRAM_BYTES,
+        membership::MemberState,
+    },
+};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+};
+
+/// Length of a step.
+pub const STEP: Duration = Duration::from_millis(5);
+
+/// Time that a job takes.
+const JOB_TIME: Duration = Duration::from_millis(400);
+
+/// Time that a job may wait.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Time before a job's end of patience at which the daemon wants to shed it.
+const SHED_AHEAD: Duration = Duration::from_secs(3);
+
+/// What became of the jobs of one tier at one daemon.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TierTally {
+    pub arrived: u64,
+    pub done: u64,
+    pub shed: u64,
+    pub shed_alone: u64,
+    pub floored: u64,
+    pub late: u64,
+}
+
+#[derive(Debug)]
+pub struct FakeDaemon {
+    pub credits: CreditState,
+    pub queues: BTreeMap<TierRank, VecDeque<MonotonicTime>>,
+    pub tallies: BTreeMap<TierRank, TierTally>,
+    pub sent_bytes: u64,
+    pub sent_messages: u64,
+    running: Vec<RunningJob>,
+    timers: BTreeMap<TimerKey, MonotonicTime>,
+}
+
+#[derive(Debug, Clone)]
+struct RunningJob {
+    rank: TierRank,
+    upstream: UpstreamName,
+    ends_at: MonotonicTime,
+}
+
+#[derive(Debug, Clone)]
+struct CreditFlight {
+    at: MonotonicTime,
+    from: HostName,
+    to: HostName,
+    message: CreditMessage,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+pub struct FleetFaults {
+    pub loss: f64,
+    pub duplicates: f64,
+    pub jitter_ms: u64,
+}
+
+#[derive(Debug)]
+pub struct CreditFleet {
+    pub now: CoreTime,
+    pub config: ConfigView,
+    pub members: MemberView,
+    pub daemons: BTreeMap<HostName, FakeDaemon>,
+    pub faults: FleetFaults,
+    pub limit: u32,
+    pub peak: BTreeMap<UpstreamName, u32>,
+    /// Sheds of a tier while a lower one waited at some daemon.
+    pub inversions: Vec<String>,
+    flights: Vec<CreditFlight>,
+    rng: ChaCha8Rng,
+}
+
+pub fn host_name(number: usize) -> HostName {
+    HostName::new(&format!("entry-{number:03}")).expect("a name")
+}
+
+pub fn service() -> ServiceName {
+    ServiceName::new("notes").expect("a name")
+}
+
+impl CreditFleet {
+    /// Daemons and upstreams spread over zones; each upstream takes `limit` jobs at once.
+    pub fn new(seed: u64, daemons: usize, upstreams: usize, zones: usize, limit: u32) -> Self {
+        let now = CoreTime {
+            monotonic: MonotonicTime(1_000_000),
+            wall: WallTime(1_780_000_000_000),
+        };
+        let mut fleet = Self {
+            now,
+            config: config_of(upstreams, zones),
+            members: MemberView::default(),
+            daemons: BTreeMap::new(),
+            faults: FleetFaults::default(),
+            limit,
+            peak: BTreeMap::new(),
+            inversions: Vec::new(),
+            flights: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        for number in 0..daemons {
+            fleet.start(number, zones);
+        }
+        fleet
+    }
+
+    fn start(&mut self, number: usize, zones: usize) {
+        let host = host_name(number);
+        let octet = u8::try_from(number % 250).expect("a small number");
+        let record = MemberRecord {
+            incarnation: HostIncarnation(1),
+            state: MemberState::Alive,
+            peer_address: SocketAddr::from(([10, 0, 0, octet], 7000)),
+            caller_address: SocketAddr::from(([10, 0, 0, octet], 8080)),
+            zone: format!("z{}", number % zones).parse().expect("a name"),
+            region: "a".parse().expect("a name"),
+            config_revision: ConfigRevision(1),
+        };
+        self.members.members.insert(host.clone(), record);
+        let daemon = FakeDaemon {
+            credits: CreditState::new(CreditOptions::new(host.clone())),
+            queues: BTreeMap::new(),
+            tallies: BTreeMap::new(),
+            sent_bytes: 0,
+            sent_messages: 0,
+            running: Vec::new(),
+            timers: BTreeMap::new(),
+        };
+        self.daemons.insert(host.clone(), daemon);
+        self.event(&host, CreditEvent::Started);
+    }
+
+    /// A job arrives and waits.
+    pub fn arrive(&mut self, host: &HostName, rank: TierRank) {
+        let Some(daemon) = self.daemons.get_mut(host) else {
+            return;
+        };
+        daemon.tallies.entry(rank).or_default().arrived += 1;
+        let floors = daemon.credits.floors();
+        let floor = floors.get(&service()).copied().unwrap_or(NO_FLOOR);
+        if rank > floor {
+            daemon.tallies.entry(rank).or_default().floored += 1;
+            return;
+        }
+        let deadline = self.now.monotonic + PATIENCE;
+        daemon.queues.entry(rank).or_default().push_back(deadline);
+        let was_idle = daemon.queues.values().map(VecDeque::len).sum::<usize>() == 1;
+        self.dispatch(host);
+        let waits = self.daemons[host]
+            .queues
+            .values()
+            .any(|queue| !queue.is_empty());
+        if waits && was_idle {
+            self.event(host, CreditEvent::QueueFormed);
+        }
+    }
+
+    /// Lets time pass; `arrivals` says who gets jobs in each step.
+    pub fn run(&mut self, duration: Duration, mut arrivals: impl FnMut(&mut Self)) {
+        let end = self.now.monotonic + duration;
+        while self.now.monotonic < end {
+            self.now = self.now.after(STEP);
+            arrivals(self);
+            self.deliver();
+            let hosts: Vec<_> = self.daemons.keys().cloned().collect();
+            for host in &hosts {
+                self.fire_timers(host);
+                self.finish_jobs(host);
+                self.apply_floor(host);
+                self.dispatch(host);
+            }
+            for host in &hosts {
+                self.shed(host);
+            }
+            self.note_peak();
+        }
+    }
+
+    pub fn chance(&mut self, chance: f64) -> bool {
+        self.rng.random_bool(chance)
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now.monotonic;
+        let flights = std::mem::take(&mut self.flights);
+        let (mut due, kept): (Vec<_>, Vec<_>) = flights.into_iter().partition(|f| f.at <= now);
+        self.flights = kept;
+        due.sort_by_key(|flight| flight.at);
+        for flight in due {
+            let CreditFlight {
+                from, to, message, ..
+            } = flight;
+            self.event(&to, CreditEvent::Peer { from, message });
+        }
+    }
+
+    fn fire_timers(&mut self, host: &HostName) {
+        let now = self.now.monotonic;
+        let timers = &mut self.daemons.get_mut(host).expect("a daemon").timers;
+        let due: Vec<_> = timers
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in due {
+            let timers = &mut self.daemons.get_mut(host).expect("a daemon").timers;
+            timers.remove(&key);
+            let number = key.number;
+            self.event(host, CreditEvent::TimerFired { number });
+        }
+    }
+
+    fn finish_jobs(&mut self, host: &HostName) {
+        let now = self.now.monotonic;
+        let daemon = self.daemons.get_mut(host).expect("a daemon");
+        let (done, running): (Vec<_>, Vec<_>) = std::mem::take(&mut daemon.running)
+            .into_iter()
+            .partition(|job| job.ends_at <= now);
+        daemon.running = running;
+        for job in done {
+            daemon.tallies.entry(job.rank).or_default().done += 1;
+        }
+    }
+
+    /// Work below the floor is shed.
+    fn apply_floor(&mut self, host: &HostName) {
+        let daemon = self.daemons.get_mut(host).expect("a daemon");
+        let floors = daemon.credits.floors();
+        let floor = floors.get(&service()).copied().unwrap_or(NO_FLOOR);
+        for (rank, queue) in &mut daemon.queues {
+            if *rank > floor {
+                let count = queue.len() as u64;
+                queue.clear();
+                daemon.tallies.entry(*rank).or_default().floored += count;
+            }
+        }
+    }
+
+    fn dispatch(&mut self, host: &HostName) {
+        let zone = self.members.members[host].zone.clone();
+        let daemon = self.daemons.get_mut(host).expect("a daemon");
+        loop {
+            let free = self.config.upstreams.iter().find(|(name, spec)| {
+                let granted = daemon.credits.grants().get(*name).map(|grant| grant.seats);
+                let allowed = granted.unwrap_or(self.limit).min(self.limit);
+                spec.zone == zone && in_use(&daemon.running, name) < allowed
+            });
+            let next = daemon
+                .queues
+                .iter_mut()
+                .find(|(_, queue)| !queue.is_empty());
+            let (Some((upstream, _)), Some((rank, queue))) = (free, next) else {
+                return;
+            };
+            queue.pop_front();
+            daemon.running.push(RunningJob {
+                rank: *rank,
+                upstream: upstream.clone(),
+                ends_at: self.now.monotonic + JOB_TIME,
+            });
+        }
+    }
+
+    fn shed(&mut self, host: &HostName) {
+        let now = self.now.monotonic;
+        let ranks: Vec<_> = self.daemons[host].queues.keys().copied().collect();
+        for rank in ranks {
+            loop {
+                let queue = &self.daemons[host].queues[&rank];
+                let Some(deadline) = queue.front().copied() else {
+                    break;
+                };
+                if now + SHED_AHEAD < deadline {
+                    break;
+                }
+                let late = deadline <= now;
+                let advice = self.advice(host, rank);
+                if advice == ShedAdvice::Wait && !late {
+                    break;
+                }
+                self.note_inversion(host, rank, advice, late);
+                let daemon = self.daemons.get_mut(host).expect("a daemon");
+                daemon.queues.get_mut(&rank).expect("a queue").pop_front();
+                let tally = daemon.tallies.entry(rank).or_default();
+                match advice {
+                    ShedAdvice::Shed => tally.shed += 1,
+                    ShedAdvice::Alone => tally.shed_alone += 1,
+                    ShedAdvice::Wait => tally.late += 1,
+                }
+            }
+        }
+    }
+
+    fn note_inversion(&mut self, host: &HostName, rank: TierRank, advice: ShedAdvice, late: bool) {
+        for (other, daemon) in &self.daemons {
+            let mut queues = daemon.queues.iter();
+            if queues.any(|(lower, queue)| *lower > rank && !queue.is_empty()) {
+                let at = self.now.monotonic.0 / 1_000;
+                let text = format!(
+                    "{at} ms: {host} shed {rank} ({advice:?}, late={late}) while {other} had lower"
+                );
+                self.inversions.push(text);
+            }
+        }
+    }
+
+    fn advice(&mut self, host: &HostName, rank: TierRank) -> ShedAdvice {
+        let demands = self.demands_of(host);
+        let view = CreditView {
+            config: &self.config,
+            members: &self.members,
+            demands: &demands,
+        };
+        let daemon = self.daemons.get_mut(host).expect("a daemon");
+        let mut effects = EffectQueue::new();
+        let now = self.now.monotonic;
+        let advice = daemon
+            .credits
+            .shed_advice(now, &service(), rank, view, &mut effects);
+        self.execute(host, &mut effects);
+        advice
+    }
+
+    pub fn event(&mut self, host: &HostName, event: CreditEvent) {
+        if !self.daemons.contains_key(host) {
+            return;
+        }
+        let demands = self.demands_of(host);
+        let view = CreditView {
+            config: &self.config,
+            members: &self.members,
+            demands: &demands,
+        };
+        let daemon = self.daemons.get_mut(host).expect("a daemon");
+        let mut effects = EffectQueue::new();
+        daemon.credits.step(self.now, event, view, &mut effects);
+        self.execute(host, &mut effects);
+    }
+
+    fn execute(&mut self, host: &HostName, effects: &mut EffectQueue) {
+        let effects: Vec<_> = effects.drain().collect();
+        for effect in effects {
+            match effect {
+                DaemonEffect::SetTimer { key, at } => {
+                    let daemon = self.daemons.get_mut(host).expect("a daemon");
+                    daemon.timers.insert(key, at);
+                }
+                DaemonEffect::SendPeer { to, message, .. } => self.send(host, &to, message),
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: &HostName, to: &HostName, message: PeerMessage) {
+        let bytes = message.wire_bytes(from);
+        assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes}: {message:?}");
+        let daemon = self.daemons.get_mut(from).expect("a daemon");
+        daemon.sent_bytes += bytes as u64;
+        daemon.sent_messages += 1;
+        let PeerMessage::Credits(message) = message else {
+            return;
+        };
+        let copies = 1 + usize::from(self.rng.random_bool(self.faults.duplicates));
+        for _ in 0..copies {
+            if self.rng.random_bool(self.faults.loss) {
+                continue;
+            }
+            let delay = 2 + self.rng.random_range(0..=self.faults.jitter_ms);
+            self.flights.push(CreditFlight {
+                at: self.now.monotonic + Duration::from_millis(delay),
+                from: from.clone(),
+                to: to.clone(),
+                message: message.clone(),
+            });
+        }
+    }
+
+    /// Demand of a daemon on the upstreams of its zone.
+    fn demands_of(&self, host: &HostName) -> BTreeMap<UpstreamName, LocalDemand> {
+        let zone = &self.members.members[host].zone;
+        let daemon = &self.daemons[host];
+        let near = self
+            .config
+            .upstreams
+            .iter()
+            .filter(|(_, spec)| spec.zone == *zone);
+        let names: Vec<_> = near.map(|(name, _)| name).collect();
+        let waiting: BTreeMap<_, _> = daemon
+            .queues
+            .iter()
+            .filter(|(_, queue)| !queue.is_empty())
+            .map(|(rank, queue)| (*rank, queue.len().div_ceil(names.len().max(1))))
+            .collect();
+        let mut demands = BTreeMap::new();
+        for name in names {
+            let mut tiers: BTreeMap<TierRank, u32> = BTreeMap::new();
+            for job in daemon.running.iter().filter(|job| job.upstream == *name) {
+                *tiers.entry(job.rank).or_default() += 1;
+            }
+            for (rank, count) in &waiting {
+                *tiers.entry(*rank).or_default() += u32::try_from(*count).unwrap_or(u32::MAX);
+            }
+            if tiers.is_empty() {
+                continue;
+            }
+            let tiers = tiers
+                .into_iter()
+                .map(|(rank, seats)| TierDemand { rank, seats });
+            let demand = LocalDemand {
+                limit: self.limit,
+                in_use: in_use(&daemon.running, name),
+                tiers: tiers.collect(),
+                queued: !waiting.is_empty(),
+            };
+            demands.insert(name.clone(), demand);
+        }
+        demands
+    }
+
+    fn note_peak(&mut self) {
+        for name in self.config.upstreams.keys() {
+            let used: u32 = self
+                .daemons
+                .values()
+                .map(|d| in_use(&d.running, name))
+                .sum();
+            let peak = self.peak.entry(name.clone()).or_default();
+            *peak = used.max(*peak);
+        }
+    }
+
+    /// A host dies; the others still hold it for alive.
+    pub fn kill(&mut self, host: &HostName) {
+        self.daemons.remove(host);
+    }
+
+    pub fn mark(&mut self, host: &HostName, state: MemberState) {
+        self.members.members.get_mut(host).expect("a member").state = state;
+    }
+
+    pub fn tally(&self, host: &HostName, rank: u8) -> TierTally {
+        let tallies = &self.daemons[host].tallies;
+        tallies.get(&TierRank(rank)).copied().unwrap_or_default()
+    }
+
+    pub fn total(&self, rank: u8) -> TierTally {
+        let tallies = self.daemons.keys().map(|host| self.tally(host, rank));
+        tallies.fold(TierTally::default(), |sum, one| TierTally {
+            arrived: sum.arrived + one.arrived,
+            done: sum.done + one.done,
+            shed: sum.shed + one.shed,
+            shed_alone: sum.shed_alone + one.shed_alone,
+            floored: sum.floored + one.floored,
+            late: sum.late + one.late,
+        })
+    }
+
+    pub fn sent_bytes(&self) -> u64 {
+        self.daemons.values().map(|daemon| daemon.sent_bytes).sum()
+    }
+
+    /// Hosts that hold a grant on this upstream.
+    pub fn granted(&self, upstream: &str) -> BTreeSet<&HostName> {
+        let daemons = self.daemons.iter();
+        let held = daemons.filter(|(_, d)| d.credits.grants().contains_key(upstream));
+        held.map(|(host, _)| host).collect()
+    }
+}
+
+fn in_use(running: &[RunningJob], upstream: &UpstreamName) -> u32 {
+    let jobs = running.iter().filter(|job| job.upstream == *upstream);
+    u32::try_from(jobs.count()).unwrap_or(u32::MAX)
+}
+
+fn config_of(upstreams: usize, zones: usize) -> ConfigView {
+    let mut texts =
+        vec![r#"{"kind":"service","name":"notes","spec":{"protocol":"model"}}"#.to_owned()];
+    for rank in 0..4 {
+        texts.push(format!(
+            r#"{{"kind":"tier","name":"t{rank}","spec":{{"rank":{rank}}}}}"#
+        ));
+    }
+    for number in 0..upstreams {
+        let zone = number % zones;
+        texts.push(format!(
+            r#"{{"kind":"upstream","name":"runner-{number:03}","spec":{{"address":"10.1.0.1:80",
+               "service":"notes","version":"v1","zone":"z{zone}"}}}}"#
+        ));
+    }
+    let mut config = ConfigView::default();
+    for text in texts {
+        let document = serde_json::from_str(&text).expect("a document");
+        config.insert(document).expect("a name");
+    }
+    config
+}
--- a/crates/savorywood-protocol/src/peer/credits.rs
+++ b/crates/savorywood-protocol/src/peer/credits.rs
@@ -1,8 +1,14 @@
 //! Who may send how much to an upstream.
+//!
+//! Daemons speak only of upstreams that are contended, and gather all that they have to say to
+//! one another in one message.
 
 use crate::{TierRank, UpstreamName};
 use serde::{Deserialize, Serialize};
 
+/// Floor under which nothing is shed: all tiers are admitted.
+pub const NO_FLOOR: TierRank = TierRank(u8::MAX);
+
 /// Demand of one daemon in one tier.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TierDemand {
@@ -12,31 +18,59 @@
     pub seats: u32,
 }
 
+/// Demand of one daemon on one upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamDemand {
+    /// Upstream that it is about.
+    pub upstream: UpstreamName,
+    /// Seats that the sender's own limit would allow.
+    pub limit: u32,
+    /// Seats in use at the sender.
+    pub in_use: u32,
+    /// By tier, highest first; empty when the sender wants nothing more.
+    pub tiers: Vec<TierDemand>,
+    /// Most important tier that the sender is about to shed, if it is.
+    pub shedding: Option<TierRank>,
+}
+
+/// What the arbiter of one upstream allows one daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamGrant {
+    /// Upstream that it is about.
+    pub upstream: UpstreamName,
+    /// Seats at once.
+    pub seats: u32,
+    /// Lowest tier still admitted; [`NO_FLOOR`] for all.
+    pub floor: TierRank,
+    /// Whether all daemons together still want more than there is. While they do not, the
+    /// upstream stops being spoken of after a while.
+    pub contended: bool,
+}
+
 /// Message of the credit duty.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CreditMessage {
-    /// A daemon tells the arbiter what it would use.
+    /// A daemon tells an arbiter what it would use.
     Demand {
-        /// Upstream that it is about.
-        upstream: UpstreamName,
-        /// Counted up by the sender; older ones are dropped.
+        /// Larger than in all earlier messages of the sender; older ones are dropped.
         sequence: u64,
-        /// Seats that the sender's own limit would allow.
-        limit: u32,
-        /// By tier, highest first.
-        tiers: Vec<TierDemand>,
+        /// Upstreams that the receiver arbitrates.
+        upstreams: Vec<UpstreamDemand>,
     },
-    /// The arbiter tells a daemon what it may use.
+    /// An arbiter tells a daemon what it may use.
     Grant {
-        /// Upstream that it is about.
-        upstream: UpstreamName,
-        /// Demand that this answers.
+        /// Larger than in all earlier messages of the sender; older ones are dropped.
         sequence: u64,
-        /// Seats at once.
-        seats: u32,
-        /// Lowest tier still admitted to the service.
-        floor: TierRank,
+        /// Sequence of the receiver's demand that came last.
+        answers: u64,
         /// Valid for this long after receipt.
         term_ms: u32,
+        /// Upstreams that the sender arbitrates.
+        grants: Vec<UpstreamGrant>,
+    },
+    /// An arbiter asks who else uses upstreams that are contended.
+    Survey {
+        /// The contended upstreams.
+        upstreams: Vec<UpstreamName>,
     },
 }
