--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -4,14 +4,17 @@
 //! [`DaemonEvent`] and the time, and pushes [`DaemonEffect`]s that a shell executes. The same
 //! events in the same order always give the same effects.
 
+pub mod burn;
 pub mod claims;
 pub mod credits;
+pub mod config;
 pub mod daemon;
 pub mod discovery;
 pub mod effect;
 pub mod event;
 pub mod intake;
 pub mod invariant;
+pub mod leases;
 pub mod membership;
 pub mod operator;
 pub mod order;
@@ -23,6 +26,7 @@
 pub mod stop;
 pub mod view;
 
+pub use burn::BurnLedger;
 pub use daemon::{CoreOptions, DaemonCore};
 pub use effect::{DaemonEffect, DispatchOrder, EffectQueue, LogField, LogLevel, LogLine};
 pub use event::{
--- /dev/null
+++ b/crates/savorywood-protocol/tests/prefix.rs
@@ -0,0 +1,25 @@
+//! Prompts that begin alike share their first hashes, and only those.
+
+use quickcheck::quickcheck;
+use savorywood_protocol::prefix::{MAX_PREFIX_BLOCKS, PREFIX_BLOCK_BYTES, prefix_hashes};
+
+quickcheck! {
+    fn prompts_share_exactly_their_common_whole_blocks(blocks: u8, tail: u8, rest: u16) -> bool {
+        let blocks = usize::from(blocks % 8);
+        let common = blocks * PREFIX_BLOCK_BYTES + usize::from(tail);
+        let rest = usize::from(rest % 2_048);
+        let first = [vec![b'c'; common], vec![b'a'; rest]].concat();
+        let second = [vec![b'c'; common], vec![b'b'; rest]].concat();
+        let first = prefix_hashes(&first);
+        let second = prefix_hashes(&second);
+        let shared = first.iter().zip(&second).take_while(|(a, b)| a == b).count();
+        let expected = if rest == 0 { first.len() } else { common / PREFIX_BLOCK_BYTES };
+        shared == expected
+    }
+}
+
+#[test]
+fn a_long_prompt_has_no_more_names_than_the_bound() {
+    let prompt = vec![b'x'; (MAX_PREFIX_BLOCKS + 3) * PREFIX_BLOCK_BYTES];
+    assert_eq!(prefix_hashes(&prompt).len(), MAX_PREFIX_BLOCKS);
+}
