--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod burn;
 pub mod claims;
+pub mod credits;
 pub mod config;
 pub mod daemon;
 pub mod discovery;
@@ -22,6 +23,7 @@
 pub mod resume;
 pub mod scheduler;
 pub mod snapshot;
+pub mod stop;
 pub mod view;
 
 pub use burn::BurnLedger;
