--- a/crates/savorywood-core/src/scheduler/admission.rs
+++ b/crates/savorywood-core/src/scheduler/admission.rs
@@ -4,7 +4,7 @@
     RequestScheduler, SchedulerMechanism, SchedulerView,
     cost::CostEstimate,
     queue::WaitingRequest,
-    retry::plain_return,
+    retry::return_after,
     service::{SeatCount, ServiceState},
 };
 use crate::{
@@ -24,7 +24,7 @@
 /// Seats are counted again after this long.
 const COUNT_EVERY: Duration = Duration::from_millis(50);
 /// Least share of the seats that a tier is taken to get when higher ones want them all.
-const LEAST_SHARE: f64 = 0.02;
+const LEAST_SHARE: f64 = 0.05;
 /// Share of the predicted time that must be left when work begins. More than one: work that is
 /// begun and then late has cost a seat and its prefill, a refusal costs neither.
 const NEEDED_SHARE: f64 = 1.2;
@@ -304,19 +304,13 @@
     /// When to tell a refused caller to come back: once the work ahead of its tier is done.
     fn return_time(&mut self, now: MonotonicTime, waiting: &WaitingRequest) -> Duration {
         let jitter: f64 = self.rng.random();
-        let rank = waiting.request.rank;
-        let Some(service) = self.services.get_mut(&waiting.request.service) else {
-            return plain_return(Duration::ZERO).mul_f64(1.0 + jitter);
+        let Some(service) = self.services.get(&waiting.request.service) else {
+            return return_after(Duration::ZERO, jitter);
         };
-        let seats = seats_left(now, service, rank);
+        let seats = seats_left(now, service, waiting.request.rank);
         let ahead = service.queue.work_ahead(&waiting.request) as f64 / MICROS;
         let wait = Duration::from_secs_f64((ahead / seats).min(3_600.0));
-        if !self.options.has(SchedulerMechanism::SpreadReturns) {
-            return plain_return(wait);
-        }
-        let share = waiting.seat_micros as f64 / MICROS / seats;
-        let share = Duration::from_secs_f64(share.min(10.0));
-        service.returns.book(now, rank, wait, share, jitter)
+        return_after(wait, jitter)
     }
 
     /// Puts a request into its service's queue.
--- a/crates/savorywood-core/src/scheduler/dispatch.rs
+++ b/crates/savorywood-core/src/scheduler/dispatch.rs
@@ -138,9 +138,8 @@
                 {
                     second = Some(PlannedDispatch { request, picked });
                 }
-                Ok(_) => {}
                 Err(PickFailure::Full) if waiting.avoid != Some(upstream) => break,
-                Err(_) => {}
+                Ok(_) | Err(_) => {}
             }
             if second.is_some() && waiting.pressing_at <= now {
                 break;
--- a/crates/savorywood-core/src/scheduler/options.rs
+++ b/crates/savorywood-core/src/scheduler/options.rs
@@ -34,8 +34,6 @@
     DeadlineAdmission,
     /// Output lengths are learned by team as well as by route.
     TeamCosts,
-    /// Refused callers are told different times to come back.
-    SpreadReturns,
 }
 
 /// Settings of the scheduler.
--- a/crates/savorywood-core/src/scheduler/retry.rs
+++ b/crates/savorywood-core/src/scheduler/retry.rs
@@ -1,8 +1,7 @@
 //! Bounds on work that comes again: attempts after a failed connection, and callers told to
 //! return.
 
-use savorywood_protocol::{MonotonicTime, TierRank};
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 /// Retries earned by each new request, in thousandths.
 const EARNED_PER_MILLE: u32 = 100;
@@ -12,8 +11,8 @@
 const RETRY_COST: u32 = 1_000;
 /// Shortest time told to a caller.
 const MIN_RETURN: Duration = Duration::from_secs(1);
-/// Longest time told to a caller.
-pub const MAX_RETURN: Duration = Duration::from_secs(60);
+/// Longest time told to a caller, before jitter.
+const MAX_RETURN: Duration = Duration::from_secs(60);
 
 /// Retries that may still be made. When most connections fail, retries would only add to what
 /// brought the upstreams down; this keeps them to a tenth of new requests.
@@ -44,39 +43,10 @@
     }
 }
 
-/// Times at which refused callers were told to come back. Each refusal books its own time at the
-/// rate at which work is done, so that callers refused together don't return together.
-#[derive(Debug, Default)]
-pub struct ReturnPlan {
-    booked: BTreeMap<TierRank, MonotonicTime>,
-}
-
-impl ReturnPlan {
-    /// Time to tell a caller whose turn can't come for `wait`, when its work takes `share` of the
-    /// service. `jitter` is between 0 and 1.
-    pub fn book(
-        &mut self,
-        now: MonotonicTime,
-        rank: TierRank,
-        wait: Duration,
-        share: Duration,
-        jitter: f64,
-    ) -> Duration {
-        let earliest = now + wait.max(MIN_RETURN);
-        let booked = self.booked.entry(rank).or_default();
-        *booked = (*booked).max(earliest) + share;
-        let told = booked.since(now);
-        if told > MAX_RETURN {
-            // The plan is full: spread over its second half.
-            *booked = now + MAX_RETURN;
-            return MAX_RETURN.mul_f64(0.5 + jitter / 2.0);
-        }
-        told.mul_f64(1.0 + jitter / 5.0)
-    }
-}
-
-/// Time to tell a caller without a plan.
+/// Time to tell a refused caller whose turn can't come for `wait`. `jitter` is between 0 and 1 and
+/// spreads callers who are refused together over as long again: told the same time, they would
+/// come back together and be refused together again.
 #[must_use]
-pub fn plain_return(wait: Duration) -> Duration {
-    wait.clamp(MIN_RETURN, MAX_RETURN)
+pub fn return_after(wait: Duration, jitter: f64) -> Duration {
+    wait.clamp(MIN_RETURN, MAX_RETURN).mul_f64(1.0 + jitter)
 }
--- a/crates/savorywood-core/src/scheduler/service.rs
+++ b/crates/savorywood-core/src/scheduler/service.rs
@@ -3,15 +3,14 @@
 use super::{
     fleet::UpstreamId,
     queue::{QueueOrder, RequestQueue},
-    retry::ReturnPlan,
     speed::{DecayedMean, SpeedEstimate, SpeedMeter},
     split::SplitMeter,
 };
 use savorywood_protocol::{MonotonicTime, TierRank, resource::ServiceObjectives};
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
-/// Time over which arrivals of a tier are averaged.
-const RATE_TAU: Duration = Duration::from_secs(5);
+/// Seconds over which arrivals of a tier are averaged.
+const RATE_SECONDS: f64 = 5.0;
 /// Tokens of the prompt for which the first-token objective is taken to be meant, until the
 /// service's speed is known.
 const OBJECTIVE_PROMPT_TOKENS: f64 = 2_048.0;
@@ -32,13 +31,13 @@
 
     fn faded(&self, now: MonotonicTime) -> f64 {
         let age = now.since(self.updated_at).as_secs_f64();
-        self.sum * (-age / RATE_TAU.as_secs_f64()).exp()
+        self.sum * (-age / RATE_SECONDS).exp()
     }
 
     /// Amount per second.
     #[must_use]
     pub fn rate(&self, now: MonotonicTime) -> f64 {
-        self.faded(now) / RATE_TAU.as_secs_f64()
+        self.faded(now) / RATE_SECONDS
     }
 }
 
@@ -77,8 +76,6 @@
     pub saturated: bool,
     /// Shares of versions.
     pub splits: SplitMeter,
-    /// Times told to refused callers.
-    pub returns: ReturnPlan,
     /// Speed of all its upstreams taken together.
     pub speed: SpeedMeter,
     /// Share of prompt tokens that caches did not hold.
@@ -103,7 +100,6 @@
             queue: RequestQueue::new(order),
             saturated: false,
             splits: SplitMeter::default(),
-            returns: ReturnPlan::default(),
             speed: SpeedMeter::default(),
             miss_share: DecayedMean::default(),
             arrivals: BTreeMap::new(),
--- a/crates/savorywood-experiment/src/report.rs
+++ b/crates/savorywood-experiment/src/report.rs
@@ -4,11 +4,12 @@
 use std::fmt::Write;
 
 /// Heads of the table's columns.
-const HEADS: [&str; 11] = [
+const HEADS: [&str; 12] = [
     "policy",
     "in time by tier %",
     "first token too %",
     "all %",
+    "worst team %",
     "tokens in time",
     "shed by tier %",
     "late by tier %",
@@ -52,6 +53,7 @@
         by_tier(&|rank| tiers[rank].in_time),
         by_tier(&|rank| tiers[rank].prompt_start),
         format!("{:.1}", tally.goodput() * 100.0),
+        format!("{:.1}", tally.worst_team() * 100.0),
         tally.good_tokens.to_string(),
         by_tier(&|rank| tiers[rank].shed),
         by_tier(&|rank| tiers[rank].late + tiers[rank].broken),
--- a/crates/savorywood-experiment/src/tally.rs
+++ b/crates/savorywood-experiment/src/tally.rs
@@ -26,6 +26,15 @@
     pub broken: u64,
 }
 
+/// Requests of one team.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TeamTally {
+    /// Requests.
+    pub tasks: u64,
+    /// Whole within the deadline.
+    pub in_time: u64,
+}
+
 /// Prefill of all engines, in tokens.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PrefillTally {
@@ -52,6 +61,8 @@
 pub struct RunTally {
     /// By tier.
     pub tiers: [TierTally; TIERS],
+    /// By team.
+    pub teams: Vec<TeamTally>,
     /// Prefill.
     pub prefill: PrefillTally,
     /// Tokens of answers that were whole in time.
@@ -82,6 +93,7 @@
         };
         Self {
             tiers: [TierTally::default(); TIERS],
+            teams: Vec::new(),
             prefill: PrefillTally::default(),
             good_tokens: 0,
             first_token: histogram(),
@@ -105,6 +117,14 @@
         good as f64 / tasks.max(1) as f64
     }
 
+    /// Share of the requests of the team that fares worst that were whole in time.
+    #[must_use]
+    pub fn worst_team(&self) -> f64 {
+        let shares = self.teams.iter();
+        let shares = shares.map(|team| team.in_time as f64 / team.tasks.max(1) as f64);
+        shares.fold(1.0, f64::min)
+    }
+
     /// Microseconds of processor time for each request.
     #[must_use]
     pub fn decision_micros(&self) -> f64 {
--- a/crates/savorywood-experiment/src/world.rs
+++ b/crates/savorywood-experiment/src/world.rs
@@ -14,7 +14,7 @@
     names::NameBook,
     policy::PolicyKind,
     scenario::RunScenario,
-    tally::RunTally,
+    tally::{RunTally, TeamTally},
     task::{TaskRecord, TaskState},
     workload::generate,
 };
@@ -110,11 +110,13 @@
         let scenario = self.scenario;
         let tasks = generate(&self.shape, scenario.load, scenario.time, scenario.seed);
         self.open = tasks.len();
+        self.tally.teams = vec![TeamTally::default(); self.shape.teams.len()];
         for (index, task) in tasks.into_iter().enumerate() {
             let rank = usize::from(self.shape.routes[task.route].rank);
             let counted = (WARM_UP..scenario.time - COOL_DOWN).contains(&task.at);
             let daemon = self.steer(&task, index);
             self.tally.tiers[rank].tasks += u64::from(counted);
+            self.tally.teams[task.team].tasks += u64::from(counted);
             self.tasks.push(TaskRecord {
                 task,
                 rank,
--- a/crates/savorywood-experiment/src/world/callers.rs
+++ b/crates/savorywood-experiment/src/world/callers.rs
@@ -259,6 +259,7 @@
         }
         let first = record.first_at.unwrap_or(now) - record.arrived_at;
         let prompt_start = first <= FIRST_TOKEN_OBJECTIVE;
+        self.tally.teams[record.task.team].in_time += 1;
         self.tally
             .count_good(record.rank, &record.task.shape, prompt_start);
     }
