Keep a call that may not be repeated open until its attempt ends

Cause: when the deadline of a dispatched call that may not be repeated passed, the daemon closed its gate entry and recorded its claim as unknown, although the shell lets the call go on so that a retry gets its outcome. The retry was told "unknown" for good, and a planned stop ended the process with the call under way. Events of attempts were also taken without a look at their attempt: a late "not sent" of an older one would have let the claim of a running call be released, and a late "broken" closed a request that waited for its next attempt. And a caller that left while its connection was being refused left a gate entry behind that no event closed, so that a planned stop never ended.

Ruled out: the scheduler's table looks attempts up by request and attempt and is not affected.

Change: gate entries stay, as abandoned, until their attempt ends; claims, objectives and gate hear only of the attempt under way.

Conclusion: mended in the gate and where decisions are composed; the scheduler is unchanged.

--- a/crates/savorywood-core/src/daemon/deciding.rs
+++ b/crates/savorywood-core/src/daemon/deciding.rs
@@ -51,6 +51,7 @@
         let detail = "the daemon kept the request from being sent wrongly; send it again";
         let refusal = RequestRefusal::unknown(RefusalCode::Internal, detail);
         self.refuse(now, request, refusal, effects);
+        self.close(now, request, effects);
         self.schedule(now, SchedulerEvent::CallerLeft { request }, effects);
     }
 
@@ -62,14 +63,20 @@
         refusal: RequestRefusal,
         effects: &mut EffectQueue,
     ) {
-        let idempotent = self.gate.is_idempotent(request);
+        let goes_on = self.gate.is_dispatched(request) && !self.gate.is_idempotent(request);
         let refusal = self.gate.refuse(request, refusal, effects);
-        if !idempotent {
-            self.claim(now, ClaimEvent::Closed { request }, effects);
+        if !goes_on {
+            self.close(now, request, effects);
         }
         effects.refuse(request, refusal);
     }
 
+    /// Nothing more will come of a request.
+    fn close(&mut self, now: CoreTime, request: RequestId, effects: &mut EffectQueue) {
+        self.gate.close(request);
+        self.claim(now, ClaimEvent::Closed { request }, effects);
+    }
+
     /// Steps the claim duty; calls whose claim holds go to the scheduler.
     pub(super) fn claim(&mut self, now: CoreTime, event: ClaimEvent, effects: &mut EffectQueue) {
         let view = ClaimView {
@@ -102,13 +109,25 @@
         event: UpstreamEvent,
         effects: &mut EffectQueue,
     ) {
+        if self.gate.is_current(&event) {
+            self.note_attempt(now, &event, effects);
+        }
+        self.schedule(now, SchedulerEvent::Upstream(event), effects);
+    }
+
+    /// Notes what came of the attempt that is under way, before the scheduler acts on it.
+    fn note_attempt(&mut self, now: CoreTime, event: &UpstreamEvent, effects: &mut EffectQueue) {
         self.objectives
-            .upstream(now.monotonic, &event, &mut self.burn);
+            .upstream(now.monotonic, event, &mut self.burn);
         if self.claims.open_claims() > 0 {
             self.claim(now, ClaimEvent::Upstream(event.clone()), effects);
         }
-        self.gate.upstream(&event);
-        self.schedule(now, SchedulerEvent::Upstream(event), effects);
+        self.gate.upstream(event);
+        if let UpstreamEvent::NotSent { request, .. } = event
+            && self.gate.is_given_up(*request)
+        {
+            self.close(now, *request, effects);
+        }
     }
 
     pub(super) fn caller(&mut self, now: CoreTime, event: CallerEvent, effects: &mut EffectQueue) {
@@ -129,9 +148,10 @@
             return;
         }
         self.objectives.forget(request);
-        if !dispatched {
-            self.gate.close(request);
-            self.claim(now, ClaimEvent::Closed { request }, effects);
+        if dispatched {
+            self.gate.abandon(request);
+        } else {
+            self.close(now, request, effects);
         }
         self.schedule(now, SchedulerEvent::CallerLeft { request }, effects);
     }
--- a/crates/savorywood-core/src/daemon/gate.rs
+++ b/crates/savorywood-core/src/daemon/gate.rs
@@ -23,6 +23,8 @@
 struct GateEntry {
     stage: GateStage,
     idempotent: bool,
+    /// Nobody waits for its answer any longer, but its attempt has not ended.
+    abandoned: bool,
 }
 
 /// Open requests, and how far each has come.
@@ -34,9 +36,12 @@
 impl DispatchGate {
     /// Notes a request that was let in.
     pub fn open(&mut self, request: RequestId, idempotent: bool) {
-        let stage = GateStage::Here;
-        self.entries
-            .insert(request, GateEntry { stage, idempotent });
+        let entry = GateEntry {
+            stage: GateStage::Here,
+            idempotent,
+            abandoned: false,
+        };
+        self.entries.insert(request, entry);
     }
 
     /// Forgets a request that is over.
@@ -61,6 +66,32 @@
         entry.is_some_and(|entry| entry.stage != GateStage::Here)
     }
 
+    /// Notes that nobody waits for a request any longer.
+    pub fn abandon(&mut self, request: RequestId) {
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.abandoned = true;
+        }
+    }
+
+    /// Whether an abandoned request turned out not to have left this host. Nothing more will
+    /// come of it: kept open, it would hold up a planned stop for good.
+    pub fn is_given_up(&self, request: RequestId) -> bool {
+        let entry = self.entries.get(&request);
+        entry.is_some_and(|entry| entry.abandoned && entry.stage == GateStage::Here)
+    }
+
+    /// Whether an event is of the attempt that is under way, or of no request at all.
+    ///
+    /// A late event of an older attempt says nothing of the present one. Taken for it, "not
+    /// sent" would release the claim of a call that runs, and its repeat would run too.
+    pub fn is_current(&self, event: &UpstreamEvent) -> bool {
+        let Some(key) = attempt_of(event) else {
+            return true;
+        };
+        let entry = self.entries.get(&key.request);
+        entry.is_some_and(|entry| entry.stage == GateStage::Dispatched(key.attempt))
+    }
+
     /// Checks a dispatch and notes it; `false` when it must not happen.
     ///
     /// A second dispatch of the same request would run it twice: two charges, two bulletins. The
@@ -91,13 +122,11 @@
         once && takes_work
     }
 
-    /// Notes what an upstream did. A late event of an older attempt changes nothing.
+    /// Notes what an upstream did in the attempt that is under way.
     pub fn upstream(&mut self, event: &UpstreamEvent) {
         match event {
-            UpstreamEvent::NotSent { request, attempt } => {
-                if let Some(entry) = self.entries.get_mut(request)
-                    && entry.stage == GateStage::Dispatched(*attempt)
-                {
+            UpstreamEvent::NotSent { request, .. } => {
+                if let Some(entry) = self.entries.get_mut(request) {
                     entry.stage = GateStage::Here;
                 }
             }
@@ -114,6 +143,9 @@
     /// Checks a refusal, corrects it if it says too much, and closes the request.
     ///
     /// A caller that is told "not run" sends the request again. If it did run, it runs twice.
+    ///
+    /// A call that may not be repeated and may have reached its upstream stays open until its
+    /// attempt ends: its outcome is still to be recorded, and a planned stop has to wait for it.
     pub fn refuse(
         &mut self,
         request: RequestId,
@@ -121,14 +153,46 @@
         effects: &mut EffectQueue,
     ) -> RequestRefusal {
         let claims_not_run = refusal.outcome == OutcomeKind::NotRun;
-        let is_true = !(claims_not_run && self.is_dispatched(request));
+        let dispatched = self.is_dispatched(request);
+        let is_true = !(claims_not_run && dispatched);
         invariant::check(effects, InvariantName::NotRunIsTrue, is_true, || {
             format!("request={request} code={}", refusal.code)
         });
         if !is_true {
             refusal.outcome = OutcomeKind::Unknown;
         }
-        self.close(request);
+        if dispatched && !self.is_idempotent(request) {
+            self.abandon(request);
+        } else {
+            self.close(request);
+        }
         refusal
     }
 }
+
+/// One attempt of one request.
+#[derive(Debug, Clone, Copy)]
+struct AttemptKey {
+    request: RequestId,
+    attempt: AttemptNumber,
+}
+
+fn attempt_of(event: &UpstreamEvent) -> Option<AttemptKey> {
+    match event {
+        UpstreamEvent::NotSent { request, attempt }
+        | UpstreamEvent::FirstToken { request, attempt }
+        | UpstreamEvent::Tokens {
+            request, attempt, ..
+        }
+        | UpstreamEvent::Finished {
+            request, attempt, ..
+        }
+        | UpstreamEvent::Broken {
+            request, attempt, ..
+        } => Some(AttemptKey {
+            request: *request,
+            attempt: *attempt,
+        }),
+        UpstreamEvent::LoadReported { .. } | UpstreamEvent::CacheChanged { .. } => None,
+    }
+}
