Add moves of versions

Cause: traffic could not be moved from one version to another.

Change: MovesState with rows, splits, sticky stops by gossip, evidence messages, sequential tests of failures and speed, stages planned from the measured rate, and a seeded experiment. MoveMessage::Stop carries the revision of the spec, so that a move written again is a new try.

Tests of the configuration write services now rather than teams: since documents are checked against each other, a team whose tier does not exist is refused. What they assert is the same.

--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod intake;
 pub mod invariant;
 pub mod leases;
+pub mod moves;
 pub mod operator;
 pub mod order;
 pub mod request;
--- /dev/null
+++ b/crates/savorywood-core/src/moves/evidence.rs
@@ -0,0 +1,83 @@
+//! What this daemon sees of the two versions of a move, gathered until it is sent.
+
+use savorywood_protocol::{
+    ServiceName, VersionName,
+    peer::moves::{ArmEvidence, RouteEvidence},
+};
+use std::collections::BTreeMap;
+
+/// Routes told apart in one move. More are put together, so that a message stays small.
+const MAX_ROUTES: usize = 16;
+
+/// Name under which further routes are put together.
+const OTHER_ROUTES: &str = "other routes";
+
+/// How one request ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MoveSample {
+    /// Service.
+    pub service: ServiceName,
+    /// Route within the service.
+    pub route: String,
+    /// Version of the upstream that it was dispatched to.
+    pub version: VersionName,
+    /// Whether the upstream failed it. A caller that left is no failure.
+    pub failed: bool,
+    /// Microseconds between two tokens (model) or for the whole answer (plain), if measured.
+    pub micros: Option<u32>,
+}
+
+/// Which of the two versions a request met.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VersionArm {
+    /// The one that had the traffic.
+    Old,
+    /// The one that gets it.
+    New,
+}
+
+/// Evidence of one move since it was sent last.
+#[derive(Debug, Clone, Default)]
+pub struct EvidenceBuffer {
+    routes: BTreeMap<String, RouteEvidence>,
+}
+
+impl EvidenceBuffer {
+    /// Adds one request.
+    pub fn add(&mut self, arm: VersionArm, sample: &MoveSample) {
+        let known = self.routes.contains_key(&sample.route);
+        let room = known || self.routes.len() < MAX_ROUTES;
+        let route = if room { &sample.route } else { OTHER_ROUTES };
+        let evidence = self
+            .routes
+            .entry(route.to_owned())
+            .or_insert_with(|| RouteEvidence {
+                route: route.to_owned(),
+                old: ArmEvidence::default(),
+                new: ArmEvidence::default(),
+            });
+        let side = match arm {
+            VersionArm::Old => &mut evidence.old,
+            VersionArm::New => &mut evidence.new,
+        };
+        side.finished += 1;
+        side.failed += u32::from(sample.failed);
+        if let Some(micros) = sample.micros.filter(|_| !sample.failed) {
+            let log = (micros.max(1) as f32).ln();
+            side.timed += 1;
+            side.log_sum += log;
+            side.log_square += log * log;
+        }
+    }
+
+    /// Takes out what was gathered.
+    pub fn take(&mut self) -> Vec<RouteEvidence> {
+        std::mem::take(&mut self.routes).into_values().collect()
+    }
+
+    /// Whether the new version failed since the last message: told sooner than the rest.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        self.routes.values().any(|evidence| evidence.new.failed > 0)
+    }
+}
--- /dev/null
+++ b/crates/savorywood-core/src/moves/stopping.rs
@@ -0,0 +1,153 @@
+//! Stopping a move here and everywhere, without the table.
+
+use super::{MoveView, MovesState, watching::EvidenceParcel};
+use crate::{
+    effect::{DaemonEffect, EffectQueue, LogLevel, LogLine},
+    view::MemberView,
+};
+use rand::seq::IteratorRandom;
+use savorywood_protocol::{
+    ConfigRevision, CoreTime, HostName, MoveName, WallTime,
+    peer::{MoveMessage, PeerMessage},
+};
+
+/// Peers told in each round.
+const GOSSIP_PEERS: usize = 6;
+
+/// Rounds after the first. Each daemon that hears of a stop tells it as well, so with half of the
+/// datagrams lost all of 350 still have it after a few.
+const GOSSIP_ROUNDS: u32 = 3;
+
+/// Why and when a move was stopped.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StopRecord {
+    /// Revision of the spec that was stopped. A later one is a new try.
+    pub revision: ConfigRevision,
+    /// What was seen.
+    pub reason: String,
+    /// When it was seen.
+    pub at: WallTime,
+    /// Rounds in which peers are still told.
+    rounds_left: u32,
+}
+
+impl MovesState {
+    /// Whether that revision of a move was stopped.
+    #[must_use]
+    pub fn is_stopped(&self, name: &MoveName, revision: ConfigRevision) -> bool {
+        self.stop_of(name, revision).is_some()
+    }
+
+    pub(super) fn stop_of(&self, name: &MoveName, revision: ConfigRevision) -> Option<&StopRecord> {
+        self.stops
+            .get(name)
+            .filter(|stop| stop.revision == revision)
+    }
+
+    /// Stops a move here at once and tells peers.
+    pub(super) fn stop(
+        &mut self,
+        name: &MoveName,
+        stop: StopRecord,
+        members: &MemberView,
+        effects: &mut EffectQueue,
+    ) {
+        let known = self.stops.get(name);
+        if known.is_some_and(|known| known.revision >= stop.revision) {
+            return;
+        }
+        let line = LogLine::new(LogLevel::Warn, "move-stopped")
+            .with("move", name)
+            .with("reason", &stop.reason);
+        effects.log(line);
+        self.tell_stop(name, &stop, members, effects);
+        self.stops.insert(name.clone(), stop);
+    }
+
+    pub(super) fn new_stop(now: CoreTime, revision: ConfigRevision, reason: String) -> StopRecord {
+        StopRecord {
+            revision,
+            reason,
+            at: now.wall,
+            rounds_left: GOSSIP_ROUNDS,
+        }
+    }
+
+    fn tell_stop(
+        &mut self,
+        name: &MoveName,
+        stop: &StopRecord,
+        members: &MemberView,
+        effects: &mut EffectQueue,
+    ) {
+        let own = &self.options.host;
+        let others = members.serving().filter(|(host, _)| *host != own);
+        for (host, member) in others.choose_multiple(&mut self.rng, GOSSIP_PEERS) {
+            let message = MoveMessage::Stop {
+                name: name.clone(),
+                revision: stop.revision,
+                reason: stop.reason.clone(),
+                at: stop.at,
+            };
+            effects.push(DaemonEffect::SendPeer {
+                to: host.clone(),
+                address: member.peer_address,
+                message: PeerMessage::Moves(message),
+            });
+        }
+    }
+
+    pub(super) fn stops_to_repeat(&self) -> bool {
+        self.stops.values().any(|stop| stop.rounds_left > 0)
+    }
+
+    pub(super) fn repeat_stops(&mut self, members: &MemberView, effects: &mut EffectQueue) {
+        let mut stops = std::mem::take(&mut self.stops);
+        for (name, stop) in &mut stops {
+            if stop.rounds_left > 0 {
+                stop.rounds_left -= 1;
+                self.tell_stop(name, stop, members, effects);
+            }
+        }
+        self.stops = stops;
+    }
+
+    pub(super) fn hear(
+        &mut self,
+        now: CoreTime,
+        from: &HostName,
+        message: MoveMessage,
+        view: MoveView<'_>,
+        effects: &mut EffectQueue,
+    ) {
+        match message {
+            MoveMessage::Stop {
+                name,
+                revision,
+                reason,
+                at,
+            } => {
+                let stop = StopRecord {
+                    at,
+                    ..Self::new_stop(now, revision, reason)
+                };
+                self.stop(&name, stop, view.members, effects);
+                self.drive(now, view, effects);
+            }
+            MoveMessage::Evidence {
+                name,
+                revision,
+                sequence,
+                routes,
+            } => {
+                let parcel = EvidenceParcel {
+                    name,
+                    revision,
+                    sequence,
+                    routes,
+                };
+                self.hear_evidence(now, from, &parcel);
+            }
+        }
+    }
+}
--- a/crates/savorywood-core/tests/config_faults.rs
+++ b/crates/savorywood-core/tests/config_faults.rs
@@ -27,9 +27,12 @@
 
 /// Checks each operator's answer against what the table really holds.
 fn answers_are_true(cluster: &ConfigCluster) -> Result<(), String> {
-    let committed = cluster.committed_weights();
+    let committed = cluster.committed_marks();
     for (call, record) in &cluster.operators {
-        let times = committed.iter().filter(|w| **w == record.weight).count();
+        let times = committed
+            .iter()
+            .filter(|mark| **mark == record.mark)
+            .count();
         let right = match &record.reply {
             Some(OperatorReply::Accepted { .. }) => times == 1,
             Some(OperatorReply::Refused(refusal)) => {
@@ -48,7 +51,7 @@
     Ok(())
 }
 
-/// Two operators edit the same team through different hosts while the table loses answers, some
+/// Two operators edit the same service through different hosts while the table loses answers, some
 /// of them after the write took effect, some before, and some writes land seconds later. An
 /// operator who is told "refused" would send the change again over a newer one; one who is told
 /// "accepted" would rely on what is not there. Each answer must agree with the table for good,
@@ -60,8 +63,8 @@
     for _ in 0..12 {
         for _ in 0..rng.random_range(1..4) {
             let node = rng.random_range(0..4);
-            let team = format!("team-{}", rng.random_range(0..3));
-            cluster.write_team(node, &team, None);
+            let service = format!("service-{}", rng.random_range(0..3));
+            cluster.write_service(node, &service, None);
         }
         if rng.random_range(0..6) == 0 {
             cluster.outage = !cluster.outage;
@@ -90,16 +93,16 @@
     }
 }
 
-/// Two operators read the same revision of a team and both send a change with `If-Match`. If both
+/// Two operators read the same revision of a service and both send a change with `If-Match`. If both
 /// were accepted, the first one's change would be gone without anybody being told.
 #[test]
 fn one_of_two_racing_operators_gets_a_conflict() {
     let mut cluster = ConfigCluster::new(2, 1, FaultChances::default());
     cluster.run(SECOND);
-    cluster.write_team(0, "shop", Some(ConfigRevision(0)));
+    cluster.write_service(0, "shop", Some(ConfigRevision(0)));
     cluster.run(3 * SECOND);
-    let first = cluster.write_team(0, "shop", Some(ConfigRevision(1)));
-    let second = cluster.write_team(1, "shop", Some(ConfigRevision(1)));
+    let first = cluster.write_service(0, "shop", Some(ConfigRevision(1)));
+    let second = cluster.write_service(1, "shop", Some(ConfigRevision(1)));
     cluster.run(3 * SECOND);
     let replies = [first, second].map(|call| cluster.operators[&call].reply.clone());
     let accepted = replies
@@ -120,11 +123,11 @@
 fn a_change_to_an_old_revision_is_a_conflict() {
     let mut cluster = ConfigCluster::new(2, 23, FaultChances::default());
     cluster.run(SECOND);
-    cluster.write_team(0, "shop", None);
+    cluster.write_service(0, "shop", None);
     cluster.run(4 * SECOND);
-    cluster.write_team(1, "shop", None);
+    cluster.write_service(1, "shop", None);
     cluster.run(4 * SECOND);
-    let late = cluster.write_team(0, "shop", Some(ConfigRevision(1)));
+    let late = cluster.write_service(0, "shop", Some(ConfigRevision(1)));
     cluster.run(4 * SECOND);
     let reply = &cluster.operators[&late].reply;
     assert!(
@@ -139,10 +142,10 @@
 fn a_late_snapshot_does_not_undo_what_the_table_gave() {
     let mut cluster = ConfigCluster::new(2, 29, FaultChances::default());
     cluster.run(SECOND);
-    cluster.write_team(0, "shop", None);
+    cluster.write_service(0, "shop", None);
     cluster.run(4 * SECOND);
     let old = cluster.nodes[1].snapshot();
-    cluster.write_team(0, "shop", None);
+    cluster.write_service(0, "shop", None);
     cluster.run(4 * SECOND);
     cluster.deliver_snapshot(0, 1, old);
     assert_eq!(cluster.in_force()[0], ConfigRevision(2));
@@ -156,10 +159,10 @@
 fn a_restarted_host_never_begins_with_an_older_revision() {
     let mut cluster = ConfigCluster::new(5, 7, FaultChances::default());
     cluster.run(SECOND);
-    cluster.write_team(0, "shop", None);
+    cluster.write_service(0, "shop", None);
     cluster.run(4 * SECOND);
     cluster.cut_off = vec![3, 4];
-    cluster.write_team(0, "shop", None);
+    cluster.write_service(0, "shop", None);
     cluster.run(4 * SECOND);
     cluster.outage = true;
     cluster.cut_off = vec![0, 1];
@@ -181,7 +184,7 @@
 #[test]
 fn an_outage_of_an_hour_stops_no_host_that_peers_confirm() {
     let mut cluster = ConfigCluster::new(7, 3, FaultChances::default());
-    cluster.write_team(0, "shop", None);
+    cluster.write_service(0, "shop", None);
     cluster.run(5 * SECOND);
     cluster.outage = true;
     for _ in 0..60 {
@@ -189,7 +192,7 @@
         let now = cluster.now();
         assert!(cluster.nodes.iter().all(|node| node.is_current(now)));
     }
-    let call = cluster.write_team(0, "shop", None);
+    let call = cluster.write_service(0, "shop", None);
     cluster.run(15 * SECOND);
     let reply = cluster.operators[&call].reply.clone();
     let Some(OperatorReply::Refused(refusal)) = reply else {
@@ -202,16 +205,16 @@
 }
 
 /// Two of seven hosts lose the table and the other five at once. They still confirm each other,
-/// and a team that was withdrawn on the others would go on being served by them for hours. They
+/// and a team whose token was withdrawn on the others would go on being served by them for hours. They
 /// must know within the allowed time that they can't be sure.
 #[test]
 fn a_cut_off_minority_knows_that_it_may_be_old() {
     let mut cluster = ConfigCluster::new(7, 5, FaultChances::default());
-    cluster.write_team(0, "shop", None);
+    cluster.write_service(0, "shop", None);
     cluster.run(5 * SECOND);
     cluster.cut_off = vec![5, 6];
     cluster.run(2 * SECOND);
-    cluster.write_team(0, "shop", None);
+    cluster.write_service(0, "shop", None);
     cluster.run(35 * SECOND);
     let now = cluster.now();
     let current: Vec<_> = cluster
@@ -234,7 +237,7 @@
 fn a_change_spreads_from_a_peer_while_the_table_is_down() {
     let mut cluster = ConfigCluster::new(7, 11, FaultChances::default());
     cluster.run(2 * SECOND);
-    let call = cluster.write_team(0, "shop", None);
+    let call = cluster.write_service(0, "shop", None);
     while cluster.operators[&call].reply.is_none() {
         cluster.run(Duration::from_millis(1));
     }
@@ -255,7 +258,7 @@
     cluster.run(25 * SECOND);
     for revision in 1..=2 {
         let before = cluster.table_calls;
-        cluster.write_team(0, "shop", None);
+        cluster.write_service(0, "shop", None);
         cluster.run(4 * SECOND);
         let revision = ConfigRevision(revision);
         assert!(cluster.in_force().iter().all(|r| *r == revision));
@@ -272,7 +275,7 @@
     let mut cluster = ConfigCluster::new(1, 17, FaultChances::default());
     cluster.run(SECOND);
     for _ in 0..1_100 {
-        cluster.write_team(0, "shop", None);
+        cluster.write_service(0, "shop", None);
         cluster.run(Duration::from_millis(60));
     }
     let node = &cluster.nodes[0];
--- /dev/null
+++ b/crates/savorywood-core/tests/move_faults.rs
@@ -0,0 +1,164 @@
+//! Failures of moves, brought about with several reducers, a fake table and a seeded workload.
+
+#[path = "support/fake_table.rs"]
+mod fake_table;
+#[path = "support/move_lab.rs"]
+mod move_lab;
+
+use move_lab::{FaultOnset, LabPlan, MoveLab};
+use quickcheck::{QuickCheck, quickcheck};
+use savorywood_core::moves::judge::{JudgeVerdict, VersionJudge};
+use savorywood_protocol::{
+    MonotonicTime,
+    peer::moves::{ArmEvidence, RouteEvidence},
+    resource::MoveState,
+};
+use std::time::Duration;
+
+fn failing(onset: FaultOnset) -> LabPlan {
+    LabPlan {
+        onset,
+        failure_rate: 0.5,
+        ..LabPlan::default()
+    }
+}
+
+/// A version is good and the room grows hot while it takes over: all engines slow down, and for
+/// some seconds both versions fail. Taking it back would cost the users their release for nothing.
+#[test]
+fn a_good_version_is_done_in_time_on_a_hot_afternoon() {
+    let mut lab = MoveLab::new(LabPlan::default(), 2);
+    lab.run_until(600.0);
+    assert_eq!(
+        lab.result.state,
+        Some(MoveState::Completed),
+        "{}",
+        lab.reason(0)
+    );
+    assert_eq!(lab.result.breaches, 0);
+}
+
+/// A version turns bad in one of the ways that the users name, at any time. Callers get errors or
+/// slow answers. It must be taken back by the deadline with few requests having met it, and get
+/// none a second after the first daemon saw it.
+fn bad_version(seed: u64) -> Result<(), String> {
+    let onsets = [
+        FaultOnset::AtOnce,
+        FaultOnset::After(50.0 + (seed % 400) as f64),
+        FaultOnset::UnderLoad(200),
+        FaultOnset::OneRoute,
+    ];
+    let onset = onsets[(seed % 4) as usize];
+    let slow = LabPlan {
+        onset,
+        slowdown: 1.6,
+        ..LabPlan::default()
+    };
+    let plan = if seed % 8 < 4 { failing(onset) } else { slow };
+    let mut lab = MoveLab::new(plan, seed);
+    lab.run_until(600.0);
+    let result = lab.result;
+    let met = f64::from(result.met_bad) / f64::from(result.requests);
+    let right = result.state == Some(MoveState::TakenBack)
+        && met < 0.02
+        && result.spread < 1.0
+        && result.breaches == 0;
+    if right {
+        Ok(())
+    } else {
+        Err(format!("{plan:?}: {result:?}, met {met}"))
+    }
+}
+
+#[test]
+fn bad_versions_are_taken_back() {
+    QuickCheck::new()
+        .tests(12)
+        .quickcheck(bad_version as fn(u64) -> Result<(), String>);
+}
+
+/// The version fails while the table is down. Nobody can write that it is taken back, yet no
+/// caller may get it any longer, and no operator may be told that it was taken back before it is
+/// so in the table.
+#[test]
+fn a_stop_works_without_the_table() {
+    let mut lab = MoveLab::new(failing(FaultOnset::After(40.0)), 3);
+    lab.run_until(35.0);
+    lab.outage = true;
+    lab.run_until(140.0);
+    assert!((0..7).all(|node| lab.share(node) == 0));
+    assert_eq!(lab.state(0), MoveState::Moving);
+    lab.outage = false;
+    lab.run_until(150.0);
+    assert!((0..7).all(|node| lab.state(node) == MoveState::TakenBack));
+}
+
+/// The holder is cut off from the table and the others for good. The others still see the version
+/// fail and must stop it by themselves.
+#[test]
+fn daemons_stop_a_version_without_the_holder() {
+    let mut lab = MoveLab::new(failing(FaultOnset::After(40.0)), 5);
+    lab.run_until(35.0);
+    lab.cut_off.insert(0);
+    lab.run_until(400.0);
+    assert!((1..7).all(|node| lab.share(node) == 0));
+}
+
+/// Table and holder are gone until after the deadline, and the version is not proved. Were each
+/// daemon to wait for a row, it would keep its share for as long as the outage lasts.
+#[test]
+fn an_unproven_version_has_no_share_after_the_deadline() {
+    let mut lab = MoveLab::new(LabPlan::default(), 7);
+    lab.run_until(60.0);
+    assert!((0..7).all(|node| lab.share(node) > 0));
+    lab.outage = true;
+    lab.run_until(601.0);
+    assert!((0..7).all(|node| lab.share(node) == 0));
+    assert_ne!(lab.state(0), MoveState::Completed);
+}
+
+/// A service gets hardly any requests, so nothing can be proved in the time that there is. The
+/// version must be taken back by the deadline with a reason, rather than pushed through.
+#[test]
+fn without_proof_the_version_is_taken_back_by_the_deadline() {
+    let plan = LabPlan {
+        rate: 0.2,
+        ..LabPlan::default()
+    };
+    let mut lab = MoveLab::new(plan, 11);
+    lab.run_until(599.0);
+    assert_eq!(lab.state(0), MoveState::TakenBack);
+    assert!(
+        lab.reason(0).contains("too few requests"),
+        "{}",
+        lab.reason(0)
+    );
+}
+
+fn evidence(old: [u32; 2], new: [u32; 2]) -> RouteEvidence {
+    let arm = |[finished, failed]: [u32; 2]| ArmEvidence {
+        finished,
+        failed,
+        ..ArmEvidence::default()
+    };
+    RouteEvidence {
+        route: "/a".into(),
+        old: arm(old),
+        new: arm(new),
+    }
+}
+
+quickcheck! {
+    /// Something that both versions need is down for minutes, and both fail at whatever rate. The
+    /// new one is not to blame and must not be taken back.
+    fn shared_trouble_is_no_fault_of_the_new_version(rates: Vec<u8>) -> bool {
+        let mut judge = VersionJudge::new(Duration::from_secs(1));
+        for (second, rate) in rates.iter().enumerate() {
+            let now = MonotonicTime(1_000_000 * (second as u64 + 1));
+            let failed = 40 * u32::from(rate % 100) / 100;
+            judge.close_slot(now);
+            judge.add(now, &evidence([40, failed], [20, failed / 2]));
+        }
+        !matches!(judge.verdict(), JudgeVerdict::Bad { .. })
+    }
+}
--- a/crates/savorywood-core/tests/support/config_cluster.rs
+++ b/crates/savorywood-core/tests/support/config_cluster.rs
@@ -9,9 +9,12 @@
     config::{ConfigEvent, ConfigOptions, ConfigState},
 };
 use savorywood_protocol::{
-    ConfigRevision, CoreTime, HostIncarnation, HostName, MonotonicTime, TierName, WallTime,
+    ConfigRevision, CoreTime, HostIncarnation, HostName, MonotonicTime, WallTime,
     peer::{PeerMessage, membership::MemberState},
-    resource::{ResourceDocument, ResourceSpec, TeamSpec},
+    resource::{
+        ClaimRetention, ResourceDocument, ResourceSpec, ServiceObjectives, ServiceProtocol,
+        ServiceSpec,
+    },
     table::{TableAnswer, TableRequest},
 };
 use std::{collections::BTreeMap, time::Duration};
@@ -40,8 +43,8 @@
 /// An operator's call and what it was told.
 #[derive(Debug)]
 pub struct OperatorRecord {
-    /// Weight that the written team carries: tells each change from all others.
-    pub weight: u32,
+    /// What the written service carries: tells each change from all others.
+    pub mark: u32,
     /// Answer; `None` while there is none.
     pub reply: Option<OperatorReply>,
 }
@@ -73,6 +76,9 @@
     rng: ChaCha8Rng,
 }
 
+/// Added to the marks of changes, so that each is a valid deadline.
+const FIRST_MARK: u32 = 10_000;
+
 const START_WALL_MS: u64 = 1_800_000_000_000;
 
 impl ConfigCluster {
@@ -130,11 +136,16 @@
         }
     }
 
-    /// An operator writes a team through a node.
-    pub fn write_team(&mut self, node: usize, team: &str, expected: Option<ConfigRevision>) -> u64 {
+    /// An operator writes a service through a node.
+    pub fn write_service(
+        &mut self,
+        node: usize,
+        service: &str,
+        expected: Option<ConfigRevision>,
+    ) -> u64 {
         let number = self.operators.len() as u64;
-        let weight = number as u32 + 1;
-        let document = team_document(team, weight);
+        let mark = number as u32 + 1;
+        let document = service_document(service, mark);
         let request = OperatorRequest::Apply { document, expected };
         let event = ConfigEvent::Operator {
             call: OperatorCall(number),
@@ -142,7 +153,7 @@
         };
         let reply = None;
         self.operators
-            .insert(number, OperatorRecord { weight, reply });
+            .insert(number, OperatorRecord { mark, reply });
         self.later(0, Pending::Node(node, event));
         number
     }
@@ -190,17 +201,17 @@
         self.nodes.iter().map(|node| node.view().revision).collect()
     }
 
-    /// Weights of all changes that took effect, in order.
-    pub fn committed_weights(&self) -> Vec<u32> {
+    /// Marks of all changes that took effect, in order.
+    pub fn committed_marks(&self) -> Vec<u32> {
         let commits = self.table.history.iter();
         let values = commits.flat_map(|commit| commit.writes.iter());
-        let rows = values.filter(|write| write.key.starts_with("config/team/"));
+        let rows = values.filter(|write| write.key.starts_with("config/service/"));
         let texts = rows.filter_map(|write| write.value.as_deref());
-        let weights = texts.filter_map(|text| {
+        let marks = texts.filter_map(|text| {
             let value: serde_json::Value = serde_json::from_str(text).ok()?;
-            value["document"]["spec"]["weight"].as_u64()
+            value["document"]["spec"]["objectives"]["deadline_ms"].as_u64()
         });
-        weights.map(|weight| weight as u32).collect()
+        marks.map(|mark| mark as u32 - FIRST_MARK).collect()
     }
 
     /// Members as a node sees them: those that it is cut off from are dead.
@@ -345,15 +356,20 @@
     }
 }
 
-/// A team that carries `weight`.
-pub fn team_document(name: &str, weight: u32) -> ResourceDocument {
-    let tier: TierName = "storm".parse().expect("a name");
+/// A service whose deadline carries `mark`.
+fn service_document(name: &str, mark: u32) -> ResourceDocument {
+    let objectives = ServiceObjectives {
+        deadline_ms: FIRST_MARK + mark,
+        ..ServiceObjectives::default()
+    };
     ResourceDocument {
         name: name.into(),
-        spec: ResourceSpec::Team(TeamSpec {
-            token_sha256: format!("{weight:064x}"),
-            tiers: vec![tier],
-            weight,
+        spec: ResourceSpec::Service(ServiceSpec {
+            protocol: ServiceProtocol::Model,
+            objectives,
+            routes: Vec::new(),
+            claims: ClaimRetention::default(),
+            version: None,
         }),
         revision: None,
         status: None,
