Compose credits, the shed floor, leases and the planned stop

Cause: each daemon shed by its own queues alone, seats of an upstream were not shared, and a stop ended as soon as nothing was open, while callers still held the address. Ruled out: letting the scheduler ask (it would have to keep what it turned away); refusing while asking (a high tier would be shed while a low one waits elsewhere). Change: the core counts demands by upstream, feeds grants and floors to the scheduler, keeps what the scheduler turns away for load until lower tiers elsewhere have yielded or nobody answers, and carries out the stop's verdicts in order. A resumed stream counts as open work. Conclusion: all daemons share one order of shedding; what remains is moves and orders.

--- a/crates/savorywood-core/src/daemon.rs
+++ b/crates/savorywood-core/src/daemon.rs
@@ -3,8 +3,10 @@
 mod callers;
 mod deciding;
 mod gate;
+mod leaving;
 mod objectives;
 mod reads;
+mod sharing;
 
 pub use reads::DaemonUnready;
 
@@ -12,23 +14,32 @@
     burn::BurnLedger,
     claims::{ClaimEvent, ClaimOptions, ClaimState},
     config::{ConfigEvent, ConfigOptions, ConfigState, ConfigVerdict},
+    credits::{CreditEvent, CreditOptions, CreditState},
     discovery::DiscoveryOptions,
     effect::{DaemonEffect, EffectQueue},
     event::{DaemonEvent, DutyKind, TimerKey},
+    leases::{LeaseEvent, LeaseOptions, LeaseState},
     membership::{MembershipEvent, MembershipOptions, MembershipState},
     scheduler::{RequestScheduler, SchedulerEvent, SchedulerOptions, SeatGrant},
+    stop::{StopEvent, StopOptions, StopState},
     view::{ConfigView, MemberView, VersionSplit},
 };
 use gate::DispatchGate;
 use objectives::ObjectiveTracker;
 use savorywood_protocol::{
-    CoreTime, HostIncarnation, HostName, MonotonicTime, RegionName, ServiceName, TierRank,
-    UpstreamName, ZoneName,
+    CoreTime, HostIncarnation, HostName, MonotonicTime, RegionName, RequestId, ServiceName,
+    TierRank, UpstreamName, ZoneName,
     peer::{PeerMessage, membership::MemberPlace},
     resume_token::ResumeKey,
     table::TableAnswer,
 };
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use sharing::{DemandCount, HeldRequests};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 /// What a daemon knows of itself from its settings.
 #[derive(Debug, Clone)]
@@ -81,12 +92,18 @@
     membership: MembershipState,
     claims: ClaimState,
     gate: DispatchGate,
+    credits: CreditState,
+    demands: DemandCount,
+    held: HeldRequests,
+    queued: BTreeSet<ServiceName>,
+    leases: LeaseState,
+    stop: StopState,
+    resumed: BTreeSet<RequestId>,
     scheduler: RequestScheduler,
     inputs: SchedulerInputs,
     burn: BurnLedger,
     objectives: ObjectiveTracker,
     started_at: MonotonicTime,
-    stopping: bool,
 }
 
 impl DaemonCore {
@@ -110,12 +127,25 @@
                 seed,
             )),
             gate: DispatchGate::default(),
+            credits: CreditState::new(CreditOptions::new(options.host.clone())),
+            demands: DemandCount::default(),
+            held: HeldRequests::default(),
+            queued: BTreeSet::new(),
+            leases: LeaseState::new(LeaseOptions::new(
+                options.host.clone(),
+                options.incarnation,
+                seed,
+            )),
+            stop: StopState::new(StopOptions {
+                max_age: options.address_max_age,
+                ..StopOptions::default()
+            }),
+            resumed: BTreeSet::new(),
             scheduler: RequestScheduler::new(SchedulerOptions::new(seed)),
             inputs: SchedulerInputs::default(),
             burn: BurnLedger::default(),
             objectives: ObjectiveTracker::default(),
             started_at: MonotonicTime::default(),
-            stopping: false,
             options,
         }
     }
@@ -143,8 +173,8 @@
         let before = effects.as_slice().len();
         self.handle(now, event, effects);
         self.measure_refusals(now, &effects.as_slice()[before..]);
-        if self.stopping && self.is_drained() {
-            effects.push(DaemonEffect::Exit);
+        if self.stop.is_stopping() {
+            self.leave(now, StopEvent::WorkChanged, effects);
         }
     }
 
@@ -179,10 +209,7 @@
             DaemonEvent::HostsListed(hosts) => {
                 self.join(now, MembershipEvent::HostsListed(hosts), effects);
             }
-            DaemonEvent::StopRequested => {
-                self.stopping = true;
-                self.join(now, MembershipEvent::Leave, effects);
-            }
+            DaemonEvent::StopRequested => self.leave(now, StopEvent::Requested, effects),
             DaemonEvent::AnswerKept { request, answer } => {
                 self.claim(now, ClaimEvent::AnswerKept { request, answer }, effects);
             }
@@ -195,6 +222,7 @@
         self.join(now, MembershipEvent::Started, effects);
         self.configure(now, ConfigEvent::Started, effects);
         self.claim(now, ClaimEvent::Started, effects);
+        self.share(now, CreditEvent::Started, effects);
     }
 
     fn timer(&mut self, now: CoreTime, key: TimerKey, effects: &mut EffectQueue) {
@@ -206,11 +234,10 @@
             DutyKind::Membership => self.join(now, MembershipEvent::TimerFired, effects),
             DutyKind::Config => self.configure(now, ConfigEvent::TimerFired { number }, effects),
             DutyKind::Claims => self.claim(now, ClaimEvent::TimerFired { number }, effects),
-            DutyKind::Credits
-            | DutyKind::Leases
-            | DutyKind::Moves
-            | DutyKind::Orders
-            | DutyKind::Stop => {}
+            DutyKind::Credits => self.share(now, CreditEvent::TimerFired { number }, effects),
+            DutyKind::Leases => self.lease(now, LeaseEvent::TimerFired { number }, effects),
+            DutyKind::Stop => self.leave(now, StopEvent::TimerFired, effects),
+            DutyKind::Moves | DutyKind::Orders => {}
         }
     }
 
@@ -228,7 +255,10 @@
             PeerMessage::Config(message) => {
                 self.configure(now, ConfigEvent::Peer { from, message }, effects);
             }
-            PeerMessage::Credits(_) | PeerMessage::Moves(_) => {}
+            PeerMessage::Credits(message) => {
+                self.share(now, CreditEvent::Peer { from, message }, effects);
+            }
+            PeerMessage::Moves(_) => {}
         }
     }
 
@@ -248,10 +278,12 @@
             DutyKind::Claims => {
                 self.claim(now, ClaimEvent::Table { number, answer }, effects);
             }
+            DutyKind::Leases => {
+                self.lease(now, LeaseEvent::Table { number, answer }, effects);
+            }
             DutyKind::Scheduler
             | DutyKind::Credits
             | DutyKind::Membership
-            | DutyKind::Leases
             | DutyKind::Moves
             | DutyKind::Orders
             | DutyKind::Stop => {}
--- a/crates/savorywood-core/src/daemon/callers.rs
+++ b/crates/savorywood-core/src/daemon/callers.rs
@@ -6,7 +6,6 @@
     effect::EffectQueue,
     intake,
     request::RequestArrival,
-    scheduler::SchedulerEvent,
 };
 use savorywood_protocol::{CoreTime, RefusalCode, RequestRefusal};
 use std::time::Duration;
@@ -34,10 +33,9 @@
         let objectives = spec.map(|spec| spec.objectives).unwrap_or_default();
         let retention = spec.map(|spec| spec.claims).unwrap_or_default();
         self.objectives.arrive(&request, objectives);
-        self.gate.open(request.request, request.idempotent);
+        self.gate.open(request.clone());
         if request.idempotent {
-            let event = SchedulerEvent::Arrived(Box::new(request));
-            return self.schedule(now, event, effects);
+            return self.admit(now, request, effects);
         }
         let wish = ClaimWish {
             request,
--- a/crates/savorywood-core/src/daemon/deciding.rs
+++ b/crates/savorywood-core/src/daemon/deciding.rs
@@ -5,7 +5,7 @@
     claims::{ClaimEvent, ClaimVerdict, ClaimView},
     effect::{DaemonEffect, DispatchOrder, EffectQueue},
     event::{CallerEvent, UpstreamEvent},
-    request::ResumeArrival,
+    request::{QueuedRequest, ResumeArrival},
     resume::resolve_resume,
     scheduler::{SchedulerEvent, SchedulerView},
 };
@@ -39,6 +39,19 @@
         }
     }
 
+    /// Hands a request to the scheduler for the first time.
+    pub(super) fn admit(
+        &mut self,
+        now: CoreTime,
+        request: QueuedRequest,
+        effects: &mut EffectQueue,
+    ) {
+        let service = request.service.clone();
+        let event = SchedulerEvent::Arrived(Box::new(request));
+        self.schedule(now, event, effects);
+        self.note_queue(now, &service, effects);
+    }
+
     fn dispatch(&mut self, now: CoreTime, order: DispatchOrder, effects: &mut EffectQueue) {
         let request = order.request;
         let idempotent = self.gate.is_idempotent(request);
@@ -50,12 +63,27 @@
         }
         let detail = "the daemon kept the request from being sent wrongly; send it again";
         let refusal = RequestRefusal::unknown(RefusalCode::Internal, detail);
-        self.refuse(now, request, refusal, effects);
+        self.give_refusal(now, request, refusal, effects);
         self.schedule(now, SchedulerEvent::CallerLeft { request }, effects);
     }
 
+    /// Refuses what the scheduler turned away, unless others must yield first.
+    fn refuse(
+        &mut self,
+        now: CoreTime,
+        request: RequestId,
+        refusal: RequestRefusal,
+        effects: &mut EffectQueue,
+    ) {
+        let queued = self.gate.get(request).cloned();
+        let may = queued.is_none_or(|queued| self.may_shed(now, &queued, &refusal, effects));
+        if may {
+            self.give_refusal(now, request, refusal, effects);
+        }
+    }
+
     /// Gives a request its final answer and closes what other duties hold for it.
-    pub(super) fn refuse(
+    pub(super) fn give_refusal(
         &mut self,
         now: CoreTime,
         request: RequestId,
@@ -92,7 +120,7 @@
             }
         }
         for ClaimVerdict::Granted(request) in verdicts {
-            self.schedule(now, SchedulerEvent::Arrived(request), effects);
+            self.admit(now, *request, effects);
         }
     }
 
@@ -129,7 +157,9 @@
             return;
         }
         self.objectives.forget(request);
+        self.resumed.remove(&request);
         if !dispatched {
+            self.held.remove(request);
             self.gate.close(request);
             self.claim(now, ClaimEvent::Closed { request }, effects);
         }
@@ -143,15 +173,11 @@
             return effects.refuse(arrival.request, refusal);
         };
         match resolve_resume(now, arrival, key, self.config.view()) {
-            Ok(order) => effects.push(DaemonEffect::Resume(order)),
+            Ok(order) => {
+                self.resumed.insert(arrival.request);
+                effects.push(DaemonEffect::Resume(order));
+            }
             Err(refusal) => effects.refuse(arrival.request, refusal),
         }
     }
-
-    /// Whether nothing is open that a planned stop waits for.
-    pub(super) fn is_drained(&self) -> bool {
-        self.scheduler.open_requests() == 0
-            && self.gate.len() == 0
-            && self.claims.open_claims() == 0
-    }
 }
--- a/crates/savorywood-core/src/daemon/gate.rs
+++ b/crates/savorywood-core/src/daemon/gate.rs
@@ -4,6 +4,7 @@
     effect::{DispatchOrder, EffectQueue},
     event::UpstreamEvent,
     invariant::{self, InvariantName},
+    request::QueuedRequest,
     view::ConfigView,
 };
 use savorywood_protocol::{AttemptNumber, OutcomeKind, RequestId, RequestRefusal};
@@ -19,10 +20,10 @@
 }
 
 /// One open request.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct GateEntry {
     stage: GateStage,
-    idempotent: bool,
+    request: QueuedRequest,
 }
 
 /// Open requests, and how far each has come.
@@ -33,10 +34,15 @@
 
 impl DispatchGate {
     /// Notes a request that was let in.
-    pub fn open(&mut self, request: RequestId, idempotent: bool) {
+    pub fn open(&mut self, request: QueuedRequest) {
         let stage = GateStage::Here;
-        self.entries
-            .insert(request, GateEntry { stage, idempotent });
+        let key = request.request;
+        self.entries.insert(key, GateEntry { stage, request });
+    }
+
+    /// An open request.
+    pub fn get(&self, request: RequestId) -> Option<&QueuedRequest> {
+        self.entries.get(&request).map(|entry| &entry.request)
     }
 
     /// Forgets a request that is over.
@@ -52,7 +58,7 @@
     /// Whether a request may run twice without harm; unknown ones may not.
     pub fn is_idempotent(&self, request: RequestId) -> bool {
         let entry = self.entries.get(&request);
-        entry.is_some_and(|entry| entry.idempotent)
+        entry.is_some_and(|entry| entry.request.idempotent)
     }
 
     /// Whether a request may have reached an upstream.
--- /dev/null
+++ b/crates/savorywood-core/src/daemon/leaving.rs
@@ -0,0 +1,40 @@
+//! The planned stop, and the leases that it gives back.
+
+use super::DaemonCore;
+use crate::{
+    credits::CreditEvent,
+    effect::EffectQueue,
+    leases::LeaseEvent,
+    membership::MembershipEvent,
+    stop::{OpenWork, StopEvent, StopVerdict},
+};
+use savorywood_protocol::CoreTime;
+
+impl DaemonCore {
+    /// Steps the stop duty and carries its verdicts out.
+    pub(super) fn leave(&mut self, now: CoreTime, event: StopEvent, effects: &mut EffectQueue) {
+        let open = OpenWork {
+            requests: self.gate.len() + self.resumed.len(),
+            claims: self.claims.open_claims(),
+        };
+        let verdicts = self.stop.step(now, event, open, effects);
+        if verdicts.is_empty() {
+            return;
+        }
+        for verdict in verdicts {
+            match verdict {
+                StopVerdict::AnnounceLeaving => self.join(now, MembershipEvent::Leave, effects),
+                StopVerdict::ReleaseLeases => self.lease(now, LeaseEvent::Leaving, effects),
+                StopVerdict::HandBackCredits => self.share(now, CreditEvent::HandBack, effects),
+                StopVerdict::SayFarewell => self.join(now, MembershipEvent::Farewell, effects),
+            }
+        }
+        self.stop.finish(effects);
+    }
+
+    /// Steps the lease duty.
+    pub(super) fn lease(&mut self, now: CoreTime, event: LeaseEvent, effects: &mut EffectQueue) {
+        let members = self.membership.view();
+        self.leases.step(now, event, members, effects);
+    }
+}
--- a/crates/savorywood-core/src/daemon/reads.rs
+++ b/crates/savorywood-core/src/daemon/reads.rs
@@ -32,7 +32,7 @@
     ///
     /// Says why not.
     pub fn readiness(&self, now: CoreTime) -> Result<(), DaemonUnready> {
-        if self.stopping {
+        if self.stop.is_stopping() {
             return Err(DaemonUnready::Stopping);
         }
         if !self.config.is_ready() {
--- a/crates/savorywood-core/src/scheduler/pressure.rs
+++ b/crates/savorywood-core/src/scheduler/pressure.rs
@@ -54,6 +54,16 @@
             .collect()
     }
 
+    /// Seats in use on an upstream.
+    #[must_use]
+    pub fn seats_in_use(&self, upstream: &UpstreamName) -> u32 {
+        let id = self.fleet.id(upstream);
+        let seats = id
+            .into_iter()
+            .flat_map(|id| self.attempts.seats_by_tier(id));
+        seats.map(|(_, count)| count).sum()
+    }
+
     /// Counts what waits by where it would like to go. A part is looked at and taken for all.
     pub(super) fn count_wanted(&mut self, now: MonotonicTime, name: &ServiceName) {
         let Some(service) = self.services.get(name) else {
--- a/crates/savorywood-daemon/src/relay/task.rs
+++ b/crates/savorywood-daemon/src/relay/task.rs
@@ -133,6 +133,9 @@
                 }
                 RequestCommand::Resume(order) => {
                     self.resume(order).await;
+                    let request = self.request;
+                    let event = DaemonEvent::Caller(CallerEvent::Left { request });
+                    self.shared.driver.step(event);
                     break;
                 }
                 RequestCommand::Dispatch(order) => {
