--- a/crates/savorywood-experiment/src/deployment.rs
+++ b/crates/savorywood-experiment/src/deployment.rs
@@ -9,6 +9,10 @@
 pub const FIRST_TOKEN_OBJECTIVE: f64 = 1.6;
 /// Objective between tokens, in seconds.
 const GAP_OBJECTIVE: f64 = 0.079;
+/// Teams of a deployment.
+const TEAMS: usize = 5;
+/// Path of all model requests of Fil-Presse: there only the team tells how long answers are.
+const SHARED_PATH: &str = "/v1/chat/completions";
 /// Requests drawn to work out capacity.
 const CAPACITY_SAMPLES: u32 = 4_000;
 
@@ -22,10 +26,10 @@
     FilPresse,
 }
 
-/// One route of the model service.
+/// One kind of request to the model service.
 #[derive(Debug, Clone, Copy)]
 pub struct RouteShape {
-    /// Path.
+    /// Path; kinds may share one.
     pub path: &'static str,
     /// Tier of its requests.
     pub rank: u8,
@@ -41,6 +45,8 @@
     pub output: u32,
     /// Tokens of the longest answer.
     pub longest: u32,
+    /// Shares of the teams in its requests.
+    pub team_shares: [f64; TEAMS],
 }
 
 /// One team of callers.
@@ -48,8 +54,6 @@
 pub struct TeamShape {
     /// Name.
     pub name: &'static str,
-    /// Share of requests.
-    pub share: f64,
     /// Length of its answers against the route's.
     pub length_scale: f64,
 }
@@ -119,10 +123,11 @@
 }
 
 fn ionoveld() -> DeploymentShape {
-    let route = |path, rank, share, prompt: [u32; 2], output: [u32; 2]| RouteShape {
+    let route = |path, rank, share, prompt: [u32; 2], output: [u32; 2], team_shares| RouteShape {
         path,
         rank,
         share,
+        team_shares,
         shared_prompt: prompt[0],
         groups: 40,
         own_prompt: prompt[1],
@@ -134,26 +139,55 @@
         zones: 4,
         engines: engines(&[1, 2, 2, 3, 3, 3, 4, 4, 1, 2, 5, 4], 4),
         routes: vec![
-            route("/v1/briefing", 0, 0.04, [3_072, 1_200], [800, 1_600]),
-            route("/v1/summary", 1, 0.20, [2_048, 500], [220, 600]),
-            route("/v1/note", 2, 0.66, [1_024, 100], [30, 120]),
-            route("/v1/archive", 3, 0.10, [1_536, 600], [300, 900]),
+            route(
+                "/v1/briefing",
+                0,
+                0.04,
+                [3_072, 1_200],
+                [800, 1_600],
+                [0.2, 0.0, 0.8, 0.0, 0.0],
+            ),
+            route(
+                "/v1/summary",
+                1,
+                0.20,
+                [2_048, 500],
+                [220, 600],
+                [0.4, 0.3, 0.1, 0.1, 0.1],
+            ),
+            route(
+                "/v1/note",
+                2,
+                0.66,
+                [1_024, 100],
+                [30, 120],
+                [0.5, 0.3, 0.0, 0.15, 0.05],
+            ),
+            route(
+                "/v1/archive",
+                3,
+                0.10,
+                [1_536, 600],
+                [300, 900],
+                [0.0, 0.3, 0.2, 0.0, 0.5],
+            ),
         ],
         teams: vec![
-            team("flanders-survey", 0.40, 1.0),
-            team("wallonia-farms", 0.30, 0.7),
-            team("network-desk", 0.15, 1.5),
-            team("resellers", 0.10, 1.0),
-            team("field-trials", 0.05, 2.0),
+            team("flanders-survey", 1.0),
+            team("wallonia-farms", 0.7),
+            team("network-desk", 1.5),
+            team("resellers", 1.0),
+            team("field-trials", 2.0),
         ],
     }
 }
 
 fn fil_presse() -> DeploymentShape {
-    let route = |path, rank, share, prompt: [u32; 2], output: [u32; 2]| RouteShape {
-        path,
+    let route = |rank, share, prompt: [u32; 2], output: [u32; 2], team_shares| RouteShape {
+        path: SHARED_PATH,
         rank,
         share,
+        team_shares,
         shared_prompt: prompt[0],
         groups: prompt[1],
         own_prompt: 250,
@@ -165,25 +199,27 @@
         zones: 3,
         engines: engines(&[2, 3, 1, 4, 3, 2, 5, 1, 3, 4], 3),
         routes: vec![
-            route("/v1/legislature", 0, 0.08, [6_144, 24], [450, 1_200]),
-            route("/v1/lead", 1, 0.27, [1_024, 40], [120, 300]),
-            route("/v1/digest", 2, 0.15, [4_096, 40], [300, 900]),
-            route("/v1/metadata", 3, 0.50, [512, 100], [20, 80]),
+            route(
+                0,
+                0.08,
+                [6_144, 24],
+                [450, 1_200],
+                [0.8, 0.0, 0.0, 0.2, 0.0],
+            ),
+            route(1, 0.27, [1_024, 40], [120, 300], [0.2, 0.7, 0.0, 0.1, 0.0]),
+            route(2, 0.15, [4_096, 40], [300, 900], [0.1, 0.2, 0.0, 0.1, 0.6]),
+            route(3, 0.50, [512, 100], [20, 80], [0.0, 0.1, 0.8, 0.0, 0.1]),
         ],
         teams: vec![
-            team("parliament-desk", 0.30, 1.2),
-            team("city-desk", 0.30, 0.8),
-            team("subscribers", 0.25, 1.0),
-            team("courts-desk", 0.10, 1.6),
-            team("archive-desk", 0.05, 1.0),
+            team("parliament-desk", 1.2),
+            team("city-desk", 0.8),
+            team("subscribers", 1.0),
+            team("courts-desk", 1.6),
+            team("archive-desk", 1.0),
         ],
     }
 }
 
-fn team(name: &'static str, share: f64, length_scale: f64) -> TeamShape {
-    TeamShape {
-        name,
-        share,
-        length_scale,
-    }
+fn team(name: &'static str, length_scale: f64) -> TeamShape {
+    TeamShape { name, length_scale }
 }
--- a/crates/savorywood-experiment/src/workload.rs
+++ b/crates/savorywood-experiment/src/workload.rs
@@ -122,8 +122,8 @@
     rng: &mut ChaCha8Rng,
 ) -> CallerTask {
     let route = draw_weighted(shape.routes.iter().map(|route| route.share), rng);
-    let team = draw_weighted(shape.teams.iter().map(|team| team.share), rng);
     let kind = &shape.routes[route];
+    let team = draw_weighted(kind.team_shares.iter().copied(), rng);
     let scale = shape.teams[team].length_scale;
     CallerTask {
         at,
