Test resumed streams and slow readers at a planned stop over real processes

Cause: a caller may go on at another daemon, and may read slowly while its daemon stops. Change: process_resume (two tests), a slow reader in process_stop, answers of a wanted size at the plain stand-in.

--- /dev/null
+++ b/crates/savorywood-cli/tests/process_resume.rs
@@ -0,0 +1,94 @@
+//! Streams that are read on through another daemon.
+
+use savorywood_standin::{chat_prompt, output_text};
+use savorywood_testing::{
+    ClusterPlan, PartialBody, StandinProcess, TEAM_TOKEN, TestCall, TestCluster, has_end_mark,
+    streamed_text,
+};
+
+const TOKEN_HEADER: &str = "x-savorywood-resume-token";
+
+/// Tokens of each stream; at the engine's speed they take about two seconds.
+const TOKENS: u32 = 120;
+
+struct ResumeSetup {
+    engine: StandinProcess,
+    cluster: TestCluster,
+}
+
+/// The bytes of a stream that broke with its daemon, and what is needed to read it on.
+struct BrokenStream {
+    token: String,
+    part: PartialBody,
+}
+
+fn start() -> ResumeSetup {
+    let engine = StandinProcess::engine(&["--decode", "60"]);
+    let cluster = TestCluster::start(&ClusterPlan::default());
+    cluster.declare(&[engine.address()], &[]);
+    ResumeSetup { engine, cluster }
+}
+
+impl ResumeSetup {
+    /// Streams some tokens through the first daemon and kills it.
+    fn break_stream(&mut self) -> BrokenStream {
+        let call = self.cluster.chat(0, "hello", TOKENS);
+        let mut answer = call.open().expect("a head");
+        assert_eq!(answer.status(), 200);
+        let token = answer.header(TOKEN_HEADER).expect("a resume token");
+        let token = token.to_owned();
+        let mut bytes = answer.read_at_least(1_000).expect("some tokens");
+        self.cluster.daemons[0].kill();
+        let mut part = answer.read_until_break();
+        assert!(part.end.is_err(), "the answer ended as if it were whole");
+        bytes.append(&mut part.bytes);
+        part.bytes = bytes;
+        BrokenStream { token, part }
+    }
+
+    fn resume(&self, token: &str, offset: usize) -> TestCall {
+        let target = format!("/v1/streams?offset={offset}");
+        let call = TestCall::get(self.cluster.daemons[1].callers(), &target);
+        call.token(TEAM_TOKEN).header(TOKEN_HEADER, token)
+    }
+
+    fn assert_whole(&self, broken: &BrokenStream, rest: Vec<u8>) {
+        let all = [broken.part.bytes.clone(), rest].concat();
+        assert!(has_end_mark(&all));
+        let expected = output_text(&chat_prompt("hello"), TOKENS);
+        assert_eq!(streamed_text(&all), expected);
+        assert_eq!(self.engine.runs().total(), 1, "reading on is no second run");
+    }
+}
+
+/// A daemon dies in the middle of a stream. The caller goes to another daemon with its resume
+/// token and the number of bytes that it has, and gets exactly the bytes that are missing. The
+/// engine does the work once.
+#[test]
+fn another_daemon_reads_on_where_the_dead_one_stopped() {
+    let mut setup = start();
+    let broken = setup.break_stream();
+    let rest = setup.resume(&broken.token, broken.part.bytes.len()).send();
+    let rest = rest.expect("the rest");
+    assert_eq!(rest.status(), 200, "{}", rest.text());
+    setup.assert_whole(&broken, rest.body);
+}
+
+/// Somebody changes a resume token, to read another team's stream. It is refused.
+#[test]
+fn a_changed_token_is_refused() {
+    let mut setup = start();
+    let broken = setup.break_stream();
+    let mut changed = broken.token.clone().into_bytes();
+    let middle = changed.len() / 2;
+    changed[middle] = if changed[middle] == b'A' { b'B' } else { b'A' };
+    let changed = String::from_utf8_lossy(&changed).into_owned();
+    let refused = setup.resume(&changed, 0).send().expect("a refusal");
+    assert_eq!(refused.status(), 400, "{}", refused.text());
+    assert_eq!(
+        refused.json()["code"],
+        "bad-resume-token",
+        "{}",
+        refused.text()
+    );
+}
--- a/crates/savorywood-cli/tests/process_stop.rs
+++ b/crates/savorywood-cli/tests/process_stop.rs
@@ -11,6 +11,9 @@
 /// Streams at the daemon that stops: half of them run, the others wait.
 const REQUESTS: usize = 8;
 
+/// More than the buffers of a connection hold.
+const LARGE_BYTES: usize = 24 << 20;
+
 /// An operator replaces a host and stops its daemon with SIGTERM while it streams some answers
 /// and holds other requests in its queue. A caller that still keeps the daemon's address connects
 /// some moments later. None of them may notice anything, and the process ends by itself.
@@ -46,3 +49,33 @@
     let other = cluster.chat(1, "after", 5).send().expect("an answer");
     assert!(has_end_mark(&other.body), "{}", other.text());
 }
+
+/// The daemon has the whole of a large answer, but its caller reads slowly, so that most of it
+/// still waits inside the daemon when it is told to stop. The rest must come.
+#[test]
+fn a_slow_reader_gets_the_whole_of_a_large_answer() {
+    let plain = StandinProcess::plain(&[]);
+    let mut cluster = TestCluster::start(&ClusterPlan::default());
+    cluster.declare(&[], &[plain.address()]);
+    let call = TestCall::get(cluster.daemons[0].callers(), "/services/shop/archive");
+    let size = LARGE_BYTES.to_string();
+    let call = call
+        .token(TEAM_TOKEN)
+        .header("X-Standin-Answer-Bytes", &size);
+    let mut answer = call.open().expect("a head");
+    assert_eq!(answer.status(), 200);
+    cluster.daemons[0].signal(ProcessSignal::Terminate);
+    let mut piece = [0; 16 << 10];
+    let mut total = 0;
+    loop {
+        thread::sleep(Duration::from_millis(1));
+        match answer.read_some(&mut piece) {
+            Ok(0) => break,
+            Ok(count) => total += count,
+            Err(error) => panic!("cut off after {total} bytes: {error}"),
+        }
+    }
+    assert_eq!(total, LARGE_BYTES);
+    let status = cluster.daemons[0].wait_for_end(Duration::from_secs(8));
+    assert!(status.success(), "{status}");
+}
--- a/crates/savorywood-standin/src/plain/routes.rs
+++ b/crates/savorywood-standin/src/plain/routes.rs
@@ -21,6 +21,12 @@
 /// Answer header that says how often a request of this identity has run.
 const COUNT_HEADER: &str = "x-standin-run-count";
 
+/// Request header that asks for an answer of this many bytes instead of an echo.
+const SIZE_HEADER: &str = "x-standin-answer-bytes";
+
+/// Largest answer that can be asked for, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
 /// Type of an echo whose request named none.
 const DEFAULT_TYPE: &str = "text/plain;charset=utf-8";
 
@@ -82,18 +88,26 @@
     Ok(response)
 }
 
-/// The request's body, or its method and path when it has none.
+/// The request's body, or its method and path when it has none, or as much as was asked for.
+fn answer_bytes(request: &Request, body: Vec<u8>) -> Vec<u8> {
+    let size = http::header(request, SIZE_HEADER).and_then(|text| text.parse::<usize>().ok());
+    if let Some(size) = size {
+        return vec![b'x'; size.min(MAX_ANSWER_BYTES)];
+    }
+    if !body.is_empty() {
+        return body;
+    }
+    let url = request.url();
+    let query = url.query().map(|query| format!("?{query}"));
+    let query = query.unwrap_or_default();
+    format!("{} {}{query}\n", request.method(), url.path()).into_bytes()
+}
+
+/// Answers a call, broken as the fault says.
 fn echo(request: &Request, body: Vec<u8>, fault: Option<ReadFault>) -> Response {
     let content_type = http::header(request, "content-type").unwrap_or(DEFAULT_TYPE);
     let content_type = content_type.to_owned();
-    let bytes = if body.is_empty() {
-        let url = request.url();
-        let query = url.query().map(|query| format!("?{query}"));
-        let query = query.unwrap_or_default();
-        format!("{} {}{query}\n", request.method(), url.path()).into_bytes()
-    } else {
-        body
-    };
+    let bytes = answer_bytes(request, body);
     let Some(fault) = fault else {
         return http::bytes_reply(&content_type, bytes);
     };
