--- a/crates/savorywood-daemon/src/metrics.rs
+++ b/crates/savorywood-daemon/src/metrics.rs
@@ -1,10 +1,13 @@
 //! Metrics in the prometheus format.
 
+mod core;
+
+use self::core::CoreMetrics;
 use prometheus::{
     Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
 };
-use savorywood_core::InvariantName;
+use savorywood_core::{DaemonCore, InvariantName};
 use savorywood_protocol::{RefusalCode, ServiceName};
 use std::time::Duration;
 use strum::IntoEnumIterator;
@@ -28,6 +31,8 @@
     timer_lag: Gauge,
     peer_bytes: IntCounter,
     dropped_datagrams: IntCounter,
+    unsent_datagrams: IntCounter,
+    core: CoreMetrics,
 }
 
 impl DaemonMetrics {
@@ -84,8 +89,14 @@
             "savorywood_dropped_datagrams_total",
             "Datagrams dropped for a wrong tag, a replay or an old life",
         )?;
+        let unsent_datagrams = IntCounter::new(
+            "savorywood_unsent_datagrams_total",
+            "Datagrams to other daemons that the byte budget held back",
+        )?;
+        let registry = Registry::new();
         let metrics = Self {
-            registry: Registry::new(),
+            core: CoreMetrics::register(&registry)?,
+            registry,
             answers,
             refusals,
             breaches,
@@ -95,6 +106,7 @@
             timer_lag,
             peer_bytes,
             dropped_datagrams,
+            unsent_datagrams,
         };
         metrics.register()?;
         Ok(metrics)
@@ -111,6 +123,7 @@
         registry.register(Box::new(self.timer_lag.clone()))?;
         registry.register(Box::new(self.peer_bytes.clone()))?;
         registry.register(Box::new(self.dropped_datagrams.clone()))?;
+        registry.register(Box::new(self.unsent_datagrams.clone()))?;
         // A counter that is absent until its first breach can't be alerted on.
         for name in InvariantName::iter() {
             self.breaches
@@ -165,11 +178,22 @@
         self.dropped_datagrams.inc();
     }
 
+    /// Counts a datagram that the byte budget held back.
+    pub fn count_unsent_datagram(&self) {
+        self.unsent_datagrams.inc();
+    }
+
     /// Notes how late a timer was.
     pub fn observe_timer_lag(&self, lag: Duration) {
         self.timer_lag.set(lag.as_secs_f64());
     }
 
+    /// Takes over what the core's duties counted.
+    pub fn take_core(&self, core: &DaemonCore) {
+        self.core.take_scheduler(core.scheduler_counters());
+        self.core.take_claims(&core.claim_counters());
+    }
+
     /// The text that a scrape gets.
     pub fn render(&self, open_requests: usize) -> Vec<u8> {
         self.open_requests
