Give no new work to upstreams whose hosts the platform takes away

Cause: only an operator's draining mark stopped new work; the host list's word that a host leaves reached the daemons' membership, not the upstreams on it. A caller sees its stream cut when the host goes. Ruled out: matching by IP address (services share addresses); clearing the mark when the host is no longer listed (the list may be wrong, and a gone host must not get work again). Change: an upstream may name its host; the mark is sticky until the list says that the host stays; the gate checks it too. Chunks without text no longer count as tokens.

--- a/crates/savorywood-core/src/daemon.rs
+++ b/crates/savorywood-core/src/daemon.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod deciding;
 mod gate;
+mod hosts;
 mod leaving;
 mod objectives;
 mod reads;
@@ -99,6 +100,8 @@
     leases: LeaseState,
     stop: StopState,
     resumed: BTreeSet<RequestId>,
+    leaving_hosts: BTreeSet<HostName>,
+    leaving_upstreams: BTreeSet<UpstreamName>,
     scheduler: RequestScheduler,
     inputs: SchedulerInputs,
     burn: BurnLedger,
@@ -141,6 +144,8 @@
                 ..StopOptions::default()
             }),
             resumed: BTreeSet::new(),
+            leaving_hosts: BTreeSet::new(),
+            leaving_upstreams: BTreeSet::new(),
             scheduler: RequestScheduler::new(SchedulerOptions::new(seed)),
             inputs: SchedulerInputs::default(),
             burn: BurnLedger::default(),
@@ -206,9 +211,7 @@
                 let event = ConfigEvent::SnapshotFetched { from, snapshot };
                 self.configure(now, event, effects);
             }
-            DaemonEvent::HostsListed(hosts) => {
-                self.join(now, MembershipEvent::HostsListed(hosts), effects);
-            }
+            DaemonEvent::HostsListed(hosts) => self.list_hosts(now, hosts, effects),
             DaemonEvent::StopRequested => self.leave(now, StopEvent::Requested, effects),
             DaemonEvent::AnswerKept { request, answer } => {
                 self.claim(now, ClaimEvent::AnswerKept { request, answer }, effects);
@@ -298,6 +301,7 @@
         if verdict == ConfigVerdict::Changed {
             let revision = self.config.view().revision;
             self.join(now, MembershipEvent::RevisionInForce(revision), effects);
+            self.mark_leaving_upstreams(now, effects);
             self.schedule(now, SchedulerEvent::ViewChanged, effects);
         }
     }
--- a/crates/savorywood-core/src/daemon/deciding.rs
+++ b/crates/savorywood-core/src/daemon/deciding.rs
@@ -9,7 +9,7 @@
     resume::resolve_resume,
     scheduler::{SchedulerEvent, SchedulerView},
 };
-use savorywood_protocol::{CoreTime, RefusalCode, RequestId, RequestRefusal};
+use savorywood_protocol::{CoreTime, RefusalCode, RequestId, RequestRefusal, UpstreamName};
 
 impl DaemonCore {
     /// Steps the scheduler and passes its decisions on.
@@ -55,7 +55,8 @@
     fn dispatch(&mut self, now: CoreTime, order: DispatchOrder, effects: &mut EffectQueue) {
         let request = order.request;
         let idempotent = self.gate.is_idempotent(request);
-        let passes = self.gate.dispatch(&order, self.config.view(), effects)
+        let takes_work = self.takes_work(&order.upstream);
+        let passes = self.gate.dispatch(&order, takes_work, effects)
             && self.claims.may_dispatch(request, idempotent, effects);
         if passes {
             effects.push(DaemonEffect::Dispatch(order));
@@ -67,6 +68,12 @@
         self.schedule(now, SchedulerEvent::CallerLeft { request }, effects);
     }
 
+    fn takes_work(&self, upstream: &UpstreamName) -> bool {
+        let spec = self.config.view().upstreams.get(upstream);
+        let leaving = self.leaving_upstreams.contains(upstream);
+        spec.is_some_and(|spec| !spec.draining) && !leaving
+    }
+
     /// Refuses what the scheduler turned away, unless others must yield first.
     fn refuse(
         &mut self,
--- a/crates/savorywood-core/src/daemon/gate.rs
+++ b/crates/savorywood-core/src/daemon/gate.rs
@@ -5,7 +5,6 @@
     event::UpstreamEvent,
     invariant::{self, InvariantName},
     request::QueuedRequest,
-    view::ConfigView,
 };
 use savorywood_protocol::{AttemptNumber, OutcomeKind, RequestId, RequestRefusal};
 use std::collections::BTreeMap;
@@ -67,18 +66,17 @@
         entry.is_some_and(|entry| entry.stage != GateStage::Here)
     }
 
-    /// Checks a dispatch and notes it; `false` when it must not happen.
+    /// Checks a dispatch and notes it; `false` when it must not happen. `takes_work` says whether
+    /// the upstream gets new work at all.
     ///
     /// A second dispatch of the same request would run it twice: two charges, two bulletins. The
     /// scheduler's table keeps it from happening; this look does not depend on that table.
     pub fn dispatch(
         &mut self,
         order: &DispatchOrder,
-        config: &ConfigView,
+        takes_work: bool,
         effects: &mut EffectQueue,
     ) -> bool {
-        let spec = config.upstreams.get(&order.upstream);
-        let takes_work = spec.is_some_and(|spec| !spec.draining);
         invariant::check(
             effects,
             InvariantName::LeavingGetsNothing,
--- a/crates/savorywood-core/src/operator.rs
+++ b/crates/savorywood-core/src/operator.rs
@@ -11,6 +11,10 @@
 
 /// A change that an operator wants.
 #[derive(Debug, Clone, PartialEq)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "a request is boxed wherever it is kept"
+)]
 pub enum OperatorRequest {
     /// Create or replace a resource.
     Apply {
--- a/crates/savorywood-core/src/scheduler.rs
+++ b/crates/savorywood-core/src/scheduler.rs
@@ -42,7 +42,7 @@
     ConfigRevision, CoreTime, RequestId, ServiceName, TierRank, UpstreamName, ZoneName,
 };
 use service::ServiceState;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use table::AttemptTable;
 use timers::TimerPlan;
 use waits::WaitIndex;
@@ -106,6 +106,7 @@
     counters: SchedulerCounters,
     revision: Option<ConfigRevision>,
     declared: usize,
+    leaving: BTreeSet<UpstreamName>,
 }
 
 impl Default for RequestScheduler {
@@ -132,6 +133,7 @@
             counters: SchedulerCounters::default(),
             revision: None,
             declared: 0,
+            leaving: BTreeSet::new(),
         }
     }
 
--- a/crates/savorywood-core/src/scheduler/fleet.rs
+++ b/crates/savorywood-core/src/scheduler/fleet.rs
@@ -51,6 +51,8 @@
     pub local: bool,
     /// Whether it gets no new work: drained by an operator or no longer declared.
     pub closed: bool,
+    /// Whether the platform takes its host away.
+    pub leaving: bool,
     /// Limit of seats and tokens.
     pub limit: AdaptiveLimit,
     /// Failures and silence.
@@ -76,6 +78,7 @@
             version: spec.version.clone(),
             local: false,
             closed: false,
+            leaving: false,
             limit: AdaptiveLimit::new(spec.seats, spec.batch_tokens),
             health: UpstreamHealth::new(now, cold),
             speed: SpeedMeter::default(),
@@ -99,7 +102,7 @@
         let limit = self.limit.seats();
         let granted = grant.map_or(limit, |grant| grant.seats.min(limit));
         let share = self.health.share(now);
-        if self.closed || granted == 0 || share <= 0.0 {
+        if self.closed || self.leaving || granted == 0 || share <= 0.0 {
             return WorkAllowance::default();
         }
         let seats = ((f64::from(granted) * share) as u32).max(1);
@@ -181,6 +184,11 @@
         self.states.get_mut(&id)
     }
 
+    /// All states, to change them.
+    pub fn states_mut(&mut self) -> impl Iterator<Item = &mut UpstreamState> {
+        self.states.values_mut()
+    }
+
     /// Adds an upstream.
     pub fn insert(&mut self, state: UpstreamState) -> UpstreamId {
         let id = UpstreamId(self.next_id);
--- a/crates/savorywood-core/src/scheduler/topology.rs
+++ b/crates/savorywood-core/src/scheduler/topology.rs
@@ -11,7 +11,7 @@
 use savorywood_protocol::{
     ConfigRevision, MonotonicTime, ServiceName, UpstreamName, resource::UpstreamSpec,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 impl RequestScheduler {
     /// Looks again at every service in which something waits.
@@ -69,6 +69,14 @@
         self.index_members(view);
     }
 
+    /// Tells which upstreams get no new work because the platform takes their hosts away.
+    pub fn mark_leaving(&mut self, leaving: BTreeSet<UpstreamName>) {
+        for state in self.fleet.states_mut() {
+            state.leaving = leaving.contains(&state.name);
+        }
+        self.leaving = leaving;
+    }
+
     fn ensure_service(&mut self, name: &ServiceName) {
         if self.services.contains_key(name) {
             return;
@@ -99,6 +107,7 @@
                 }
                 let mut state = UpstreamState::new(now, name.clone(), spec, warm);
                 state.refresh(spec, view.zone);
+                state.leaving = self.leaving.contains(name);
                 self.fleet.insert(state);
             }
         }
--- a/crates/savorywood-daemon/src/relay/stream.rs
+++ b/crates/savorywood-daemon/src/relay/stream.rs
@@ -9,6 +9,12 @@
 /// Name of the member that carries usage.
 const USAGE_MEMBER: &[u8] = b"\"usage\"";
 
+/// A chunk without any choice.
+const EMPTY_CHOICES: &[u8] = b"\"choices\":[]";
+
+/// A choice without text.
+const EMPTY_CONTENT: &[u8] = b"\"content\":\"\"";
+
 /// Longest line that is kept whole; a longer one still counts as one token.
 const MAX_LINE_BYTES: usize = 64 * 1_024;
 
@@ -59,12 +65,16 @@
             self.done = true;
             return 0;
         }
-        let carries_usage = data
-            .windows(USAGE_MEMBER.len())
-            .any(|window| window == USAGE_MEMBER);
+        let carries_usage = contains(data, USAGE_MEMBER);
         if carries_usage {
             self.usage_line = Some(data.to_vec());
         }
-        1
+        // The chunks that carry usage alone or only say why the answer ended hold no token.
+        let empty = contains(data, EMPTY_CHOICES) || contains(data, EMPTY_CONTENT);
+        u32::from(!empty)
     }
 }
+
+fn contains(data: &[u8], part: &[u8]) -> bool {
+    data.windows(part.len()).any(|window| window == part)
+}
--- a/crates/savorywood-experiment/src/names.rs
+++ b/crates/savorywood-experiment/src/names.rs
@@ -87,6 +87,7 @@
                 checks_fencing: false,
                 extensions: BTreeSet::new(),
                 draining: false,
+                host: None,
             };
             view.insert(document(name.as_str(), ResourceSpec::Upstream(spec)))?;
         }
--- a/crates/savorywood-protocol/src/resource/upstream.rs
+++ b/crates/savorywood-protocol/src/resource/upstream.rs
@@ -1,6 +1,6 @@
 //! Upstreams: back ends that run one version of one service.
 
-use crate::{ServiceName, VersionName, ZoneName};
+use crate::{HostName, ServiceName, VersionName, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeSet, net::SocketAddr};
 use strum::{Display, EnumIter, EnumString, IntoStaticStr, VariantNames};
@@ -52,6 +52,10 @@
     pub version: VersionName,
     /// Availability zone that it stands in.
     pub zone: ZoneName,
+    /// Host that it stands on, as the platform's host list names it. When the list says that the
+    /// host leaves, the upstream gets no new work.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<HostName>,
     /// Hardware generation; a label for reports, no constant depends on it.
     #[serde(default)]
     pub generation: String,
