--- a/crates/savorywood-core/src/scheduler/dispatch.rs
+++ b/crates/savorywood-core/src/scheduler/dispatch.rs
@@ -3,7 +3,7 @@
 use super::{
     RequestScheduler, SchedulerMechanism, SchedulerView,
     fleet::UpstreamId,
-    queue::WaitingRequest,
+    queue::{FrontSpan, WaitingRequest},
     routing::{PickFailure, PickedUpstream, SampleDraw},
     service::WantedSeats,
     table::{AttemptKey, AttemptRecord},
@@ -22,10 +22,11 @@
 const HEADS_COMPARED: usize = 6;
 /// Attempts of one request at most.
 const MAX_ATTEMPTS: u32 = 3;
-/// Requests of each team looked at for one whose prefix a free upstream holds.
-const FRONT_OF_EACH: usize = 8;
-/// Requests looked at for one whose prefix a free upstream holds, over all teams and tiers.
-const FRONT_COMPARED: usize = 48;
+/// Requests looked at for one whose prefix a free upstream holds.
+const HOLDER_SPAN: FrontSpan = FrontSpan {
+    of_team: 4,
+    of_tier: 12,
+};
 
 /// A waiting request and where it goes.
 #[derive(Debug, Clone, Copy)]
@@ -120,7 +121,7 @@
         // Others want its seats: they may hold what this daemon would have to prefill.
         let contended = view.grants.contains_key(&self.fleet.get(upstream)?.name);
         let mut second: Option<PlannedDispatch> = None;
-        for waiting in service.queue.front(FRONT_OF_EACH).take(FRONT_COMPARED) {
+        for waiting in service.queue.front(HOLDER_SPAN) {
             let hit = waiting
                 .held_prefix
                 .is_some_and(|hash| self.prefixes.holds(upstream, hash));
--- a/crates/savorywood-core/src/scheduler/pressure.rs
+++ b/crates/savorywood-core/src/scheduler/pressure.rs
@@ -1,6 +1,6 @@
 //! What other duties read of the scheduler: demand, limits and pressure.
 
-use super::{RequestScheduler, fleet::UpstreamId, service::WantedSeats};
+use super::{RequestScheduler, fleet::UpstreamId, queue::FrontSpan, service::WantedSeats};
 use savorywood_protocol::{
     MonotonicTime, ServiceName, TierRank, UpstreamName, peer::credits::TierDemand,
 };
@@ -69,7 +69,7 @@
         };
         let sampled = service.queue.len().min(MAX_SAMPLE);
         let weight = service.queue.len() as f64 / sampled.max(1) as f64;
-        for waiting in service.queue.front(usize::MAX).take(sampled) {
+        for waiting in service.queue.front(FrontSpan::ALL).take(sampled) {
             let rank = waiting.request.rank;
             let hash = waiting.held_prefix;
             let holders: Vec<UpstreamId> = hash
--- a/crates/savorywood-core/src/scheduler/queue.rs
+++ b/crates/savorywood-core/src/scheduler/queue.rs
@@ -59,6 +59,23 @@
     pub fair: bool,
 }
 
+/// How many waiting requests are looked at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FrontSpan {
+    /// Of one team in one tier.
+    pub of_team: usize,
+    /// Of one tier.
+    pub of_tier: usize,
+}
+
+impl FrontSpan {
+    /// All of them.
+    pub const ALL: Self = Self {
+        of_team: usize::MAX,
+        of_tier: usize::MAX,
+    };
+}
+
 /// Waiting requests of one service.
 #[derive(Debug)]
 pub struct RequestQueue {
@@ -122,9 +139,9 @@
     }
 
     /// The first few requests of each team that is next, highest tier first.
-    pub fn front(&self, of_each: usize) -> impl Iterator<Item = &WaitingRequest> {
+    pub fn front(&self, span: FrontSpan) -> impl Iterator<Item = &WaitingRequest> {
         let tiers = self.tiers.values();
-        tiers.flat_map(move |tier| tier.front(of_each))
+        tiers.flat_map(move |tier| tier.front(span.of_team).take(span.of_tier))
     }
 
     /// Takes a request out to dispatch it: its team is charged.
