--- a/crates/savorywood-core/src/scheduler/admission.rs
+++ b/crates/savorywood-core/src/scheduler/admission.rs
@@ -28,6 +28,8 @@
 /// Share of the predicted time that must be left when work begins. More than one: work that is
 /// begun and then late has cost a seat and its prefill, a refusal costs neither.
 const NEEDED_SHARE: f64 = 1.2;
+/// The same while upstreams have room: a seat that nobody else wants costs nothing.
+const IDLE_NEEDED_SHARE: f64 = 0.8;
 /// Share of the first-token objective for which a request may be kept for an upstream that holds
 /// its prefix.
 /// Share of the time until it is hopeless after which a request goes first in its tier, whatever is
@@ -61,8 +63,8 @@
         }
         let mut waiting = waiting;
         let wait = self.expected_wait(now, &waiting, view);
-        let slack = waiting.latest_start.since(now).mul_f64(PATIENT_SLACK);
-        waiting.patient_until = waiting.patient_until.max(now + wait.min(slack));
+        let longest_patience = waiting.pressing_at.since(now).mul_f64(PATIENT_SLACK);
+        waiting.patient_until = waiting.patient_until.max(now + wait.min(longest_patience));
         self.enqueue(waiting);
         self.drain(now, &name, view, effects);
     }
@@ -83,7 +85,13 @@
         let needed = whole_time(service, estimate, estimate.output_median, &objectives);
         let known = estimate.learned && service.is_some_and(|service| service.speed.is_known());
         let latest_start = if known && self.options.has(SchedulerMechanism::DeadlineAdmission) {
-            request.deadline_at - needed.mul_f64(NEEDED_SHARE)
+            let saturated = service.is_some_and(|service| service.saturated);
+            let share = if saturated {
+                NEEDED_SHARE
+            } else {
+                IDLE_NEEDED_SHARE
+            };
+            request.deadline_at - needed.mul_f64(share)
         } else {
             request.deadline_at
         };
@@ -95,10 +103,12 @@
         };
         let first_token = Duration::from_millis(objectives.first_token_ms.into());
         let patience = first_token.mul_f64(PATIENT_SHARE);
-        let slack = latest_start.since(now).mul_f64(PATIENT_SLACK);
+        // A long answer must still be in time after the wait for a holder of its prefix.
+        let longest = whole_time(service, estimate, estimate.output_high, &objectives);
+        let slack = (request.deadline_at - longest).since(now);
         WaitingRequest {
-            patient_until: now + patience.min(slack),
-            pressing_at: now + latest_start.since(now).mul_f64(PRESSING_SHARE),
+            patient_until: now + patience.min(slack.mul_f64(PATIENT_SLACK)),
+            pressing_at: now + slack.mul_f64(PRESSING_SHARE),
             held_prefix,
             request,
             attempt,
