--- a/crates/savorywood-testing/src/cluster.rs
+++ b/crates/savorywood-testing/src/cluster.rs
@@ -158,20 +158,30 @@
     /// A streamed chat through a daemon.
     #[must_use]
     pub fn chat(&self, daemon: usize, content: &str, tokens: u32) -> TestCall {
+        Self::chat_at(self.daemons[daemon].callers(), content, tokens)
+    }
+
+    /// A streamed chat through the daemon at an address.
+    #[must_use]
+    pub fn chat_at(address: SocketAddr, content: &str, tokens: u32) -> TestCall {
         let body = json!({
             "model": "notes",
             "stream": true,
             "max_tokens": tokens,
             "messages": [{"role": "user", "content": content}],
         });
-        let address = self.daemons[daemon].callers();
         TestCall::post(address, "/v1/chat/completions", body.to_string()).token(TEAM_TOKEN)
     }
 
     /// A call that may not be repeated, through a daemon.
     #[must_use]
     pub fn charge(&self, daemon: usize, key: &str) -> TestCall {
-        let address = self.daemons[daemon].callers();
+        Self::charge_at(self.daemons[daemon].callers(), key)
+    }
+
+    /// A call that may not be repeated, through the daemon at an address.
+    #[must_use]
+    pub fn charge_at(address: SocketAddr, key: &str) -> TestCall {
         let call = TestCall::post(address, "/services/shop/charge", "{\"euro\":3}");
         call.token(TEAM_TOKEN).header("Idempotency-Key", key)
     }
--- a/crates/savorywood-testing/src/cluster/daemon.rs
+++ b/crates/savorywood-testing/src/cluster/daemon.rs
@@ -17,9 +17,13 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::ExitStatus,
+    thread,
     time::Duration,
 };
 
+/// Part of the log line that tells of a broken invariant.
+const BREACH_EVENT: &str = "event=invariant-breach";
+
 /// A look at a daemon that may be frozen takes this long at most.
 const LOOK_TIME: Duration = Duration::from_millis(500);
 
@@ -106,10 +110,25 @@
     }
 
     /// Kills its process at once, as a lost host does.
+    ///
+    /// # Panics
+    ///
+    /// When its log tells of a broken invariant.
     pub fn kill(&mut self) {
+        self.check_log();
         self.process = None;
     }
 
+    /// The program checks its invariants itself and only logs a breach, so that users are served
+    /// on. In a test nobody would see the line: the test must fail.
+    fn check_log(&self) {
+        let log = self.log();
+        let breach = log.lines().find(|line| line.contains(BREACH_EVENT));
+        if let Some(breach) = breach.filter(|_| !thread::panicking()) {
+            panic!("{}: {breach}", self.host);
+        }
+    }
+
     /// Sends a signal to its process.
     ///
     /// # Panics
@@ -189,3 +208,9 @@
         lines.next()?.rsplit(' ').next()?.parse().ok()
     }
 }
+
+impl Drop for TestDaemon {
+    fn drop(&mut self) {
+        self.check_log();
+    }
+}
--- a/crates/savorywood-testing/src/standin.rs
+++ b/crates/savorywood-testing/src/standin.rs
@@ -113,15 +113,21 @@
         runs.filter(|run| run[member] == value).count()
     }
 
-    /// Requests that ran more than once, by their request id.
+    /// Request ids of all runs, in the order of their arrival.
     #[must_use]
-    pub fn repeated_requests(&self) -> Vec<String> {
+    pub fn requests(&self) -> Vec<String> {
         let runs = self.0["runs"].as_array().into_iter().flatten();
         let requests = runs.filter_map(|run| run["request"].as_str());
-        let mut requests: Vec<&str> = requests.collect();
+        requests.map(str::to_owned).collect()
+    }
+
+    /// Requests that ran more than once, by their request id.
+    #[must_use]
+    pub fn repeated_requests(&self) -> Vec<String> {
+        let mut requests = self.requests();
         requests.sort_unstable();
         let pairs = requests.windows(2);
         let repeated = pairs.filter(|pair| pair[0] == pair[1]);
-        repeated.map(|pair| pair[0].to_owned()).collect()
+        repeated.map(|pair| pair[0].clone()).collect()
     }
 }
