--- a/crates/savorywood-core/tests/config_faults.rs
+++ b/crates/savorywood-core/tests/config_faults.rs
@@ -29,10 +29,7 @@
 fn answers_are_true(cluster: &ConfigCluster) -> Result<(), String> {
     let committed = cluster.committed_marks();
     for (call, record) in &cluster.operators {
-        let times = committed
-            .iter()
-            .filter(|mark| **mark == record.mark)
-            .count();
+        let times = committed.iter().filter(|w| **w == record.mark).count();
         let right = match &record.reply {
             Some(OperatorReply::Accepted { .. }) => times == 1,
             Some(OperatorReply::Refused(refusal)) => {
@@ -205,7 +202,7 @@
 }
 
 /// Two of seven hosts lose the table and the other five at once. They still confirm each other,
-/// and a team whose token was withdrawn on the others would go on being served by them for hours. They
+/// and a service that was withdrawn on the others would go on being served by them for hours. They
 /// must know within the allowed time that they can't be sure.
 #[test]
 fn a_cut_off_minority_knows_that_it_may_be_old() {
--- a/crates/savorywood-core/tests/support/config_cluster.rs
+++ b/crates/savorywood-core/tests/support/config_cluster.rs
@@ -19,6 +19,9 @@
 };
 use std::{collections::BTreeMap, time::Duration};
 
+/// Deadlines of written services begin above this, since a deadline of zero is refused.
+const FIRST_DEADLINE_MS: u32 = 60_000;
+
 /// Chances of faults, in percent of table calls.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct FaultChances {
@@ -43,7 +46,7 @@
 /// An operator's call and what it was told.
 #[derive(Debug)]
 pub struct OperatorRecord {
-    /// What the written service carries: tells each change from all others.
+    /// Mark that the written service carries: tells each change from all others.
     pub mark: u32,
     /// Answer; `None` while there is none.
     pub reply: Option<OperatorReply>,
@@ -76,9 +79,6 @@
     rng: ChaCha8Rng,
 }
 
-/// Added to the marks of changes, so that each is a valid deadline.
-const FIRST_MARK: u32 = 10_000;
-
 const START_WALL_MS: u64 = 1_800_000_000_000;
 
 impl ConfigCluster {
@@ -211,7 +211,7 @@
             let value: serde_json::Value = serde_json::from_str(text).ok()?;
             value["document"]["spec"]["objectives"]["deadline_ms"].as_u64()
         });
-        marks.map(|mark| mark as u32 - FIRST_MARK).collect()
+        marks.map(|mark| mark as u32 - FIRST_DEADLINE_MS).collect()
     }
 
     /// Members as a node sees them: those that it is cut off from are dead.
@@ -356,17 +356,17 @@
     }
 }
 
-/// A service whose deadline carries `mark`.
-fn service_document(name: &str, mark: u32) -> ResourceDocument {
-    let objectives = ServiceObjectives {
-        deadline_ms: FIRST_MARK + mark,
-        ..ServiceObjectives::default()
-    };
+/// A service whose deadline carries `mark`. It names no other resource, so that nothing but the
+/// race itself decides whether it is accepted.
+pub fn service_document(name: &str, mark: u32) -> ResourceDocument {
     ResourceDocument {
         name: name.into(),
         spec: ResourceSpec::Service(ServiceSpec {
-            protocol: ServiceProtocol::Model,
-            objectives,
+            protocol: ServiceProtocol::Plain,
+            objectives: ServiceObjectives {
+                deadline_ms: FIRST_DEADLINE_MS + mark,
+                ..ServiceObjectives::default()
+            },
             routes: Vec::new(),
             claims: ClaimRetention::default(),
             version: None,
--- a/crates/savorywood-settings/src/daemon.rs
+++ b/crates/savorywood-settings/src/daemon.rs
@@ -3,7 +3,7 @@
 use crate::{
     builder::SettingsBuilder,
     decode,
-    fault::{FaultReport, SettingsFault},
+    fault::FaultReport,
     node::{SourceNode, SpannedFault},
     path::MemberPath,
     secret::SecretFile,
@@ -47,6 +47,10 @@
     pub body_bytes: usize,
     /// Longest time in which a head must have arrived.
     pub head_time: Duration,
+    /// Longest time in which a body must have arrived.
+    pub body_time: Duration,
+    /// Longest time that a caller may take for some bytes of its answer.
+    pub write_time: Duration,
     /// Longest time that a connection may stay open without a request.
     pub idle_time: Duration,
     /// Threads that run tasks.
@@ -123,12 +127,9 @@
     ///
     /// All faults of the text.
     pub fn parse(source: &SourceText, folder: &Path) -> Result<Self, FaultReport> {
-        let report = |faults: Vec<SpannedFault>| {
-            let faults = faults.into_iter();
-            let faults = faults.map(|found| SettingsFault::at(source, &found.span, found.fault));
-            FaultReport::new(faults.collect())
-        };
-        let (node, mut faults) = SourceNode::parse(source).map_err(|fault| report(vec![fault]))?;
+        let parsed = SourceNode::parse(source);
+        let (node, mut faults) =
+            parsed.map_err(|fault| FaultReport::locate(source, vec![fault]))?;
         let decoded = decode::decode_partly(&node, &MemberPath::default());
         faults.extend(decoded.faults);
         let raw = decoded.value.unwrap_or_default();
@@ -142,7 +143,7 @@
                 faults.extend(found.map(|fault| place(&node, fault)));
             }
         }
-        Err(report(faults))
+        Err(FaultReport::locate(source, faults))
     }
 }
 
