--- a/crates/savorywood-core/src/order.rs
+++ b/crates/savorywood-core/src/order.rs
@@ -1,6 +1,6 @@
 //! Orders to engines. They are declarative: giving one twice does what giving it once does.
 
-use savorywood_protocol::{FencingNumber, VersionName};
+use savorywood_protocol::{FencingNumber, MonotonicTime, VersionName};
 
 /// Names one call that carries an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -13,6 +13,9 @@
     pub fencing: FencingNumber,
     /// Version that the engine is to run; `None` only reads back what it runs.
     pub version: Option<VersionName>,
+    /// Not to be sent at or after this time: the lease may have another holder by then. Whoever
+    /// sends looks at the clock right before it does, since it may have been paused.
+    pub act_by: MonotonicTime,
 }
 
 /// What came back.
