Put a change in force before its operator is told

Ruled out: reading through the core at each GET (a lock more on every call of a caller). Change: the driver publishes a changed configuration before it executes the other effects. Conclusion: accepted means readable at that daemon.

--- a/crates/savorywood-cli/tests/process_upstreams.rs
+++ b/crates/savorywood-cli/tests/process_upstreams.rs
@@ -1,6 +1,8 @@
 //! Upstreams that leave.
 
-use savorywood_testing::{ClusterPlan, StandinProcess, TestCluster, has_end_mark, wait_until};
+use savorywood_testing::{
+    ClusterPlan, StandinProcess, TestCall, TestCluster, has_end_mark, wait_until,
+};
 use serde_json::json;
 use std::{thread, time::Duration};
 
@@ -40,3 +42,40 @@
     let long = caller.join().expect("a caller").expect("a whole answer");
     assert!(has_end_mark(&long.body), "{}", long.text());
 }
+
+/// The platform says that an engine's host will be taken away, and nobody tells the daemons but
+/// its list. An engine that went on getting work would lose its streams with the host.
+#[test]
+fn an_engine_on_a_leaving_host_gets_nothing_new() {
+    let leaving = StandinProcess::engine(&["--decode", "500"]);
+    let staying = StandinProcess::engine(&["--decode", "500"]);
+    let cluster = TestCluster::start(&ClusterPlan::default());
+    cluster.declare(&[staying.address()], &[]);
+    cluster.declare_engine("engine-1", leaving.address());
+    let mut spec = cluster.get(0, "upstream", "engine-1").json()["spec"].clone();
+    spec["host"] = json!("room-host-1");
+    let revision = cluster.apply("upstream", "engine-1", &spec);
+    cluster.wait_in_force(revision);
+    let entry = json!({
+        "host": "room-host-1",
+        "peer_address": leaving.address(),
+        "caller_address": leaving.address(),
+        "zone": "zone-a",
+        "region": "region-1",
+        "leaving": true,
+    });
+    let listed = TestCall::put(
+        cluster.platform.address(),
+        "/v1/hosts/room-host-1",
+        entry.to_string(),
+    );
+    assert!(listed.send().expect("the list answers").status() < 300);
+    thread::sleep(LEAVE_TIME);
+    let before = leaving.runs().total();
+    for number in 0..REQUESTS {
+        let call = cluster.chat(number % 2, &format!("text {number}"), 5);
+        let answer = call.send().expect("an answer");
+        assert!(has_end_mark(&answer.body), "{}", answer.text());
+    }
+    assert_eq!(leaving.runs().total(), before);
+}
--- a/crates/savorywood-daemon/src/driver.rs
+++ b/crates/savorywood-daemon/src/driver.rs
@@ -92,14 +92,18 @@
         let now = self.clock.now();
         let mut effects = EffectQueue::new();
         let result = work(&mut core, now, &mut effects);
+        // Before any reply: an operator that reads back at once would not find its own change.
+        if effects.as_slice().contains(&DaemonEffect::ConfigChanged) {
+            self.publish_config(&core);
+        }
         // Under the lock, so that a cancel can't overtake its dispatch. Nothing here waits.
         for effect in effects.drain() {
-            self.execute(&core, effect);
+            self.execute(effect);
         }
         result
     }
 
-    fn execute(&self, core: &DaemonCore, effect: DaemonEffect) {
+    fn execute(&self, effect: DaemonEffect) {
         match effect {
             DaemonEffect::SetTimer { key, at } => self.timers.set(key, at),
             DaemonEffect::Dispatch(order) => {
@@ -119,7 +123,8 @@
                 self.command(request, RequestCommand::Replay(answer));
             }
             DaemonEffect::ReplyOperator { call, reply } => self.reply_operator(call, *reply),
-            DaemonEffect::ConfigChanged => self.publish_config(core),
+            // Published before all others.
+            DaemonEffect::ConfigChanged => {}
             DaemonEffect::Log(line) => logging::write_line(&line),
             DaemonEffect::Breach(breach) => {
                 self.metrics.count_breach(breach.name);
--- a/crates/savorywood-daemon/tests/whole_path.rs
+++ b/crates/savorywood-daemon/tests/whole_path.rs
@@ -228,3 +228,25 @@
         assert_eq!(problem["error"]["code"], code);
     }
 }
+
+/// An operator creates a resource and reads it back at the same daemon as soon as the change is
+/// accepted. Told of the change before it was in force, the operator would find nothing, or the
+/// old content, and create it again.
+#[test]
+fn accepted_change_is_readable_at_once() {
+    let rig = TestRig::start(true);
+    for number in 0..300 {
+        let target = format!("/v1/resources/service/plain-{number}");
+        let body = json!({
+            "kind": "service",
+            "name": format!("plain-{number}"),
+            "spec": {"protocol": "plain"},
+        });
+        let put = CallRequest::new(rig.daemon, Method::Put, target.as_str())
+            .with_token(OPERATOR_TOKEN)
+            .with_body(body.to_string().into_bytes());
+        assert_eq!(rig.call(put).unwrap().status, 200);
+        let get = CallRequest::new(rig.daemon, Method::Get, target).with_token(OPERATOR_TOKEN);
+        assert_eq!(rig.call(get).unwrap().status, 200, "change {number}");
+    }
+}
