Test that a request whose answer never came is not sent to another engine

Cause: a trial that took such a break for "not sent" was not noticed by process_links. Change: two engines that drop their answers; the caller is told "unknown", one run in all.

--- a/crates/savorywood-cli/tests/process_links.rs
+++ b/crates/savorywood-cli/tests/process_links.rs
@@ -110,6 +110,25 @@
     setup.wait_until_served();
 }
 
+/// An engine takes a request and its connection closes before any answer. The work may have run,
+/// so the request must not go to the other engine, and the caller must not be told "not run".
+#[test]
+fn a_request_without_an_answer_is_not_sent_again() {
+    let setup = start(&["--decode", "500"]);
+    let other = StandinProcess::engine(&["--decode", "500"]);
+    let revision = setup.cluster.declare_engine("engine-1", other.address());
+    setup.cluster.wait_in_force(revision);
+    let engines = [&setup.engine, &other];
+    for engine in engines {
+        engine.set_faults(&json!({"drop_answers": true}));
+    }
+    let reply = setup.cluster.chat(0, "hello", 5).send().expect("a refusal");
+    assert!(reply.status() >= 500, "{}", reply.text());
+    assert_eq!(reply.json()["outcome"], "unknown", "{}", reply.text());
+    let runs: u64 = engines.iter().map(|engine| engine.runs().total()).sum();
+    assert_eq!(runs, 1, "sent to a second engine");
+}
+
 /// An answer of known length is cut off in its middle. The caller sees it, or is told.
 #[test]
 fn a_truncated_answer_of_known_length_never_ends_cleanly() {
