Compose moves of versions into the daemon

Cause: moves were a reducer of their own; nothing fed them requests or split the traffic. Change: the ends of dispatched requests become samples (failed, time between tokens) where a move is declared; splits reach the scheduler; the lease is wanted while a move is under way; status of a move shows its state and conditions; the state stands beside the document, so that a service may have its next move once the last is over.

--- a/crates/savorywood-core/src/config.rs
+++ b/crates/savorywood-core/src/config.rs
@@ -32,9 +32,9 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use savorywood_protocol::{
-    ConfigRevision, CoreTime, HostName, MonotonicTime, WallTime,
+    ConfigRevision, CoreTime, HostName, MonotonicTime, MoveName, WallTime,
     peer::ConfigMessage,
-    resource::{ResourceKey, ResourceStatus},
+    resource::{MoveState, ResourceKey, ResourceKind, ResourceStatus},
     table::{TableAnswer, TableRequest},
 };
 use std::{collections::VecDeque, sync::Arc};
@@ -186,6 +186,24 @@
         Some(status::resource_status(revision, since, members))
     }
 
+    /// Keeps where a move stands beside its document, so that the check of a new move of the same
+    /// service sees whether the last one is over.
+    pub fn note_move_state(&mut self, name: &MoveName, state: MoveState) {
+        let key = ResourceKey {
+            kind: ResourceKind::Move,
+            name: name.as_str().to_owned(),
+        };
+        let document = self.view.documents.get(&key);
+        let known = document.and_then(|document| document.status.as_ref()?.move_state);
+        if document.is_none() || known == Some(state) {
+            return;
+        }
+        if let Some(document) = Arc::make_mut(&mut self.view).documents.get_mut(&key) {
+            let status = document.status.get_or_insert_default();
+            status.move_state = Some(state);
+        }
+    }
+
     /// Handles one event.
     pub fn step(
         &mut self,
--- a/crates/savorywood-core/src/daemon.rs
+++ b/crates/savorywood-core/src/daemon.rs
@@ -5,6 +5,7 @@
 mod gate;
 mod hosts;
 mod leaving;
+mod moving;
 mod objectives;
 mod reads;
 mod sharing;
@@ -21,6 +22,7 @@
     event::{DaemonEvent, DutyKind, TimerKey},
     leases::{LeaseEvent, LeaseOptions, LeaseState},
     membership::{MembershipEvent, MembershipOptions, MembershipState},
+    moves::{MoveEvent, MoveOptions, MovesState},
     scheduler::{RequestScheduler, SchedulerEvent, SchedulerOptions, SeatGrant},
     stop::{StopEvent, StopOptions, StopState},
     view::{ConfigView, MemberView, VersionSplit},
@@ -98,6 +100,8 @@
     held: HeldRequests,
     queued: BTreeSet<ServiceName>,
     leases: LeaseState,
+    moves: MovesState,
+    move_lease_wanted: bool,
     stop: StopState,
     resumed: BTreeSet<RequestId>,
     leaving_hosts: BTreeSet<HostName>,
@@ -139,6 +143,11 @@
                 options.incarnation,
                 seed,
             )),
+            moves: MovesState::new(MoveOptions {
+                host: options.host.clone(),
+                seed,
+            }),
+            move_lease_wanted: false,
             stop: StopState::new(StopOptions {
                 max_age: options.address_max_age,
                 ..StopOptions::default()
@@ -226,6 +235,7 @@
         self.configure(now, ConfigEvent::Started, effects);
         self.claim(now, ClaimEvent::Started, effects);
         self.share(now, CreditEvent::Started, effects);
+        self.move_on(now, MoveEvent::Started, effects);
     }
 
     fn timer(&mut self, now: CoreTime, key: TimerKey, effects: &mut EffectQueue) {
@@ -240,7 +250,8 @@
             DutyKind::Credits => self.share(now, CreditEvent::TimerFired { number }, effects),
             DutyKind::Leases => self.lease(now, LeaseEvent::TimerFired { number }, effects),
             DutyKind::Stop => self.leave(now, StopEvent::TimerFired, effects),
-            DutyKind::Moves | DutyKind::Orders => {}
+            DutyKind::Moves => self.move_on(now, MoveEvent::TimerFired { number }, effects),
+            DutyKind::Orders => {}
         }
     }
 
@@ -261,7 +272,9 @@
             PeerMessage::Credits(message) => {
                 self.share(now, CreditEvent::Peer { from, message }, effects);
             }
-            PeerMessage::Moves(_) => {}
+            PeerMessage::Moves(message) => {
+                self.move_on(now, MoveEvent::Peer { from, message }, effects);
+            }
         }
     }
 
@@ -284,10 +297,12 @@
             DutyKind::Leases => {
                 self.lease(now, LeaseEvent::Table { number, answer }, effects);
             }
+            DutyKind::Moves => {
+                self.move_on(now, MoveEvent::Table { number, answer }, effects);
+            }
             DutyKind::Scheduler
             | DutyKind::Credits
             | DutyKind::Membership
-            | DutyKind::Moves
             | DutyKind::Orders
             | DutyKind::Stop => {}
         }
@@ -302,6 +317,7 @@
             let revision = self.config.view().revision;
             self.join(now, MembershipEvent::RevisionInForce(revision), effects);
             self.mark_leaving_upstreams(now, effects);
+            self.move_on(now, MoveEvent::ConfigChanged, effects);
             self.schedule(now, SchedulerEvent::ViewChanged, effects);
         }
     }
--- a/crates/savorywood-core/src/daemon/deciding.rs
+++ b/crates/savorywood-core/src/daemon/deciding.rs
@@ -137,6 +137,7 @@
         event: UpstreamEvent,
         effects: &mut EffectQueue,
     ) {
+        self.sample_version(now, &event, effects);
         self.objectives
             .upstream(now.monotonic, &event, &mut self.burn);
         if self.claims.open_claims() > 0 {
--- a/crates/savorywood-core/src/daemon/gate.rs
+++ b/crates/savorywood-core/src/daemon/gate.rs
@@ -6,7 +6,7 @@
     invariant::{self, InvariantName},
     request::QueuedRequest,
 };
-use savorywood_protocol::{AttemptNumber, OutcomeKind, RequestId, RequestRefusal};
+use savorywood_protocol::{AttemptNumber, OutcomeKind, RequestId, RequestRefusal, UpstreamName};
 use std::collections::BTreeMap;
 
 /// How far a request has come.
@@ -23,6 +23,8 @@
 struct GateEntry {
     stage: GateStage,
     request: QueuedRequest,
+    /// Upstream of the newest dispatch.
+    upstream: Option<UpstreamName>,
 }
 
 /// Open requests, and how far each has come.
@@ -36,7 +38,17 @@
     pub fn open(&mut self, request: QueuedRequest) {
         let stage = GateStage::Here;
         let key = request.request;
-        self.entries.insert(key, GateEntry { stage, request });
+        let entry = GateEntry {
+            stage,
+            request,
+            upstream: None,
+        };
+        self.entries.insert(key, entry);
+    }
+
+    /// Upstream that a request was dispatched to last.
+    pub fn upstream_of(&self, request: RequestId) -> Option<&UpstreamName> {
+        self.entries.get(&request)?.upstream.as_ref()
     }
 
     /// An open request.
@@ -88,6 +100,7 @@
         let once = first.is_some();
         if let Some(entry) = first {
             entry.stage = GateStage::Dispatched(order.attempt);
+            entry.upstream = Some(order.upstream.clone());
         }
         invariant::check(effects, InvariantName::DispatchAtMostOnce, once, || {
             format!("request={} attempt={}", order.request, order.attempt)
--- a/crates/savorywood-core/src/daemon/objectives.rs
+++ b/crates/savorywood-core/src/daemon/objectives.rs
@@ -40,6 +40,17 @@
         self.requests.insert(request.request, measured);
     }
 
+    /// Microseconds between two tokens of a request so far, if there were two.
+    pub fn micros_per_token(&self, now: MonotonicTime, request: RequestId) -> Option<u32> {
+        let measured = self.requests.get(&request)?;
+        let gaps = measured.tokens_after_first.checked_sub(1)?;
+        let elapsed = match gaps {
+            0 => now.since(measured.arrived_at),
+            _ => now.since(measured.first_at?) / gaps,
+        };
+        u32::try_from(elapsed.as_micros()).ok()
+    }
+
     /// The caller left: nobody was kept waiting.
     pub fn forget(&mut self, request: RequestId) {
         self.requests.remove(&request);
--- a/crates/savorywood-core/src/daemon/reads.rs
+++ b/crates/savorywood-core/src/daemon/reads.rs
@@ -9,7 +9,9 @@
     snapshot::ConfigSnapshot,
 };
 use savorywood_protocol::{
-    ConfigRevision, CoreTime, RequestRefusal, burn::DaemonBurn, resource::ResourceDocument,
+    ConfigRevision, CoreTime, RequestRefusal,
+    burn::DaemonBurn,
+    resource::{ResourceDocument, ResourceSpec},
 };
 use strum::{Display, EnumIter, IntoStaticStr};
 
@@ -47,9 +49,13 @@
     /// A resource with what the system says of it now.
     #[must_use]
     pub fn with_status(&self, document: &ResourceDocument) -> ResourceDocument {
-        let status = self
-            .config
-            .status_of(&document.key(), self.membership.view());
+        let key = document.key();
+        let mut status = self.config.status_of(&key, self.membership.view());
+        if let (ResourceSpec::Move(_), Some(status)) = (&document.spec, &mut status)
+            && let Ok(name) = key.name.parse()
+        {
+            self.add_move_status(&name, status);
+        }
         ResourceDocument {
             status,
             ..document.clone()
