--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod moves;
 pub mod operator;
 pub mod order;
+pub mod orders;
 pub mod rendezvous;
 pub mod request;
 pub mod resume;
