--- a/crates/savorywood-core/src/scheduler/dispatch.rs
+++ b/crates/savorywood-core/src/scheduler/dispatch.rs
@@ -118,8 +118,13 @@
         if !service.saturated {
             return None;
         }
+        let state = self.fleet.get(upstream)?;
+        let grant = view.grants.get(&state.name);
+        if !state.has_room(state.allowance(now, grant), 0) {
+            return None;
+        }
         // Others want its seats: they may hold what this daemon would have to prefill.
-        let contended = view.grants.contains_key(&self.fleet.get(upstream)?.name);
+        let contended = grant.is_some();
         let mut second: Option<PlannedDispatch> = None;
         for waiting in service.queue.front(HOLDER_SPAN) {
             let hit = waiting
--- a/crates/savorywood-core/src/scheduler/pressure.rs
+++ b/crates/savorywood-core/src/scheduler/pressure.rs
@@ -9,7 +9,7 @@
 /// What waits is counted again after this long.
 const COUNT_EVERY: Duration = Duration::from_millis(90);
 /// Waiting requests looked at in one count.
-const MAX_SAMPLE: usize = 512;
+const MAX_SAMPLE: usize = 128;
 /// A tier counts as being shed for this long after a refusal for load.
 const SHED_MEMORY: Duration = Duration::from_secs(1);
 
