--- a/crates/savorywood-core/src/scheduler/pressure.rs
+++ b/crates/savorywood-core/src/scheduler/pressure.rs
@@ -1,6 +1,6 @@
 //! What other duties read of the scheduler: demand, limits and pressure.
 
-use super::{RequestScheduler, fleet::UpstreamId, service::WantedSeats};
+use super::{RequestScheduler, fleet::UpstreamId, queue::FrontSpan, service::WantedSeats};
 use savorywood_protocol::{
     MonotonicTime, ServiceName, TierRank, UpstreamName, peer::credits::TierDemand,
 };
@@ -54,6 +54,16 @@
             .collect()
     }
 
+    /// Seats in use on an upstream.
+    #[must_use]
+    pub fn seats_in_use(&self, upstream: &UpstreamName) -> u32 {
+        let id = self.fleet.id(upstream);
+        let seats = id
+            .into_iter()
+            .flat_map(|id| self.attempts.seats_by_tier(id));
+        seats.map(|(_, count)| count).sum()
+    }
+
     /// Counts what waits by where it would like to go. A part is looked at and taken for all.
     pub(super) fn count_wanted(&mut self, now: MonotonicTime, name: &ServiceName) {
         let Some(service) = self.services.get(name) else {
@@ -69,7 +79,7 @@
         };
         let sampled = service.queue.len().min(MAX_SAMPLE);
         let weight = service.queue.len() as f64 / sampled.max(1) as f64;
-        for waiting in service.queue.front(usize::MAX).take(sampled) {
+        for waiting in service.queue.front(FrontSpan::ALL).take(sampled) {
             let rank = waiting.request.rank;
             let hash = waiting.held_prefix;
             let holders: Vec<UpstreamId> = hash
