Test a change of the holder and lost answers in moves

Cause: two failures of moves had no test: the holder replaced in the middle, and answers to its writes lost.

Change: both tests, and a check in the lab that no node tells of an end that the table does not say.

Seen to fail with one line off: a new holder not writing its name into the row (the move is not completed); a lost answer taken for a commit (the move stands still, and nodes tell what the table does not say).

--- a/crates/savorywood-core/tests/move_faults.rs
+++ b/crates/savorywood-core/tests/move_faults.rs
@@ -104,6 +104,43 @@
     assert!((1..7).all(|node| lab.share(node) == 0));
 }
 
+/// The holder dies in the middle of a move and another daemon takes over, knowing only the rows.
+/// Were it to begin anew, the move would not be done in time; were it to go on without a proof of
+/// its own, it could push a bad version through.
+#[test]
+fn another_holder_goes_on_with_the_move() {
+    let mut good = MoveLab::new(LabPlan::default(), 13);
+    good.run_until(300.0);
+    good.cut_off.insert(0);
+    good.run_until(320.0);
+    good.holder = 3;
+    good.run_until(600.0);
+    assert_eq!(good.state(3), MoveState::Completed, "{}", good.reason(3));
+    let mut bad = MoveLab::new(failing(FaultOnset::UnderLoad(50)), 13);
+    bad.run_until(300.0);
+    bad.cut_off.insert(0);
+    bad.run_until(320.0);
+    bad.holder = 3;
+    bad.run_until(600.0);
+    assert_eq!(bad.state(3), MoveState::TakenBack, "{}", bad.reason(3));
+    assert_eq!(good.result.breaches + bad.result.breaches, 0);
+}
+
+/// The table loses every other answer, also the one to the row that says "completed". Operators
+/// must not be told that the move is done before the row says so, nor may it stand still.
+#[test]
+fn lost_answers_neither_hold_up_nor_run_ahead_of_the_table() {
+    let mut lab = MoveLab::new(LabPlan::default(), 17);
+    lab.lost = 50;
+    lab.run_until(600.0);
+    assert!(
+        (0..7).all(|node| lab.state(node) == MoveState::Completed),
+        "{}",
+        lab.reason(0)
+    );
+    assert_eq!(lab.result.breaches, 0);
+}
+
 /// Table and holder are gone until after the deadline, and the version is not proved. Were each
 /// daemon to wait for a row, it would keep its share for as long as the outage lasts.
 #[test]
--- a/crates/savorywood-core/tests/support/move_lab.rs
+++ b/crates/savorywood-core/tests/support/move_lab.rs
@@ -104,6 +104,10 @@
     pub cut_off: BTreeSet<usize>,
     /// The table refuses everything.
     pub outage: bool,
+    /// Calls of the table whose answer is lost after they took effect, in percent.
+    pub lost: u32,
+    /// Node that holds the lease.
+    pub holder: usize,
     /// What came out so far.
     pub result: LabResult,
     plan: LabPlan,
@@ -140,6 +144,8 @@
         let mut lab = Self {
             cut_off: BTreeSet::new(),
             outage: false,
+            lost: 0,
+            holder: 0,
             result: LabResult::default(),
             plan,
             nodes,
@@ -195,6 +201,9 @@
             self.run_agenda();
             self.run_timers();
             self.weather();
+            if self.now.is_multiple_of(100_000) {
+                self.check_told();
+            }
             let mean = self.plan.rate * STEP_MICROS as f64 / 1e6;
             if self.rng.random_bool(mean.min(1.0)) {
                 self.request();
@@ -203,6 +212,22 @@
         self.result.state = Some(self.state(0));
     }
 
+    /// Nobody is told that the move ended before the table says so.
+    fn check_told(&mut self) {
+        let keys = vec!["move/m".to_owned()];
+        let answer = self.table.execute(&TableRequest::Get { keys });
+        let TableAnswer::Rows { rows, .. } = answer else {
+            return;
+        };
+        let text = rows.first().and_then(|row| row.value.as_deref());
+        for node in 0..NODES {
+            let state = self.state(node);
+            let over = matches!(state, MoveState::Completed | MoveState::TakenBack);
+            let said = text.is_some_and(|text| text.contains(&format!("\"{state}\"")));
+            self.result.breaches += u32::from(over && !said);
+        }
+    }
+
     fn weather(&mut self) {
         if !self.plan.hot {
             return;
@@ -286,7 +311,9 @@
                     let answer = if out {
                         TableAnswer::Unavailable
                     } else {
-                        self.table.execute(&request)
+                        let answer = self.table.execute(&request);
+                        let lost = self.lost > 0 && self.rng.random_range(0..100) < self.lost;
+                        if lost { TableAnswer::Lost } else { answer }
                     };
                     let event = Box::new(MoveEvent::Table { number, answer });
                     self.later(4_000, Pending::Node(node, event));
@@ -315,8 +342,9 @@
             monotonic: MonotonicTime(self.now),
             wall: WallTime(START_WALL_MS + (self.now - START_MICROS) / 1_000),
         };
-        let lease = (node == 0 && !self.cut_off.contains(&0)).then_some(LeaseGrant {
-            fencing: FencingNumber(1),
+        let holds = node == self.holder && !self.cut_off.contains(&node);
+        let lease = holds.then_some(LeaseGrant {
+            fencing: FencingNumber(1 + self.holder as u64),
             gained_at: MonotonicTime(0),
             acts_until: now.monotonic + Duration::from_secs(1),
         });
