Compose orders to engines, and check versions at the gate

Cause: nobody told engines which version to run in a whole daemon; the invariant on stopped versions was not checked at dispatch. Change: leases for moves and orders are asked for while there is work; the shell looks at the clock right before it sends an order; a dispatch to a version without a share is a breach.

--- a/crates/savorywood-cli/src/commands/dev/standins.rs
+++ b/crates/savorywood-cli/src/commands/dev/standins.rs
@@ -37,13 +37,14 @@
     }
 
     async fn start_all(executor: &Arc<Executor<'static>>) -> io::Result<Self> {
-        let fast = EngineOptions::new().batch(BatchSettings {
+        let engine = || EngineOptions::new().version("notes-v1");
+        let fast = engine().batch(BatchSettings {
             slots: 16,
             prefill_per_second: 20_000,
             decode_per_second: 120,
             ..BatchSettings::default()
         });
-        let slow = EngineOptions::new().batch(BatchSettings {
+        let slow = engine().batch(BatchSettings {
             slots: 8,
             prefill_per_second: 5_000,
             decode_per_second: 40,
--- a/crates/savorywood-core/src/daemon.rs
+++ b/crates/savorywood-core/src/daemon.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod deciding;
 mod gate;
+mod holding;
 mod hosts;
 mod leaving;
 mod moving;
@@ -23,11 +24,13 @@
     leases::{LeaseEvent, LeaseOptions, LeaseState},
     membership::{MembershipEvent, MembershipOptions, MembershipState},
     moves::{MoveEvent, MoveOptions, MovesState},
+    orders::{OrderEvent, OrderOptions, OrdersState},
     scheduler::{RequestScheduler, SchedulerEvent, SchedulerOptions, SeatGrant},
     stop::{StopEvent, StopOptions, StopState},
     view::{ConfigView, MemberView, VersionSplit},
 };
 use gate::DispatchGate;
+use holding::WantedLeases;
 use objectives::ObjectiveTracker;
 use savorywood_protocol::{
     CoreTime, HostIncarnation, HostName, MonotonicTime, RegionName, RequestId, ServiceName,
@@ -101,7 +104,8 @@
     queued: BTreeSet<ServiceName>,
     leases: LeaseState,
     moves: MovesState,
-    move_lease_wanted: bool,
+    orders: OrdersState,
+    wanted: WantedLeases,
     stop: StopState,
     resumed: BTreeSet<RequestId>,
     leaving_hosts: BTreeSet<HostName>,
@@ -147,7 +151,8 @@
                 host: options.host.clone(),
                 seed,
             }),
-            move_lease_wanted: false,
+            orders: OrdersState::new(OrderOptions::default()),
+            wanted: WantedLeases::default(),
             stop: StopState::new(StopOptions {
                 max_age: options.address_max_age,
                 ..StopOptions::default()
@@ -225,7 +230,9 @@
             DaemonEvent::AnswerKept { request, answer } => {
                 self.claim(now, ClaimEvent::AnswerKept { request, answer }, effects);
             }
-            DaemonEvent::OrderAnswered { .. } => {}
+            DaemonEvent::OrderAnswered { call, answer } => {
+                self.order(now, OrderEvent::Answered { call, answer }, effects);
+            }
         }
     }
 
@@ -251,7 +258,7 @@
             DutyKind::Leases => self.lease(now, LeaseEvent::TimerFired { number }, effects),
             DutyKind::Stop => self.leave(now, StopEvent::TimerFired, effects),
             DutyKind::Moves => self.move_on(now, MoveEvent::TimerFired { number }, effects),
-            DutyKind::Orders => {}
+            DutyKind::Orders => self.order(now, OrderEvent::TimerFired, effects),
         }
     }
 
@@ -318,6 +325,7 @@
             self.join(now, MembershipEvent::RevisionInForce(revision), effects);
             self.mark_leaving_upstreams(now, effects);
             self.move_on(now, MoveEvent::ConfigChanged, effects);
+            self.order(now, OrderEvent::ViewChanged, effects);
             self.schedule(now, SchedulerEvent::ViewChanged, effects);
         }
     }
--- a/crates/savorywood-core/src/daemon/deciding.rs
+++ b/crates/savorywood-core/src/daemon/deciding.rs
@@ -5,6 +5,7 @@
     claims::{ClaimEvent, ClaimVerdict, ClaimView},
     effect::{DaemonEffect, DispatchOrder, EffectQueue},
     event::{CallerEvent, UpstreamEvent},
+    invariant::{self, InvariantName},
     request::{QueuedRequest, ResumeArrival},
     resume::resolve_resume,
     scheduler::{SchedulerEvent, SchedulerView},
@@ -56,6 +57,7 @@
         let request = order.request;
         let idempotent = self.gate.is_idempotent(request);
         let takes_work = self.takes_work(&order.upstream);
+        self.check_version(&order, effects);
         let passes = self.gate.dispatch(&order, takes_work, effects)
             && self.claims.may_dispatch(request, idempotent, effects);
         if passes {
@@ -68,6 +70,20 @@
         self.schedule(now, SchedulerEvent::CallerLeft { request }, effects);
     }
 
+    /// A version that was stopped, or has no share yet, gets nothing: a caller of it would meet
+    /// the fault that it was stopped for.
+    fn check_version(&self, order: &DispatchOrder, effects: &mut EffectQueue) {
+        let spec = self.config.view().upstreams.get(&order.upstream);
+        let split = spec.and_then(|spec| self.inputs.splits.get(&spec.service));
+        let (Some(spec), Some(split)) = (spec, split) else {
+            return;
+        };
+        let barred = split.new_per_mille == 0 && spec.version == split.new;
+        invariant::check(effects, InvariantName::BadVersionBounded, !barred, || {
+            format!("request={} version={}", order.request, spec.version)
+        });
+    }
+
     fn takes_work(&self, upstream: &UpstreamName) -> bool {
         let spec = self.config.view().upstreams.get(upstream);
         let leaving = self.leaving_upstreams.contains(upstream);
--- a/crates/savorywood-core/src/daemon/leaving.rs
+++ b/crates/savorywood-core/src/daemon/leaving.rs
@@ -1,4 +1,4 @@
-//! The planned stop, and the leases that it gives back.
+//! The planned stop: carries out what the stop duty decides.
 
 use super::DaemonCore;
 use crate::{
@@ -31,10 +31,4 @@
         }
         self.stop.finish(effects);
     }
-
-    /// Steps the lease duty.
-    pub(super) fn lease(&mut self, now: CoreTime, event: LeaseEvent, effects: &mut EffectQueue) {
-        let members = self.membership.view();
-        self.leases.step(now, event, members, effects);
-    }
 }
--- a/crates/savorywood-core/src/daemon/moving.rs
+++ b/crates/savorywood-core/src/daemon/moving.rs
@@ -4,7 +4,7 @@
 use crate::{
     effect::EffectQueue,
     event::{BreakCause, UpstreamEvent},
-    leases::{LeaseEvent, LeaseName},
+    leases::LeaseName,
     moves::{MoveEvent, MoveSample, MoveVerdict, MoveView},
     scheduler::SchedulerEvent,
 };
@@ -22,7 +22,7 @@
             lease: self.leases.grant(now, LeaseName::Moves),
         };
         let verdict = self.moves.step(now, event, view, effects);
-        self.want_move_lease(now, effects);
+        self.want_leases(now, effects);
         self.note_move_states();
         if verdict == MoveVerdict::SplitsChanged {
             self.inputs.splits.clone_from(self.moves.splits());
@@ -30,16 +30,6 @@
         }
     }
 
-    fn want_move_lease(&mut self, now: CoreTime, effects: &mut EffectQueue) {
-        let wanted = self.moves.wants_lease(self.config.view());
-        if wanted == self.move_lease_wanted {
-            return;
-        }
-        self.move_lease_wanted = wanted;
-        let name = LeaseName::Moves;
-        self.lease(now, LeaseEvent::Wanted { name, wanted }, effects);
-    }
-
     /// Keeps the states of moves beside their documents: a service may have a new move once its
     /// last one is over, and the check of a document looks for that.
     fn note_move_states(&mut self) {
--- a/crates/savorywood-daemon/src/outbound/orders.rs
+++ b/crates/savorywood-daemon/src/outbound/orders.rs
@@ -23,6 +23,15 @@
     let owner = Arc::clone(shared);
     let run = async move {
         let request = build(&owner, address, &order);
+        // A process that was frozen since the order was decided may no longer hold the lease.
+        if owner.driver.clock().now().monotonic >= order.act_by {
+            log::warn!("event=order-too-late peer={address}");
+            let answer = OrderAnswer::Lost;
+            owner
+                .driver
+                .step(DaemonEvent::OrderAnswered { call, answer });
+            return;
+        }
         let answer = match owner.client.call(&request).await {
             Ok(answer) => read_answer(&answer),
             Err(error) => {
