--- a/crates/savorywood-core/src/credits.rs
+++ b/crates/savorywood-core/src/credits.rs
@@ -253,11 +253,7 @@
     fn publish(&mut self, now: MonotonicTime, view: CreditView<'_>) -> bool {
         let mut grants = BTreeMap::new();
         for (upstream, held) in &self.held {
-            let demand = view.demands.get(upstream);
-            let limit = demand.map_or(0, |demand| demand.limit);
-            let peers = arbiters(upstream, view).count().max(1);
-            let share = limit.div_ceil(u32::try_from(peers).unwrap_or(u32::MAX));
-            if let Some(seats) = held.usable(now, share.max(1)) {
+            if let Some(seats) = held.usable(now, || standing_share(upstream, view)) {
                 grants.insert(upstream.clone(), SeatGrant { seats });
             }
         }
@@ -289,6 +285,15 @@
     }
 }
 
+/// Seats that a daemon may use without a grant: its part of what it could use alone.
+fn standing_share(upstream: &UpstreamName, view: CreditView<'_>) -> u32 {
+    let demand = view.demands.get(upstream);
+    let limit = demand.map_or(0, |demand| demand.limit);
+    let peers = arbiters(upstream, view).count().max(1);
+    let share = limit.div_ceil(u32::try_from(peers).unwrap_or(u32::MAX));
+    share.max(1)
+}
+
 /// Members that may arbitrate an upstream: those of its zone; of its region, or all, when its
 /// zone has none. Members near the upstream are the ones that use it most, and the fewer daemons
 /// speak with one another, the fewer messages there are.
--- a/crates/savorywood-core/src/credits/holder.rs
+++ b/crates/savorywood-core/src/credits/holder.rs
@@ -69,11 +69,11 @@
     /// lapsed, which costs capacity but can't overrun the upstream; `None` before the first
     /// answer, which leaves the daemon's own limit.
     #[must_use]
-    pub fn usable(&self, now: MonotonicTime, standing_share: u32) -> Option<u32> {
+    pub fn usable(&self, now: MonotonicTime, standing_share: impl FnOnce() -> u32) -> Option<u32> {
         let seats = self.seats?;
         Some(match now < self.expires_at {
             true => seats,
-            false => standing_share,
+            false => standing_share(),
         })
     }
 
--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -6,8 +6,8 @@
 
 pub mod burn;
 pub mod claims;
-pub mod credits;
 pub mod config;
+pub mod credits;
 pub mod daemon;
 pub mod discovery;
 pub mod effect;
--- a/crates/savorywood-core/src/membership/budget.rs
+++ b/crates/savorywood-core/src/membership/budget.rs
@@ -21,6 +21,12 @@
 const NORMAL_RESERVE: u64 = 150;
 const LOW_RESERVE: u64 = 400;
 
+/// Digests that ride along with a probe; a ping that reads a table has fewer.
+const PROBE_PARTS: usize = 4;
+
+/// Members in an answer from which it is taken for a part of a table.
+const LONG_TABLE: usize = 6;
+
 /// Microseconds of a second.
 const MICROS: u64 = 1_000_000;
 
@@ -40,14 +46,26 @@
     #[must_use]
     pub fn of(message: &PeerMessage) -> Self {
         match message {
-            PeerMessage::Moves(_)
-            | PeerMessage::Config(_)
-            | PeerMessage::Membership(MembershipMessage::News { .. }) => Self::Urgent,
-            PeerMessage::Membership(_) => Self::Normal,
+            PeerMessage::Moves(_) | PeerMessage::Config(_) => Self::Urgent,
+            PeerMessage::Membership(message) => Self::of_membership(message),
             PeerMessage::Credits(message) => Self::of_credits(message),
         }
     }
 
+    /// Reading a table may wait; a sign of life that is not sent makes a suspect.
+    fn of_membership(message: &MembershipMessage) -> Self {
+        let reads_table = match message {
+            MembershipMessage::Ping { digest, .. } => digest.parts.len() < PROBE_PARTS,
+            MembershipMessage::Ack { table, .. } => table.len() >= LONG_TABLE,
+            MembershipMessage::PingRequest { .. } | MembershipMessage::Nack { .. } => false,
+            MembershipMessage::News { .. } => return Self::Urgent,
+        };
+        match reads_table {
+            true => Self::Low,
+            false => Self::Normal,
+        }
+    }
+
     /// Work is about to be shed, or seats come free: both concern requests that wait now.
     fn of_credits(message: &CreditMessage) -> Self {
         let pressing = match message {
--- a/crates/savorywood-core/src/membership/inbox.rs
+++ b/crates/savorywood-core/src/membership/inbox.rs
@@ -47,11 +47,12 @@
                 newest_revision,
                 updates,
                 table,
+                settled,
             } => {
                 self.note_revision(newest_revision);
                 self.learn_all(now, from, &updates, NewsSource::Rumor, effects);
                 self.learn_all(now, from, &table, NewsSource::Table, effects);
-                self.acked(now, from, sequence, &table, effects);
+                self.acked(now, from, sequence, &table, settled, effects);
             }
             MembershipMessage::PingRequest {
                 sequence,
@@ -93,13 +94,14 @@
         from: &HostName,
         sequence: u64,
         table: &[MemberUpdate],
+        settled: bool,
         effects: &mut EffectQueue,
     ) {
         if let Some(probe) = self.probes.answered(sequence) {
             self.health.improve();
             self.table.set_knows_us(&probe.target, true);
             if probe.pulls > 0 {
-                self.pulled(now, &probe, table, effects);
+                self.pulled(now, &probe, table, settled, effects);
             }
         } else if let Some(relayed) = self.probes.relay_answered(sequence) {
             self.relay_answer(&relayed.requester, from, relayed.sequence, effects);
@@ -111,6 +113,7 @@
         now: MonotonicTime,
         probe: &PendingProbe,
         table: &[MemberUpdate],
+        settled: bool,
         effects: &mut EffectQueue,
     ) {
         let bytes: usize = table.iter().map(MemberUpdate::max_wire_bytes).sum();
@@ -121,7 +124,11 @@
             self.pull.parts_read = (self.pull.parts_read + probe.pulls).min(TABLE_PARTS);
         }
         if self.pull.parts_read < TABLE_PARTS {
-            self.pull(now, effects);
+            // When a whole fleet starts at once, all read from one another. At full speed they
+            // would use up their byte budgets and miss the probes that show they are alive.
+            if settled {
+                self.pull(now, effects);
+            }
         } else if !self.joined {
             self.joined = true;
             let line = LogLine::new(LogLevel::Info, "joined").with("members", self.table.count());
--- a/crates/savorywood-core/src/membership/outbox.rs
+++ b/crates/savorywood-core/src/membership/outbox.rs
@@ -17,11 +17,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 /// Bytes of news that ride along with a probe or its answer.
-pub(super) const NEWS_BYTES: usize = 400;
+pub(super) const NEWS_BYTES: usize = 600;
 
 /// Bytes of news in a message that has nothing else to say. What remains of a datagram is for
 /// the rest of the message, the sender and the tag.
-pub(super) const FULL_BYTES: usize = 950;
+pub(super) const FULL_BYTES: usize = 1_000;
 
 /// Parts of the table whose digests ride along with a probe.
 const DIGEST_PARTS: u8 = 4;
@@ -153,7 +153,10 @@
         };
         let news = self.gather(to, introduce, NEWS_BYTES);
         let mut table = UpdateList::new(FULL_BYTES - NEWS_BYTES + news.free);
-        let mut differing = self.table.differing(digest);
+        let mut differing = match self.joined || digest.parts.len() < usize::from(DIGEST_PARTS) {
+            true => self.table.differing(digest),
+            false => Vec::new(),
+        };
         // In another order each time: what does not fit now comes with a later answer.
         differing.shuffle(&mut self.rng);
         for host in &differing {
@@ -166,6 +169,7 @@
             newest_revision: self.newest_revision,
             updates: news.updates,
             table: table.updates,
+            settled: self.joined,
         };
         send(to, address, message, effects);
     }
@@ -187,6 +191,7 @@
             newest_revision: self.newest_revision,
             updates,
             table: Vec::new(),
+            settled: self.joined,
         };
         send(to, address, message, effects);
     }
--- a/crates/savorywood-core/src/membership/rumor.rs
+++ b/crates/savorywood-core/src/membership/rumor.rs
@@ -80,6 +80,6 @@
         RumorClass::Urgent | RumorClass::State => 4 + doublings,
         // Every member has news of this kind at the same time; what is missed is learned from
         // the digests.
-        RumorClass::Revision => 4,
+        RumorClass::Revision => 6,
     }
 }
--- a/crates/savorywood-core/tests/credit/fleet.rs
+++ b/crates/savorywood-core/tests/credit/fleet.rs
@@ -9,7 +9,7 @@
 };
 use savorywood_protocol::{
     ConfigRevision, CoreTime, HostIncarnation, HostName, MonotonicTime, ServiceName, TierRank,
-    UpstreamName, WallTime,
+    UpstreamName, WallTime, ZoneName,
     peer::{
         CreditMessage, PeerMessage,
         credits::{NO_FLOOR, TierDemand},
@@ -54,6 +54,7 @@
     pub sent_bytes: u64,
     pub sent_messages: u64,
     running: Vec<RunningJob>,
+    seats: BTreeMap<UpstreamName, BTreeMap<TierRank, u32>>,
     timers: BTreeMap<TimerKey, MonotonicTime>,
 }
 
@@ -91,6 +92,7 @@
     /// Sheds of a tier while a lower one waited at some daemon.
     pub inversions: Vec<String>,
     flights: Vec<CreditFlight>,
+    near: BTreeMap<ZoneName, Vec<UpstreamName>>,
     rng: ChaCha8Rng,
 }
 
@@ -119,8 +121,13 @@
             peak: BTreeMap::new(),
             inversions: Vec::new(),
             flights: Vec::new(),
+            near: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
+        for (name, spec) in &fleet.config.upstreams {
+            let near = fleet.near.entry(spec.zone.clone()).or_default();
+            near.push(name.clone());
+        }
         for number in 0..daemons {
             fleet.start(number, zones);
         }
@@ -147,6 +154,7 @@
             sent_bytes: 0,
             sent_messages: 0,
             running: Vec::new(),
+            seats: BTreeMap::new(),
             timers: BTreeMap::new(),
         };
         self.daemons.insert(host.clone(), daemon);
@@ -241,6 +249,8 @@
             .partition(|job| job.ends_at <= now);
         daemon.running = running;
         for job in done {
+            let seats = daemon.seats.get_mut(&job.upstream).expect("seats");
+            *seats.get_mut(&job.rank).expect("a seat") -= 1;
             daemon.tallies.entry(job.rank).or_default().done += 1;
         }
     }
@@ -261,21 +271,24 @@
 
     fn dispatch(&mut self, host: &HostName) {
         let zone = self.members.members[host].zone.clone();
+        let near = self.near.get(&zone).map_or(&[][..], Vec::as_slice);
         let daemon = self.daemons.get_mut(host).expect("a daemon");
         loop {
-            let free = self.config.upstreams.iter().find(|(name, spec)| {
+            let free = near.iter().find(|name| {
                 let granted = daemon.credits.grants().get(*name).map(|grant| grant.seats);
                 let allowed = granted.unwrap_or(self.limit).min(self.limit);
-                spec.zone == zone && in_use(&daemon.running, name) < allowed
+                daemon.in_use(name) < allowed
             });
             let next = daemon
                 .queues
                 .iter_mut()
                 .find(|(_, queue)| !queue.is_empty());
-            let (Some((upstream, _)), Some((rank, queue))) = (free, next) else {
+            let (Some(upstream), Some((rank, queue))) = (free, next) else {
                 return;
             };
             queue.pop_front();
+            let seats = daemon.seats.entry(upstream.clone()).or_default();
+            *seats.entry(*rank).or_default() += 1;
             daemon.running.push(RunningJob {
                 rank: *rank,
                 upstream: upstream.clone(),
@@ -317,7 +330,8 @@
     fn note_inversion(&mut self, host: &HostName, rank: TierRank, advice: ShedAdvice, late: bool) {
         for (other, daemon) in &self.daemons {
             let mut queues = daemon.queues.iter();
-            if queues.any(|(lower, queue)| *lower > rank && !queue.is_empty()) {
+            let shares = self.members.members[other].zone == self.members.members[host].zone;
+            if shares && queues.any(|(lower, queue)| *lower > rank && !queue.is_empty()) {
                 let at = self.now.monotonic.0 / 1_000;
                 let text = format!(
                     "{at} ms: {host} shed {rank} ({advice:?}, late={late}) while {other} had lower"
@@ -402,12 +416,7 @@
     fn demands_of(&self, host: &HostName) -> BTreeMap<UpstreamName, LocalDemand> {
         let zone = &self.members.members[host].zone;
         let daemon = &self.daemons[host];
-        let near = self
-            .config
-            .upstreams
-            .iter()
-            .filter(|(_, spec)| spec.zone == *zone);
-        let names: Vec<_> = near.map(|(name, _)| name).collect();
+        let names = self.near.get(zone).map_or(&[][..], Vec::as_slice);
         let waiting: BTreeMap<_, _> = daemon
             .queues
             .iter()
@@ -416,10 +425,8 @@
             .collect();
         let mut demands = BTreeMap::new();
         for name in names {
-            let mut tiers: BTreeMap<TierRank, u32> = BTreeMap::new();
-            for job in daemon.running.iter().filter(|job| job.upstream == *name) {
-                *tiers.entry(job.rank).or_default() += 1;
-            }
+            let mut tiers = daemon.seats.get(name).cloned().unwrap_or_default();
+            tiers.retain(|_, seats| *seats > 0);
             for (rank, count) in &waiting {
                 *tiers.entry(*rank).or_default() += u32::try_from(*count).unwrap_or(u32::MAX);
             }
@@ -431,7 +438,7 @@
                 .map(|(rank, seats)| TierDemand { rank, seats });
             let demand = LocalDemand {
                 limit: self.limit,
-                in_use: in_use(&daemon.running, name),
+                in_use: daemon.in_use(name),
                 tiers: tiers.collect(),
                 queued: !waiting.is_empty(),
             };
@@ -442,11 +449,7 @@
 
     fn note_peak(&mut self) {
         for name in self.config.upstreams.keys() {
-            let used: u32 = self
-                .daemons
-                .values()
-                .map(|d| in_use(&d.running, name))
-                .sum();
+            let used: u32 = self.daemons.values().map(|d| d.in_use(name)).sum();
             let peak = self.peak.entry(name.clone()).or_default();
             *peak = used.max(*peak);
         }
@@ -490,9 +493,11 @@
     }
 }
 
-fn in_use(running: &[RunningJob], upstream: &UpstreamName) -> u32 {
-    let jobs = running.iter().filter(|job| job.upstream == *upstream);
-    u32::try_from(jobs.count()).unwrap_or(u32::MAX)
+impl FakeDaemon {
+    fn in_use(&self, name: &UpstreamName) -> u32 {
+        let seats = self.seats.get(name);
+        seats.map_or(0, |seats| seats.values().sum())
+    }
 }
 
 fn config_of(upstreams: usize, zones: usize) -> ConfigView {
--- a/crates/savorywood-core/tests/membership_spread.rs
+++ b/crates/savorywood-core/tests/membership_spread.rs
@@ -208,3 +208,20 @@
             .all(|state| state != Some(MemberState::Dead))
     );
 }
+
+/// After a power cut all daemons start within a moment and read the member table from one
+/// another. If that used up their byte budgets, the pings that show them alive would be dropped,
+/// and healthy daemons would be suspected by the dozen just when callers come back.
+#[test]
+fn a_whole_fleet_starts_at_once_without_suspicions() {
+    let mut network = FakeNetwork::fleet(11, 100, 2, 4);
+    for _ in 0..12 {
+        network.run(Duration::from_secs(1));
+        for fake in network.hosts.values() {
+            let mut members = fake.membership.view().members.values();
+            assert!(members.all(|member| member.state == MemberState::Alive));
+        }
+    }
+    let took = network.run_until(Duration::from_secs(30), FakeNetwork::agrees);
+    assert!(took.is_some(), "some never learned of all");
+}
--- a/crates/savorywood-protocol/src/peer/membership.rs
+++ b/crates/savorywood-protocol/src/peer/membership.rs
@@ -138,6 +138,8 @@
         updates: Vec<MemberUpdate>,
         /// Members in the parts whose digests differ, of any age.
         table: Vec<MemberUpdate>,
+        /// Whether the sender has read the whole table of others itself.
+        settled: bool,
     },
     /// Asks a third daemon to ping the target.
     PingRequest {
