--- a/crates/savorywood-core/src/daemon/deciding.rs
+++ b/crates/savorywood-core/src/daemon/deciding.rs
@@ -5,11 +5,11 @@
     claims::{ClaimEvent, ClaimVerdict, ClaimView},
     effect::{DaemonEffect, DispatchOrder, EffectQueue},
     event::{CallerEvent, UpstreamEvent},
-    request::ResumeArrival,
+    request::{QueuedRequest, ResumeArrival},
     resume::resolve_resume,
     scheduler::{SchedulerEvent, SchedulerView},
 };
-use savorywood_protocol::{CoreTime, RefusalCode, RequestId, RequestRefusal};
+use savorywood_protocol::{CoreTime, RefusalCode, RequestId, RequestRefusal, UpstreamName};
 
 impl DaemonCore {
     /// Steps the scheduler and passes its decisions on.
@@ -39,10 +39,24 @@
         }
     }
 
+    /// Hands a request to the scheduler for the first time.
+    pub(super) fn admit(
+        &mut self,
+        now: CoreTime,
+        request: QueuedRequest,
+        effects: &mut EffectQueue,
+    ) {
+        let service = request.service.clone();
+        let event = SchedulerEvent::Arrived(Box::new(request));
+        self.schedule(now, event, effects);
+        self.note_queue(now, &service, effects);
+    }
+
     fn dispatch(&mut self, now: CoreTime, order: DispatchOrder, effects: &mut EffectQueue) {
         let request = order.request;
         let idempotent = self.gate.is_idempotent(request);
-        let passes = self.gate.dispatch(&order, self.config.view(), effects)
+        let takes_work = self.takes_work(&order.upstream);
+        let passes = self.gate.dispatch(&order, takes_work, effects)
             && self.claims.may_dispatch(request, idempotent, effects);
         if passes {
             effects.push(DaemonEffect::Dispatch(order));
@@ -50,12 +64,33 @@
         }
         let detail = "the daemon kept the request from being sent wrongly; send it again";
         let refusal = RequestRefusal::unknown(RefusalCode::Internal, detail);
-        self.refuse(now, request, refusal, effects);
+        self.give_refusal(now, request, refusal, effects);
         self.schedule(now, SchedulerEvent::CallerLeft { request }, effects);
     }
 
+    fn takes_work(&self, upstream: &UpstreamName) -> bool {
+        let spec = self.config.view().upstreams.get(upstream);
+        let leaving = self.leaving_upstreams.contains(upstream);
+        spec.is_some_and(|spec| !spec.draining) && !leaving
+    }
+
+    /// Refuses what the scheduler turned away, unless others must yield first.
+    fn refuse(
+        &mut self,
+        now: CoreTime,
+        request: RequestId,
+        refusal: RequestRefusal,
+        effects: &mut EffectQueue,
+    ) {
+        let queued = self.gate.get(request).cloned();
+        let may = queued.is_none_or(|queued| self.may_shed(now, &queued, &refusal, effects));
+        if may {
+            self.give_refusal(now, request, refusal, effects);
+        }
+    }
+
     /// Gives a request its final answer and closes what other duties hold for it.
-    pub(super) fn refuse(
+    pub(super) fn give_refusal(
         &mut self,
         now: CoreTime,
         request: RequestId,
@@ -92,7 +127,7 @@
             }
         }
         for ClaimVerdict::Granted(request) in verdicts {
-            self.schedule(now, SchedulerEvent::Arrived(request), effects);
+            self.admit(now, *request, effects);
         }
     }
 
@@ -102,6 +137,7 @@
         event: UpstreamEvent,
         effects: &mut EffectQueue,
     ) {
+        self.sample_version(now, &event, effects);
         self.objectives
             .upstream(now.monotonic, &event, &mut self.burn);
         if self.claims.open_claims() > 0 {
@@ -129,7 +165,9 @@
             return;
         }
         self.objectives.forget(request);
+        self.resumed.remove(&request);
         if !dispatched {
+            self.held.remove(request);
             self.gate.close(request);
             self.claim(now, ClaimEvent::Closed { request }, effects);
         }
@@ -143,15 +181,11 @@
             return effects.refuse(arrival.request, refusal);
         };
         match resolve_resume(now, arrival, key, self.config.view()) {
-            Ok(order) => effects.push(DaemonEffect::Resume(order)),
+            Ok(order) => {
+                self.resumed.insert(arrival.request);
+                effects.push(DaemonEffect::Resume(order));
+            }
             Err(refusal) => effects.refuse(arrival.request, refusal),
         }
     }
-
-    /// Whether nothing is open that a planned stop waits for.
-    pub(super) fn is_drained(&self) -> bool {
-        self.scheduler.open_requests() == 0
-            && self.gate.len() == 0
-            && self.claims.open_claims() == 0
-    }
 }
--- a/crates/savorywood-core/src/daemon/gate.rs
+++ b/crates/savorywood-core/src/daemon/gate.rs
@@ -4,9 +4,9 @@
     effect::{DispatchOrder, EffectQueue},
     event::UpstreamEvent,
     invariant::{self, InvariantName},
-    view::ConfigView,
+    request::QueuedRequest,
 };
-use savorywood_protocol::{AttemptNumber, OutcomeKind, RequestId, RequestRefusal};
+use savorywood_protocol::{AttemptNumber, OutcomeKind, RequestId, RequestRefusal, UpstreamName};
 use std::collections::BTreeMap;
 
 /// How far a request has come.
@@ -19,10 +19,12 @@
 }
 
 /// One open request.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct GateEntry {
     stage: GateStage,
-    idempotent: bool,
+    request: QueuedRequest,
+    /// Upstream of the newest dispatch.
+    upstream: Option<UpstreamName>,
 }
 
 /// Open requests, and how far each has come.
@@ -33,10 +35,25 @@
 
 impl DispatchGate {
     /// Notes a request that was let in.
-    pub fn open(&mut self, request: RequestId, idempotent: bool) {
+    pub fn open(&mut self, request: QueuedRequest) {
         let stage = GateStage::Here;
-        self.entries
-            .insert(request, GateEntry { stage, idempotent });
+        let key = request.request;
+        let entry = GateEntry {
+            stage,
+            request,
+            upstream: None,
+        };
+        self.entries.insert(key, entry);
+    }
+
+    /// Upstream that a request was dispatched to last.
+    pub fn upstream_of(&self, request: RequestId) -> Option<&UpstreamName> {
+        self.entries.get(&request)?.upstream.as_ref()
+    }
+
+    /// An open request.
+    pub fn get(&self, request: RequestId) -> Option<&QueuedRequest> {
+        self.entries.get(&request).map(|entry| &entry.request)
     }
 
     /// Forgets a request that is over.
@@ -52,7 +69,7 @@
     /// Whether a request may run twice without harm; unknown ones may not.
     pub fn is_idempotent(&self, request: RequestId) -> bool {
         let entry = self.entries.get(&request);
-        entry.is_some_and(|entry| entry.idempotent)
+        entry.is_some_and(|entry| entry.request.idempotent)
     }
 
     /// Whether a request may have reached an upstream.
@@ -61,18 +78,17 @@
         entry.is_some_and(|entry| entry.stage != GateStage::Here)
     }
 
-    /// Checks a dispatch and notes it; `false` when it must not happen.
+    /// Checks a dispatch and notes it; `false` when it must not happen. `takes_work` says whether
+    /// the upstream gets new work at all.
     ///
     /// A second dispatch of the same request would run it twice: two charges, two bulletins. The
     /// scheduler's table keeps it from happening; this look does not depend on that table.
     pub fn dispatch(
         &mut self,
         order: &DispatchOrder,
-        config: &ConfigView,
+        takes_work: bool,
         effects: &mut EffectQueue,
     ) -> bool {
-        let spec = config.upstreams.get(&order.upstream);
-        let takes_work = spec.is_some_and(|spec| !spec.draining);
         invariant::check(
             effects,
             InvariantName::LeavingGetsNothing,
@@ -84,6 +100,7 @@
         let once = first.is_some();
         if let Some(entry) = first {
             entry.stage = GateStage::Dispatched(order.attempt);
+            entry.upstream = Some(order.upstream.clone());
         }
         invariant::check(effects, InvariantName::DispatchAtMostOnce, once, || {
             format!("request={} attempt={}", order.request, order.attempt)
--- a/crates/savorywood-core/src/scheduler/dispatch.rs
+++ b/crates/savorywood-core/src/scheduler/dispatch.rs
@@ -3,7 +3,7 @@
 use super::{
     RequestScheduler, SchedulerMechanism, SchedulerView,
     fleet::UpstreamId,
-    queue::WaitingRequest,
+    queue::{FrontSpan, WaitingRequest},
     routing::{PickFailure, PickedUpstream, SampleDraw},
     service::WantedSeats,
     table::{AttemptKey, AttemptRecord},
@@ -22,10 +22,11 @@
 const HEADS_COMPARED: usize = 6;
 /// Attempts of one request at most.
 const MAX_ATTEMPTS: u32 = 3;
-/// Requests of each team looked at for one whose prefix a free upstream holds.
-const FRONT_OF_EACH: usize = 8;
-/// Requests looked at for one whose prefix a free upstream holds, over all teams and tiers.
-const FRONT_COMPARED: usize = 48;
+/// Requests looked at for one whose prefix a free upstream holds.
+const HOLDER_SPAN: FrontSpan = FrontSpan {
+    of_team: 4,
+    of_tier: 12,
+};
 
 /// A waiting request and where it goes.
 #[derive(Debug, Clone, Copy)]
@@ -117,10 +118,15 @@
         if !service.saturated {
             return None;
         }
+        let state = self.fleet.get(upstream)?;
+        let grant = view.grants.get(&state.name);
+        if !state.has_room(state.allowance(now, grant), 0) {
+            return None;
+        }
         // Others want its seats: they may hold what this daemon would have to prefill.
-        let contended = view.grants.contains_key(&self.fleet.get(upstream)?.name);
+        let contended = grant.is_some();
         let mut second: Option<PlannedDispatch> = None;
-        for waiting in service.queue.front(FRONT_OF_EACH).take(FRONT_COMPARED) {
+        for waiting in service.queue.front(HOLDER_SPAN) {
             let hit = waiting
                 .held_prefix
                 .is_some_and(|hash| self.prefixes.holds(upstream, hash));
@@ -138,9 +144,8 @@
                 {
                     second = Some(PlannedDispatch { request, picked });
                 }
-                Ok(_) => {}
                 Err(PickFailure::Full) if waiting.avoid != Some(upstream) => break,
-                Err(_) => {}
+                Ok(_) | Err(_) => {}
             }
             if second.is_some() && waiting.pressing_at <= now {
                 break;
