--- a/crates/savorywood-core/src/membership/inbox.rs
+++ b/crates/savorywood-core/src/membership/inbox.rs
@@ -21,6 +21,14 @@
 /// Times that the same parts are asked for when answers are nearly full.
 const MAX_REPEATS: u8 = 3;
 
+/// Part of another daemon's table.
+#[derive(Debug, Clone, Copy)]
+struct TablePart<'a> {
+    members: &'a [MemberUpdate],
+    /// Whether that daemon has read the whole table of others itself.
+    settled: bool,
+}
+
 impl MembershipState {
     pub(super) fn receive(
         &mut self,
@@ -52,7 +60,11 @@
                 self.note_revision(newest_revision);
                 self.learn_all(now, from, &updates, NewsSource::Rumor, effects);
                 self.learn_all(now, from, &table, NewsSource::Table, effects);
-                self.acked(now, from, sequence, &table, settled, effects);
+                let part = TablePart {
+                    members: &table,
+                    settled,
+                };
+                self.acked(now, from, sequence, part, effects);
             }
             MembershipMessage::PingRequest {
                 sequence,
@@ -93,15 +105,14 @@
         now: MonotonicTime,
         from: &HostName,
         sequence: u64,
-        table: &[MemberUpdate],
-        settled: bool,
+        part: TablePart<'_>,
         effects: &mut EffectQueue,
     ) {
         if let Some(probe) = self.probes.answered(sequence) {
             self.health.improve();
             self.table.set_knows_us(&probe.target, true);
             if probe.pulls > 0 {
-                self.pulled(now, &probe, table, settled, effects);
+                self.pulled(now, &probe, part, effects);
             }
         } else if let Some(relayed) = self.probes.relay_answered(sequence) {
             self.relay_answer(&relayed.requester, from, relayed.sequence, effects);
@@ -112,11 +123,10 @@
         &mut self,
         now: MonotonicTime,
         probe: &PendingProbe,
-        table: &[MemberUpdate],
-        settled: bool,
+        part: TablePart<'_>,
         effects: &mut EffectQueue,
     ) {
-        let bytes: usize = table.iter().map(MemberUpdate::max_wire_bytes).sum();
+        let bytes: usize = part.members.iter().map(MemberUpdate::max_wire_bytes).sum();
         if bytes >= NEARLY_FULL_BYTES && self.pull.repeats < MAX_REPEATS {
             self.pull.repeats += 1;
         } else {
@@ -126,7 +136,7 @@
         if self.pull.parts_read < TABLE_PARTS {
             // When a whole fleet starts at once, all read from one another. At full speed they
             // would use up their byte budgets and miss the probes that show they are alive.
-            if settled {
+            if part.settled {
                 self.pull(now, effects);
             }
         } else if !self.joined {
