--- a/crates/savorywood-core/examples/membership_figures.rs
+++ b/crates/savorywood-core/examples/membership_figures.rs
@@ -285,7 +285,11 @@
     let before: Vec<_> = fleet.daemons.values().map(|d| d.sent_bytes).collect();
     fleet.inversions.clear();
     let time = Duration::from_secs(10);
+    let (spent, steps) = (fleet.spent, fleet.steps);
+    let alone = fleet.total(0).shed_alone;
     fleet.run(time, |fleet| arrive(fleet, rush, steady));
+    let spent = fleet.spent - spent;
+    let steps = fleet.steps - steps;
     let after = fleet.daemons.values().map(|d| d.sent_bytes);
     let sent = before.iter().zip(after);
     let rates: Vec<_> = sent
@@ -294,8 +298,18 @@
     let mean = rates.iter().sum::<f64>() / rates.len() as f64;
     let most = rates.iter().copied().fold(0.0, f64::max);
     println!("{rush:?}: {mean:.0} B/s sent a daemon, {most:.0} at most");
+    println!(
+        "  {:.1} us a step, {:.0} steps a second and daemon, {:.2} % of a core a daemon",
+        spent.as_secs_f64() * 1e6 / steps as f64,
+        steps as f64 / time.as_secs_f64() / rush.daemons as f64,
+        spent.as_secs_f64() * 100.0 / time.as_secs_f64() / rush.daemons as f64,
+    );
     println!("  highest tier {:?}", fleet.total(0));
     println!("  lowest tier {:?}", fleet.total(3));
+    println!(
+        "  of these, highest tier shed alone in the measured time: {}",
+        fleet.total(0).shed_alone - alone
+    );
     println!(
         "  sheds while lower work waited in the zone: {}",
         fleet.inversions.len()
--- a/crates/savorywood-core/tests/credit/fleet.rs
+++ b/crates/savorywood-core/tests/credit/fleet.rs
@@ -1,11 +1,14 @@
 //! A few daemons that share upstreams, each with a plain scheduler: strict tiers, no more than
 //! its own limit and its grant, and a question to the credit duty before it sheds.
 
+mod daemon;
+
+use daemon::{FakeDaemon, RunningJob, TierTally};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use savorywood_core::{
-    ConfigView, DaemonEffect, EffectQueue, MemberRecord, MemberView, TimerKey,
-    credits::{CreditEvent, CreditOptions, CreditState, CreditView, LocalDemand, ShedAdvice},
+    ConfigView, DaemonEffect, EffectQueue, MemberRecord, MemberView,
+    credits::{CreditEvent, CreditView, LocalDemand, ShedAdvice},
 };
 use savorywood_protocol::{
     ConfigRevision, CoreTime, HostIncarnation, HostName, MonotonicTime, ServiceName, TierRank,
@@ -20,7 +23,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Length of a step.
@@ -35,36 +38,6 @@
 /// Time before a job's end of patience at which the daemon wants to shed it.
 const SHED_AHEAD: Duration = Duration::from_secs(3);
 
-/// What became of the jobs of one tier at one daemon.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct TierTally {
-    pub arrived: u64,
-    pub done: u64,
-    pub shed: u64,
-    pub shed_alone: u64,
-    pub floored: u64,
-    pub late: u64,
-}
-
-#[derive(Debug)]
-pub struct FakeDaemon {
-    pub credits: CreditState,
-    pub queues: BTreeMap<TierRank, VecDeque<MonotonicTime>>,
-    pub tallies: BTreeMap<TierRank, TierTally>,
-    pub sent_bytes: u64,
-    pub sent_messages: u64,
-    running: Vec<RunningJob>,
-    seats: BTreeMap<UpstreamName, BTreeMap<TierRank, u32>>,
-    timers: BTreeMap<TimerKey, MonotonicTime>,
-}
-
-#[derive(Debug, Clone)]
-struct RunningJob {
-    rank: TierRank,
-    upstream: UpstreamName,
-    ends_at: MonotonicTime,
-}
-
 #[derive(Debug, Clone)]
 struct CreditFlight {
     at: MonotonicTime,
@@ -91,6 +64,9 @@
     pub peak: BTreeMap<UpstreamName, u32>,
     /// Sheds of a tier while a lower one waited at some daemon.
     pub inversions: Vec<String>,
+    /// Processor time that the credit duties took, and in how many steps.
+    pub spent: Duration,
+    pub steps: u64,
     flights: Vec<CreditFlight>,
     near: BTreeMap<ZoneName, Vec<UpstreamName>>,
     rng: ChaCha8Rng,
@@ -120,6 +96,8 @@
             limit,
             peak: BTreeMap::new(),
             inversions: Vec::new(),
+            spent: Duration::ZERO,
+            steps: 0,
             flights: Vec::new(),
             near: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -147,16 +125,7 @@
             config_revision: ConfigRevision(1),
         };
         self.members.members.insert(host.clone(), record);
-        let daemon = FakeDaemon {
-            credits: CreditState::new(CreditOptions::new(host.clone())),
-            queues: BTreeMap::new(),
-            tallies: BTreeMap::new(),
-            sent_bytes: 0,
-            sent_messages: 0,
-            running: Vec::new(),
-            seats: BTreeMap::new(),
-            timers: BTreeMap::new(),
-        };
+        let daemon = FakeDaemon::new(host.clone());
         self.daemons.insert(host.clone(), daemon);
         self.event(&host, CreditEvent::Started);
     }
@@ -370,7 +339,10 @@
         };
         let daemon = self.daemons.get_mut(host).expect("a daemon");
         let mut effects = EffectQueue::new();
+        let began = Instant::now();
         daemon.credits.step(self.now, event, view, &mut effects);
+        self.spent += began.elapsed();
+        self.steps += 1;
         self.execute(host, &mut effects);
     }
 
@@ -493,13 +465,6 @@
     }
 }
 
-impl FakeDaemon {
-    fn in_use(&self, name: &UpstreamName) -> u32 {
-        let seats = self.seats.get(name);
-        seats.map_or(0, |seats| seats.values().sum())
-    }
-}
-
 fn config_of(upstreams: usize, zones: usize) -> ConfigView {
     let mut texts =
         vec![r#"{"kind":"service","name":"notes","spec":{"protocol":"model"}}"#.to_owned()];
