--- a/crates/savorywood-core/src/membership/inbox.rs
+++ b/crates/savorywood-core/src/membership/inbox.rs
@@ -21,6 +21,14 @@
 /// Times that the same parts are asked for when answers are nearly full.
 const MAX_REPEATS: u8 = 3;
 
+/// Part of another daemon's table.
+#[derive(Debug, Clone, Copy)]
+struct TablePart<'a> {
+    members: &'a [MemberUpdate],
+    /// Whether that daemon has read the whole table of others itself.
+    settled: bool,
+}
+
 impl MembershipState {
     pub(super) fn receive(
         &mut self,
@@ -47,11 +55,16 @@
                 newest_revision,
                 updates,
                 table,
+                settled,
             } => {
                 self.note_revision(newest_revision);
                 self.learn_all(now, from, &updates, NewsSource::Rumor, effects);
                 self.learn_all(now, from, &table, NewsSource::Table, effects);
-                self.acked(now, from, sequence, &table, effects);
+                let part = TablePart {
+                    members: &table,
+                    settled,
+                };
+                self.acked(now, from, sequence, part, effects);
             }
             MembershipMessage::PingRequest {
                 sequence,
@@ -92,14 +105,14 @@
         now: MonotonicTime,
         from: &HostName,
         sequence: u64,
-        table: &[MemberUpdate],
+        part: TablePart<'_>,
         effects: &mut EffectQueue,
     ) {
         if let Some(probe) = self.probes.answered(sequence) {
             self.health.improve();
             self.table.set_knows_us(&probe.target, true);
             if probe.pulls > 0 {
-                self.pulled(now, &probe, table, effects);
+                self.pulled(now, &probe, part, effects);
             }
         } else if let Some(relayed) = self.probes.relay_answered(sequence) {
             self.relay_answer(&relayed.requester, from, relayed.sequence, effects);
@@ -110,10 +123,10 @@
         &mut self,
         now: MonotonicTime,
         probe: &PendingProbe,
-        table: &[MemberUpdate],
+        part: TablePart<'_>,
         effects: &mut EffectQueue,
     ) {
-        let bytes: usize = table.iter().map(MemberUpdate::max_wire_bytes).sum();
+        let bytes: usize = part.members.iter().map(MemberUpdate::max_wire_bytes).sum();
         if bytes >= NEARLY_FULL_BYTES && self.pull.repeats < MAX_REPEATS {
             self.pull.repeats += 1;
         } else {
@@ -121,7 +134,11 @@
             self.pull.parts_read = (self.pull.parts_read + probe.pulls).min(TABLE_PARTS);
         }
         if self.pull.parts_read < TABLE_PARTS {
-            self.pull(now, effects);
+            // When a whole fleet starts at once, all read from one another. At full speed they
+            // would use up their byte budgets and miss the probes that show they are alive.
+            if part.settled {
+                self.pull(now, effects);
+            }
         } else if !self.joined {
             self.joined = true;
             let line = LogLine::new(LogLevel::Info, "joined").with("members", self.table.count());
