--- a/crates/savorywood-experiment/src/arbiter.rs
+++ b/crates/savorywood-experiment/src/arbiter.rs
@@ -1,55 +1,70 @@
-//! A stand-in for the credit duty: shares an upstream's seats between daemons by demand.
+//! Grants of seats, divided as the credit duty divides them but without its messages.
 
-use crate::daemon_host::DaemonHost;
-use savorywood_core::scheduler::SeatGrant;
-use savorywood_protocol::{TierRank, UpstreamName};
+use crate::{daemon_host::DaemonHost, names::NameBook};
+use savorywood_core::{
+    credits::allocate::{allocate, capacity_of},
+    scheduler::SeatGrant,
+};
+use savorywood_protocol::{HostName, MonotonicTime, UpstreamName, peer::credits::UpstreamDemand};
+use std::{collections::BTreeMap, time::Duration};
 
-/// Grants the seats of one upstream, highest tier first, within a tier in turn. Without
-/// contention there is no grant.
-pub fn arbitrate(hosts: &mut [DaemonHost], upstream: &UpstreamName) {
-    let demands: Vec<_> = hosts
-        .iter()
-        .map(|host| host.scheduler.demand(upstream))
-        .collect();
-    let wanted: u32 = demands.iter().flatten().map(|demand| demand.seats).sum();
-    let capacity = agreed_limit(hosts, upstream);
-    if wanted <= capacity {
-        for host in hosts {
-            host.grants.remove(upstream);
+/// Time without a queue after which nothing is granted any longer.
+const CALM_TIME: Duration = Duration::from_secs(3);
+
+/// Arbiters of all upstreams.
+#[derive(Debug, Default)]
+pub struct SeatArbiters {
+    queued_at: Option<MonotonicTime>,
+}
+
+impl SeatArbiters {
+    /// One round of grants. While nobody queues there are none.
+    pub fn round(
+        &mut self,
+        now: MonotonicTime,
+        hosts: &mut [DaemonHost],
+        names: &NameBook,
+        declared: u32,
+    ) {
+        let queued = hosts.iter().any(|host| {
+            let pressure = host.scheduler.service_pressure(now, &names.service);
+            !pressure.waiting.is_empty()
+        });
+        if queued {
+            self.queued_at = Some(now);
         }
-        return;
-    }
-    let mut grants = vec![0_u32; hosts.len()];
-    let mut left = capacity;
-    let ranks = demands.iter().flatten().map(|demand| demand.rank);
-    let lowest = ranks.max().unwrap_or_default();
-    for rank in (0..=lowest.0).map(TierRank) {
-        let mut open: Vec<u32> = demands
-            .iter()
-            .map(|tiers| tiers.iter().find(|demand| demand.rank == rank))
-            .map(|demand| demand.map_or(0, |demand| demand.seats))
-            .collect();
-        while left > 0 && open.iter().any(|seats| *seats > 0) {
-            for (grant, open) in grants.iter_mut().zip(&mut open) {
-                if left > 0 && *open > 0 {
-                    *grant += 1;
-                    *open -= 1;
-                    left -= 1;
+        let contended = self.queued_at.is_some_and(|at| now.since(at) < CALM_TIME);
+        for upstream in &names.upstreams {
+            if contended {
+                grant(hosts, names, upstream, declared);
+            } else {
+                for host in hosts.iter_mut() {
+                    host.grants.remove(upstream);
                 }
             }
         }
     }
-    for (host, seats) in hosts.iter_mut().zip(grants) {
+}
+
+fn grant(hosts: &mut [DaemonHost], names: &NameBook, upstream: &UpstreamName, declared: u32) {
+    let demands = hosts.iter().zip(&names.hosts);
+    let demands: BTreeMap<HostName, UpstreamDemand> = demands
+        .map(|(host, name)| (name.clone(), demand_of(host, upstream)))
+        .collect();
+    let shares = allocate(&demands, capacity_of(&demands, declared));
+    for (host, name) in hosts.iter_mut().zip(&names.hosts) {
+        let seats = shares.get(name).copied().unwrap_or_default();
         host.grants.insert(upstream.clone(), SeatGrant { seats });
     }
 }
 
-/// Middle of the limits that the daemons believe in.
-fn agreed_limit(hosts: &[DaemonHost], upstream: &UpstreamName) -> u32 {
-    let limits = hosts
-        .iter()
-        .filter_map(|host| host.scheduler.limit(upstream));
-    let mut limits: Vec<u32> = limits.collect();
-    limits.sort_unstable();
-    limits.get(limits.len() / 2).copied().unwrap_or_default()
+fn demand_of(host: &DaemonHost, upstream: &UpstreamName) -> UpstreamDemand {
+    let tiers = host.scheduler.demand(upstream).into_iter();
+    UpstreamDemand {
+        upstream: upstream.clone(),
+        limit: host.scheduler.limit(upstream).unwrap_or_default(),
+        in_use: host.scheduler.seats_in_use(upstream),
+        tiers: tiers.filter(|tier| tier.seats > 0).collect(),
+        shedding: None,
+    }
 }
--- a/crates/savorywood-experiment/src/names.rs
+++ b/crates/savorywood-experiment/src/names.rs
@@ -3,7 +3,7 @@
 use crate::deployment::DeploymentShape;
 use savorywood_core::ConfigView;
 use savorywood_protocol::{
-    ConfigRevision, NameError, ServiceName, TeamName, UpstreamName, ZoneName,
+    ConfigRevision, HostName, NameError, ServiceName, TeamName, UpstreamName, ZoneName,
     resource::{
         ResourceDocument, ResourceSpec, ServiceObjectives, ServiceProtocol, ServiceSpec,
         UpstreamSpec,
@@ -15,7 +15,7 @@
 };
 
 /// Seats declared for every engine: its operator does not know better.
-const DECLARED_SEATS: u32 = 16;
+pub const DECLARED_SEATS: u32 = 16;
 /// Batch tokens declared for every engine.
 const DECLARED_TOKENS: u32 = 65_536;
 
@@ -24,6 +24,8 @@
 pub struct NameBook {
     /// The model service.
     pub service: ServiceName,
+    /// Daemons' hosts.
+    pub hosts: Vec<HostName>,
     /// Engines.
     pub upstreams: Vec<UpstreamName>,
     /// Teams.
@@ -43,6 +45,9 @@
         let zones = 0..shape.zones;
         Ok(Self {
             service: "model".parse()?,
+            hosts: (0..shape.daemons)
+                .map(|index| format!("host-{index}").parse())
+                .collect::<Result<_, _>>()?,
             upstreams: upstreams
                 .map(|index| format!("engine-{index:03}").parse())
                 .collect::<Result<_, _>>()?,
--- a/crates/savorywood-experiment/src/world.rs
+++ b/crates/savorywood-experiment/src/world.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     agenda::{EventAgenda, WorldEvent, micros},
+    arbiter::SeatArbiters,
     central::CentralQueue,
     daemon_host::DaemonHost,
     deployment::DeploymentShape,
@@ -50,6 +51,7 @@
     names: NameBook,
     agenda: EventAgenda,
     control: RunControl,
+    arbiters: SeatArbiters,
     engines: Vec<FakeEngine>,
     tasks: Vec<TaskRecord>,
     waiting: Vec<[u32; crate::tally::TIERS]>,
@@ -94,6 +96,7 @@
             names,
             agenda: EventAgenda::default(),
             control,
+            arbiters: SeatArbiters::default(),
             cache_sequences: vec![0; engines.len()],
             engines,
             tasks: Vec::new(),
--- a/crates/savorywood-experiment/src/world/ticks.rs
+++ b/crates/savorywood-experiment/src/world/ticks.rs
@@ -1,11 +1,16 @@
 //! What happens now and then: load reports, cache events, arbiters, timeouts.
 
 use super::{RunControl, RunWorld, engines::identity};
-use crate::{agenda::WorldEvent, arbiter, engine::SequenceKey};
+use crate::{
+    agenda::{WorldEvent, micros},
+    engine::SequenceKey,
+    names::DECLARED_SEATS,
+};
 use rand::Rng;
 use savorywood_core::{
     BreakCause, CacheEventBatch, LoadReport, UpstreamEvent, scheduler::SchedulerEvent,
 };
+use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
 /// Seconds between two load reports of an engine.
@@ -15,7 +20,7 @@
 /// Share of batches of cache events that are lost.
 const CACHE_LOSS: f64 = 0.05;
 /// Seconds between two rounds of grants.
-const ARBITRATE_EVERY: f64 = 0.1;
+const ARBITRATE_EVERY: f64 = 0.25;
 /// Seconds between two looks for streams that stand still.
 const WATCH_EVERY: f64 = 0.5;
 /// Seconds without a token after which a daemon gives a stream up.
@@ -81,9 +86,9 @@
         let RunControl::Schedulers(hosts) = &mut self.control else {
             return;
         };
-        for upstream in &self.names.upstreams {
-            arbiter::arbitrate(hosts, upstream);
-        }
+        let time = MonotonicTime(micros(now));
+        self.arbiters
+            .round(time, hosts, &self.names, DECLARED_SEATS);
         for daemon in 0..self.shape.daemons {
             self.tell(now, daemon, SchedulerEvent::ViewChanged);
         }
