Take a cache miss on an upstream of which half the grant is free

Cause: with grants as the credit duty gives them every upstream of a service has one while anybody queues, so a request waited for a holder of its prefix although others stood half empty.

--- a/crates/savorywood-core/src/scheduler/dispatch.rs
+++ b/crates/savorywood-core/src/scheduler/dispatch.rs
@@ -28,6 +28,9 @@
     of_tier: 12,
 };
 
+/// Share of its allowance from which an upstream that is shared by grants is scarce.
+const SCARCE_SHARE: f64 = 0.5;
+
 /// A waiting request and where it goes.
 #[derive(Debug, Clone, Copy)]
 struct PlannedDispatch {
@@ -120,11 +123,13 @@
         }
         let state = self.fleet.get(upstream)?;
         let grant = view.grants.get(&state.name);
-        if !state.has_room(state.allowance(now, grant), 0) {
+        let allowance = state.allowance(now, grant);
+        if !state.has_room(allowance, 0) {
             return None;
         }
         // Others want its seats: they may hold what this daemon would have to prefill.
-        let contended = grant.is_some();
+        let scarce = f64::from(state.seats_used + 1) > f64::from(allowance.seats) * SCARCE_SHARE;
+        let contended = grant.is_some() && scarce;
         let mut second: Option<PlannedDispatch> = None;
         for waiting in service.queue.front(HOLDER_SPAN) {
             let hit = waiting
