--- a/crates/savorywood-core/src/scheduler/limit.rs
+++ b/crates/savorywood-core/src/scheduler/limit.rs
@@ -229,3 +229,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
