Add two tests of the planned stop that fail for faults of the daemon

a_kept_address_is_served_for_its_max_age: a daemon without open requests exits at once at SIGTERM; a caller that keeps its address (3 s) and connects 1.5 s later is refused (ECONNREFUSED). Cause: DaemonCore::step pushes Exit as soon as it is drained, address_max_age is not waited for. a_planned_stop_does_not_cut_off_a_stream_that_is_read_on: the stop ends a resumed stream in the middle. Cause: is_drained does not count resumed streams.

--- a/crates/savorywood-cli/tests/process_resume.rs
+++ b/crates/savorywood-cli/tests/process_resume.rs
@@ -2,9 +2,10 @@
 
 use savorywood_standin::{chat_prompt, output_text};
 use savorywood_testing::{
-    ClusterPlan, PartialBody, StandinProcess, TEAM_TOKEN, TestCall, TestCluster, has_end_mark,
-    streamed_text,
+    ClusterPlan, PartialBody, ProcessSignal, StandinProcess, TEAM_TOKEN, TestCall, TestCluster,
+    has_end_mark, streamed_text,
 };
+use std::time::Duration;
 
 const TOKEN_HEADER: &str = "x-savorywood-resume-token";
 
@@ -92,3 +93,26 @@
         refused.text()
     );
 }
+
+/// The daemon that reads a stream on is stopped as planned. A planned stop cuts off no request,
+/// so the rest must come whole before the process ends.
+#[test]
+fn a_planned_stop_does_not_cut_off_a_stream_that_is_read_on() {
+    let mut setup = start();
+    let broken = setup.break_stream();
+    let call = setup.resume(&broken.token, broken.part.bytes.len());
+    let mut answer = call.open().expect("a head");
+    assert_eq!(answer.status(), 200);
+    let mut rest = answer.read_at_least(1).expect("a token");
+    setup.cluster.daemons[1].signal(ProcessSignal::Terminate);
+    let more = answer.read_until_break();
+    assert!(
+        more.end.is_ok(),
+        "the stop cut the answer off: {:?}",
+        more.end
+    );
+    rest.extend(more.bytes);
+    setup.assert_whole(&broken, rest);
+    let status = setup.cluster.daemons[1].wait_for_end(Duration::from_secs(8));
+    assert!(status.success(), "{status}");
+}
--- a/crates/savorywood-cli/tests/process_stop.rs
+++ b/crates/savorywood-cli/tests/process_stop.rs
@@ -79,3 +79,23 @@
     let status = cluster.daemons[0].wait_for_end(Duration::from_secs(8));
     assert!(status.success(), "{status}");
 }
+
+/// A caller has asked for addresses just before the daemon is stopped, and may keep the answer
+/// for its max-age. It connects within that time and must be served, although the daemon had
+/// nothing to do when it was told to stop.
+#[test]
+fn a_kept_address_is_served_for_its_max_age() {
+    let engine = StandinProcess::engine(&["--decode", "500"]);
+    let plan = ClusterPlan {
+        address_max_age_seconds: 3,
+        ..ClusterPlan::default()
+    };
+    let cluster = TestCluster::start(&plan);
+    cluster.declare(&[engine.address()], &[]);
+    cluster.daemons[0].signal(ProcessSignal::Terminate);
+    thread::sleep(Duration::from_millis(1_500));
+    let answer = cluster.chat(0, "late", 5).send();
+    let answer = answer.expect("an answer at the kept address");
+    assert_eq!(answer.status(), 200, "{}", answer.text());
+    assert!(has_end_mark(&answer.body));
+}
