--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod intake;
 pub mod invariant;
 pub mod leases;
+pub mod moves;
 pub mod membership;
 pub mod operator;
 pub mod order;
--- a/crates/savorywood-core/tests/support/config_cluster.rs
+++ b/crates/savorywood-core/tests/support/config_cluster.rs
@@ -201,7 +201,7 @@
         self.nodes.iter().map(|node| node.view().revision).collect()
     }
 
-    /// Weights of all changes that took effect, in order.
+    /// Marks of all changes that took effect, in order.
     pub fn committed_marks(&self) -> Vec<u32> {
         let commits = self.table.history.iter();
         let values = commits.flat_map(|commit| commit.writes.iter());
