Test over real processes that a bad version is taken back and met by few

Cause: moves are composed into the daemon now. Change: process_moves, one test: a version that fails every request, under load of six callers. Conclusion: a good move is not tested here, its margins are longer than such a test may take.

--- /dev/null
+++ b/crates/savorywood-cli/tests/process_moves.rs
@@ -0,0 +1,93 @@
+//! Moves of traffic to a bad version.
+
+use savorywood_protocol::WallTime;
+use savorywood_testing::{ClusterPlan, StandinProcess, TestCluster, wait_until};
+use serde_json::json;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, SystemTime},
+};
+
+/// Within this time the old version is measured (ten seconds) and the new one, which fails every
+/// request, is found at the test's load.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Time that the operator gives for the move.
+const MOVE_TIME: Duration = Duration::from_secs(60);
+
+/// The new version gets nothing more this long after the operator is told of the end.
+const SPREAD_TIME: Duration = Duration::from_millis(1_500);
+
+/// Callers that ask without a pause.
+const CALLERS: usize = 6;
+
+/// Requests in a hundred that may meet the bad version.
+const MOST_PER_CENT: u64 = 2;
+
+/// A new version starts beside the old one and fails every request. Only a small share of callers
+/// meets it, the move is taken back well before its deadline, and then nobody meets it any more.
+#[test]
+fn a_version_that_fails_is_taken_back_and_met_by_few() {
+    let old = StandinProcess::engine(&["--decode", "2000", "--slots", "32"]);
+    let new =
+        StandinProcess::engine(&["--decode", "2000", "--faults", "{\"fail_per_mille\":1000}"]);
+    let cluster = TestCluster::start(&ClusterPlan::default());
+    cluster.declare(&[old.address()], &[]);
+    declare_second_version(&cluster, new.address());
+
+    let over = Arc::new(AtomicBool::new(false));
+    let callers = (0..CALLERS).map(|number| {
+        let address = cluster.daemons[number % 2].callers();
+        let over = Arc::clone(&over);
+        thread::spawn(move || ask_until(&over, number, address))
+    });
+    let callers: Vec<_> = callers.collect();
+    wait_until("load", LIMIT, || old.runs().total() > 100);
+    let finish_by = WallTime::from_system(SystemTime::now() + MOVE_TIME);
+    let plan = json!({
+        "service": "notes", "from": "notes-v1", "to": "notes-v2", "finish_by": finish_by,
+        "soak_seconds": 1,
+    });
+    cluster.apply("move", "notes-to-v2", &plan);
+    wait_until("the move taken back", LIMIT, || {
+        let status = cluster.get(1, "move", "notes-to-v2").json();
+        status["status"]["move_state"] == "taken-back"
+    });
+    thread::sleep(SPREAD_TIME);
+    let met = new.runs().total();
+    thread::sleep(SPREAD_TIME);
+    assert_eq!(new.runs().total(), met, "met after it was taken back");
+    over.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.join().expect("a caller");
+    }
+    let all = old.runs().total() + met;
+    assert!(met > 0, "the new version was never tried");
+    println!("met={met} all={all}");
+    assert!(met * 100 <= all * MOST_PER_CENT, "{met} of {all} met it");
+}
+
+fn declare_second_version(cluster: &TestCluster, address: SocketAddr) {
+    let service = json!({"protocol": "model", "version": "notes-v1"});
+    cluster.apply("service", "notes", &service);
+    cluster.apply("version", "notes-v2", &json!({"service": "notes"}));
+    let spec = json!({
+        "address": address.to_string(), "service": "notes", "version": "notes-v2",
+        "zone": "zone-a",
+    });
+    let revision = cluster.apply("upstream", "engine-v2", &spec);
+    cluster.wait_in_force(revision);
+}
+
+fn ask_until(over: &AtomicBool, number: usize, address: SocketAddr) {
+    while !over.load(Ordering::Relaxed) {
+        let call = TestCluster::chat_at(address, &format!("caller {number}"), 1);
+        // A failure is what the test is about; the stand-ins count who met what.
+        call.send().ok();
+    }
+}
