Let held requests of lower tiers yield before a higher one is refused

Cause: a request that was turned away while lower tiers elsewhere were asked to yield waits outside of the scheduler's queue. The scheduler saw nothing lower to shed, and when held requests were tried again all of them were taken out at once, so a higher tier was refused for load while a lower one was held at the same daemon. A held request whose deadline passed was told "overloaded" with the same effect. And when a caller left, its gate entry was closed before the scheduler heard of it; a seat that became free in that step went to this very request and tripped the check of dispatch-at-most-once.

Ruled out: the scheduler's own order, which its check covers; the floors, which were in force.

Change: held requests are tried again one by one, the highest tier first; lower held ones are refused before a higher one is refused for load; a passed deadline is told as one; a caller that left is taken out of the scheduler before its gate entry is closed.

--- a/crates/savorywood-core/src/daemon/deciding.rs
+++ b/crates/savorywood-core/src/daemon/deciding.rs
@@ -100,10 +100,15 @@
         effects: &mut EffectQueue,
     ) {
         let queued = self.gate.get(request).cloned();
-        let may = queued.is_none_or(|queued| self.may_shed(now, &queued, &refusal, effects));
-        if may {
-            self.give_refusal(now, request, refusal, effects);
+        if let Some(queued) = queued {
+            if !self.may_shed(now, &queued, &refusal, effects) {
+                return;
+            }
+            if refusal.is_for_load() {
+                self.shed_lower_held(now, &queued, effects);
+            }
         }
+        self.give_refusal(now, request, refusal, effects);
     }
 
     /// Gives a request its final answer and closes what other duties hold for it.
@@ -195,19 +200,20 @@
     /// could not be answered.
     fn caller_left(&mut self, now: CoreTime, request: RequestId, effects: &mut EffectQueue) {
         let idempotent = self.gate.is_idempotent(request);
-        let dispatched = self.gate.is_dispatched(request);
-        if dispatched && !idempotent {
+        if self.gate.is_dispatched(request) && !idempotent {
             return;
         }
         self.objectives.forget(request);
         self.resumed.remove(&request);
-        if dispatched {
+        // The scheduler first: as in any of its steps, a seat that has become free may go to this
+        // very request before it hears that the caller left.
+        self.schedule(now, SchedulerEvent::CallerLeft { request }, effects);
+        self.held.remove(request);
+        if self.gate.is_dispatched(request) {
             self.gate.abandon(request);
         } else {
-            self.held.remove(request);
             self.close(now, request, effects);
         }
-        self.schedule(now, SchedulerEvent::CallerLeft { request }, effects);
     }
 
     fn resume(&mut self, now: CoreTime, arrival: &ResumeArrival, effects: &mut EffectQueue) {
--- a/crates/savorywood-core/src/daemon/sharing.rs
+++ b/crates/savorywood-core/src/daemon/sharing.rs
@@ -36,6 +36,19 @@
     refusal: RequestRefusal,
 }
 
+impl HeldRequest {
+    /// The refusal once the deadline has passed: then it is not given for want of room.
+    fn expired(self) -> RequestRefusal {
+        let detail = "the deadline passed while lower tiers were asked to yield; come back after \
+                      the given time or allow more";
+        RequestRefusal {
+            code: RefusalCode::DeadlineExceeded,
+            detail: detail.to_owned(),
+            ..self.refusal
+        }
+    }
+}
+
 /// Requests that wait until lower tiers elsewhere have yielded.
 #[derive(Debug, Default)]
 pub struct HeldRequests {
@@ -161,13 +174,9 @@
         refusal: &RequestRefusal,
         effects: &mut EffectQueue,
     ) -> bool {
-        let for_load = matches!(
-            refusal.code,
-            RefusalCode::Overloaded | RefusalCode::TierShed
-        );
         let in_time = request.deadline_at > now.monotonic;
         let full = self.held.by_request.len() >= MAX_HELD;
-        if !for_load || !in_time || full || self.stop.is_stopping() {
+        if !refusal.is_for_load() || !in_time || full || self.stop.is_stopping() {
             return true;
         }
         self.count_demands(now.monotonic);
@@ -191,18 +200,43 @@
         false
     }
 
+    /// Refuses the held requests of lower tiers, the lowest first, before a higher tier is refused
+    /// for load. They wait outside of the scheduler's queue, so it does not know that there is
+    /// something lower to shed; the higher tier's caller would be turned away first.
+    pub(super) fn shed_lower_held(
+        &mut self,
+        now: CoreTime,
+        request: &QueuedRequest,
+        effects: &mut EffectQueue,
+    ) {
+        let held = self.held.by_request.values().map(|held| &held.request);
+        let lower = held.filter(|held| held.service == request.service && held.rank > request.rank);
+        let mut victims: Vec<_> = lower.map(|held| (held.rank, held.request)).collect();
+        victims.sort_unstable_by(|one, other| other.cmp(one));
+        for (_, victim) in victims {
+            if let Some(held) = self.held.by_request.remove(&victim) {
+                self.give_refusal(now, victim, held.refusal, effects);
+            }
+        }
+    }
+
     /// Hands held requests to the scheduler again; those whose time is over are refused.
     fn try_held_again(&mut self, now: CoreTime, effects: &mut EffectQueue) {
         if self.held.by_request.is_empty() {
             return;
         }
-        let held = std::mem::take(&mut self.held.by_request);
+        let held = self.held.by_request.values().map(|held| &held.request);
+        let mut turns: Vec<_> = held.map(|held| (held.rank, held.request)).collect();
+        turns.sort_unstable();
         let mut services = BTreeSet::new();
-        for held in held.into_values() {
+        // The highest tier first; the others stay held, so that they can yield to it.
+        for (_, request) in turns {
+            let Some(held) = self.held.by_request.remove(&request) else {
+                continue;
+            };
             services.insert(held.request.service.clone());
             if held.request.deadline_at <= now.monotonic {
-                let request = held.request.request;
-                self.give_refusal(now, request, held.refusal, effects);
+                self.give_refusal(now, request, held.expired(), effects);
             } else {
                 let event = SchedulerEvent::Arrived(Box::new(held.request));
                 self.schedule(now, event, effects);
--- a/crates/savorywood-protocol/src/outcome.rs
+++ b/crates/savorywood-protocol/src/outcome.rs
@@ -151,6 +151,12 @@
         }
     }
 
+    /// Whether it is given for want of room, so that tiers are refused in order.
+    #[must_use]
+    pub fn is_for_load(&self) -> bool {
+        matches!(self.code, RefusalCode::Overloaded | RefusalCode::TierShed)
+    }
+
     /// The same refusal with the time after which to come back.
     #[must_use]
     pub fn with_retry_after(self, retry_after: Duration) -> Self {
