Read every doubtful claim back, and use no attempt number twice

Cause: a claim whose caller left after an earlier write of its row was lost was put aside to be read back, but nothing set the timer for it. With no other claim in doubt it stayed open for good: a planned stop never ended, and if the lost write had landed, the key was told "unknown" until its retention was over. And a request that was turned away after a refused connection, held while others yielded and handed in again began anew at attempt zero, so that a late event of the first attempt was taken for the second's; a repeated "not sent" ran the request twice.

Ruled out: the gate and the scheduler's table, both empty in the stop that did not end.

Change: the timer is set where the claim is put aside; a request that comes again carries the number of its next attempt.

Conclusion: mended in the claim duty and where held requests come again.

--- a/crates/savorywood-core/src/claims/batch.rs
+++ b/crates/savorywood-core/src/claims/batch.rs
@@ -1,6 +1,6 @@
 //! Gathers rows of many claims into one transaction, within the write budget.
 
-use super::{BATCH_TIMER, ClaimStage, ClaimState, ClaimView, TableTask};
+use super::{BATCH_TIMER, ClaimStage, ClaimState, ClaimView, RETRY_TIMER, TableTask};
 use crate::{
     effect::{DaemonEffect, EffectQueue},
     event::{DutyKind, TableCall},
@@ -78,12 +78,12 @@
             let items: Vec<_> = self.waiting.drain(..count).collect();
             let gap = self.options.commit_gap(view.members.serving().count());
             self.pace.next_at = now + gap;
-            self.commit(items, effects);
+            self.commit(now, items, effects);
         }
         self.arm_batch(now, effects);
     }
 
-    fn commit(&mut self, items: Vec<BatchItem>, effects: &mut EffectQueue) {
+    fn commit(&mut self, now: MonotonicTime, items: Vec<BatchItem>, effects: &mut EffectQueue) {
         let mut commit = TableCommit {
             conditions: Vec::new(),
             writes: Vec::new(),
@@ -96,7 +96,7 @@
                     commit.writes.push(row.write);
                     sent.push(item);
                 }
-                None => self.drop_unwanted(item),
+                None => self.drop_unwanted(now, item, effects),
             }
         }
         if sent.is_empty() {
@@ -109,8 +109,10 @@
     }
 
     /// A caller left before its claim was sent. If no earlier try can have written the row,
-    /// nothing remains to be done; else the row is read and deleted.
-    fn drop_unwanted(&mut self, item: BatchItem) {
+    /// nothing remains to be done; else the row is read and deleted. Without the timer nobody would
+    /// read it if no other claim is in doubt: the claim would stay open, and a planned stop would
+    /// wait for it for good.
+    fn drop_unwanted(&mut self, now: MonotonicTime, item: BatchItem, effects: &mut EffectQueue) {
         let Some(claim) = self.open.get(&item.request) else {
             return;
         };
@@ -119,10 +121,11 @@
         }
         match claim.tries {
             0 => self.forget(item.request),
-            _ => self.unsure.push(BatchItem {
-                kind: WriteKind::Release,
-                ..item
-            }),
+            _ => {
+                let kind = WriteKind::Release;
+                self.unsure.push(BatchItem { kind, ..item });
+                effects.set_timer(RETRY_TIMER, now + self.options.retry_period);
+            }
         }
     }
 
--- a/crates/savorywood-core/src/daemon/gate.rs
+++ b/crates/savorywood-core/src/daemon/gate.rs
@@ -25,6 +25,8 @@
     request: QueuedRequest,
     /// Upstream of the newest dispatch.
     upstream: Option<UpstreamName>,
+    /// Attempt that comes next.
+    next: AttemptNumber,
     /// Nobody waits for its answer any longer, but its attempt has not ended.
     abandoned: bool,
 }
@@ -43,6 +45,7 @@
             stage: GateStage::Here,
             request,
             upstream: None,
+            next: AttemptNumber::default(),
             abandoned: false,
         };
         self.entries.insert(key, entry);
@@ -53,6 +56,13 @@
         self.entries.get(&request)?.upstream.as_ref()
     }
 
+    /// Attempt that comes next. A request that was held must not use a number twice: events of
+    /// the first attempt would be taken for the second's.
+    pub fn next_attempt(&self, request: RequestId) -> AttemptNumber {
+        let entry = self.entries.get(&request);
+        entry.map(|entry| entry.next).unwrap_or_default()
+    }
+
     /// An open request.
     pub fn get(&self, request: RequestId) -> Option<&QueuedRequest> {
         self.entries.get(&request).map(|entry| &entry.request)
@@ -128,6 +138,7 @@
         let once = first.is_some();
         if let Some(entry) = first {
             entry.stage = GateStage::Dispatched(order.attempt);
+            entry.next = order.attempt.next();
             entry.upstream = Some(order.upstream.clone());
         }
         invariant::check(effects, InvariantName::DispatchAtMostOnce, once, || {
--- a/crates/savorywood-core/src/daemon/sharing.rs
+++ b/crates/savorywood-core/src/daemon/sharing.rs
@@ -238,7 +238,10 @@
             if held.request.deadline_at <= now.monotonic {
                 self.give_refusal(now, request, held.expired(), effects);
             } else {
-                let event = SchedulerEvent::Arrived(Box::new(held.request));
+                let event = SchedulerEvent::Returned {
+                    attempt: self.gate.next_attempt(request),
+                    request: Box::new(held.request),
+                };
                 self.schedule(now, event, effects);
             }
         }
--- a/crates/savorywood-core/src/scheduler.rs
+++ b/crates/savorywood-core/src/scheduler.rs
@@ -39,7 +39,8 @@
 use rand_chacha::ChaCha8Rng;
 use retry::RetryBudget;
 use savorywood_protocol::{
-    ConfigRevision, CoreTime, RequestId, ServiceName, TierRank, UpstreamName, ZoneName,
+    AttemptNumber, ConfigRevision, CoreTime, RequestId, ServiceName, TierRank, UpstreamName,
+    ZoneName,
 };
 use service::ServiceState;
 use std::collections::{BTreeMap, BTreeSet};
@@ -74,6 +75,13 @@
 pub enum SchedulerEvent {
     /// A request was resolved, and claimed where it may not be repeated.
     Arrived(Box<QueuedRequest>),
+    /// A request that was turned away and held comes again.
+    Returned {
+        /// The request.
+        request: Box<QueuedRequest>,
+        /// Attempt that comes next.
+        attempt: AttemptNumber,
+    },
     /// A caller left.
     CallerLeft {
         /// Its request.
@@ -151,7 +159,12 @@
         self.expire_waiting(now, effects);
         self.cancel_overdue(now, view, effects);
         match event {
-            SchedulerEvent::Arrived(request) => self.arrive(now, *request, view, effects),
+            SchedulerEvent::Arrived(request) => {
+                self.arrive(now, *request, AttemptNumber::default(), view, effects);
+            }
+            SchedulerEvent::Returned { request, attempt } => {
+                self.arrive(now, *request, attempt, view, effects);
+            }
             SchedulerEvent::CallerLeft { request } => {
                 self.caller_left(now, request, view, effects);
             }
--- a/crates/savorywood-core/src/scheduler/admission.rs
+++ b/crates/savorywood-core/src/scheduler/admission.rs
@@ -45,6 +45,7 @@
         &mut self,
         now: MonotonicTime,
         request: QueuedRequest,
+        attempt: AttemptNumber,
         view: SchedulerView<'_>,
         effects: &mut EffectQueue,
     ) {
@@ -52,7 +53,7 @@
         self.retries.earn();
         let name = request.service.clone();
         self.enforce_floor(now, &name, view, effects);
-        let waiting = self.appraise(now, request, AttemptNumber::default(), view);
+        let waiting = self.appraise(now, request, attempt, view);
         if let Err(refusal) = self.admit(now, &waiting, view, effects) {
             self.shed(now, &waiting, refusal, effects);
             return;
