--- a/crates/savorywood-core/tests/whole_schedules.rs
+++ b/crates/savorywood-core/tests/whole_schedules.rs
@@ -112,6 +112,51 @@
     assert!(total.whole_answers > 0 && total.accepted > 0);
 }
 
+/// A schedule that once broke a rule keeps all of them.
+fn keeps_all_rules(number: u64) {
+    let breaches = World::run(&schedule_of(number), None).ledger.breaches;
+    let mut breaches = breaches.iter();
+    let found = breaches.find(|breach| breach.rule != RESTART_RULE);
+    assert!(found.is_none(), "schedule {number}: {found:?}");
+}
+
+/// All upstreams are full, so requests of several tiers are turned away and held while daemons are
+/// asked whether anything lower waits. When they are tried again, a caller of the highest tier was
+/// refused for load although one of a lower tier was still held at the same daemon.
+#[test]
+fn held_requests_of_lower_tiers_yield_first() {
+    keeps_all_rules(15);
+}
+
+/// A daemon stands still for seconds while it holds a request of the highest tier, and goes on
+/// after the deadline. Its caller was told "overloaded" while a lower tier waited, as if the order
+/// of tiers had been turned round; the deadline had passed.
+#[test]
+fn a_held_request_whose_deadline_passed_is_told_so() {
+    keeps_all_rules(117);
+}
+
+/// A caller leaves in the moment in which a seat becomes free for its request. The daemon had
+/// forgotten the request already and reported a second dispatch that there was not.
+#[test]
+fn a_caller_that_leaves_as_its_turn_comes_breaches_nothing() {
+    keeps_all_rules(164);
+}
+
+/// The answer to a claim is lost and its caller leaves while the claim is to be written again.
+/// Nobody read the row back, so the daemon's planned stop did not end.
+#[test]
+fn a_claim_in_doubt_whose_caller_left_does_not_hold_up_a_stop() {
+    keeps_all_rules(101_724);
+}
+
+/// A connection is refused, the request is turned away, held and tried again, and a late report of
+/// the first attempt comes. It was taken for the second attempt, and the request ran twice.
+#[test]
+fn a_request_that_was_held_is_told_apart_from_its_first_attempt() {
+    keeps_all_rules(303_061);
+}
+
 /// Schedule in which the only daemon that knows of a change is replaced during an outage.
 const REPLACED_DURING_OUTAGE: u64 = 273;
 
