--- a/crates/savorywood-core/tests/whole/sabotage.rs
+++ b/crates/savorywood-core/tests/whole/sabotage.rs
@@ -38,23 +38,23 @@
 }
 
 impl WorldSabotage {
-    /// Rule whose check must notice it.
-    pub fn broken_rule(self) -> WorldRule {
+    /// Rules whose checks must notice it.
+    pub fn broken_rules(self) -> &'static [WorldRule] {
         match self {
-            Self::SendTwice => WorldRule::RunsOnce,
-            Self::RunThenNotSent => WorldRule::NotRunIsTrue,
-            Self::ForgetClaims => WorldRule::KeyRunsOnce,
-            Self::LoseEnds => WorldRule::NoneLost,
-            Self::AnswerTwice => WorldRule::OneAnswer,
-            Self::SwapReplays => WorldRule::OwnAnswer,
-            Self::EmptyTable => WorldRule::RestartNeverReverts,
-            Self::SwapCores => WorldRule::ConfigNeverReverts,
-            Self::CommitNothing => WorldRule::AcceptedIsCommitted,
-            Self::HideConfig => WorldRule::LeavingGetsNothing,
-            Self::NeverExit => WorldRule::StopEnds,
-            Self::ExitEarly => WorldRule::StopCutsNothing,
-            Self::ShedHighest => WorldRule::ShedLowestFirst,
-            Self::RepeatArrival => WorldRule::InProgram,
+            Self::SendTwice => &[WorldRule::RunsOnce],
+            Self::RunThenNotSent => &[WorldRule::NotRunIsTrue],
+            Self::ForgetClaims => &[WorldRule::KeyRunsOnce],
+            Self::LoseEnds => &[WorldRule::NoneLost],
+            Self::AnswerTwice => &[WorldRule::OneAnswer],
+            Self::SwapReplays => &[WorldRule::OwnAnswer],
+            Self::EmptyTable => &[WorldRule::RestartNeverReverts],
+            Self::SwapCores => &[WorldRule::ConfigNeverReverts],
+            Self::CommitNothing => &[WorldRule::AcceptedIsCommitted],
+            Self::HideConfig => &[WorldRule::LeavingGetsNothing, WorldRule::AcceptedInForce],
+            Self::NeverExit => &[WorldRule::StopEnds],
+            Self::ExitEarly => &[WorldRule::StopCutsNothing],
+            Self::ShedHighest => &[WorldRule::ShedLowestFirst],
+            Self::RepeatArrival => &[WorldRule::InProgram],
         }
     }
 }
--- a/crates/savorywood-core/tests/whole_schedules.rs
+++ b/crates/savorywood-core/tests/whole_schedules.rs
@@ -30,12 +30,15 @@
 #[path = "whole/world.rs"]
 mod world;
 
-use ledger::WorldRule;
+use crate::{
+    ledger::WorldRule,
+    sabotage::WorldSabotage,
+    schedule::WorldSchedule,
+    world::{RunFigures, World},
+};
 use quickcheck::{Arbitrary, Gen};
-use sabotage::WorldSabotage;
-use schedule::WorldSchedule;
+use std::collections::BTreeSet;
 use strum::IntoEnumIterator;
-use world::{RunFigures, World};
 
 /// Schedules in an ordinary run.
 const DEFAULT_RUNS: u64 = 40;
@@ -179,18 +182,20 @@
 #[test]
 fn each_rule_notices_its_breach() {
     for sabotage in WorldSabotage::iter() {
-        let rule = sabotage.broken_rule();
-        let noticed = (0..SABOTAGED_RUNS).find(|number| {
-            let world = World::run(&schedule_of(*number), Some(sabotage));
-            world
-                .ledger
-                .breaches
-                .iter()
-                .any(|breach| breach.rule == rule)
-        });
-        let Some(number) = noticed else {
-            panic!("{sabotage} is not noticed by {rule} within {SABOTAGED_RUNS} schedules");
-        };
-        println!("{sabotage} is noticed by {rule} in schedule {number}");
+        for rule in sabotage.broken_rules() {
+            let noticed = (0..SABOTAGED_RUNS).find(|number| {
+                let breaches = World::run(&schedule_of(*number), Some(sabotage))
+                    .ledger
+                    .breaches;
+                breaches.iter().any(|breach| breach.rule == *rule)
+            });
+            let Some(number) = noticed else {
+                panic!("{sabotage} is not noticed by {rule} within {SABOTAGED_RUNS} schedules");
+            };
+            println!("{sabotage} is noticed by {rule} in schedule {number}");
+        }
     }
+    let rules = WorldSabotage::iter().flat_map(|sabotage| sabotage.broken_rules());
+    let rules: BTreeSet<_> = rules.collect();
+    assert_eq!(rules.len(), WorldRule::iter().count());
 }
