Ask three arbiters before a shed, not all of the zone

Change: floors of three upstreams of the zone, the same for all daemons, count for a service; their arbiters are asked at once and tell floors outside their rounds.

--- a/crates/savorywood-core/src/credits.rs
+++ b/crates/savorywood-core/src/credits.rs
@@ -7,6 +7,7 @@
 
 pub mod allocate;
 mod arbiter;
+mod floors;
 mod holder;
 mod options;
 mod rounds;
@@ -23,14 +24,11 @@
     view::{ConfigView, MemberRecord, MemberView},
 };
 use arbiter::ArbiterRecord;
+use floors::FloorNames;
 use holder::HeldUpstream;
 use savorywood_protocol::{
     CoreTime, HostName, MonotonicTime, RegionName, ServiceName, TierRank, UpstreamName, ZoneName,
-    peer::{
-        CreditMessage,
-        credits::{NO_FLOOR, TierDemand},
-        membership::MemberState,
-    },
+    peer::{CreditMessage, credits::TierDemand, membership::MemberState},
 };
 use shed::ShedAsk;
 use std::{
@@ -127,6 +125,8 @@
     demand_rounds: RoundClock,
     grant_rounds: RoundClock,
     soon_at: Option<MonotonicTime>,
+    next_ask: MonotonicTime,
+    floor_names: FloorNames,
     grants: BTreeMap<UpstreamName, SeatGrant>,
     floors: BTreeMap<ServiceName, TierRank>,
     counters: CreditCounters,
@@ -171,6 +171,8 @@
             demand_rounds: RoundClock::default(),
             grant_rounds: RoundClock::default(),
             soon_at: None,
+            next_ask: MonotonicTime::default(),
+            floor_names: FloorNames::default(),
             grants: BTreeMap::new(),
             floors: BTreeMap::new(),
             counters: CreditCounters::default(),
@@ -263,26 +265,6 @@
         self.floors = floors;
         changed
     }
-
-    /// A service's floor is the most lenient of those of its contended upstreams: what one of
-    /// them still admits need not be shed.
-    fn service_floors(
-        &self,
-        now: MonotonicTime,
-        view: CreditView<'_>,
-    ) -> BTreeMap<ServiceName, TierRank> {
-        let mut floors: BTreeMap<ServiceName, TierRank> = BTreeMap::new();
-        for (upstream, held) in &self.held {
-            let Some(spec) = view.config.upstreams.get(upstream) else {
-                continue;
-            };
-            let floor = held.floor(now);
-            let known = floors.entry(spec.service.clone()).or_insert(floor);
-            *known = floor.max(*known);
-        }
-        floors.retain(|_, floor| *floor != NO_FLOOR);
-        floors
-    }
 }
 
 /// Seats that a daemon may use without a grant: its part of what it could use alone.
--- a/crates/savorywood-core/src/credits/arbiter.rs
+++ b/crates/savorywood-core/src/credits/arbiter.rs
@@ -13,6 +13,7 @@
     demands: BTreeMap<HostName, UpstreamDemand>,
     heard: BTreeMap<HostName, MonotonicTime>,
     floor: TierRank,
+    floor_moved: bool,
     last_ask: Option<MonotonicTime>,
     since: MonotonicTime,
     /// When the next survey of further users is due.
@@ -31,6 +32,7 @@
             demands: BTreeMap::new(),
             heard: BTreeMap::new(),
             floor: NO_FLOOR,
+            floor_moved: false,
             last_ask: None,
             since: now,
             next_survey: now,
@@ -41,9 +43,9 @@
 
     /// Takes in a daemon's demand.
     pub fn report(&mut self, now: MonotonicTime, from: &HostName, demand: UpstreamDemand) {
-        if demand.shedding.is_some() {
+        if let Some(rank) = demand.shedding {
             self.last_ask = Some(now);
-            self.urgent = true;
+            self.urgent |= rank < self.floor;
         }
         // While a floor is up, daemons that have nothing left are told of it too: they have
         // nothing just because of it, and would take lower work in again.
@@ -109,6 +111,18 @@
         self.floor
     }
 
+    /// Whether the floor rose and the daemons have not been told yet.
+    #[must_use]
+    pub fn has_moved_floor(&self) -> bool {
+        self.floor_moved
+    }
+
+    /// Notes that the grants went out.
+    pub fn note_granted(&mut self) {
+        self.urgent = false;
+        self.floor_moved = false;
+    }
+
     /// Raises the floor by one tier, if somebody is about to shed a tier above the lowest that
     /// is still asked for anywhere. It rises from the bottom, one tier a round: the daemon that
     /// asked sheds only once nothing lower is left.
@@ -132,6 +146,7 @@
             None => asked,
         };
         self.urgent = true;
+        self.floor_moved = true;
     }
 }
 
--- a/crates/savorywood-core/src/credits/rounds.rs
+++ b/crates/savorywood-core/src/credits/rounds.rs
@@ -6,7 +6,7 @@
 };
 use crate::effect::{DaemonEffect, EffectQueue};
 use savorywood_protocol::{
-    HostName, MonotonicTime, UpstreamName,
+    HostName, MonotonicTime, TierRank, UpstreamName,
     peer::{
         CreditMessage, PeerMessage,
         credits::{NO_FLOOR, UpstreamDemand, UpstreamGrant},
@@ -17,6 +17,14 @@
 /// Upstreams in one message at most; more would not fit into a datagram.
 const MAX_UPSTREAMS: usize = 10;
 
+/// Upstreams whose grants go out in a round.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum GrantScope {
+    All,
+    Urgent,
+    MovedFloors,
+}
+
 impl CreditState {
     pub(super) fn tick(
         &mut self,
@@ -59,15 +67,27 @@
         effects: &mut EffectQueue,
     ) -> usize {
         let mut batches: BTreeMap<HostName, Vec<UpstreamDemand>> = BTreeMap::new();
-        let asked: Vec<_> = self.held.keys().cloned().collect();
-        for upstream in asked {
+        let asked = self.ranks_asked(now, view);
+        let held: Vec<_> = self.held.keys().cloned().collect();
+        for upstream in held {
             let Some(arbiter) = arbiter_of(&upstream, view).cloned() else {
                 continue;
             };
-            if let Some(demand) = self.demand_on(now, &upstream, view) {
+            if let Some(demand) = self.demand_on(now, &upstream, &asked, view) {
                 batches.entry(arbiter).or_default().push(demand);
             }
         }
+        self.send_batches(now, batches, view, effects)
+    }
+
+    /// Sends each arbiter what it is to know; gives the bytes that it took.
+    pub(super) fn send_batches(
+        &mut self,
+        now: MonotonicTime,
+        batches: BTreeMap<HostName, Vec<UpstreamDemand>>,
+        view: CreditView<'_>,
+        effects: &mut EffectQueue,
+    ) -> usize {
         let mut bytes = 0;
         for (arbiter, upstreams) in batches {
             for chunk in upstreams.chunks(MAX_UPSTREAMS) {
@@ -101,10 +121,11 @@
     }
 
     /// Our demand, or once, when there is none any longer, the word that there is none.
-    fn demand_on(
+    pub(super) fn demand_on(
         &mut self,
         now: MonotonicTime,
         upstream: &UpstreamName,
+        asked: &BTreeMap<UpstreamName, TierRank>,
         view: CreditView<'_>,
     ) -> Option<UpstreamDemand> {
         let held = self.held.get_mut(upstream)?;
@@ -114,15 +135,13 @@
         if local.is_none() && !reported && !floored {
             return None;
         }
-        let spec = view.config.upstreams.get(upstream)?;
-        let ask = self.asks.get(&spec.service);
         let local = local.cloned().unwrap_or_default();
         Some(UpstreamDemand {
             upstream: upstream.clone(),
             limit: local.limit,
             in_use: local.in_use,
             tiers: local.tiers,
-            shedding: ask.map(super::ShedAsk::rank),
+            shedding: asked.get(upstream).copied(),
         })
     }
 
@@ -160,14 +179,16 @@
         let mut records = self.desk.values();
         let urgent = records.any(|r| r.urgent && r.is_settled(now, settle_time));
         let rounds = self.grant_rounds;
-        if rounds.regular_at <= now || (urgent && rounds.urgent_at <= now) {
-            let only_urgent = rounds.regular_at > now;
-            let bytes = self.send_grants(now, only_urgent, view, effects);
+        if rounds.regular_at <= now {
+            let bytes = self.send_grants(now, GrantScope::All, view, effects);
             self.grant_rounds = RoundClock::after_round(now, bytes, &self.options);
-            if only_urgent {
-                // Urgent rounds must not put off the others.
-                self.grant_rounds.regular_at = rounds.regular_at;
-            }
+        } else if urgent && rounds.urgent_at <= now {
+            let bytes = self.send_grants(now, GrantScope::Urgent, view, effects);
+            self.grant_rounds = RoundClock::after_round(now, bytes, &self.options);
+            // Urgent rounds must not put off the others.
+            self.grant_rounds.regular_at = rounds.regular_at;
+        } else if self.has_moved_floor() {
+            self.send_grants(now, GrantScope::MovedFloors, view, effects);
         } else if urgent {
             self.look_again(now, rounds.urgent_at.max(now + SOON), effects);
         }
@@ -176,17 +197,22 @@
     fn send_grants(
         &mut self,
         now: MonotonicTime,
-        only_urgent: bool,
+        scope: GrantScope,
         view: CreditView<'_>,
         effects: &mut EffectQueue,
     ) -> usize {
         let mut batches: BTreeMap<HostName, Vec<UpstreamGrant>> = BTreeMap::new();
         for (upstream, record) in &mut self.desk {
             let settled = record.is_settled(now, self.options.settle_time);
-            if !settled || (only_urgent && !record.urgent) {
+            let due = match scope {
+                GrantScope::All => true,
+                GrantScope::Urgent => record.urgent || record.has_moved_floor(),
+                GrantScope::MovedFloors => record.has_moved_floor(),
+            };
+            if !settled || !due {
                 continue;
             }
-            record.urgent = false;
+            record.note_granted();
             let floor = record.floor();
             let declared = view
                 .config
--- a/crates/savorywood-core/src/credits/shed.rs
+++ b/crates/savorywood-core/src/credits/shed.rs
@@ -44,7 +44,7 @@
         effects: &mut EffectQueue,
     ) -> ShedAdvice {
         let lower = view.config.tiers.values().any(|tier| tier.rank > rank);
-        let used = used_upstreams(service, view);
+        let used = self.asked_upstreams(now, service, view);
         if !lower {
             return ShedAdvice::Shed;
         }
@@ -63,7 +63,7 @@
             false => self.options.ask_timeout,
         };
         if waited < limit && !used.is_empty() {
-            self.request_round(now, &used, effects);
+            self.request_round(now, &used, view, effects);
             return ShedAdvice::Wait;
         }
         self.note_alone(now, service, rank, effects);
@@ -98,16 +98,18 @@
         ask
     }
 
-    /// Demands go out with the next round at the latest; a new ask does not wait for it.
+    /// Demands go out with the next round at the latest; an ask does not wait for it.
     fn request_round(
         &mut self,
         now: MonotonicTime,
         used: &[UpstreamName],
+        view: CreditView<'_>,
         effects: &mut EffectQueue,
     ) {
         for upstream in used {
             self.mark_contended(now, upstream, self.options.calm_time);
         }
+        self.ask_now(now, used, view, effects);
         self.pull_round_forward(now, effects);
     }
 
@@ -134,10 +136,3 @@
         }
     }
 }
-
-/// Upstreams of a service that this daemon uses or would use.
-fn used_upstreams(service: &ServiceName, view: CreditView<'_>) -> Vec<UpstreamName> {
-    let names = view.config.upstreams_of(service);
-    let used = names.filter(|name| view.demands.contains_key(*name));
-    used.cloned().collect()
-}
