--- a/crates/savorywood-experiment/src/engine.rs
+++ b/crates/savorywood-experiment/src/engine.rs
@@ -89,6 +89,8 @@
     pub cached: u32,
     /// Prompt tokens prefilled.
     pub prefilled: f64,
+    /// Of the prompt, tokens that another engine had cached when it entered and this one had not.
+    pub missed: u32,
     /// Tokens generated.
     pub generated: u32,
     /// When its last token came, in seconds.
@@ -113,6 +115,8 @@
     pub prefilled: u64,
     /// Prompt tokens found in the cache.
     pub cached: u32,
+    /// Prompt tokens that another engine had cached.
+    pub missed: u32,
     /// Tokens generated.
     pub generated: u32,
 }
@@ -176,6 +180,7 @@
             to_prefill: 0.0,
             cached: 0,
             prefilled: 0.0,
+            missed: 0,
             generated: 0,
             progress_at: now,
         });
@@ -255,6 +260,7 @@
             return Some(SequenceEnd {
                 prefilled: sequence.prefilled as u64,
                 cached: sequence.cached,
+                missed: sequence.missed,
                 generated: sequence.generated,
             });
         }
--- a/crates/savorywood-experiment/src/tally.rs
+++ b/crates/savorywood-experiment/src/tally.rs
@@ -44,7 +44,7 @@
     pub late: f64,
     /// For requests that broke.
     pub broken: f64,
-    /// For prefixes that another engine held.
+    /// For prefixes that another engine held, of requests that were whole in time.
     pub miss: f64,
 }
 
--- a/crates/savorywood-experiment/src/world/engines.rs
+++ b/crates/savorywood-experiment/src/world/engines.rs
@@ -35,7 +35,7 @@
             return;
         }
         for key in self.engines[engine].admit() {
-            self.count_miss(engine, key);
+            self.note_miss(engine, key);
         }
         if self.engines[engine].running.is_empty() {
             return;
@@ -47,15 +47,18 @@
         self.agenda.add(end, WorldEvent::StepEnd { engine });
     }
 
-    /// Counts the prefill of a prefix that another engine holds.
-    fn count_miss(&mut self, engine: usize, key: SequenceKey) {
-        let record = &self.tasks[key.task];
-        let shape = record.task.shape;
+    /// Notes the prefill of a prefix that another engine holds.
+    fn note_miss(&mut self, engine: usize, key: SequenceKey) {
+        let shape = self.tasks[key.task].task.shape;
         let hit = self.engines[engine].cache.holds(&shape);
         let mut others = self.engines.iter();
         let elsewhere = others.any(|other| other.cache.holds(&shape));
-        if record.counted && !hit && elsewhere {
-            self.tally.prefill.miss += f64::from(shape.shared);
+        let mut running = self.engines[engine].running.iter_mut();
+        if let Some(sequence) = running.find(|sequence| sequence.key == key)
+            && !hit
+            && elsewhere
+        {
+            sequence.missed = shape.shared;
         }
     }
 
@@ -148,7 +151,9 @@
         }
         let prefilled = end.prefilled as f64;
         self.tally.prefill.total += prefilled;
-        if !in_time {
+        if in_time {
+            self.tally.prefill.miss += f64::from(end.missed);
+        } else {
             self.tally.prefill.late += prefilled;
         }
     }
