--- a/crates/savorywood-cli/tests/process_resume.rs
+++ b/crates/savorywood-cli/tests/process_resume.rs
@@ -2,12 +2,16 @@
 
 use savorywood_standin::{chat_prompt, output_text};
 use savorywood_testing::{
-    ClusterPlan, PartialBody, StandinProcess, TEAM_TOKEN, TestCall, TestCluster, has_end_mark,
-    streamed_text,
+    ClusterPlan, PartialBody, ProcessSignal, StandinProcess, TEAM_TOKEN, TestCall, TestCluster,
+    has_end_mark, streamed_text,
 };
+use std::time::Duration;
 
 const TOKEN_HEADER: &str = "x-savorywood-resume-token";
 
+/// Characters from the end of a resume token that surely belong to its signature.
+const SIGNATURE_TAIL: usize = 8;
+
 /// Tokens of each stream; at the engine's speed they take about two seconds.
 const TOKENS: u32 = 120;
 
@@ -74,21 +78,47 @@
     setup.assert_whole(&broken, rest.body);
 }
 
-/// Somebody changes a resume token, to read another team's stream. It is refused.
+/// Somebody makes a resume token up, to read another team's stream. One that differs in its
+/// signature alone, or in what it says, is refused.
 #[test]
 fn a_changed_token_is_refused() {
     let mut setup = start();
     let broken = setup.break_stream();
-    let mut changed = broken.token.clone().into_bytes();
-    let middle = changed.len() / 2;
-    changed[middle] = if changed[middle] == b'A' { b'B' } else { b'A' };
-    let changed = String::from_utf8_lossy(&changed).into_owned();
-    let refused = setup.resume(&changed, 0).send().expect("a refusal");
-    assert_eq!(refused.status(), 400, "{}", refused.text());
-    assert_eq!(
-        refused.json()["code"],
-        "bad-resume-token",
-        "{}",
-        refused.text()
+    let length = broken.token.len();
+    for place in [length / 2, length - SIGNATURE_TAIL] {
+        let mut changed = broken.token.clone().into_bytes();
+        changed[place] = if changed[place] == b'A' { b'B' } else { b'A' };
+        let changed = String::from_utf8_lossy(&changed).into_owned();
+        let refused = setup.resume(&changed, 0).send().expect("a refusal");
+        assert_eq!(refused.status(), 400, "{}", refused.text());
+        assert_eq!(
+            refused.json()["code"],
+            "bad-resume-token",
+            "{}",
+            refused.text()
+        );
+    }
+}
+
+/// The daemon that reads a stream on is stopped as planned. A planned stop cuts off no request,
+/// so the rest must come whole before the process ends.
+#[test]
+fn a_planned_stop_does_not_cut_off_a_stream_that_is_read_on() {
+    let mut setup = start();
+    let broken = setup.break_stream();
+    let call = setup.resume(&broken.token, broken.part.bytes.len());
+    let mut answer = call.open().expect("a head");
+    assert_eq!(answer.status(), 200);
+    let mut rest = answer.read_at_least(1).expect("a token");
+    setup.cluster.daemons[1].signal(ProcessSignal::Terminate);
+    let more = answer.read_until_break();
+    assert!(
+        more.end.is_ok(),
+        "the stop cut the answer off: {:?}",
+        more.end
     );
+    rest.extend(more.bytes);
+    setup.assert_whole(&broken, rest);
+    let status = setup.cluster.daemons[1].wait_for_end(Duration::from_secs(8));
+    assert!(status.success(), "{status}");
 }
--- a/crates/savorywood-core/src/daemon.rs
+++ b/crates/savorywood-core/src/daemon.rs
@@ -3,8 +3,10 @@
 mod callers;
 mod deciding;
 mod gate;
+mod holding;
 mod hosts;
 mod leaving;
+mod moving;
 mod objectives;
 mod reads;
 mod sharing;
@@ -21,11 +23,14 @@
     event::{DaemonEvent, DutyKind, TimerKey},
     leases::{LeaseEvent, LeaseOptions, LeaseState},
     membership::{MembershipEvent, MembershipOptions, MembershipState},
+    moves::{MoveEvent, MoveOptions, MovesState},
+    orders::{OrderEvent, OrderOptions, OrdersState},
     scheduler::{RequestScheduler, SchedulerEvent, SchedulerOptions, SeatGrant},
     stop::{StopEvent, StopOptions, StopState},
     view::{ConfigView, MemberView, VersionSplit},
 };
 use gate::DispatchGate;
+use holding::WantedLeases;
 use objectives::ObjectiveTracker;
 use savorywood_protocol::{
     CoreTime, HostIncarnation, HostName, MonotonicTime, RegionName, RequestId, ServiceName,
@@ -98,6 +103,9 @@
     held: HeldRequests,
     queued: BTreeSet<ServiceName>,
     leases: LeaseState,
+    moves: MovesState,
+    orders: OrdersState,
+    wanted: WantedLeases,
     stop: StopState,
     resumed: BTreeSet<RequestId>,
     leaving_hosts: BTreeSet<HostName>,
@@ -139,6 +147,12 @@
                 options.incarnation,
                 seed,
             )),
+            moves: MovesState::new(MoveOptions {
+                host: options.host.clone(),
+                seed,
+            }),
+            orders: OrdersState::new(OrderOptions::default()),
+            wanted: WantedLeases::default(),
             stop: StopState::new(StopOptions {
                 max_age: options.address_max_age,
                 ..StopOptions::default()
@@ -216,7 +230,9 @@
             DaemonEvent::AnswerKept { request, answer } => {
                 self.claim(now, ClaimEvent::AnswerKept { request, answer }, effects);
             }
-            DaemonEvent::OrderAnswered { .. } => {}
+            DaemonEvent::OrderAnswered { call, answer } => {
+                self.order(now, OrderEvent::Answered { call, answer }, effects);
+            }
         }
     }
 
@@ -226,6 +242,7 @@
         self.configure(now, ConfigEvent::Started, effects);
         self.claim(now, ClaimEvent::Started, effects);
         self.share(now, CreditEvent::Started, effects);
+        self.move_on(now, MoveEvent::Started, effects);
     }
 
     fn timer(&mut self, now: CoreTime, key: TimerKey, effects: &mut EffectQueue) {
@@ -240,7 +257,8 @@
             DutyKind::Credits => self.share(now, CreditEvent::TimerFired { number }, effects),
             DutyKind::Leases => self.lease(now, LeaseEvent::TimerFired { number }, effects),
             DutyKind::Stop => self.leave(now, StopEvent::TimerFired, effects),
-            DutyKind::Moves | DutyKind::Orders => {}
+            DutyKind::Moves => self.move_on(now, MoveEvent::TimerFired { number }, effects),
+            DutyKind::Orders => self.order(now, OrderEvent::TimerFired, effects),
         }
     }
 
@@ -261,7 +279,9 @@
             PeerMessage::Credits(message) => {
                 self.share(now, CreditEvent::Peer { from, message }, effects);
             }
-            PeerMessage::Moves(_) => {}
+            PeerMessage::Moves(message) => {
+                self.move_on(now, MoveEvent::Peer { from, message }, effects);
+            }
         }
     }
 
@@ -284,10 +304,12 @@
             DutyKind::Leases => {
                 self.lease(now, LeaseEvent::Table { number, answer }, effects);
             }
+            DutyKind::Moves => {
+                self.move_on(now, MoveEvent::Table { number, answer }, effects);
+            }
             DutyKind::Scheduler
             | DutyKind::Credits
             | DutyKind::Membership
-            | DutyKind::Moves
             | DutyKind::Orders
             | DutyKind::Stop => {}
         }
@@ -302,6 +324,8 @@
             let revision = self.config.view().revision;
             self.join(now, MembershipEvent::RevisionInForce(revision), effects);
             self.mark_leaving_upstreams(now, effects);
+            self.move_on(now, MoveEvent::ConfigChanged, effects);
+            self.order(now, OrderEvent::ViewChanged, effects);
             self.schedule(now, SchedulerEvent::ViewChanged, effects);
         }
     }
