--- a/crates/savorywood-testing/src/lib.rs
+++ b/crates/savorywood-testing/src/lib.rs
@@ -20,5 +20,5 @@
 pub use port::free_address;
 pub use process::{ChildProcess, ProcessSignal};
 pub use sse::{has_end_mark, streamed_text};
-pub use standin::{RunView, StandinProcess};
+pub use standin::{OrderView, RunView, StandinProcess};
 pub use wait::{wait_for, wait_until};
--- a/crates/savorywood-testing/src/standin.rs
+++ b/crates/savorywood-testing/src/standin.rs
@@ -89,6 +89,28 @@
         RunView(reply.json())
     }
 
+    /// Orders that reached an engine, in order.
+    ///
+    /// # Panics
+    ///
+    /// When it does not answer.
+    #[must_use]
+    pub fn orders(&self) -> Vec<OrderView> {
+        let get = TestCall::get(self.control, "/standin/orders");
+        let reply = get.send().expect("the stand-in answers").json();
+        let records = reply.as_array().into_iter().flatten();
+        records.cloned().map(OrderView).collect()
+    }
+
+    /// Version that an engine runs, once it is loaded whole.
+    #[must_use]
+    pub fn ready_version(&self) -> Option<String> {
+        let get = TestCall::get(self.control, "/savorywood/orders");
+        let state = get.send().ok()?.json();
+        let version = state["version"].as_str().map(str::to_owned);
+        version.filter(|_| state["ready"] == true)
+    }
+
     /// Sends a signal to its process.
     pub fn signal(&self, signal: ProcessSignal) {
         self.process.signal(signal);
@@ -131,3 +153,27 @@
         repeated.map(|pair| pair[0].clone()).collect()
     }
 }
+
+/// One order that reached an engine.
+#[derive(Debug, Clone)]
+pub struct OrderView(Value);
+
+impl OrderView {
+    /// Its fencing number.
+    #[must_use]
+    pub fn fencing(&self) -> u64 {
+        self.0["order"]["fencing"].as_u64().unwrap_or_default()
+    }
+
+    /// Version that it asks for.
+    #[must_use]
+    pub fn version(&self) -> Option<&str> {
+        self.0["order"]["version"].as_str()
+    }
+
+    /// Whether a newer fencing number had been seen before it.
+    #[must_use]
+    pub fn is_stale(&self) -> bool {
+        self.0["stale"] == true
+    }
+}
