Fuzz the messages between daemons

Ruled out: random bytes alone, which never get past the tag; a fuzzing harness of its own, since quickcheck with a seeded generator does. The tests seal mutated contents with the right key, so that the decoder behind the tag is reached, and check that nothing decoded is larger than what was sent. Memory was not measured.

--- /dev/null
+++ b/crates/savorywood-protocol/tests/fuzz_peer.rs
@@ -0,0 +1,265 @@
+//! Messages between daemons with mistakes in them: never a panic, and never more than was sent.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't be set up fails")]
+
+use quickcheck::TestResult;
+use savorywood_protocol::{
+    ConfigRevision, HostIncarnation, HostName, TierRank, WallTime,
+    peer::{
+        ConfigMessage, CreditMessage, DatagramError, DatagramKey, MembershipMessage, MoveMessage,
+        PeerDatagram, PeerMessage,
+        credits::TierDemand,
+        datagram::MAX_DATAGRAM_BYTES,
+        membership::{MemberPlace, MemberState, MemberUpdate, TableDigest},
+        snapshot::{SnapshotContent, SnapshotReply, SnapshotRequest, open_frame, seal_frame},
+    },
+    resource::ResourceDocument,
+};
+use savorywood_testing::{InputMutation, fuzz};
+use serde::{Serialize, Serializer, de::DeserializeOwned, ser::SerializeTuple};
+
+/// Inputs for each property where nothing else is asked for.
+const RUNS: u64 = 2_000;
+
+/// Bytes by which a frame's tag is longer than a datagram's.
+const TAG_SURPLUS_BYTES: usize = 16;
+
+const RESOURCES: &str = r#"[
+    {"kind": "tier", "name": "storm", "spec": {"rank": 0}},
+    {"kind": "service", "name": "notes", "spec": {"protocol": "model"}},
+    {"kind": "upstream", "name": "engine-1", "spec": {"address": "127.0.0.1:7501",
+        "service": "notes", "version": "v1", "zone": "zone-a", "seats": 16}}
+]"#;
+
+/// Bytes that are encoded as they are, to seal what no message would be encoded as.
+struct RawBytes<'a>(&'a [u8]);
+
+impl Serialize for RawBytes<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(self.0.len())?;
+        for byte in self.0 {
+            tuple.serialize_element(byte)?;
+        }
+        tuple.end()
+    }
+}
+
+fn host(name: &str) -> HostName {
+    HostName::new(name).unwrap()
+}
+
+fn key() -> DatagramKey {
+    DatagramKey::derive(b"fuzz")
+}
+
+fn sealed_frame(content: &[u8]) -> Vec<u8> {
+    seal_frame(&RawBytes(content), &host("entry-2"), &key()).unwrap()
+}
+
+/// A datagram of a daemon that has the key: its tag is a frame's, cut.
+fn sealed_datagram(content: &[u8]) -> Vec<u8> {
+    let mut bytes = sealed_frame(content);
+    bytes.truncate(bytes.len() - TAG_SURPLUS_BYTES);
+    bytes
+}
+
+fn updates() -> Vec<MemberUpdate> {
+    let place = MemberPlace {
+        peer_address: "10.12.13.14:7000".parse().unwrap(),
+        caller_address: "[2001:db8::1]:8080".parse().unwrap(),
+        zone: "north-1a".parse().unwrap(),
+        region: "north-1".parse().unwrap(),
+    };
+    let update = MemberUpdate {
+        host: host("entry-3"),
+        incarnation: HostIncarnation(1_780_000_000_000),
+        refutation: 3,
+        state: MemberState::Leaving,
+        config_revision: ConfigRevision(70_000),
+        place: None,
+    };
+    let placed = MemberUpdate {
+        place: Some(place),
+        ..update.clone()
+    };
+    vec![update, placed]
+}
+
+fn membership_messages() -> Vec<MembershipMessage> {
+    let newest_revision = ConfigRevision(7);
+    vec![
+        MembershipMessage::Ping {
+            sequence: 9,
+            newest_revision,
+            digest: TableDigest {
+                first: 2,
+                parts: vec![1, 70_000, u32::MAX],
+            },
+            updates: updates(),
+        },
+        MembershipMessage::Ack {
+            sequence: 9,
+            newest_revision,
+            updates: updates(),
+            table: updates(),
+        },
+        MembershipMessage::PingRequest {
+            sequence: 9,
+            target: host("entry-4"),
+            updates: updates(),
+        },
+        MembershipMessage::Nack { sequence: 9 },
+        MembershipMessage::News {
+            newest_revision,
+            updates: updates(),
+        },
+    ]
+}
+
+fn credit_messages() -> Vec<CreditMessage> {
+    let demand = |rank| TierDemand {
+        rank: TierRank(rank),
+        seats: 300,
+    };
+    vec![
+        CreditMessage::Demand {
+            upstream: "engine-1".parse().unwrap(),
+            sequence: 300,
+            limit: 16,
+            tiers: vec![demand(0), demand(1)],
+        },
+        CreditMessage::Grant {
+            upstream: "engine-1".parse().unwrap(),
+            sequence: 300,
+            seats: 8,
+            floor: TierRank(2),
+            term_ms: 1_500,
+        },
+    ]
+}
+
+fn datagrams() -> Vec<PeerDatagram> {
+    let stop = MoveMessage::Stop {
+        name: "notes-to-v2".parse().unwrap(),
+        reason: "errors on /v1/completions".to_owned(),
+        at: WallTime(1_780_000_000_000),
+    };
+    let in_force = ConfigMessage::InForce {
+        revision: ConfigRevision(12),
+    };
+    let membership = membership_messages().into_iter();
+    let credits = credit_messages().into_iter();
+    let mut messages: Vec<_> = membership.map(PeerMessage::Membership).collect();
+    messages.extend(credits.map(PeerMessage::Credits));
+    messages.push(PeerMessage::Config(in_force));
+    messages.push(PeerMessage::Moves(stop));
+    let datagram = |message| PeerDatagram {
+        from: host("entry-1"),
+        incarnation: HostIncarnation(1_780_000_000_000),
+        sequence: 7,
+        message,
+    };
+    messages.into_iter().map(datagram).collect()
+}
+
+/// What was decoded can't be larger than what was sent: otherwise a few bytes could make a daemon
+/// hold many.
+fn within_sent<T: Serialize>(decoded: &T, content: &[u8]) -> TestResult {
+    let encoded = postcard::to_stdvec(decoded).unwrap();
+    TestResult::from_bool(encoded.len() <= content.len())
+}
+
+/// A daemon of another version, or one with a fault in its memory, has the key and sends what
+/// this one can't read. Were that a panic, one bad daemon would end all others.
+#[test]
+fn datagrams_of_a_faulty_daemon_do_no_harm() {
+    fn opens(which: usize, mutation: InputMutation) -> TestResult {
+        let datagrams = datagrams();
+        let valid = postcard::to_stdvec(&datagrams[which % datagrams.len()]).unwrap();
+        let content = mutation.apply(&valid);
+        let opened = PeerDatagram::open(&sealed_datagram(&content), &host("entry-2"), &key());
+        match opened {
+            Ok(datagram) => within_sent(&datagram, &content),
+            Err(DatagramError::Undecodable { reason }) => TestResult::from_bool(!reason.is_empty()),
+            Err(error) => TestResult::error(error.to_string()),
+        }
+    }
+    fuzz(1, RUNS, opens as fn(usize, InputMutation) -> TestResult);
+}
+
+/// Somebody without the key changes datagrams on their way. Each changed one must be dropped, and
+/// the sequence number, sender and message of none be believed.
+#[test]
+fn changed_datagrams_are_dropped() {
+    fn is_dropped(which: usize, mutation: InputMutation) -> TestResult {
+        let datagrams = datagrams();
+        let datagram = &datagrams[which % datagrams.len()];
+        let sealed = datagram.seal(&host("entry-2"), &key()).unwrap();
+        let changed = mutation.apply(&sealed);
+        if sealed.len() > MAX_DATAGRAM_BYTES {
+            return TestResult::error("a datagram over the limit was sealed");
+        }
+        if changed == sealed {
+            return TestResult::discard();
+        }
+        let opened = PeerDatagram::open(&changed, &host("entry-2"), &key());
+        TestResult::from_bool(opened.is_err())
+    }
+    fuzz(
+        2,
+        RUNS,
+        is_dropped as fn(usize, InputMutation) -> TestResult,
+    );
+}
+
+fn frame_opens<T: Serialize + DeserializeOwned>(valid: &T, mutation: &InputMutation) -> TestResult {
+    let content = mutation.apply(&postcard::to_stdvec(valid).unwrap());
+    match open_frame::<T>(&sealed_frame(&content), &host("entry-2"), &key()) {
+        Ok(frame) => within_sent(&frame, &content),
+        Err(error) => TestResult::from_bool(!error.to_string().is_empty()),
+    }
+}
+
+/// A peer sends a configuration that can't be read: the daemon must go on with the one that it
+/// has.
+#[test]
+fn snapshot_frames_of_a_faulty_daemon_do_no_harm() {
+    fn opens(asks: bool, mutation: InputMutation) -> TestResult {
+        let nonce = u128::MAX / 3;
+        let request = SnapshotRequest {
+            from: host("entry-1"),
+            nonce,
+        };
+        let content = SnapshotContent {
+            revision: ConfigRevision(70_000),
+            table_revision: 80_000,
+            documents: RESOURCES.to_owned(),
+        };
+        let reply = SnapshotReply {
+            nonce,
+            content: Some(content),
+        };
+        if asks {
+            frame_opens(&request, &mutation)
+        } else {
+            frame_opens(&reply, &mutation)
+        }
+    }
+    fuzz(3, RUNS, opens as fn(bool, InputMutation) -> TestResult);
+}
+
+/// The resources inside a snapshot are text of their own, read after the frame was.
+#[test]
+fn resources_of_a_snapshot_do_no_harm() {
+    fn reads(mutation: InputMutation) -> TestResult {
+        let text = mutation.apply(RESOURCES.as_bytes());
+        match serde_json::from_slice::<Vec<ResourceDocument>>(&text) {
+            Ok(documents) => TestResult::from_bool(documents.len() <= text.len()),
+            Err(error) => {
+                let lines = text.split(|byte| *byte == b'\n').count();
+                TestResult::from_bool(error.line() <= lines)
+            }
+        }
+    }
+    fuzz(4, RUNS, reads as fn(InputMutation) -> TestResult);
+}
