Read an upstream's answer whole or not at all, whatever its head says

Cause: fuzzing the client with mutated answers of a raw upstream showed four faults of the library below it. 1. An answer without length or chunks, with an unknown coding or two lengths, or an interim answer got an empty body with a clean end, and its connection went back to the pool with the rest unread. 2. A header value outside ASCII made the decoder panic, in answers and in requests: one caller could end a worker thread with its requests. 3. When a packet ends between the CR and LF that end the chunks, the decoder waits without being woken: the whole answer broke off at the stall timeout. 4. A head with an empty line that only the parser takes for its end lost the bytes between the two ends; a later part was read as a whole body. Change: body_end reads the headers themselves; the client reads the head before the decoder does, leaves out header lines outside ASCII and refuses two ends; the server refuses such values with 400; reads of a chunked body are polled again when the decoder pends but its connection does not. The test of a server's chunked body in two pieces passed before too: the server's look-out for its caller wakes the same task. Cost per call was not measured.

--- a/crates/savorywood-http/src/client.rs
+++ b/crates/savorywood-http/src/client.rs
@@ -2,16 +2,20 @@
 
 mod answer;
 mod call;
+mod head;
 mod pool;
 
 pub use answer::{AnswerBody, UpstreamAnswer};
 pub use call::{CallAnswer, CallRequest};
 
-use crate::server::within;
+use crate::{
+    server::within,
+    waiting::{NotedStream, WaitFlag},
+};
 use async_h1::client::{Encoder, decode};
 use async_net::TcpStream;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use http_types::Request;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, io::Cursor};
+use http_types::{Request, Response};
 use pool::ConnectionPool;
 use snafu::Snafu;
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
@@ -153,15 +157,22 @@
             .await
             .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
             .map_err(|error| broken(SendStep::Write, error.to_string()))?;
-        let response = within(self.limits.head_time, Box::pin(decode(stream.clone())))
+        let flag = WaitFlag::default();
+        let reader = NotedStream::new(stream.clone(), flag.clone());
+        let response = within(self.limits.head_time, Box::pin(read_response(reader)))
             .await
             .ok_or_else(|| broken(SendStep::ReadHead, "timed out".to_owned()))?
             .map_err(|error| broken(SendStep::ReadHead, error.to_string()))?;
         let lease = pool::PoolReturn::new(Arc::clone(&self.pool), address, stream);
-        Ok(UpstreamAnswer::new(response, is_head, lease))
+        Ok(UpstreamAnswer::new(response, is_head, flag, lease))
     }
 }
 
+async fn read_response(mut reader: NotedStream<TcpStream>) -> http_types::Result<Response> {
+    let head = head::read_head(&mut reader).await?;
+    decode(Cursor::new(head).chain(reader)).await
+}
+
 async fn write_request(stream: &mut TcpStream, request: Request) -> io::Result<()> {
     let mut encoder = Encoder::new(request);
     let mut piece = vec![0; WRITE_BYTES];
--- a/crates/savorywood-http/src/client/answer.rs
+++ b/crates/savorywood-http/src/client/answer.rs
@@ -1,7 +1,7 @@
 //! An answer whose body is an error unless it is whole.
 
 use super::pool::PoolReturn;
-use futures_lite::AsyncReadExt;
+use crate::waiting::{WaitFlag, read_awake};
 use http_types::{Response, StatusCode};
 use std::io;
 
@@ -32,11 +32,17 @@
 pub struct AnswerBody {
     reader: http_types::Body,
     end: BodyEnd,
+    flag: WaitFlag,
     lease: Option<PoolReturn>,
 }
 
 impl UpstreamAnswer {
-    pub(super) fn new(mut head: Response, is_head: bool, lease: PoolReturn) -> Self {
+    pub(super) fn new(
+        mut head: Response,
+        is_head: bool,
+        flag: WaitFlag,
+        lease: PoolReturn,
+    ) -> Self {
         let end = body_end(&head, is_head);
         let keeps = !head.header("connection").is_some_and(|value| {
             let value = value.as_str();
@@ -44,7 +50,12 @@
         });
         let reader = head.take_body();
         let lease = keeps.then_some(lease);
-        let mut body = AnswerBody { reader, end, lease };
+        let mut body = AnswerBody {
+            reader,
+            end,
+            flag,
+            lease,
+        };
         if end == BodyEnd::Empty {
             body.give_back();
         }
@@ -65,22 +76,41 @@
     }
 }
 
+/// Reads how the body is framed, from the headers themselves: the decoder gives an answer without
+/// length or chunks, or with a coding that it does not know, an empty body. Taken as it is, a
+/// caller would get nothing, with a clean end, for an answer that was cut or sent until the
+/// connection closes, and the rest of it would be read as the answer to the next request.
 fn body_end(head: &Response, is_head: bool) -> BodyEnd {
     let status = head.status();
+    // An interim answer is followed by another one: it has no end of its own.
+    if status.is_informational() {
+        return BodyEnd::Unknown;
+    }
     let bodiless = matches!(status, StatusCode::NoContent | StatusCode::NotModified);
-    if is_head || bodiless || status.is_informational() {
+    if is_head || bodiless {
         return BodyEnd::Empty;
     }
-    if head.header("transfer-encoding").is_some() {
-        return BodyEnd::Chunked;
-    }
-    match head.len() {
-        Some(0) => BodyEnd::Empty,
-        Some(length) => BodyEnd::Remaining(length as u64),
-        None => BodyEnd::Unknown,
+    let codings = header_values(head, "transfer-encoding");
+    let lengths = header_values(head, "content-length");
+    match (&codings[..], &lengths[..]) {
+        (["chunked"], []) => BodyEnd::Chunked,
+        ([], [length]) => length
+            .parse()
+            .map_or(BodyEnd::Unknown, |length| match length {
+                0 => BodyEnd::Empty,
+                length => BodyEnd::Remaining(length),
+            }),
+        _ => BodyEnd::Unknown,
     }
 }
 
+fn header_values<'a>(head: &'a Response, name: &str) -> Vec<&'a str> {
+    let values = head.header(name).into_iter().flatten();
+    values
+        .map(http_types::headers::HeaderValue::as_str)
+        .collect()
+}
+
 impl AnswerBody {
     /// Reads some bytes; zero means that the body was whole.
     ///
@@ -97,7 +127,7 @@
             let reason = "the answer has neither length nor chunks";
             return Err(io::Error::new(io::ErrorKind::InvalidData, reason));
         }
-        let count = self.reader.read(buf).await?;
+        let count = read_awake(&mut self.reader, &self.flag, buf).await?;
         match (&mut self.end, count) {
             (BodyEnd::Remaining(rest), 0) => {
                 let reason = format!("the answer was cut off, {rest} bytes before its end");
--- a/crates/savorywood-http/src/lib.rs
+++ b/crates/savorywood-http/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod body;
 pub mod client;
 pub mod server;
+mod waiting;
 
 pub use body::{BodyReceiver, BodySender, body_channel};
 pub use client::{
--- a/crates/savorywood-http/src/server/head.rs
+++ b/crates/savorywood-http/src/server/head.rs
@@ -161,6 +161,7 @@
         return Err(HeadFault::malformed("only HTTP/1.1 is spoken here"));
     }
     check_target(parsed.path)?;
+    check_values(parsed.headers)?;
     let headers = HeadLines(parsed.headers);
     check_host(headers)?;
     let framing = framing(headers)?;
@@ -181,6 +182,18 @@
     }
 }
 
+/// The decoder panics on a value outside ASCII: one caller could end the requests of all others
+/// on its thread.
+fn check_values(headers: &[httparse::Header<'_>]) -> Result<(), HeadFault> {
+    match headers.iter().find(|header| !header.value.is_ascii()) {
+        Some(header) => {
+            let reason = format!("the header {} holds bytes outside ASCII", header.name);
+            Err(HeadFault::malformed(reason))
+        }
+        None => Ok(()),
+    }
+}
+
 fn check_host(headers: HeadLines<'_>) -> Result<(), HeadFault> {
     let mut hosts = headers.values("host");
     let (Some(host), None) = (hosts.next(), hosts.next()) else {
--- a/crates/savorywood-http/tests/malformed.rs
+++ b/crates/savorywood-http/tests/malformed.rs
@@ -106,6 +106,10 @@
             "control character",
             "GET / HTTP/1.1\r\nHost: a\r\nX: a\u{1}b\r\n\r\n",
         ),
+        (
+            "value outside ascii",
+            "GET / HTTP/1.1\r\nHost: a\r\nX: \u{e9}\r\n\r\n",
+        ),
         ("unknown method", "BREW / HTTP/1.1\r\nHost: a\r\n\r\n"),
         ("no path", "GET a HTTP/1.1\r\nHost: a\r\n\r\n"),
         ("not http", "\u{0}\u{1}\u{2}\r\n\r\n"),
@@ -211,3 +215,20 @@
         thread::sleep(Duration::from_millis(50));
     }
 }
+
+/// A packet of a request ends between the CR and the LF that end the chunks of its body. The
+/// library's decoder then waits without being woken; were it left to itself, the caller would be
+/// told that its body was too slow.
+#[test]
+fn end_of_chunked_body_in_two_pieces_is_read() {
+    let mut stream = TcpStream::connect(start()).unwrap();
+    let head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(b"5\r\nhello\r\n0\r\n\r").unwrap();
+    thread::sleep(Duration::from_millis(50));
+    stream.write_all(b"\n").unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert_eq!(status(&answer), "200");
+    assert!(answer.ends_with("hello"), "{answer}");
+}
