Find a peer port that is free for datagrams and connections alike

Cause: `savorywood dev` takes any free port for its peers. The system chose one that was free for UDP and held by a TCP connection of another process; the start failed with "Address already in use". Seen once, after a fuzzing run that left many closed connections. Ruled out: a fixed port, which two first tries on one machine would share. Figures: none; the failure was not brought about again.

--- a/crates/savorywood-daemon/src/daemon.rs
+++ b/crates/savorywood-daemon/src/daemon.rs
@@ -7,7 +7,7 @@
     metrics::DaemonMetrics,
     options::DaemonOptions,
     outbound::{self, OutboundLinks},
-    peers::{DatagramLink, SnapshotLink},
+    peers::{DatagramLink, PeerSockets, SnapshotLink},
 };
 use async_channel::Receiver;
 use async_executor::Executor;
@@ -77,17 +77,14 @@
         let peers = options.listen_peers;
         let host = options.core.host.clone();
         let key = options.peer_key.clone();
-        let datagrams = DatagramLink::bind(peers, host.clone(), key.clone());
-        let datagrams = datagrams.await.context(ListenSnafu { address: peers })?;
-        let peers = datagrams
-            .local_address()
-            .context(ListenSnafu { address: peers })?;
+        let sockets = PeerSockets::bind(peers).await;
+        let sockets = sockets.context(ListenSnafu { address: peers })?;
+        let peers = sockets.address;
         if options.core.peer_address.port() == 0 {
             options.core.peer_address.set_port(peers.port());
         }
-        let snapshot_listener = TcpListener::bind(peers)
-            .await
-            .context(ListenSnafu { address: peers })?;
+        let datagrams = DatagramLink::new(sockets.datagrams, host.clone(), key.clone());
+        let snapshot_listener = sockets.snapshots;
         let metrics = DaemonMetrics::new().context(MetricsSnafu)?;
         let core = DaemonCore::new(options.core.clone());
         let DriverParts { driver, outbound } =
--- a/crates/savorywood-daemon/src/peers.rs
+++ b/crates/savorywood-daemon/src/peers.rs
@@ -2,6 +2,8 @@
 
 mod datagrams;
 mod snapshots;
+mod sockets;
 
 pub use datagrams::DatagramLink;
 pub use snapshots::SnapshotLink;
+pub use sockets::PeerSockets;
--- a/crates/savorywood-daemon/src/peers/datagrams.rs
+++ b/crates/savorywood-daemon/src/peers/datagrams.rs
@@ -11,7 +11,6 @@
     },
 };
 use std::{
-    io,
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
@@ -34,28 +33,15 @@
 }
 
 impl DatagramLink {
-    /// Binds the peers' address.
-    ///
-    /// # Errors
-    ///
-    /// When it can't be bound.
-    pub async fn bind(address: SocketAddr, host: HostName, key: DatagramKey) -> io::Result<Self> {
-        Ok(Self {
-            socket: UdpSocket::bind(address).await?,
+    /// A link that speaks for this host.
+    pub fn new(socket: UdpSocket, host: HostName, key: DatagramKey) -> Self {
+        Self {
+            socket,
             host,
             key,
             sequence: AtomicU64::new(1),
             guard: Mutex::default(),
-        })
-    }
-
-    /// Address that is listened on.
-    ///
-    /// # Errors
-    ///
-    /// When the system can't tell it.
-    pub fn local_address(&self) -> io::Result<SocketAddr> {
-        self.socket.local_addr()
+        }
     }
 
     /// Sends a message. A datagram that can't be sent is lost like any other: the duties repeat
