Tell of single models, and of unknown paths before tokens

The token stream reader and the reading of completion bodies had no fuzzing. Change: GET /v1/models/NAME; operators' calls are told by their paths; properties over mutated streams and bodies.

--- a/crates/savorywood-daemon/src/api.rs
+++ b/crates/savorywood-daemon/src/api.rs
@@ -35,6 +35,7 @@
             "/metrics" => health::metrics(shared),
             "/v1/addresses" => addresses::answer(shared, &incoming),
             "/v1/models" => model::list(shared, &incoming),
+            path if path.starts_with(model::ENTRY_PREFIX) => model::get(shared, &incoming),
             "/v1/chat/completions" | "/v1/completions" => {
                 Box::pin(model::complete(shared, incoming)).await
             }
--- a/crates/savorywood-daemon/src/api/model.rs
+++ b/crates/savorywood-daemon/src/api/model.rs
@@ -6,7 +6,7 @@
     relay::{OutgoingCall, OutgoingHeader, RequestTask},
 };
 use http_types::Response;
-use savorywood_core::{PromptShape, RequestArrival};
+use savorywood_core::{ConfigView, PromptShape, RequestArrival};
 use savorywood_http::IncomingRequest;
 use savorywood_protocol::{
     RefusalCode, RequestRefusal, prefix::prefix_hashes, resource::ServiceProtocol,
@@ -50,24 +50,55 @@
     owned_by: &'a str,
 }
 
+/// Path below which single model services are told of.
+pub const ENTRY_PREFIX: &str = "/v1/models/";
+
+impl<'a> ModelEntry<'a> {
+    fn new(id: &'a str) -> Self {
+        Self {
+            id,
+            object: "model",
+            created: 0,
+            owned_by: "savorywood",
+        }
+    }
+}
+
+/// Tells whether there is a model service.
+pub fn get(shared: &DaemonShared, incoming: &IncomingRequest) -> Response {
+    let config = shared.driver.config();
+    if let Err(refusal) = check_team(&config, incoming) {
+        return requests::refuse(&refusal);
+    }
+    let path = incoming.request.url().path();
+    let name = path.strip_prefix(ENTRY_PREFIX).unwrap_or_default();
+    let spec = config.services.get(name);
+    if spec.is_some_and(|spec| spec.protocol == ServiceProtocol::Model) {
+        return super::health::json(&ModelEntry::new(name));
+    }
+    let detail = format!("there is no model service {name:?}; GET /v1/models lists them");
+    requests::refuse(&RequestRefusal::not_run(RefusalCode::NotFound, detail))
+}
+
+fn check_team(config: &ConfigView, incoming: &IncomingRequest) -> Result<(), RequestRefusal> {
+    let token = requests::bearer_digest(incoming);
+    if token.is_some_and(|token| config.team_of(&token).is_some()) {
+        return Ok(());
+    }
+    let detail = "send `Authorization: Bearer TOKEN` with a token of one of the teams";
+    Err(RequestRefusal::not_run(RefusalCode::Unauthorized, detail))
+}
+
 /// Lists the model services.
 pub fn list(shared: &DaemonShared, incoming: &IncomingRequest) -> Response {
     let config = shared.driver.config();
-    let team = requests::bearer_digest(incoming).and_then(|token| config.team_of(&token).cloned());
-    if team.is_none() {
-        let detail = "send `Authorization: Bearer TOKEN` with a token of one of the teams";
-        let refusal = RequestRefusal::not_run(RefusalCode::Unauthorized, detail);
+    if let Err(refusal) = check_team(&config, incoming) {
         return requests::refuse(&refusal);
     }
     let services = config.services.iter();
     let data = services
         .filter(|(_, spec)| spec.protocol == ServiceProtocol::Model)
-        .map(|(name, _)| ModelEntry {
-            id: name.as_str(),
-            object: "model",
-            created: 0,
-            owned_by: "savorywood",
-        })
+        .map(|(name, _)| ModelEntry::new(name.as_str()))
         .collect();
     super::health::json(&ModelList {
         object: "list",
@@ -182,3 +213,6 @@
         Value::Null | Value::Bool(_) | Value::Number(_) => {}
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/savorywood-daemon/src/api/operators.rs
+++ b/crates/savorywood-daemon/src/api/operators.rs
@@ -19,13 +19,20 @@
 use std::sync::Arc;
 use subtle::ConstantTimeEq;
 
+/// What operators' paths begin with. A caller that errs in its path must not be told that its
+/// token is wrong.
+const PATHS: [&str; 4] = ["/v1/members", "/v1/burn", "/v1/watch/", "/v1/resources/"];
+
 /// Answers one call of an operator.
 pub async fn route(shared: &Arc<DaemonShared>, mut incoming: IncomingRequest) -> Response {
+    let path = incoming.request.url().path().to_owned();
+    if !PATHS.iter().any(|served| path.starts_with(served)) {
+        return not_found(&path);
+    }
     if !is_operator(shared, &incoming) {
         let detail = "send `Authorization: Bearer TOKEN` with the operators' token";
         return requests::refuse(&RequestRefusal::not_run(RefusalCode::Unauthorized, detail));
     }
-    let path = incoming.request.url().path().to_owned();
     match path.as_str() {
         "/v1/members" => return fleet::members(shared),
         "/v1/burn" => return fleet::burn(shared),
--- a/crates/savorywood-daemon/src/relay/stream.rs
+++ b/crates/savorywood-daemon/src/relay/stream.rs
@@ -68,3 +68,6 @@
         1
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/savorywood-daemon/tests/whole_path.rs
+++ b/crates/savorywood-daemon/tests/whole_path.rs
@@ -227,3 +227,21 @@
         assert_eq!(problem["error"]["code"], code);
     }
 }
+
+/// A client library asks for one model, and a caller errs in a path. Neither is an operator's
+/// call: told that its token is wrong, a caller would look for the fault in the wrong place.
+#[test]
+fn callers_paths_are_told_apart_from_operators() {
+    let rig = TestRig::start(true);
+    for (path, token, status) in [
+        ("/v1/models/notes", TOKEN, 200),
+        ("/v1/models/nothing", TOKEN, 404),
+        ("/v1/models/notes", "wrong", 401),
+        ("/v1/embeddings", TOKEN, 404),
+        ("/v1/members", TOKEN, 401),
+        ("/v1/members", OPERATOR_TOKEN, 200),
+    ] {
+        let call = CallRequest::new(rig.daemon, Method::Get, path).with_token(token);
+        assert_eq!(rig.call(call).unwrap().status, status, "{path} {token}");
+    }
+}
