Count floors told outside the rounds against the next rounds

Cause: at 350 daemons the busiest sent 10,504 B/s, more than the budget, because floors went out on top of the regular rounds. Change: the next rounds are put off by the time of these bytes, at most by half a term.

--- a/crates/savorywood-core/src/credits/rounds.rs
+++ b/crates/savorywood-core/src/credits/rounds.rs
@@ -188,12 +188,23 @@
             // Urgent rounds must not put off the others.
             self.grant_rounds.regular_at = rounds.regular_at;
         } else if self.has_moved_floor() {
-            self.send_grants(now, GrantScope::MovedFloors, view, effects);
+            let bytes = self.send_grants(now, GrantScope::MovedFloors, view, effects);
+            self.make_up_for(now, bytes);
         } else if urgent {
             self.look_again(now, rounds.urgent_at.max(now + SOON), effects);
         }
     }
 
+    /// Puts the next rounds off by what was sent outside them, but not for so long that grants
+    /// lapse.
+    fn make_up_for(&mut self, now: MonotonicTime, bytes: usize) {
+        let time = self.options.time_of(bytes);
+        let latest = now + self.options.term / 2;
+        let rounds = &mut self.grant_rounds;
+        rounds.regular_at = (rounds.regular_at + time).min(latest);
+        rounds.urgent_at = rounds.urgent_at.max(now + time).min(latest);
+    }
+
     fn send_grants(
         &mut self,
         now: MonotonicTime,
