Shed what is below the floor without asking

Cause: a request below the floor was held until a further ask had been answered, while its caller waited. Change: shed_advice says Shed when the service's floor is above the rank. Seen failing: the check off -> what_is_below_the_floor_is_shed_without_ asking red.

--- a/crates/savorywood-core/src/credits/shed.rs
+++ b/crates/savorywood-core/src/credits/shed.rs
@@ -45,7 +45,9 @@
     ) -> ShedAdvice {
         let lower = view.config.tiers.values().any(|tier| tier.rank > rank);
         let used = self.asked_upstreams(now, service, view);
-        if !lower {
+        // What is below the floor is meant to go; the floor rose past all lower tiers first.
+        let below = self.floors.get(service).is_some_and(|floor| rank > *floor);
+        if !lower || below {
             return ShedAdvice::Shed;
         }
         let ask = self.note_ask(now, service, rank);
--- a/crates/savorywood-core/tests/credit_messages.rs
+++ b/crates/savorywood-core/tests/credit_messages.rs
@@ -3,7 +3,10 @@
 use quickcheck::quickcheck;
 use savorywood_core::{
     ConfigView, DaemonEffect, EffectQueue, MemberRecord, MemberView,
-    credits::{CreditEvent, CreditOptions, CreditState, CreditView, allocate::allocate},
+    credits::{
+        CreditEvent, CreditOptions, CreditState, CreditView, LocalDemand, ShedAdvice,
+        allocate::allocate,
+    },
 };
 use savorywood_protocol::{
     ConfigRevision, CoreTime, HostIncarnation, HostName, MonotonicTime, TierRank, UpstreamName,
@@ -140,10 +143,14 @@
     }
 
     fn grant(&mut self, sequence: u64, seats: u32) {
+        self.grant_with(sequence, seats, NO_FLOOR);
+    }
+
+    fn grant_with(&mut self, sequence: u64, seats: u32, floor: TierRank) {
         let grant = UpstreamGrant {
             upstream: upstream(),
             seats,
-            floor: NO_FLOOR,
+            floor,
             contended: true,
         };
         self.step(CreditEvent::Peer {
@@ -157,6 +164,26 @@
         });
     }
 
+    fn advice(&mut self, rank: u8) -> ShedAdvice {
+        let tiers = [(0, "t0"), (3, "t3")];
+        for (rank, name) in tiers {
+            let text = format!(r#"{{"kind":"tier","name":"{name}","spec":{{"rank":{rank}}}}}"#);
+            let document = serde_json::from_str(&text).expect("a document");
+            self.config.insert(document).expect("a name");
+        }
+        let demands = BTreeMap::from([(upstream(), LocalDemand::default())]);
+        let view = CreditView {
+            config: &self.config,
+            members: &self.members,
+            demands: &demands,
+        };
+        let service = "notes".parse().expect("a name");
+        let mut effects = EffectQueue::new();
+        let now = self.now.monotonic;
+        self.credits
+            .shed_advice(now, &service, TierRank(rank), view, &mut effects)
+    }
+
     fn floors(&self) -> Vec<u8> {
         let mut floors = Vec::new();
         for sent in &self.sent {
@@ -241,6 +268,16 @@
     assert_eq!(desk.floors(), [2, 1, 0]);
 }
 
+/// The floor is up and a request of a tier below it is about to be refused. It must go at once:
+/// asking again would hold it back for nothing, while its caller waits.
+#[test]
+fn what_is_below_the_floor_is_shed_without_asking() {
+    let mut desk = Desk::new();
+    desk.grant_with(1, 8, TierRank(1));
+    assert_eq!(desk.advice(2), ShedAdvice::Shed);
+    assert_eq!(desk.advice(1), ShedAdvice::Wait);
+}
+
 /// A daemon has shed all its low work because of the floor and reports that it wants nothing. It
 /// must still be told of the floor, or it would take low work in again while others shed high.
 #[test]
