Try a silent upstream again, ever more rarely

Cause: a single slow call on each upstream looked like a stall and closed the service until the calls ended; the new test failed before with no dispatch of the quick call. Change: silence counts only while the last dispatch is younger than half of it.

--- a/crates/savorywood-core/src/scheduler/health.rs
+++ b/crates/savorywood-core/src/scheduler/health.rs
@@ -37,6 +37,7 @@
     failures: u32,
     ejections: u32,
     heard_at: MonotonicTime,
+    sent_at: MonotonicTime,
 }
 
 impl UpstreamHealth {
@@ -53,6 +54,7 @@
             failures: 0,
             ejections: 0,
             heard_at: now,
+            sent_at: now,
         }
     }
 
@@ -81,6 +83,7 @@
         if was_idle {
             self.heard_at = now;
         }
+        self.sent_at = now;
         if let HealthState::Ejected { until } = self.state
             && now >= until
         {
@@ -96,9 +99,15 @@
     /// Whether nothing has come from it for longer than `usual` times a margin, although work is
     /// under way there. A stalled engine accepts connections and never answers: the first sign
     /// is that all its streams stop at once, long before a timeout of any of them.
+    ///
+    /// A single slow call looks the same. So the upstream is tried again whenever it has not been
+    /// for half of its silence: one that is well answers the next call, one that stalls loses
+    /// ever fewer.
     #[must_use]
     pub fn is_silent(&self, now: MonotonicTime, usual: Duration) -> bool {
-        now.since(self.heard_at) > MIN_SILENCE.max(usual * 4)
+        let silence = now.since(self.heard_at);
+        let untried = now.since(self.sent_at);
+        silence > MIN_SILENCE.max(usual * 4) && untried < silence / 2
     }
 
     /// An attempt ended well.
--- a/crates/savorywood-core/tests/scheduler_rules/limits.rs
+++ b/crates/savorywood-core/tests/scheduler_rules/limits.rs
@@ -55,6 +55,25 @@
     assert!(lost <= 8, "{lost} requests were given to it");
 }
 
+/// Every upstream works on one call that takes a minute, and nothing else comes for a while. If
+/// that passed for a stall, the service would be closed until the slow calls end.
+#[test]
+fn slow_calls_do_not_close_a_service() {
+    let mut bench = SchedulerBench::new(3, 8);
+    bench.teach(Duration::from_millis(500));
+    for _ in 0..12 {
+        bench.send(&BenchRequest::default());
+    }
+    bench.pass(Duration::from_secs(20));
+    for _ in 0..30 {
+        let quick = bench.send(&BenchRequest::default());
+        let order = bench.dispatches().pop().unwrap();
+        assert_eq!(order.request, quick);
+        bench.pass(Duration::from_millis(20));
+        bench.finish(&order);
+    }
+}
+
 /// An arbiter grants this daemon fewer seats than its own limit would allow.
 #[test]
 fn grant_bounds_the_seats_in_use() {
