--- a/crates/savorywood-core/src/scheduler.rs
+++ b/crates/savorywood-core/src/scheduler.rs
@@ -15,6 +15,7 @@
 mod retry;
 mod routing;
 mod service;
+mod shedding;
 mod speed;
 mod split;
 mod table;
--- a/crates/savorywood-core/src/scheduler/admission.rs
+++ b/crates/savorywood-core/src/scheduler/admission.rs
@@ -1,20 +1,14 @@
-//! Who is let in, who waits, and who is told to come back when.
+//! Who is let in and who waits.
 
 use super::{
     RequestScheduler, SchedulerMechanism, SchedulerView,
     cost::CostEstimate,
     queue::WaitingRequest,
-    retry::return_after,
     service::{SeatCount, ServiceState},
 };
-use crate::{
-    effect::EffectQueue,
-    invariant::{self, InvariantName},
-    request::QueuedRequest,
-};
-use rand::Rng;
+use crate::{effect::EffectQueue, request::QueuedRequest};
 use savorywood_protocol::{
-    AttemptNumber, MonotonicTime, RefusalCode, RequestId, RequestRefusal, ServiceName, TierRank,
+    AttemptNumber, MonotonicTime, RefusalCode, RequestId, ServiceName, TierRank,
     resource::ServiceObjectives,
 };
 use std::time::Duration;
@@ -38,7 +32,7 @@
 const PATIENT_SHARE: f64 = 0.8;
 /// Share of the time until it is hopeless for which it may be kept so.
 const PATIENT_SLACK: f64 = 0.6;
-const MICROS: f64 = 1e6;
+pub(super) const MICROS: f64 = 1e6;
 
 impl RequestScheduler {
     pub(super) fn arrive(
@@ -235,94 +229,6 @@
         service.seat_count = count;
     }
 
-    /// Sheds what waits below the floor of a service, lowest tier first.
-    pub(super) fn enforce_floor(
-        &mut self,
-        now: MonotonicTime,
-        name: &ServiceName,
-        view: SchedulerView<'_>,
-        effects: &mut EffectQueue,
-    ) {
-        let Some(floor) = view.floors.get(name) else {
-            return;
-        };
-        while let Some(service) = self.services.get(name)
-            && service
-                .queue
-                .lowest_rank()
-                .is_some_and(|rank| rank > *floor)
-            && let Some(victim) = service.queue.shed_candidate()
-        {
-            self.shed_waiting(now, victim, RefusalCode::TierShed, effects);
-        }
-    }
-
-    /// Refuses what can't meet its deadline any more, at once.
-    pub(super) fn expire_waiting(&mut self, now: MonotonicTime, effects: &mut EffectQueue) {
-        while let Some(request) = self.waits.overdue(now) {
-            self.shed_waiting(now, request, RefusalCode::DeadlineExceeded, effects);
-        }
-    }
-
-    pub(super) fn shed_waiting(
-        &mut self,
-        now: MonotonicTime,
-        request: RequestId,
-        code: RefusalCode,
-        effects: &mut EffectQueue,
-    ) {
-        if let Some(waiting) = self.unqueue(request) {
-            self.shed(now, &waiting, code, effects);
-        }
-    }
-
-    /// Gives a request its final answer. Nothing of it has reached an upstream.
-    pub(super) fn shed(
-        &mut self,
-        now: MonotonicTime,
-        waiting: &WaitingRequest,
-        code: RefusalCode,
-        effects: &mut EffectQueue,
-    ) {
-        let rank = waiting.request.rank;
-        let for_load = matches!(code, RefusalCode::Overloaded | RefusalCode::TierShed);
-        if for_load {
-            self.check_shed_order(&waiting.request, effects);
-        }
-        let retry_after = self.return_time(now, waiting);
-        if let Some(service) = self.services.get_mut(&waiting.request.service)
-            && for_load
-        {
-            service.shed_at.insert(rank, now);
-        }
-        *self.counters.tier(rank).refused.entry(code).or_default() += 1;
-        let refusal = RequestRefusal::not_run(code, detail_of(code)).with_retry_after(retry_after);
-        effects.refuse(waiting.request.request, refusal);
-    }
-
-    fn check_shed_order(&self, request: &QueuedRequest, effects: &mut EffectQueue) {
-        let service = self.services.get(&request.service);
-        let lowest = service.and_then(|service| service.queue.lowest_rank());
-        let in_order = lowest.is_none_or(|lowest| lowest <= request.rank);
-        invariant::check(effects, InvariantName::ShedLowestFirst, in_order, || {
-            let (request, rank) = (request.request, request.rank);
-            let lowest = lowest.unwrap_or_default();
-            format!("request={request} rank={rank} shed while rank={lowest} waits")
-        });
-    }
-
-    /// When to tell a refused caller to come back: once the work ahead of its tier is done.
-    fn return_time(&mut self, now: MonotonicTime, waiting: &WaitingRequest) -> Duration {
-        let jitter: f64 = self.rng.random();
-        let Some(service) = self.services.get(&waiting.request.service) else {
-            return return_after(Duration::ZERO, jitter);
-        };
-        let seats = seats_left(now, service, waiting.request.rank);
-        let ahead = service.queue.work_ahead(&waiting.request) as f64 / MICROS;
-        let wait = Duration::from_secs_f64((ahead / seats).min(3_600.0));
-        return_after(wait, jitter)
-    }
-
     /// Puts a request into its service's queue.
     pub(super) fn enqueue(&mut self, waiting: WaitingRequest) {
         let Some(service) = self.services.get_mut(&waiting.request.service) else {
@@ -340,7 +246,7 @@
 }
 
 /// Seats that higher tiers leave to a tier.
-fn seats_left(now: MonotonicTime, service: &ServiceState, rank: TierRank) -> f64 {
+pub(super) fn seats_left(now: MonotonicTime, service: &ServiceState, rank: TierRank) -> f64 {
     let seats = service.seat_count.seats.max(1.0);
     let left = seats - service.higher_load(now, rank);
     left.max(seats * LEAST_SHARE)
@@ -365,14 +271,3 @@
     let spec = view.config.services.get(name);
     spec.map(|spec| spec.objectives).unwrap_or_default()
 }
-
-fn detail_of(code: RefusalCode) -> &'static str {
-    match code {
-        RefusalCode::TierShed => "this tier is not admitted now; come back after the given time",
-        RefusalCode::DeadlineExceeded => {
-            "the deadline can't be met any more; come back after the given time or allow more"
-        }
-        RefusalCode::NoUpstream => "no upstream of the service can be reached",
-        _ => "the work that goes first would use up the deadline; come back after the given time",
-    }
-}
--- /dev/null
+++ b/crates/savorywood-core/src/scheduler/shedding.rs
@@ -0,0 +1,117 @@
+//! Who is turned away, in which order, and when to come back.
+
+use super::{
+    RequestScheduler, SchedulerView,
+    admission::{MICROS, seats_left},
+    queue::WaitingRequest,
+    retry::return_after,
+};
+use crate::{
+    effect::EffectQueue,
+    invariant::{self, InvariantName},
+    request::QueuedRequest,
+};
+use rand::Rng;
+use savorywood_protocol::{MonotonicTime, RefusalCode, RequestId, RequestRefusal, ServiceName};
+use std::time::Duration;
+
+impl RequestScheduler {
+    /// Sheds what waits below the floor of a service, lowest tier first.
+    pub(super) fn enforce_floor(
+        &mut self,
+        now: MonotonicTime,
+        name: &ServiceName,
+        view: SchedulerView<'_>,
+        effects: &mut EffectQueue,
+    ) {
+        let Some(floor) = view.floors.get(name) else {
+            return;
+        };
+        while let Some(service) = self.services.get(name)
+            && service
+                .queue
+                .lowest_rank()
+                .is_some_and(|rank| rank > *floor)
+            && let Some(victim) = service.queue.shed_candidate()
+        {
+            self.shed_waiting(now, victim, RefusalCode::TierShed, effects);
+        }
+    }
+
+    /// Refuses what can't meet its deadline any more, at once.
+    pub(super) fn expire_waiting(&mut self, now: MonotonicTime, effects: &mut EffectQueue) {
+        while let Some(request) = self.waits.overdue(now) {
+            self.shed_waiting(now, request, RefusalCode::DeadlineExceeded, effects);
+        }
+    }
+
+    pub(super) fn shed_waiting(
+        &mut self,
+        now: MonotonicTime,
+        request: RequestId,
+        code: RefusalCode,
+        effects: &mut EffectQueue,
+    ) {
+        if let Some(waiting) = self.unqueue(request) {
+            self.shed(now, &waiting, code, effects);
+        }
+    }
+
+    /// Gives a request its final answer. Nothing of it has reached an upstream.
+    pub(super) fn shed(
+        &mut self,
+        now: MonotonicTime,
+        waiting: &WaitingRequest,
+        code: RefusalCode,
+        effects: &mut EffectQueue,
+    ) {
+        let rank = waiting.request.rank;
+        let for_load = matches!(code, RefusalCode::Overloaded | RefusalCode::TierShed);
+        if for_load {
+            self.check_shed_order(&waiting.request, effects);
+        }
+        let retry_after = self.return_time(now, waiting);
+        if let Some(service) = self.services.get_mut(&waiting.request.service)
+            && for_load
+        {
+            service.shed_at.insert(rank, now);
+        }
+        *self.counters.tier(rank).refused.entry(code).or_default() += 1;
+        let refusal = RequestRefusal::not_run(code, detail_of(code)).with_retry_after(retry_after);
+        effects.refuse(waiting.request.request, refusal);
+    }
+
+    fn check_shed_order(&self, request: &QueuedRequest, effects: &mut EffectQueue) {
+        let service = self.services.get(&request.service);
+        let lowest = service.and_then(|service| service.queue.lowest_rank());
+        let in_order = lowest.is_none_or(|lowest| lowest <= request.rank);
+        invariant::check(effects, InvariantName::ShedLowestFirst, in_order, || {
+            let (request, rank) = (request.request, request.rank);
+            let lowest = lowest.unwrap_or_default();
+            format!("request={request} rank={rank} shed while rank={lowest} waits")
+        });
+    }
+
+    /// When to tell a refused caller to come back: once the work ahead of its tier is done.
+    fn return_time(&mut self, now: MonotonicTime, waiting: &WaitingRequest) -> Duration {
+        let jitter: f64 = self.rng.random();
+        let Some(service) = self.services.get(&waiting.request.service) else {
+            return return_after(Duration::ZERO, jitter);
+        };
+        let seats = seats_left(now, service, waiting.request.rank);
+        let ahead = service.queue.work_ahead(&waiting.request) as f64 / MICROS;
+        let wait = Duration::from_secs_f64((ahead / seats).min(3_600.0));
+        return_after(wait, jitter)
+    }
+}
+
+fn detail_of(code: RefusalCode) -> &'static str {
+    match code {
+        RefusalCode::TierShed => "this tier is not admitted now; come back after the given time",
+        RefusalCode::DeadlineExceeded => {
+            "the deadline can't be met any more; come back after the given time or allow more"
+        }
+        RefusalCode::NoUpstream => "no upstream of the service can be reached",
+        _ => "the work that goes first would use up the deadline; come back after the given time",
+    }
+}
