--- a/crates/savorywood-core/src/daemon.rs
+++ b/crates/savorywood-core/src/daemon.rs
@@ -1,29 +1,51 @@
 //! The whole daemon: one reducer over all events.
 
 mod callers;
+mod deciding;
+mod gate;
+mod holding;
+mod hosts;
+mod leaving;
+mod moving;
 mod objectives;
 mod reads;
+mod sharing;
 
 pub use reads::DaemonUnready;
 
 use crate::{
     burn::BurnLedger,
+    claims::{ClaimEvent, ClaimOptions, ClaimState},
     config::{ConfigEvent, ConfigOptions, ConfigState, ConfigVerdict},
+    credits::{CreditEvent, CreditOptions, CreditState},
     discovery::DiscoveryOptions,
     effect::{DaemonEffect, EffectQueue},
-    event::{CallerEvent, DaemonEvent, DutyKind, TimerKey},
+    event::{DaemonEvent, DutyKind, TimerKey},
+    leases::{LeaseEvent, LeaseOptions, LeaseState},
     membership::{MembershipEvent, MembershipOptions, MembershipState},
-    scheduler::{RequestScheduler, SchedulerEvent, SchedulerOptions, SchedulerView, SeatGrant},
+    moves::{MoveEvent, MoveOptions, MovesState},
+    orders::{OrderEvent, OrderOptions, OrdersState},
+    scheduler::{RequestScheduler, SchedulerEvent, SchedulerOptions, SeatGrant},
+    stop::{StopEvent, StopOptions, StopState},
     view::{ConfigView, MemberView, VersionSplit},
 };
+use gate::DispatchGate;
+use holding::WantedLeases;
 use objectives::ObjectiveTracker;
 use savorywood_protocol::{
-    CoreTime, HostIncarnation, HostName, MonotonicTime, RegionName, ServiceName, TierRank,
-    UpstreamName, ZoneName,
+    CoreTime, HostIncarnation, HostName, MonotonicTime, RegionName, RequestId, ServiceName,
+    TierRank, UpstreamName, ZoneName,
     peer::{PeerMessage, membership::MemberPlace},
+    resume_token::ResumeKey,
     table::TableAnswer,
 };
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use sharing::{DemandCount, HeldRequests};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 /// What a daemon knows of itself from its settings.
 #[derive(Debug, Clone)]
@@ -42,6 +64,8 @@
     pub caller_address: SocketAddr,
     /// How long callers may keep an address.
     pub address_max_age: Duration,
+    /// Key that signs resume tokens; without one, streams can't be resumed through this daemon.
+    pub resume_key: Option<ResumeKey>,
     /// Seed of all its random numbers.
     pub seed: u64,
 }
@@ -72,12 +96,25 @@
     discovery: DiscoveryOptions,
     config: ConfigState,
     membership: MembershipState,
+    claims: ClaimState,
+    gate: DispatchGate,
+    credits: CreditState,
+    demands: DemandCount,
+    held: HeldRequests,
+    queued: BTreeSet<ServiceName>,
+    leases: LeaseState,
+    moves: MovesState,
+    orders: OrdersState,
+    wanted: WantedLeases,
+    stop: StopState,
+    resumed: BTreeSet<RequestId>,
+    leaving_hosts: BTreeSet<HostName>,
+    leaving_upstreams: BTreeSet<UpstreamName>,
     scheduler: RequestScheduler,
     inputs: SchedulerInputs,
     burn: BurnLedger,
     objectives: ObjectiveTracker,
     started_at: MonotonicTime,
-    stopping: bool,
 }
 
 impl DaemonCore {
@@ -95,12 +132,39 @@
             discovery,
             config: ConfigState::new(ConfigOptions::new(host, seed)),
             membership: MembershipState::new(membership.with_seed(seed)),
+            claims: ClaimState::new(ClaimOptions::new(
+                options.host.clone(),
+                options.incarnation,
+                seed,
+            )),
+            gate: DispatchGate::default(),
+            credits: CreditState::new(CreditOptions::new(options.host.clone())),
+            demands: DemandCount::default(),
+            held: HeldRequests::default(),
+            queued: BTreeSet::new(),
+            leases: LeaseState::new(LeaseOptions::new(
+                options.host.clone(),
+                options.incarnation,
+                seed,
+            )),
+            moves: MovesState::new(MoveOptions {
+                host: options.host.clone(),
+                seed,
+            }),
+            orders: OrdersState::new(OrderOptions::default()),
+            wanted: WantedLeases::default(),
+            stop: StopState::new(StopOptions {
+                max_age: options.address_max_age,
+                ..StopOptions::default()
+            }),
+            resumed: BTreeSet::new(),
+            leaving_hosts: BTreeSet::new(),
+            leaving_upstreams: BTreeSet::new(),
             scheduler: RequestScheduler::new(SchedulerOptions::new(seed)),
             inputs: SchedulerInputs::default(),
             burn: BurnLedger::default(),
             objectives: ObjectiveTracker::default(),
             started_at: MonotonicTime::default(),
-            stopping: false,
             options,
         }
     }
@@ -128,8 +192,8 @@
         let before = effects.as_slice().len();
         self.handle(now, event, effects);
         self.measure_refusals(now, &effects.as_slice()[before..]);
-        if self.stopping && self.scheduler.open_requests() == 0 {
-            effects.push(DaemonEffect::Exit);
+        if self.stop.is_stopping() {
+            self.leave(now, StopEvent::WorkChanged, effects);
         }
     }
 
@@ -148,11 +212,7 @@
             DaemonEvent::Started => self.start(now, effects),
             DaemonEvent::TimerFired(key) => self.timer(now, key, effects),
             DaemonEvent::Caller(event) => self.caller(now, event, effects),
-            DaemonEvent::Upstream(event) => {
-                self.objectives
-                    .upstream(now.monotonic, &event, &mut self.burn);
-                self.schedule(now, SchedulerEvent::Upstream(event), effects);
-            }
+            DaemonEvent::Upstream(event) => self.upstream(now, event, effects),
             DaemonEvent::Peer { from, message } => self.peer(now, from, message, effects),
             DaemonEvent::Table { call, answer } => {
                 self.table(now, call.duty, call.number, answer, effects);
@@ -165,14 +225,14 @@
                 let event = ConfigEvent::SnapshotFetched { from, snapshot };
                 self.configure(now, event, effects);
             }
-            DaemonEvent::HostsListed(hosts) => {
-                self.join(now, MembershipEvent::HostsListed(hosts), effects);
+            DaemonEvent::HostsListed(hosts) => self.list_hosts(now, hosts, effects),
+            DaemonEvent::StopRequested => self.leave(now, StopEvent::Requested, effects),
+            DaemonEvent::AnswerKept { request, answer } => {
+                self.claim(now, ClaimEvent::AnswerKept { request, answer }, effects);
             }
-            DaemonEvent::StopRequested => {
-                self.stopping = true;
-                self.join(now, MembershipEvent::Leave, effects);
+            DaemonEvent::OrderAnswered { call, answer } => {
+                self.order(now, OrderEvent::Answered { call, answer }, effects);
             }
-            DaemonEvent::OrderAnswered { .. } | DaemonEvent::AnswerKept { .. } => {}
         }
     }
 
@@ -180,6 +240,9 @@
         self.started_at = now.monotonic;
         self.join(now, MembershipEvent::Started, effects);
         self.configure(now, ConfigEvent::Started, effects);
+        self.claim(now, ClaimEvent::Started, effects);
+        self.share(now, CreditEvent::Started, effects);
+        self.move_on(now, MoveEvent::Started, effects);
     }
 
     fn timer(&mut self, now: CoreTime, key: TimerKey, effects: &mut EffectQueue) {
@@ -190,12 +253,12 @@
             }
             DutyKind::Membership => self.join(now, MembershipEvent::TimerFired, effects),
             DutyKind::Config => self.configure(now, ConfigEvent::TimerFired { number }, effects),
-            DutyKind::Credits
-            | DutyKind::Leases
-            | DutyKind::Moves
-            | DutyKind::Orders
-            | DutyKind::Claims
-            | DutyKind::Stop => {}
+            DutyKind::Claims => self.claim(now, ClaimEvent::TimerFired { number }, effects),
+            DutyKind::Credits => self.share(now, CreditEvent::TimerFired { number }, effects),
+            DutyKind::Leases => self.lease(now, LeaseEvent::TimerFired { number }, effects),
+            DutyKind::Stop => self.leave(now, StopEvent::TimerFired, effects),
+            DutyKind::Moves => self.move_on(now, MoveEvent::TimerFired { number }, effects),
+            DutyKind::Orders => self.order(now, OrderEvent::TimerFired, effects),
         }
     }
 
@@ -213,7 +276,12 @@
             PeerMessage::Config(message) => {
                 self.configure(now, ConfigEvent::Peer { from, message }, effects);
             }
-            PeerMessage::Credits(_) | PeerMessage::Moves(_) => {}
+            PeerMessage::Credits(message) => {
+                self.share(now, CreditEvent::Peer { from, message }, effects);
+            }
+            PeerMessage::Moves(message) => {
+                self.move_on(now, MoveEvent::Peer { from, message }, effects);
+            }
         }
     }
 
@@ -230,13 +298,19 @@
                 let event = ConfigEvent::Table { number, answer };
                 self.configure(now, event, effects);
             }
+            DutyKind::Claims => {
+                self.claim(now, ClaimEvent::Table { number, answer }, effects);
+            }
+            DutyKind::Leases => {
+                self.lease(now, LeaseEvent::Table { number, answer }, effects);
+            }
+            DutyKind::Moves => {
+                self.move_on(now, MoveEvent::Table { number, answer }, effects);
+            }
             DutyKind::Scheduler
             | DutyKind::Credits
             | DutyKind::Membership
-            | DutyKind::Leases
-            | DutyKind::Moves
             | DutyKind::Orders
-            | DutyKind::Claims
             | DutyKind::Stop => {}
         }
     }
@@ -249,6 +323,9 @@
         if verdict == ConfigVerdict::Changed {
             let revision = self.config.view().revision;
             self.join(now, MembershipEvent::RevisionInForce(revision), effects);
+            self.mark_leaving_upstreams(now, effects);
+            self.move_on(now, MoveEvent::ConfigChanged, effects);
+            self.order(now, OrderEvent::ViewChanged, effects);
             self.schedule(now, SchedulerEvent::ViewChanged, effects);
         }
     }
@@ -260,26 +337,4 @@
             self.configure(now, ConfigEvent::MembersChanged, effects);
         }
     }
-
-    fn schedule(&mut self, now: CoreTime, event: SchedulerEvent, effects: &mut EffectQueue) {
-        let view = SchedulerView {
-            config: self.config.view(),
-            zone: &self.options.zone,
-            splits: &self.inputs.splits,
-            grants: &self.inputs.grants,
-            floors: &self.inputs.floors,
-        };
-        self.scheduler.step(now, event, view, effects);
-    }
-
-    fn caller(&mut self, now: CoreTime, event: CallerEvent, effects: &mut EffectQueue) {
-        match event {
-            CallerEvent::Arrived(arrival) => self.arrive(now, &arrival, effects),
-            CallerEvent::Left { request } => {
-                self.objectives.forget(request);
-                self.schedule(now, SchedulerEvent::CallerLeft { request }, effects);
-            }
-            CallerEvent::Resumed(_) => {}
-        }
-    }
 }
--- /dev/null
+++ b/crates/savorywood-core/src/daemon/leaving.rs
@@ -0,0 +1,34 @@
+//! The planned stop: carries out what the stop duty decides.
+
+use super::DaemonCore;
+use crate::{
+    credits::CreditEvent,
+    effect::EffectQueue,
+    leases::LeaseEvent,
+    membership::MembershipEvent,
+    stop::{OpenWork, StopEvent, StopVerdict},
+};
+use savorywood_protocol::CoreTime;
+
+impl DaemonCore {
+    /// Steps the stop duty and carries its verdicts out.
+    pub(super) fn leave(&mut self, now: CoreTime, event: StopEvent, effects: &mut EffectQueue) {
+        let open = OpenWork {
+            requests: self.gate.len() + self.resumed.len(),
+            claims: self.claims.open_claims(),
+        };
+        let verdicts = self.stop.step(now, event, open, effects);
+        if verdicts.is_empty() {
+            return;
+        }
+        for verdict in verdicts {
+            match verdict {
+                StopVerdict::AnnounceLeaving => self.join(now, MembershipEvent::Leave, effects),
+                StopVerdict::ReleaseLeases => self.lease(now, LeaseEvent::Leaving, effects),
+                StopVerdict::HandBackCredits => self.share(now, CreditEvent::HandBack, effects),
+                StopVerdict::SayFarewell => self.join(now, MembershipEvent::Farewell, effects),
+            }
+        }
+        self.stop.finish(effects);
+    }
+}
--- a/crates/savorywood-core/src/daemon/reads.rs
+++ b/crates/savorywood-core/src/daemon/reads.rs
@@ -2,12 +2,16 @@
 
 use super::DaemonCore;
 use crate::{
+    claims::ClaimCounters,
     config::ChangeList,
     discovery::{AddressAnswer, AddressQuery, rank_addresses},
+    scheduler::SchedulerCounters,
     snapshot::ConfigSnapshot,
 };
 use savorywood_protocol::{
-    ConfigRevision, CoreTime, RequestRefusal, burn::DaemonBurn, resource::ResourceDocument,
+    ConfigRevision, CoreTime, RequestRefusal,
+    burn::DaemonBurn,
+    resource::{ResourceDocument, ResourceSpec},
 };
 use strum::{Display, EnumIter, IntoStaticStr};
 
@@ -30,7 +34,7 @@
     ///
     /// Says why not.
     pub fn readiness(&self, now: CoreTime) -> Result<(), DaemonUnready> {
-        if self.stopping {
+        if self.stop.is_stopping() {
             return Err(DaemonUnready::Stopping);
         }
         if !self.config.is_ready() {
@@ -45,9 +49,13 @@
     /// A resource with what the system says of it now.
     #[must_use]
     pub fn with_status(&self, document: &ResourceDocument) -> ResourceDocument {
-        let status = self
-            .config
-            .status_of(&document.key(), self.membership.view());
+        let key = document.key();
+        let mut status = self.config.status_of(&key, self.membership.view());
+        if let (ResourceSpec::Move(_), Some(status)) = (&document.spec, &mut status)
+            && let Ok(name) = key.name.parse()
+        {
+            self.add_move_status(&name, status);
+        }
         ResourceDocument {
             status,
             ..document.clone()
@@ -81,6 +89,18 @@
         )
     }
 
+    /// What the scheduler counted.
+    #[must_use]
+    pub fn scheduler_counters(&self) -> &SchedulerCounters {
+        self.scheduler.counters()
+    }
+
+    /// What the claim duty counted.
+    #[must_use]
+    pub fn claim_counters(&self) -> ClaimCounters {
+        self.claims.counters()
+    }
+
     /// Counts of met and missed objectives.
     #[must_use]
     pub fn burn(&self, now: CoreTime) -> DaemonBurn {
--- a/crates/savorywood-core/src/lib.rs
+++ b/crates/savorywood-core/src/lib.rs
@@ -5,23 +5,27 @@
 //! events in the same order always give the same effects.
 
 pub mod burn;
-pub mod config;
 pub mod claims;
+pub mod config;
+pub mod credits;
 pub mod daemon;
 pub mod discovery;
 pub mod effect;
 pub mod event;
 pub mod intake;
 pub mod invariant;
-pub mod membership;
 pub mod leases;
+pub mod membership;
+pub mod moves;
 pub mod operator;
 pub mod order;
+pub mod orders;
 pub mod rendezvous;
 pub mod request;
 pub mod resume;
 pub mod scheduler;
 pub mod snapshot;
+pub mod stop;
 pub mod view;
 
 pub use burn::BurnLedger;
--- a/crates/savorywood-core/src/scheduler/admission.rs
+++ b/crates/savorywood-core/src/scheduler/admission.rs
@@ -4,7 +4,7 @@
     RequestScheduler, SchedulerMechanism, SchedulerView,
     cost::CostEstimate,
     queue::WaitingRequest,
-    retry::plain_return,
+    retry::return_after,
     service::{SeatCount, ServiceState},
 };
 use crate::{
@@ -24,15 +24,17 @@
 /// Seats are counted again after this long.
 const COUNT_EVERY: Duration = Duration::from_millis(50);
 /// Least share of the seats that a tier is taken to get when higher ones want them all.
-const LEAST_SHARE: f64 = 0.02;
+const LEAST_SHARE: f64 = 0.05;
 /// Share of the predicted time that must be left when work begins. More than one: work that is
 /// begun and then late has cost a seat and its prefill, a refusal costs neither.
 const NEEDED_SHARE: f64 = 1.2;
+/// The same while upstreams have room: a seat that nobody else wants costs nothing.
+const IDLE_NEEDED_SHARE: f64 = 0.8;
 /// Share of the first-token objective for which a request may be kept for an upstream that holds
 /// its prefix.
 /// Share of the time until it is hopeless after which a request goes first in its tier, whatever is
 /// cached where.
-const PRESSING_SHARE: f64 = 0.9;
+const PRESSING_SHARE: f64 = 0.75;
 const PATIENT_SHARE: f64 = 0.8;
 /// Share of the time until it is hopeless for which it may be kept so.
 const PATIENT_SLACK: f64 = 0.6;
@@ -61,8 +63,8 @@
         }
         let mut waiting = waiting;
         let wait = self.expected_wait(now, &waiting, view);
-        let slack = waiting.latest_start.since(now).mul_f64(PATIENT_SLACK);
-        waiting.patient_until = waiting.patient_until.max(now + wait.min(slack));
+        let longest_patience = waiting.pressing_at.since(now).mul_f64(PATIENT_SLACK);
+        waiting.patient_until = waiting.patient_until.max(now + wait.min(longest_patience));
         self.enqueue(waiting);
         self.drain(now, &name, view, effects);
     }
@@ -83,7 +85,13 @@
         let needed = whole_time(service, estimate, estimate.output_median, &objectives);
         let known = estimate.learned && service.is_some_and(|service| service.speed.is_known());
         let latest_start = if known && self.options.has(SchedulerMechanism::DeadlineAdmission) {
-            request.deadline_at - needed.mul_f64(NEEDED_SHARE)
+            let saturated = service.is_some_and(|service| service.saturated);
+            let share = if saturated {
+                NEEDED_SHARE
+            } else {
+                IDLE_NEEDED_SHARE
+            };
+            request.deadline_at - needed.mul_f64(share)
         } else {
             request.deadline_at
         };
@@ -95,10 +103,12 @@
         };
         let first_token = Duration::from_millis(objectives.first_token_ms.into());
         let patience = first_token.mul_f64(PATIENT_SHARE);
-        let slack = latest_start.since(now).mul_f64(PATIENT_SLACK);
+        // A long answer must still be in time after the wait for a holder of its prefix.
+        let longest = whole_time(service, estimate, estimate.output_high, &objectives);
+        let slack = (request.deadline_at - longest).since(now);
         WaitingRequest {
-            patient_until: now + patience.min(slack),
-            pressing_at: now + latest_start.since(now).mul_f64(PRESSING_SHARE),
+            patient_until: now + patience.min(slack.mul_f64(PATIENT_SLACK)),
+            pressing_at: now + slack.mul_f64(PRESSING_SHARE),
             held_prefix,
             request,
             attempt,
@@ -304,19 +314,13 @@
     /// When to tell a refused caller to come back: once the work ahead of its tier is done.
     fn return_time(&mut self, now: MonotonicTime, waiting: &WaitingRequest) -> Duration {
         let jitter: f64 = self.rng.random();
-        let rank = waiting.request.rank;
-        let Some(service) = self.services.get_mut(&waiting.request.service) else {
-            return plain_return(Duration::ZERO).mul_f64(1.0 + jitter);
+        let Some(service) = self.services.get(&waiting.request.service) else {
+            return return_after(Duration::ZERO, jitter);
         };
-        let seats = seats_left(now, service, rank);
+        let seats = seats_left(now, service, waiting.request.rank);
         let ahead = service.queue.work_ahead(&waiting.request) as f64 / MICROS;
         let wait = Duration::from_secs_f64((ahead / seats).min(3_600.0));
-        if !self.options.has(SchedulerMechanism::SpreadReturns) {
-            return plain_return(wait);
-        }
-        let share = waiting.seat_micros as f64 / MICROS / seats;
-        let share = Duration::from_secs_f64(share.min(10.0));
-        service.returns.book(now, rank, wait, share, jitter)
+        return_after(wait, jitter)
     }
 
     /// Puts a request into its service's queue.
--- a/crates/savorywood-core/src/scheduler/dispatch.rs
+++ b/crates/savorywood-core/src/scheduler/dispatch.rs
@@ -3,7 +3,7 @@
 use super::{
     RequestScheduler, SchedulerMechanism, SchedulerView,
     fleet::UpstreamId,
-    queue::WaitingRequest,
+    queue::{FrontSpan, WaitingRequest},
     routing::{PickFailure, PickedUpstream, SampleDraw},
     service::WantedSeats,
     table::{AttemptKey, AttemptRecord},
@@ -22,10 +22,14 @@
 const HEADS_COMPARED: usize = 6;
 /// Attempts of one request at most.
 const MAX_ATTEMPTS: u32 = 3;
-/// Requests of each team looked at for one whose prefix a free upstream holds.
-const FRONT_OF_EACH: usize = 8;
-/// Requests looked at for one whose prefix a free upstream holds, over all teams and tiers.
-const FRONT_COMPARED: usize = 48;
+/// Requests looked at for one whose prefix a free upstream holds.
+const HOLDER_SPAN: FrontSpan = FrontSpan {
+    of_team: 4,
+    of_tier: 12,
+};
+
+/// Share of its allowance from which an upstream that is shared by grants is scarce.
+const SCARCE_SHARE: f64 = 0.5;
 
 /// A waiting request and where it goes.
 #[derive(Debug, Clone, Copy)]
@@ -117,10 +121,17 @@
         if !service.saturated {
             return None;
         }
+        let state = self.fleet.get(upstream)?;
+        let grant = view.grants.get(&state.name);
+        let allowance = state.allowance(now, grant);
+        if !state.has_room(allowance, 0) {
+            return None;
+        }
         // Others want its seats: they may hold what this daemon would have to prefill.
-        let contended = view.grants.contains_key(&self.fleet.get(upstream)?.name);
+        let scarce = f64::from(state.seats_used + 1) > f64::from(allowance.seats) * SCARCE_SHARE;
+        let contended = grant.is_some() && scarce;
         let mut second: Option<PlannedDispatch> = None;
-        for waiting in service.queue.front(FRONT_OF_EACH).take(FRONT_COMPARED) {
+        for waiting in service.queue.front(HOLDER_SPAN) {
             let hit = waiting
                 .held_prefix
                 .is_some_and(|hash| self.prefixes.holds(upstream, hash));
@@ -133,9 +144,13 @@
             let request = waiting.request.request;
             match self.pick_this(now, waiting, upstream, view) {
                 Ok(picked) if hit => return Some(PlannedDispatch { request, picked }),
-                Ok(picked) => second = Some(PlannedDispatch { request, picked }),
+                Ok(picked)
+                    if pressing || unheld || waiting.is_worth_a_miss(now, picked.miss_time) =>
+                {
+                    second = Some(PlannedDispatch { request, picked });
+                }
                 Err(PickFailure::Full) if waiting.avoid != Some(upstream) => break,
-                Err(_) => {}
+                Ok(_) | Err(_) => {}
             }
             if second.is_some() && waiting.pressing_at <= now {
                 break;
--- a/crates/savorywood-core/src/scheduler/queue.rs
+++ b/crates/savorywood-core/src/scheduler/queue.rs
@@ -6,7 +6,10 @@
 use crate::request::QueuedRequest;
 use fair::{FairQueue, LaneKey};
 use savorywood_protocol::{AttemptNumber, MonotonicTime, RequestId, TierRank};
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
+
+/// Times that a prefill which another upstream could spare is waited out, before it is done.
+const MISS_PATIENCE: f64 = 4.0;
 
 /// A request that waits for an upstream.
 #[derive(Debug, Clone)]
@@ -31,6 +34,15 @@
     pub avoid: Option<UpstreamId>,
 }
 
+impl WaitingRequest {
+    /// Whether it has waited long enough for an upstream that holds its prefix to take one that
+    /// needs `miss_time` to prefill it: the longer that takes, the longer it waits.
+    #[must_use]
+    pub fn is_worth_a_miss(&self, now: MonotonicTime, miss_time: Duration) -> bool {
+        now >= self.patient_until + miss_time.mul_f64(MISS_PATIENCE)
+    }
+}
+
 /// Where a request waits.
 #[derive(Debug, Clone, Copy)]
 struct WaitingPlace {
@@ -47,6 +59,23 @@
     pub fair: bool,
 }
 
+/// How many waiting requests are looked at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FrontSpan {
+    /// Of one team in one tier.
+    pub of_team: usize,
+    /// Of one tier.
+    pub of_tier: usize,
+}
+
+impl FrontSpan {
+    /// All of them.
+    pub const ALL: Self = Self {
+        of_team: usize::MAX,
+        of_tier: usize::MAX,
+    };
+}
+
 /// Waiting requests of one service.
 #[derive(Debug)]
 pub struct RequestQueue {
@@ -110,9 +139,9 @@
     }
 
     /// The first few requests of each team that is next, highest tier first.
-    pub fn front(&self, of_each: usize) -> impl Iterator<Item = &WaitingRequest> {
+    pub fn front(&self, span: FrontSpan) -> impl Iterator<Item = &WaitingRequest> {
         let tiers = self.tiers.values();
-        tiers.flat_map(move |tier| tier.front(of_each))
+        tiers.flat_map(move |tier| tier.front(span.of_team).take(span.of_tier))
     }
 
     /// Takes a request out to dispatch it: its team is charged.
--- a/crates/savorywood-daemon/src/api/model.rs
+++ b/crates/savorywood-daemon/src/api/model.rs
@@ -6,7 +6,7 @@
     relay::{OutgoingCall, OutgoingHeader, RequestTask},
 };
 use http_types::Response;
-use savorywood_core::{ConfigView, PromptShape, RequestArrival};
+use savorywood_core::{PromptShape, RequestArrival};
 use savorywood_http::IncomingRequest;
 use savorywood_protocol::{
     RefusalCode, RequestRefusal, prefix::prefix_hashes, resource::ServiceProtocol,
@@ -67,7 +67,7 @@
 /// Tells whether there is a model service.
 pub fn get(shared: &DaemonShared, incoming: &IncomingRequest) -> Response {
     let config = shared.driver.config();
-    if let Err(refusal) = check_team(&config, incoming) {
+    if let Err(refusal) = check_team(shared, incoming) {
         return requests::refuse(&refusal);
     }
     let path = incoming.request.url().path();
@@ -80,9 +80,8 @@
     requests::refuse(&RequestRefusal::not_run(RefusalCode::NotFound, detail))
 }
 
-fn check_team(config: &ConfigView, incoming: &IncomingRequest) -> Result<(), RequestRefusal> {
-    let token = requests::bearer_digest(incoming);
-    if token.is_some_and(|token| config.team_of(&token).is_some()) {
+fn check_team(shared: &DaemonShared, incoming: &IncomingRequest) -> Result<(), RequestRefusal> {
+    if requests::team(shared, incoming).is_some() {
         return Ok(());
     }
     let detail = "send `Authorization: Bearer TOKEN` with a token of one of the teams";
@@ -92,7 +91,7 @@
 /// Lists the model services.
 pub fn list(shared: &DaemonShared, incoming: &IncomingRequest) -> Response {
     let config = shared.driver.config();
-    if let Err(refusal) = check_team(&config, incoming) {
+    if let Err(refusal) = check_team(shared, incoming) {
         return requests::refuse(&refusal);
     }
     let services = config.services.iter();
@@ -116,7 +115,7 @@
         Ok(body) => body,
         Err(fault) => return requests::refuse(&requests::body_refusal(&fault)),
     };
-    match prepare(&incoming, body) {
+    match prepare(shared, &incoming, body) {
         Ok(prepared) => RequestTask::serve(shared, prepared.arrival, prepared.call).await,
         Err(refusal) => requests::refuse(&refusal),
     }
@@ -127,7 +126,11 @@
     call: OutgoingCall,
 }
 
-fn prepare(incoming: &IncomingRequest, body: Vec<u8>) -> Result<PreparedRequest, RequestRefusal> {
+fn prepare(
+    shared: &DaemonShared,
+    incoming: &IncomingRequest,
+    body: Vec<u8>,
+) -> Result<PreparedRequest, RequestRefusal> {
     let parsed: CompletionBody = serde_json::from_slice(&body).map_err(|error| {
         let detail = format!("the body is not a completion request: {error}");
         RequestRefusal::not_run(RefusalCode::BadRequest, detail)
@@ -152,6 +155,7 @@
         headers: passed_headers(incoming),
         body,
         idempotent: true,
+        team: requests::team(shared, incoming),
     };
     Ok(PreparedRequest { arrival, call })
 }
--- a/crates/savorywood-daemon/src/daemon.rs
+++ b/crates/savorywood-daemon/src/daemon.rs
@@ -83,7 +83,8 @@
         if options.core.peer_address.port() == 0 {
             options.core.peer_address.set_port(peers.port());
         }
-        let datagrams = DatagramLink::new(sockets.datagrams, host.clone(), key.clone());
+        let bytes = options.peer_bytes_per_second;
+        let datagrams = DatagramLink::new(sockets.datagrams, host.clone(), key.clone(), bytes);
         let snapshot_listener = sockets.snapshots;
         let metrics = DaemonMetrics::new().context(MetricsSnafu)?;
         let core = DaemonCore::new(options.core.clone());
--- a/crates/savorywood-experiment/src/world.rs
+++ b/crates/savorywood-experiment/src/world.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     agenda::{EventAgenda, WorldEvent, micros},
+    arbiter::SeatArbiters,
     central::CentralQueue,
     daemon_host::DaemonHost,
     deployment::DeploymentShape,
@@ -14,7 +15,7 @@
     names::NameBook,
     policy::PolicyKind,
     scenario::RunScenario,
-    tally::RunTally,
+    tally::{RunTally, TeamTally},
     task::{TaskRecord, TaskState},
     workload::generate,
 };
@@ -50,6 +51,7 @@
     names: NameBook,
     agenda: EventAgenda,
     control: RunControl,
+    arbiters: SeatArbiters,
     engines: Vec<FakeEngine>,
     tasks: Vec<TaskRecord>,
     waiting: Vec<[u32; crate::tally::TIERS]>,
@@ -94,6 +96,7 @@
             names,
             agenda: EventAgenda::default(),
             control,
+            arbiters: SeatArbiters::default(),
             cache_sequences: vec![0; engines.len()],
             engines,
             tasks: Vec::new(),
@@ -110,11 +113,13 @@
         let scenario = self.scenario;
         let tasks = generate(&self.shape, scenario.load, scenario.time, scenario.seed);
         self.open = tasks.len();
+        self.tally.teams = vec![TeamTally::default(); self.shape.teams.len()];
         for (index, task) in tasks.into_iter().enumerate() {
             let rank = usize::from(self.shape.routes[task.route].rank);
             let counted = (WARM_UP..scenario.time - COOL_DOWN).contains(&task.at);
             let daemon = self.steer(&task, index);
             self.tally.tiers[rank].tasks += u64::from(counted);
+            self.tally.teams[task.team].tasks += u64::from(counted);
             self.tasks.push(TaskRecord {
                 task,
                 rank,
--- a/crates/savorywood-testing/src/cluster.rs
+++ b/crates/savorywood-testing/src/cluster.rs
@@ -21,6 +21,10 @@
 /// Daemons serve and agree within this time after their start.
 const START_TIME: Duration = Duration::from_secs(10);
 
+/// A daemon answers an operator within this time, also when the platform does not answer it: it
+/// waits ten seconds for the table, and its last call there may take some more.
+const CHANGE_TIME: Duration = Duration::from_secs(14);
+
 /// An accepted configuration is in force everywhere within this time.
 const IN_FORCE_TIME: Duration = Duration::from_secs(4);
 
@@ -77,7 +81,9 @@
         let target = format!("/v1/resources/{kind}/{name}");
         let address = self.daemons[daemon].callers();
         let call = TestCall::put(address, &target, body).token(OPERATOR_TOKEN);
-        call.send().expect("the daemon answers its operator")
+        call.timeout(CHANGE_TIME)
+            .send()
+            .expect("the daemon answers its operator")
     }
 
     /// Creates or edits a resource through the first daemon and gives the accepted revision.
@@ -152,20 +158,30 @@
     /// A streamed chat through a daemon.
     #[must_use]
     pub fn chat(&self, daemon: usize, content: &str, tokens: u32) -> TestCall {
+        Self::chat_at(self.daemons[daemon].callers(), content, tokens)
+    }
+
+    /// A streamed chat through the daemon at an address.
+    #[must_use]
+    pub fn chat_at(address: SocketAddr, content: &str, tokens: u32) -> TestCall {
         let body = json!({
             "model": "notes",
             "stream": true,
             "max_tokens": tokens,
             "messages": [{"role": "user", "content": content}],
         });
-        let address = self.daemons[daemon].callers();
         TestCall::post(address, "/v1/chat/completions", body.to_string()).token(TEAM_TOKEN)
     }
 
     /// A call that may not be repeated, through a daemon.
     #[must_use]
     pub fn charge(&self, daemon: usize, key: &str) -> TestCall {
-        let address = self.daemons[daemon].callers();
+        Self::charge_at(self.daemons[daemon].callers(), key)
+    }
+
+    /// A call that may not be repeated, through the daemon at an address.
+    #[must_use]
+    pub fn charge_at(address: SocketAddr, key: &str) -> TestCall {
         let call = TestCall::post(address, "/services/shop/charge", "{\"euro\":3}");
         call.token(TEAM_TOKEN).header("Idempotency-Key", key)
     }
