--- a/crates/savorywood-daemon/src/api.rs
+++ b/crates/savorywood-daemon/src/api.rs
@@ -12,6 +12,7 @@
 use http_types::Response;
 use savorywood_http::{HttpHandler, IncomingRequest, server::HeadFault};
 use savorywood_protocol::{RefusalCode, RequestRefusal};
+use serde_json::Map;
 use std::sync::Arc;
 
 /// Answers callers and operators.
@@ -55,9 +56,7 @@
             HeadFault::Malformed { .. } => RefusalCode::BadRequest,
         };
         let refusal = RequestRefusal::not_run(code, fault.to_string());
-        let mut response = problem::problem(&refusal, None);
-        response.set_status(fault.status());
-        response
+        problem::problem_as(&refusal, fault.status().into(), None, Map::new())
     }
 }
 
--- a/crates/savorywood-daemon/src/api/operators.rs
+++ b/crates/savorywood-daemon/src/api/operators.rs
@@ -5,7 +5,7 @@
 
 use super::{health, not_found, requests};
 use crate::{daemon::DaemonShared, problem};
-use http_types::{Method, Response};
+use http_types::{Method, Response, StatusCode};
 use savorywood_core::{DaemonEvent, OperatorReply, OperatorRequest};
 use savorywood_http::IncomingRequest;
 use savorywood_protocol::{
@@ -223,9 +223,8 @@
         OperatorReply::Invalid { faults } => {
             let detail = "the resource can't be accepted; `faults` lists all that is wrong";
             let refusal = RequestRefusal::not_run(RefusalCode::BadRequest, detail);
-            let mut response = problem::problem_with(&refusal, None, member("faults", &faults));
-            response.set_status(http_types::StatusCode::UnprocessableEntity);
-            response
+            let status = StatusCode::UnprocessableEntity.into();
+            problem::problem_as(&refusal, status, None, member("faults", &faults))
         }
         OperatorReply::NotFound => {
             let detail = "there is no such resource";
--- a/crates/savorywood-daemon/src/api/operators/watch.rs
+++ b/crates/savorywood-daemon/src/api/operators/watch.rs
@@ -4,6 +4,7 @@
     api::{not_found, requests},
     daemon::DaemonShared,
     driver::CoreDriver,
+    problem,
 };
 use async_io::Timer;
 use futures_lite::future;
@@ -15,6 +16,7 @@
     api::{WatchEvent, WatchKind},
     resource::ResourceKind,
 };
+use serde_json::Map;
 use std::{sync::Arc, time::Duration};
 
 /// An empty line is sent after so long without a change, so that both sides notice a dead
@@ -31,9 +33,7 @@
         Err(refusal) => return requests::refuse(&refusal),
     };
     if let Err(refusal) = changes_after(&shared.driver, from) {
-        let mut response = requests::refuse(&refusal);
-        response.set_status(StatusCode::Gone);
-        return response;
+        return problem::problem_as(&refusal, StatusCode::Gone.into(), None, Map::new());
     }
     let BodyPair { sender, receiver } = body_channel();
     let watcher = ResourceWatcher {
--- a/crates/savorywood-daemon/src/problem.rs
+++ b/crates/savorywood-daemon/src/problem.rs
@@ -57,9 +57,18 @@
     refusal: &RequestRefusal,
     request: Option<RequestId>,
     more: serde_json::Map<String, Value>,
+) -> Response {
+    problem_as(refusal, refusal.code.http_status(), request, more)
+}
+
+/// A refusal under a status that says more than its code does, in head and body alike.
+pub fn problem_as(
+    refusal: &RequestRefusal,
+    status: u16,
+    request: Option<RequestId>,
+    more: serde_json::Map<String, Value>,
 ) -> Response {
     let code: &'static str = refusal.code.into();
-    let status = refusal.code.http_status();
     let body = ProblemBody {
         kind: "about:blank",
         title: code,
--- a/crates/savorywood-daemon/tests/whole_path.rs
+++ b/crates/savorywood-daemon/tests/whole_path.rs
@@ -268,3 +268,16 @@
         assert_eq!(rig.call(get).unwrap().status, 200, "change {number}");
     }
 }
+
+/// A client reads the status from the body of a problem. It must be that of the head.
+#[test]
+fn status_is_the_same_in_head_and_body() {
+    let rig = TestRig::start(true);
+    let tier = r#"{"kind": "tier", "name": "late", "spec": {"rank": 0}}"#;
+    let put = CallRequest::new(rig.daemon, Method::Put, "/v1/resources/tier/late")
+        .with_token(OPERATOR_TOKEN)
+        .with_body(tier.as_bytes().to_vec());
+    let answer = rig.call(put).unwrap();
+    assert_eq!(answer.status, 422);
+    assert_eq!(problem_of(&answer)["status"], 422);
+}
