--- a/crates/savorywood-daemon/src/api/model.rs
+++ b/crates/savorywood-daemon/src/api/model.rs
@@ -6,7 +6,7 @@
     relay::{OutgoingCall, OutgoingHeader, RequestTask},
 };
 use http_types::Response;
-use savorywood_core::{ConfigView, PromptShape, RequestArrival};
+use savorywood_core::{PromptShape, RequestArrival};
 use savorywood_http::IncomingRequest;
 use savorywood_protocol::{
     RefusalCode, RequestRefusal, prefix::prefix_hashes, resource::ServiceProtocol,
@@ -67,7 +67,7 @@
 /// Tells whether there is a model service.
 pub fn get(shared: &DaemonShared, incoming: &IncomingRequest) -> Response {
     let config = shared.driver.config();
-    if let Err(refusal) = check_team(&config, incoming) {
+    if let Err(refusal) = check_team(shared, incoming) {
         return requests::refuse(&refusal);
     }
     let path = incoming.request.url().path();
@@ -80,9 +80,8 @@
     requests::refuse(&RequestRefusal::not_run(RefusalCode::NotFound, detail))
 }
 
-fn check_team(config: &ConfigView, incoming: &IncomingRequest) -> Result<(), RequestRefusal> {
-    let token = requests::bearer_digest(incoming);
-    if token.is_some_and(|token| config.team_of(&token).is_some()) {
+fn check_team(shared: &DaemonShared, incoming: &IncomingRequest) -> Result<(), RequestRefusal> {
+    if requests::team(shared, incoming).is_some() {
         return Ok(());
     }
     let detail = "send `Authorization: Bearer TOKEN` with a token of one of the teams";
@@ -92,7 +91,7 @@
 /// Lists the model services.
 pub fn list(shared: &DaemonShared, incoming: &IncomingRequest) -> Response {
     let config = shared.driver.config();
-    if let Err(refusal) = check_team(&config, incoming) {
+    if let Err(refusal) = check_team(shared, incoming) {
         return requests::refuse(&refusal);
     }
     let services = config.services.iter();
--- a/crates/savorywood-daemon/src/daemon.rs
+++ b/crates/savorywood-daemon/src/daemon.rs
@@ -77,13 +77,13 @@
         let peers = options.listen_peers;
         let host = options.core.host.clone();
         let key = options.peer_key.clone();
-        let bytes = options.peer_bytes_per_second;
         let sockets = PeerSockets::bind(peers).await;
         let sockets = sockets.context(ListenSnafu { address: peers })?;
         let peers = sockets.address;
         if options.core.peer_address.port() == 0 {
             options.core.peer_address.set_port(peers.port());
         }
+        let bytes = options.peer_bytes_per_second;
         let datagrams = DatagramLink::new(sockets.datagrams, host.clone(), key.clone(), bytes);
         let snapshot_listener = sockets.snapshots;
         let metrics = DaemonMetrics::new().context(MetricsSnafu)?;
--- a/crates/savorywood-daemon/src/peers/datagrams.rs
+++ b/crates/savorywood-daemon/src/peers/datagrams.rs
@@ -40,7 +40,7 @@
 }
 
 impl DatagramLink {
-    /// A link that speaks for this host and sends so many bytes a second at most.
+    /// A link that speaks for this host, within a budget of bytes.
     pub fn new(socket: UdpSocket, host: HostName, key: DatagramKey, bytes_per_second: u64) -> Self {
         Self {
             socket,
--- a/crates/savorywood-daemon/src/relay/stream/tests.rs
+++ b/crates/savorywood-daemon/src/relay/stream/tests.rs
@@ -8,7 +8,7 @@
 const RUNS: u64 = 5_000;
 
 const STREAM: &[u8] = b"data: {\"choices\": [{\"delta\": {\"content\": \"one\"}}]}\n\n\
-    : keep-alive\n\ndata: {\"choices\": []}\r\n\r\nevent: note\ndata:{\"a\": \"b\"}\n\n\
+    : keep-alive\n\ndata: {\"choices\":[]}\r\n\r\nevent: note\ndata:{\"a\": \"b\"}\n\ndata: {\"content\":\"\"}\n\n\
     data: {\"usage\": {\"prompt_tokens\": 3, \"completion_tokens\": 2}}\n\ndata: [DONE]\n\n";
 
 /// What a reader of whole texts sees: lines of data before and after their end marks.
@@ -38,15 +38,16 @@
         }
         tokens += stream.observe(rest);
         let data = data_lines(&text);
-        let marks = data.iter().filter(|line| **line == b"[DONE]").count();
-        let has = |line: &[u8], part: &[u8]| line.windows(part.len()).any(|found| found == part);
-        let usage = data.iter().rfind(|line| has(line, b"\"usage\""));
-        // A chunk without text holds no token, whether it has no choice or an empty one.
-        let empty = data
-            .iter()
-            .filter(|line| has(line, b"\"choices\":[]") || has(line, b"\"content\":\"\""));
-        let agrees = tokens as usize == data.len() - marks - empty.count()
-            && stream.is_done() == (marks > 0)
+        let is_mark = |line: &[u8]| line == b"[DONE]";
+        let holds = |line: &[u8], part: &[u8]| line.windows(part.len()).any(|found| found == part);
+        let has_token = |line: &[u8]| {
+            !is_mark(line) && !holds(line, b"\"choices\":[]") && !holds(line, b"\"content\":\"\"")
+        };
+        let expected = data.iter().filter(|line| has_token(line)).count();
+        let is_done = data.iter().any(|line| is_mark(line));
+        let usage = data.iter().rfind(|line| holds(line, b"\"usage\""));
+        let agrees = tokens as usize == expected
+            && stream.is_done() == is_done
             && stream.usage_data() == usage.copied();
         TestResult::from_bool(agrees)
     }
--- a/crates/savorywood-protocol/tests/fuzz_peer.rs
+++ b/crates/savorywood-protocol/tests/fuzz_peer.rs
@@ -4,7 +4,8 @@
 
 use quickcheck::TestResult;
 use savorywood_protocol::{
-    ConfigRevision, HostIncarnation, HostName, TierRank, WallTime,
+    AttemptNumber, ConfigRevision, HostIncarnation, HostName, MoveName, TierRank, UpstreamName,
+    WallTime,
     peer::{
         ConfigMessage, CreditMessage, DatagramError, DatagramKey, MembershipMessage, MoveMessage,
         PeerDatagram, PeerMessage,
@@ -15,9 +16,11 @@
         snapshot::{SnapshotContent, SnapshotReply, SnapshotRequest, open_frame, seal_frame},
     },
     resource::ResourceDocument,
+    resume_token::{ResumeKey, ResumeToken},
 };
 use savorywood_testing::{InputMutation, fuzz};
 use serde::{Serialize, Serializer, de::DeserializeOwned, ser::SerializeTuple};
+use std::time::Duration;
 
 /// Inputs for each property where nothing else is asked for.
 const RUNS: u64 = 2_000;
@@ -123,15 +126,16 @@
         rank: TierRank(rank),
         seats: 300,
     };
+    let upstream: UpstreamName = "engine-1".parse().unwrap();
     vec![
         CreditMessage::Demand {
             sequence: 300,
             upstreams: vec![UpstreamDemand {
-                upstream: "engine-1".parse().unwrap(),
+                upstream: upstream.clone(),
                 limit: 16,
-                in_use: 300,
+                in_use: 7,
                 tiers: vec![demand(0), demand(1)],
-                shedding: Some(TierRank(0)),
+                shedding: Some(TierRank(1)),
             }],
         },
         CreditMessage::Grant {
@@ -139,39 +143,50 @@
             answers: 299,
             term_ms: 1_500,
             grants: vec![UpstreamGrant {
-                upstream: "engine-1".parse().unwrap(),
+                upstream: upstream.clone(),
                 seats: 8,
                 floor: TierRank(2),
                 contended: true,
             }],
         },
         CreditMessage::Survey {
-            upstreams: vec!["engine-1".parse().unwrap(), "engine-2".parse().unwrap()],
+            upstreams: vec![upstream.clone(), upstream],
         },
     ]
 }
 
-fn datagrams() -> Vec<PeerDatagram> {
-    let stop = MoveMessage::Stop {
-        name: "notes-to-v2".parse().unwrap(),
-        revision: ConfigRevision(4),
-        reason: "errors on /v1/completions".to_owned(),
-        at: WallTime(1_780_000_000_000),
+fn move_messages() -> Vec<MoveMessage> {
+    let name: MoveName = "notes-to-v2".parse().unwrap();
+    let revision = ConfigRevision(12);
+    let arm = ArmEvidence {
+        finished: 300,
+        failed: 2,
+        timed: 290,
+        log_sum: 2_900.5,
+        log_square: 29_000.25,
     };
-    let evidence = MoveMessage::Evidence {
-        name: "notes-to-v2".parse().unwrap(),
-        revision: ConfigRevision(4),
-        sequence: 300,
-        routes: vec![RouteEvidence {
-            route: "/v1/completions".to_owned(),
-            old: ArmEvidence::default(),
-            new: ArmEvidence {
-                finished: 300,
-                log_sum: 12.5,
-                ..ArmEvidence::default()
-            },
-        }],
+    let route = RouteEvidence {
+        route: "/v1/completions".to_owned(),
+        old: arm,
+        new: ArmEvidence::default(),
     };
+    vec![
+        MoveMessage::Stop {
+            name: name.clone(),
+            revision,
+            reason: "errors on /v1/completions".to_owned(),
+            at: WallTime(1_780_000_000_000),
+        },
+        MoveMessage::Evidence {
+            name,
+            revision,
+            sequence: 9,
+            routes: vec![route],
+        },
+    ]
+}
+
+fn datagrams() -> Vec<PeerDatagram> {
     let in_force = ConfigMessage::InForce {
         revision: ConfigRevision(12),
     };
@@ -180,7 +195,7 @@
     let mut messages: Vec<_> = membership.map(PeerMessage::Membership).collect();
     messages.extend(credits.map(PeerMessage::Credits));
     messages.push(PeerMessage::Config(in_force));
-    messages.extend([stop, evidence].map(PeerMessage::Moves));
+    messages.extend(move_messages().into_iter().map(PeerMessage::Moves));
     let datagram = |message| PeerDatagram {
         from: host("entry-1"),
         incarnation: HostIncarnation(1_780_000_000_000),
@@ -291,3 +306,30 @@
     }
     fuzz(4, RUNS, reads as fn(InputMutation) -> TestResult);
 }
+
+/// A caller changes the resume token that it was given, to read another team's stream or one at
+/// another upstream. No changed token may be believed.
+#[test]
+fn changed_resume_tokens_are_refused() {
+    fn is_refused(mutation: InputMutation) -> TestResult {
+        let key = ResumeKey::derive(b"fuzz");
+        let token = ResumeToken {
+            upstream: "engine-1".parse().unwrap(),
+            stream: "01a2395a-bbe6-72f7-b363-71cf401830ec.0".to_owned(),
+            service: "notes".parse().unwrap(),
+            team: "survey".parse().unwrap(),
+            attempt: AttemptNumber(0),
+            issued_at: WallTime(1_780_000_000_000),
+        };
+        let signed = token.sign(&key).unwrap();
+        let changed = mutation.apply(signed.as_bytes());
+        let Ok(changed) = String::from_utf8(changed) else {
+            return TestResult::discard();
+        };
+        let now = token.issued_at;
+        let max_age = Duration::from_secs(60);
+        let verified = ResumeToken::verify(&changed, &key, &token.team, now, max_age);
+        TestResult::from_bool(verified.is_err() || changed == signed)
+    }
+    fuzz(5, RUNS, is_refused as fn(InputMutation) -> TestResult);
+}
