--- a/crates/savorywood-daemon/src/relay/resume.rs
+++ b/crates/savorywood-daemon/src/relay/resume.rs
@@ -2,10 +2,13 @@
 
 use super::{attempt::is_hop_header, task::RequestTask};
 use crate::problem::{self, OUTCOME_HEADER, REQUEST_HEADER};
+use async_io::Timer;
+use futures_lite::future;
 use http_types::{Body, Method, Response};
 use savorywood_core::effect::ResumeOrder;
 use savorywood_http::{CallRequest, UpstreamAnswer, body::BodyPair, body_channel};
 use savorywood_protocol::{OutcomeKind, RefusalCode, RequestRefusal};
+use std::io;
 
 /// Bytes read from an upstream at a time.
 const READ_BYTES: usize = 16_384;
@@ -42,6 +45,16 @@
         self.reply(problem::problem(&refusal, Some(self.request)));
     }
 
+    /// Reads on, but not for ever: over a link that carries nothing any more the caller would hang
+    /// with half an answer.
+    async fn read_rest(&self, answer: &mut UpstreamAnswer, piece: &mut [u8]) -> io::Result<usize> {
+        let stalled = async {
+            Timer::after(self.shared.options.stall_time).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        future::or(answer.body.read(piece), stalled).await
+    }
+
     async fn relay_rest(&self, mut answer: UpstreamAnswer) {
         let BodyPair { sender, receiver } = body_channel();
         let mut response = Response::new(answer.head.status());
@@ -64,7 +77,7 @@
         let mut piece = vec![0; READ_BYTES];
         let mut tail = StreamTail::default();
         // Any error drops the sender, which breaks the caller's body off.
-        while let Ok(count) = answer.body.read(&mut piece).await {
+        while let Ok(count) = self.read_rest(&mut answer, &mut piece).await {
             if count == 0 {
                 if !is_events || tail.ends_stream() {
                     let _ = sender.finish().await;
@@ -101,6 +114,11 @@
     /// Whether the stream's end mark came, here or before the rest began.
     fn ends_stream(&self) -> bool {
         let end = self.bytes.trim_ascii_end();
-        end.ends_with(END_MARK) || END_MARK.ends_with(end)
+        // An empty rest says nothing: the stream may have been cut off just where the caller's part
+        // ends. Read as a clean end, it would make that part a whole answer.
+        !end.is_empty() && (end.ends_with(END_MARK) || END_MARK.ends_with(end))
     }
 }
+
+#[cfg(test)]
+mod tests;
