--- a/crates/savorywood-daemon/src/peers/datagrams.rs
+++ b/crates/savorywood-daemon/src/peers/datagrams.rs
@@ -14,7 +14,6 @@
     },
 };
 use std::{
-    io,
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
@@ -41,34 +40,16 @@
 }
 
 impl DatagramLink {
-    /// Binds the peers' address.
-    ///
-    /// # Errors
-    ///
-    /// When it can't be bound.
-    pub async fn bind(
-        address: SocketAddr,
-        host: HostName,
-        key: DatagramKey,
-        bytes_per_second: u64,
-    ) -> io::Result<Self> {
-        Ok(Self {
-            socket: UdpSocket::bind(address).await?,
+    /// A link that speaks for this host, within a budget of bytes.
+    pub fn new(socket: UdpSocket, host: HostName, key: DatagramKey, bytes_per_second: u64) -> Self {
+        Self {
+            socket,
             host,
             key,
             sequence: AtomicU64::new(1),
             guard: Mutex::default(),
             budget: Mutex::new(PeerBudget::new(bytes_per_second)),
-        })
-    }
-
-    /// Address that is listened on.
-    ///
-    /// # Errors
-    ///
-    /// When the system can't tell it.
-    pub fn local_address(&self) -> io::Result<SocketAddr> {
-        self.socket.local_addr()
+        }
     }
 
     /// Sends a message. A datagram that can't be sent is lost like any other: the duties repeat
