Look through all teams in turn for an idle length sketch

Cause: only the first 32 teams by name were ever looked at, so those after them were never evicted and new teams took the places of the first ones only.

--- a/crates/savorywood-core/src/scheduler/cost.rs
+++ b/crates/savorywood-core/src/scheduler/cost.rs
@@ -5,7 +5,7 @@
 use crate::request::QueuedRequest;
 use quantile::QuantileSketch;
 use savorywood_protocol::{ServiceName, TeamName};
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops::Bound};
 
 /// Routes told apart in a service. Callers choose paths, so their number must have a bound;
 /// further ones share one sketch.
@@ -53,6 +53,8 @@
 struct RouteSketch {
     sketch: QuantileSketch,
     teams: BTreeMap<TeamName, TeamSketch>,
+    /// Team up to which idle ones were looked for last.
+    evicted_to: Option<TeamName>,
 }
 
 /// Learned output lengths. Memory is bounded by [`MAX_ROUTES`] and [`MAX_TEAM_SKETCHES`].
@@ -127,12 +129,21 @@
     }
 }
 
-/// Drops the idlest of a few teams of a route; says whether there was one. The few are those
-/// after the team that was dropped last in name order, which is as good as a random sample.
+/// Drops the idlest of a few teams of a route; says whether there was one. The few are those that
+/// follow, by name, the ones looked at last time, so that every team is looked at in turn.
 fn evict_idle(route: &mut RouteSketch) -> bool {
-    let sample = route.teams.iter().take(EVICTION_SCAN);
-    let idlest = sample.min_by_key(|(_, team)| team.used_at);
-    let Some(name) = idlest.map(|(name, _)| name.clone()) else {
+    let after = match route.evicted_to.take() {
+        Some(name) => Bound::Excluded(name),
+        None => Bound::Unbounded,
+    };
+    let span = (after, Bound::Unbounded);
+    let sample: Vec<_> = route.teams.range(span).take(EVICTION_SCAN).collect();
+    // At the end of the names the next call begins with the first again.
+    if sample.len() == EVICTION_SCAN {
+        route.evicted_to = sample.last().map(|(name, _)| (*name).clone());
+    }
+    let idlest = sample.iter().min_by_key(|(_, team)| team.used_at);
+    let Some(name) = idlest.map(|(name, _)| (*name).clone()) else {
         return false;
     };
     route.teams.remove(&name).is_some()
