--- a/crates/savorywood-daemon/tests/whole_path.rs
+++ b/crates/savorywood-daemon/tests/whole_path.rs
@@ -229,6 +229,24 @@
     }
 }
 
+/// A client library asks for one model, and a caller errs in a path. Neither is an operator's
+/// call: told that its token is wrong, a caller would look for the fault in the wrong place.
+#[test]
+fn callers_paths_are_told_apart_from_operators() {
+    let rig = TestRig::start(true);
+    for (path, token, status) in [
+        ("/v1/models/notes", TOKEN, 200),
+        ("/v1/models/nothing", TOKEN, 404),
+        ("/v1/models/notes", "wrong", 401),
+        ("/v1/embeddings", TOKEN, 404),
+        ("/v1/members", TOKEN, 401),
+        ("/v1/members", OPERATOR_TOKEN, 200),
+    ] {
+        let call = CallRequest::new(rig.daemon, Method::Get, path).with_token(token);
+        assert_eq!(rig.call(call).unwrap().status, status, "{path} {token}");
+    }
+}
+
 /// An operator creates a resource and reads it back at the same daemon as soon as the change is
 /// accepted. Told of the change before it was in force, the operator would find nothing, or the
 /// old content, and create it again.
@@ -250,3 +268,16 @@
         assert_eq!(rig.call(get).unwrap().status, 200, "change {number}");
     }
 }
+
+/// A client reads the status from the body of a problem. It must be that of the head.
+#[test]
+fn status_is_the_same_in_head_and_body() {
+    let rig = TestRig::start(true);
+    let tier = r#"{"kind": "tier", "name": "late", "spec": {"rank": 0}}"#;
+    let put = CallRequest::new(rig.daemon, Method::Put, "/v1/resources/tier/late")
+        .with_token(OPERATOR_TOKEN)
+        .with_body(tier.as_bytes().to_vec());
+    let answer = rig.call(put).unwrap();
+    assert_eq!(answer.status, 422);
+    assert_eq!(problem_of(&answer)["status"], 422);
+}
--- /dev/null
+++ b/crates/savorywood-protocol/tests/fuzz_peer.rs
@@ -0,0 +1,335 @@
+//! Messages between daemons with mistakes in them: never a panic, and never more than was sent.
+
+#![allow(clippy::unwrap_used, reason = "a test that can't be set up fails")]
+
+use quickcheck::TestResult;
+use savorywood_protocol::{
+    AttemptNumber, ConfigRevision, HostIncarnation, HostName, MoveName, TierRank, UpstreamName,
+    WallTime,
+    peer::{
+        ConfigMessage, CreditMessage, DatagramError, DatagramKey, MembershipMessage, MoveMessage,
+        PeerDatagram, PeerMessage,
+        credits::{TierDemand, UpstreamDemand, UpstreamGrant},
+        datagram::MAX_DATAGRAM_BYTES,
+        membership::{MemberPlace, MemberState, MemberUpdate, TableDigest},
+        moves::{ArmEvidence, RouteEvidence},
+        snapshot::{SnapshotContent, SnapshotReply, SnapshotRequest, open_frame, seal_frame},
+    },
+    resource::ResourceDocument,
+    resume_token::{ResumeKey, ResumeToken},
+};
+use savorywood_testing::{InputMutation, fuzz};
+use serde::{Serialize, Serializer, de::DeserializeOwned, ser::SerializeTuple};
+use std::time::Duration;
+
+/// Inputs for each property where nothing else is asked for.
+const RUNS: u64 = 2_000;
+
+/// Bytes by which a frame's tag is longer than a datagram's.
+const TAG_SURPLUS_BYTES: usize = 16;
+
+const RESOURCES: &str = r#"[
+    {"kind": "tier", "name": "storm", "spec": {"rank": 0}},
+    {"kind": "service", "name": "notes", "spec": {"protocol": "model"}},
+    {"kind": "upstream", "name": "engine-1", "spec": {"address": "127.0.0.1:7501",
+        "service": "notes", "version": "v1", "zone": "zone-a", "seats": 16}}
+]"#;
+
+/// Bytes that are encoded as they are, to seal what no message would be encoded as.
+struct RawBytes<'a>(&'a [u8]);
+
+impl Serialize for RawBytes<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(self.0.len())?;
+        for byte in self.0 {
+            tuple.serialize_element(byte)?;
+        }
+        tuple.end()
+    }
+}
+
+fn host(name: &str) -> HostName {
+    HostName::new(name).unwrap()
+}
+
+fn key() -> DatagramKey {
+    DatagramKey::derive(b"fuzz")
+}
+
+fn sealed_frame(content: &[u8]) -> Vec<u8> {
+    seal_frame(&RawBytes(content), &host("entry-2"), &key()).unwrap()
+}
+
+/// A datagram of a daemon that has the key: its tag is a frame's, cut.
+fn sealed_datagram(content: &[u8]) -> Vec<u8> {
+    let mut bytes = sealed_frame(content);
+    bytes.truncate(bytes.len() - TAG_SURPLUS_BYTES);
+    bytes
+}
+
+fn updates() -> Vec<MemberUpdate> {
+    let place = MemberPlace {
+        peer_address: "10.12.13.14:7000".parse().unwrap(),
+        caller_address: "[2001:db8::1]:8080".parse().unwrap(),
+        zone: "north-1a".parse().unwrap(),
+        region: "north-1".parse().unwrap(),
+    };
+    let update = MemberUpdate {
+        host: host("entry-3"),
+        incarnation: HostIncarnation(1_780_000_000_000),
+        refutation: 3,
+        state: MemberState::Leaving,
+        config_revision: ConfigRevision(70_000),
+        place: None,
+    };
+    let placed = MemberUpdate {
+        place: Some(place),
+        ..update.clone()
+    };
+    vec![update, placed]
+}
+
+fn membership_messages() -> Vec<MembershipMessage> {
+    let newest_revision = ConfigRevision(7);
+    vec![
+        MembershipMessage::Ping {
+            sequence: 9,
+            newest_revision,
+            digest: TableDigest {
+                first: 2,
+                parts: vec![1, 70_000, u32::MAX],
+            },
+            updates: updates(),
+        },
+        MembershipMessage::Ack {
+            sequence: 9,
+            newest_revision,
+            updates: updates(),
+            table: updates(),
+            settled: true,
+        },
+        MembershipMessage::PingRequest {
+            sequence: 9,
+            target: host("entry-4"),
+            updates: updates(),
+        },
+        MembershipMessage::Nack { sequence: 9 },
+        MembershipMessage::News {
+            newest_revision,
+            updates: updates(),
+        },
+    ]
+}
+
+fn credit_messages() -> Vec<CreditMessage> {
+    let demand = |rank| TierDemand {
+        rank: TierRank(rank),
+        seats: 300,
+    };
+    let upstream: UpstreamName = "engine-1".parse().unwrap();
+    vec![
+        CreditMessage::Demand {
+            sequence: 300,
+            upstreams: vec![UpstreamDemand {
+                upstream: upstream.clone(),
+                limit: 16,
+                in_use: 7,
+                tiers: vec![demand(0), demand(1)],
+                shedding: Some(TierRank(1)),
+            }],
+        },
+        CreditMessage::Grant {
+            sequence: 300,
+            answers: 299,
+            term_ms: 1_500,
+            grants: vec![UpstreamGrant {
+                upstream: upstream.clone(),
+                seats: 8,
+                floor: TierRank(2),
+                contended: true,
+            }],
+        },
+        CreditMessage::Survey {
+            upstreams: vec![upstream.clone(), upstream],
+        },
+    ]
+}
+
+fn move_messages() -> Vec<MoveMessage> {
+    let name: MoveName = "notes-to-v2".parse().unwrap();
+    let revision = ConfigRevision(12);
+    let arm = ArmEvidence {
+        finished: 300,
+        failed: 2,
+        timed: 290,
+        log_sum: 2_900.5,
+        log_square: 29_000.25,
+    };
+    let route = RouteEvidence {
+        route: "/v1/completions".to_owned(),
+        old: arm,
+        new: ArmEvidence::default(),
+    };
+    vec![
+        MoveMessage::Stop {
+            name: name.clone(),
+            revision,
+            reason: "errors on /v1/completions".to_owned(),
+            at: WallTime(1_780_000_000_000),
+        },
+        MoveMessage::Evidence {
+            name,
+            revision,
+            sequence: 9,
+            routes: vec![route],
+        },
+    ]
+}
+
+fn datagrams() -> Vec<PeerDatagram> {
+    let in_force = ConfigMessage::InForce {
+        revision: ConfigRevision(12),
+    };
+    let membership = membership_messages().into_iter();
+    let credits = credit_messages().into_iter();
+    let mut messages: Vec<_> = membership.map(PeerMessage::Membership).collect();
+    messages.extend(credits.map(PeerMessage::Credits));
+    messages.push(PeerMessage::Config(in_force));
+    messages.extend(move_messages().into_iter().map(PeerMessage::Moves));
+    let datagram = |message| PeerDatagram {
+        from: host("entry-1"),
+        incarnation: HostIncarnation(1_780_000_000_000),
+        sequence: 7,
+        message,
+    };
+    messages.into_iter().map(datagram).collect()
+}
+
+/// What was decoded can't be larger than what was sent: otherwise a few bytes could make a daemon
+/// hold many.
+fn within_sent<T: Serialize>(decoded: &T, content: &[u8]) -> TestResult {
+    let encoded = postcard::to_stdvec(decoded).unwrap();
+    TestResult::from_bool(encoded.len() <= content.len())
+}
+
+/// A daemon of another version, or one with a fault in its memory, has the key and sends what
+/// this one can't read. Were that a panic, one bad daemon would end all others.
+#[test]
+fn datagrams_of_a_faulty_daemon_do_no_harm() {
+    fn opens(which: usize, mutation: InputMutation) -> TestResult {
+        let datagrams = datagrams();
+        let valid = postcard::to_stdvec(&datagrams[which % datagrams.len()]).unwrap();
+        let content = mutation.apply(&valid);
+        let opened = PeerDatagram::open(&sealed_datagram(&content), &host("entry-2"), &key());
+        match opened {
+            Ok(datagram) => within_sent(&datagram, &content),
+            Err(DatagramError::Undecodable { reason }) => TestResult::from_bool(!reason.is_empty()),
+            Err(error) => TestResult::error(error.to_string()),
+        }
+    }
+    fuzz(1, RUNS, opens as fn(usize, InputMutation) -> TestResult);
+}
+
+/// Somebody without the key changes datagrams on their way. Each changed one must be dropped, and
+/// the sequence number, sender and message of none be believed.
+#[test]
+fn changed_datagrams_are_dropped() {
+    fn is_dropped(which: usize, mutation: InputMutation) -> TestResult {
+        let datagrams = datagrams();
+        let datagram = &datagrams[which % datagrams.len()];
+        let sealed = datagram.seal(&host("entry-2"), &key()).unwrap();
+        let changed = mutation.apply(&sealed);
+        if sealed.len() > MAX_DATAGRAM_BYTES {
+            return TestResult::error("a datagram over the limit was sealed");
+        }
+        if changed == sealed {
+            return TestResult::discard();
+        }
+        let opened = PeerDatagram::open(&changed, &host("entry-2"), &key());
+        TestResult::from_bool(opened.is_err())
+    }
+    fuzz(
+        2,
+        RUNS,
+        is_dropped as fn(usize, InputMutation) -> TestResult,
+    );
+}
+
+fn frame_opens<T: Serialize + DeserializeOwned>(valid: &T, mutation: &InputMutation) -> TestResult {
+    let content = mutation.apply(&postcard::to_stdvec(valid).unwrap());
+    match open_frame::<T>(&sealed_frame(&content), &host("entry-2"), &key()) {
+        Ok(frame) => within_sent(&frame, &content),
+        Err(error) => TestResult::from_bool(!error.to_string().is_empty()),
+    }
+}
+
+/// A peer sends a configuration that can't be read: the daemon must go on with the one that it
+/// has.
+#[test]
+fn snapshot_frames_of_a_faulty_daemon_do_no_harm() {
+    fn opens(asks: bool, mutation: InputMutation) -> TestResult {
+        let nonce = u128::MAX / 3;
+        let request = SnapshotRequest {
+            from: host("entry-1"),
+            nonce,
+        };
+        let content = SnapshotContent {
+            revision: ConfigRevision(70_000),
+            table_revision: 80_000,
+            documents: RESOURCES.to_owned(),
+        };
+        let reply = SnapshotReply {
+            nonce,
+            content: Some(content),
+        };
+        if asks {
+            frame_opens(&request, &mutation)
+        } else {
+            frame_opens(&reply, &mutation)
+        }
+    }
+    fuzz(3, RUNS, opens as fn(bool, InputMutation) -> TestResult);
+}
+
+/// The resources inside a snapshot are text of their own, read after the frame was.
+#[test]
+fn resources_of_a_snapshot_do_no_harm() {
+    fn reads(mutation: InputMutation) -> TestResult {
+        let text = mutation.apply(RESOURCES.as_bytes());
+        match serde_json::from_slice::<Vec<ResourceDocument>>(&text) {
+            Ok(documents) => TestResult::from_bool(documents.len() <= text.len()),
+            Err(error) => {
+                let lines = text.split(|byte| *byte == b'\n').count();
+                TestResult::from_bool(error.line() <= lines)
+            }
+        }
+    }
+    fuzz(4, RUNS, reads as fn(InputMutation) -> TestResult);
+}
+
+/// A caller changes the resume token that it was given, to read another team's stream or one at
+/// another upstream. No changed token may be believed.
+#[test]
+fn changed_resume_tokens_are_refused() {
+    fn is_refused(mutation: InputMutation) -> TestResult {
+        let key = ResumeKey::derive(b"fuzz");
+        let token = ResumeToken {
+            upstream: "engine-1".parse().unwrap(),
+            stream: "01a2395a-bbe6-72f7-b363-71cf401830ec.0".to_owned(),
+            service: "notes".parse().unwrap(),
+            team: "survey".parse().unwrap(),
+            attempt: AttemptNumber(0),
+            issued_at: WallTime(1_780_000_000_000),
+        };
+        let signed = token.sign(&key).unwrap();
+        let changed = mutation.apply(signed.as_bytes());
+        let Ok(changed) = String::from_utf8(changed) else {
+            return TestResult::discard();
+        };
+        let now = token.issued_at;
+        let max_age = Duration::from_secs(60);
+        let verified = ResumeToken::verify(&changed, &key, &token.team, now, max_age);
+        TestResult::from_bool(verified.is_err() || changed == signed)
+    }
+    fuzz(5, RUNS, is_refused as fn(InputMutation) -> TestResult);
+}
