Tell watchers where a move stands

Cause: a move run by hand completed, and `savorywood watch move` showed nothing after its first line: watch sent changes of resources only, and a move goes on for long after its last one. Ruled out: a revision for each state, which would make status a write of operators. Change: watching moves looks each second and sends a line of type status when the state differs from what was told. Conclusion: shown by watching_a_move_tells_where_it_stands.

--- a/crates/savorywood-daemon/src/api/operators/watch.rs
+++ b/crates/savorywood-daemon/src/api/operators/watch.rs
@@ -14,15 +14,18 @@
 use savorywood_protocol::{
     ConfigRevision, RefusalCode, RequestRefusal,
     api::{WatchEvent, WatchKind},
-    resource::ResourceKind,
+    resource::{MoveState, ResourceKind},
 };
 use serde_json::Map;
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 /// An empty line is sent after so long without a change, so that both sides notice a dead
 /// connection.
 const KEEP_ALIVE: Duration = Duration::from_secs(15);
 
+/// How often moves are looked at for a change of their state; an empty line goes with each look.
+const STATUS_PERIOD: Duration = Duration::from_secs(1);
+
 /// Streams changes of one kind after the revision in `from`.
 pub fn follow(shared: &Arc<DaemonShared>, incoming: &IncomingRequest, kind: &str) -> Response {
     let Ok(kind) = kind.parse::<ResourceKind>() else {
@@ -41,6 +44,7 @@
         kind,
         revision: from,
         sender,
+        told: BTreeMap::new(),
     };
     shared.executor.spawn(watcher.run()).detach();
     let mut response = Response::new(StatusCode::Ok);
@@ -85,6 +89,14 @@
     kind: ResourceKind,
     revision: ConfigRevision,
     sender: BodySender,
+    told: BTreeMap<String, MoveStanding>,
+}
+
+/// What a watcher was told of a move.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct MoveStanding {
+    revision: ConfigRevision,
+    state: Option<MoveState>,
 }
 
 impl ResourceWatcher {
@@ -102,8 +114,15 @@
                 }
                 self.revision = change.revision;
             }
+            if self.send_statuses().await.is_none() {
+                return;
+            }
+            let pause = match self.kind {
+                ResourceKind::Move => STATUS_PERIOD,
+                _ => KEEP_ALIVE,
+            };
             let idle = async {
-                Timer::after(KEEP_ALIVE).await;
+                Timer::after(pause).await;
             };
             future::or(changed, idle).await;
             if self.sender.send(b"\n".to_vec()).await.is_err() {
@@ -122,15 +141,53 @@
             self.driver
                 .with_core(|core, _, _| core.with_status(document))
         });
-        let line = WatchEvent {
+        self.write(&WatchEvent {
             revision: change.revision,
             kind: document
                 .as_ref()
                 .map_or(WatchKind::Delete, |_| WatchKind::Put),
             name: change.key.name.clone(),
             document,
-        };
-        let mut bytes = serde_json::to_vec(&line).unwrap_or_default();
+        })
+        .await
+    }
+
+    /// Sends how moves stand where it differs from what was told last. A move goes on for long
+    /// after the last change of its resource: without this, an operator who watches would never
+    /// hear that it was completed or taken back.
+    async fn send_statuses(&mut self) -> Option<()> {
+        if self.kind != ResourceKind::Move {
+            return Some(());
+        }
+        let config = self.driver.config();
+        let moves = config.documents.values();
+        for document in moves.filter(|document| document.spec.kind() == ResourceKind::Move) {
+            let driver = &self.driver;
+            let document = driver.with_core(|core, _, _| core.with_status(document));
+            let standing = MoveStanding {
+                revision: document.revision.unwrap_or_default(),
+                state: document
+                    .status
+                    .as_ref()
+                    .and_then(|status| status.move_state),
+            };
+            let told = self.told.insert(document.name.clone(), standing);
+            if standing.state.is_none() || told == Some(standing) {
+                continue;
+            }
+            self.write(&WatchEvent {
+                revision: standing.revision,
+                kind: WatchKind::Status,
+                name: document.name.clone(),
+                document: Some(document),
+            })
+            .await?;
+        }
+        Some(())
+    }
+
+    async fn write(&self, event: &WatchEvent) -> Option<()> {
+        let mut bytes = serde_json::to_vec(event).unwrap_or_default();
         bytes.push(b'\n');
         self.sender.send(bytes).await.ok()
     }
--- a/crates/savorywood-daemon/tests/whole_path.rs
+++ b/crates/savorywood-daemon/tests/whole_path.rs
@@ -16,7 +16,13 @@
 use savorywood_standin::{PlatformOptions as StandinOptions, PlatformServer};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
-use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::{SocketAddr, TcpStream},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
 
 const TOKEN: &str = "test-team-token";
 
@@ -99,13 +105,13 @@
             daemon: daemon.unwrap().caller_address(),
             _platform: platform,
         };
-        rig.declare(engine);
+        rig.declare_all(&documents(engine));
         rig
     }
 
     /// Puts the resources in force as an operator does; retries while the daemon begins.
-    fn declare(&self, engine: SocketAddr) {
-        for document in documents(engine).as_array().unwrap() {
+    fn declare_all(&self, documents: &Value) {
+        for document in documents.as_array().unwrap() {
             let kind = document["kind"].as_str().unwrap();
             let name = document["name"].as_str().unwrap();
             let target = format!("/v1/resources/{kind}/{name}");
@@ -281,3 +287,26 @@
     assert_eq!(answer.status, 422);
     assert_eq!(problem_of(&answer)["status"], 422);
 }
+
+/// An operator declares a move and watches it. The resource does not change any more, but where
+/// the move stands does; without a line for that the operator would wait for ever.
+#[test]
+fn watching_a_move_tells_where_it_stands() {
+    let rig = TestRig::start(true);
+    let documents = json!([
+        {"kind": "version", "name": "v2", "spec": {"service": "notes"}},
+        {"kind": "move", "name": "to-v2", "spec": {"service": "notes", "from": "v1", "to": "v2",
+            "finish_by": "2099-01-01T00:00:00Z"}},
+    ]);
+    rig.declare_all(&documents);
+    let mut stream = TcpStream::connect(rig.daemon).unwrap();
+    let limit = Some(Duration::from_secs(20));
+    stream.set_read_timeout(limit).unwrap();
+    let head = format!(
+        "GET /v1/watch/move?from=0 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {OPERATOR_TOKEN}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut lines = BufReader::new(stream).lines();
+    let told = lines.find(|line| line.as_ref().unwrap().contains(r#""type":"status""#));
+    assert!(told.unwrap().unwrap().contains(r#""move_state":"planned""#));
+}
--- a/crates/savorywood-protocol/src/api.rs
+++ b/crates/savorywood-protocol/src/api.rs
@@ -36,6 +36,8 @@
     Put,
     /// Deleted.
     Delete,
+    /// The resource is as it was; what the system says of it has changed.
+    Status,
 }
 
 /// One line of `GET /v1/watch/KIND`.
