--- a/crates/savorywood-daemon/src/relay/stream.rs
+++ b/crates/savorywood-daemon/src/relay/stream.rs
@@ -78,3 +78,6 @@
 fn contains(data: &[u8], part: &[u8]) -> bool {
     data.windows(part.len()).any(|window| window == part)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/savorywood-daemon/tests/whole_path.rs
+++ b/crates/savorywood-daemon/tests/whole_path.rs
@@ -16,7 +16,13 @@
 use savorywood_standin::{PlatformOptions as StandinOptions, PlatformServer};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
-use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::{SocketAddr, TcpStream},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
 
 const TOKEN: &str = "test-team-token";
 
@@ -99,13 +105,13 @@
             daemon: daemon.unwrap().caller_address(),
             _platform: platform,
         };
-        rig.declare(engine);
+        rig.declare_all(&documents(engine));
         rig
     }
 
     /// Puts the resources in force as an operator does; retries while the daemon begins.
-    fn declare(&self, engine: SocketAddr) {
-        for document in documents(engine).as_array().unwrap() {
+    fn declare_all(&self, documents: &Value) {
+        for document in documents.as_array().unwrap() {
             let kind = document["kind"].as_str().unwrap();
             let name = document["name"].as_str().unwrap();
             let target = format!("/v1/resources/{kind}/{name}");
@@ -229,6 +235,24 @@
     }
 }
 
+/// A client library asks for one model, and a caller errs in a path. Neither is an operator's
+/// call: told that its token is wrong, a caller would look for the fault in the wrong place.
+#[test]
+fn callers_paths_are_told_apart_from_operators() {
+    let rig = TestRig::start(true);
+    for (path, token, status) in [
+        ("/v1/models/notes", TOKEN, 200),
+        ("/v1/models/nothing", TOKEN, 404),
+        ("/v1/models/notes", "wrong", 401),
+        ("/v1/embeddings", TOKEN, 404),
+        ("/v1/members", TOKEN, 401),
+        ("/v1/members", OPERATOR_TOKEN, 200),
+    ] {
+        let call = CallRequest::new(rig.daemon, Method::Get, path).with_token(token);
+        assert_eq!(rig.call(call).unwrap().status, status, "{path} {token}");
+    }
+}
+
 /// An operator creates a resource and reads it back at the same daemon as soon as the change is
 /// accepted. Told of the change before it was in force, the operator would find nothing, or the
 /// old content, and create it again.
@@ -250,3 +274,39 @@
         assert_eq!(rig.call(get).unwrap().status, 200, "change {number}");
     }
 }
+
+/// A client reads the status from the body of a problem. It must be that of the head.
+#[test]
+fn status_is_the_same_in_head_and_body() {
+    let rig = TestRig::start(true);
+    let tier = r#"{"kind": "tier", "name": "late", "spec": {"rank": 0}}"#;
+    let put = CallRequest::new(rig.daemon, Method::Put, "/v1/resources/tier/late")
+        .with_token(OPERATOR_TOKEN)
+        .with_body(tier.as_bytes().to_vec());
+    let answer = rig.call(put).unwrap();
+    assert_eq!(answer.status, 422);
+    assert_eq!(problem_of(&answer)["status"], 422);
+}
+
+/// An operator declares a move and watches it. The resource does not change any more, but where
+/// the move stands does; without a line for that the operator would wait for ever.
+#[test]
+fn watching_a_move_tells_where_it_stands() {
+    let rig = TestRig::start(true);
+    let documents = json!([
+        {"kind": "version", "name": "v2", "spec": {"service": "notes"}},
+        {"kind": "move", "name": "to-v2", "spec": {"service": "notes", "from": "v1", "to": "v2",
+            "finish_by": "2099-01-01T00:00:00Z"}},
+    ]);
+    rig.declare_all(&documents);
+    let mut stream = TcpStream::connect(rig.daemon).unwrap();
+    let limit = Some(Duration::from_secs(20));
+    stream.set_read_timeout(limit).unwrap();
+    let head = format!(
+        "GET /v1/watch/move?from=0 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {OPERATOR_TOKEN}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut lines = BufReader::new(stream).lines();
+    let told = lines.find(|line| line.as_ref().unwrap().contains(r#""type":"status""#));
+    assert!(told.unwrap().unwrap().contains(r#""move_state":"planned""#));
+}
