Shed an arrival below the floor in its order

Cause: an arrival made the scheduler shed what waits below its service's floor before the arrival itself was looked at. When the arrival was of the lowest tier, what waited in a higher one was shed first.

Ruled out: the floor itself, which was the same for both.

Change: an arrival below the floor is queued, and the floor then sheds from the lowest tier up.

Conclusion: mended in admission.

--- a/crates/savorywood-core/src/scheduler/admission.rs
+++ b/crates/savorywood-core/src/scheduler/admission.rs
@@ -46,8 +46,16 @@
         self.counters.tier(request.rank).arrived += 1;
         self.retries.earn();
         let name = request.service.clone();
-        self.enforce_floor(now, &name, view, effects);
         let waiting = self.appraise(now, request, attempt, view);
+        // Below the floor it takes its place in the order of shedding. Refused last, it would be a
+        // lower tier that still waits while a higher one is shed.
+        let floor = view.floors.get(&name);
+        let is_below = floor.is_some_and(|floor| waiting.request.rank > *floor);
+        if is_below && self.services.contains_key(&name) {
+            self.enqueue(waiting);
+            return self.enforce_floor(now, &name, view, effects);
+        }
+        self.enforce_floor(now, &name, view, effects);
         if let Err(refusal) = self.admit(now, &waiting, view, effects) {
             self.shed(now, &waiting, refusal, effects);
             return;
