Leave nothing to the old version once a move is completed; burn no objective by callers' mistakes

Refusals for mistakes of callers counted as missed deadlines. Ruled out: the split's meter (within one request), the own-zone rule (same zone). Change: with all traffic moved the old version is not allowed; prefixes held by a version whose turn it is not are not waited for. Refusals that the caller brought about are not measured. Figures: completed_move_leaves_nothing_to_the_old_version failed before (the request waited for the old holder), passes after; callers_mistakes_burn_no_objective failed with the distinction off. Conclusion: done means done.

--- a/crates/savorywood-core/src/daemon.rs
+++ b/crates/savorywood-core/src/daemon.rs
@@ -197,10 +197,16 @@
         }
     }
 
-    /// A refused request missed its deadline, whichever duty refused it.
+    /// A refused request missed its deadline, whichever duty refused it, unless its caller is to
+    /// blame: a key that was used before would otherwise burn the service's objective.
     fn measure_refusals(&mut self, now: CoreTime, effects: &[DaemonEffect]) {
         for effect in effects {
-            if let DaemonEffect::Refuse { request, .. } = effect {
+            let DaemonEffect::Refuse { request, refusal } = effect else {
+                continue;
+            };
+            if refusal.code.is_caller_fault() {
+                self.objectives.forget(*request);
+            } else {
                 self.objectives
                     .refused(now.monotonic, *request, &mut self.burn);
             }
--- a/crates/savorywood-core/src/scheduler/routing.rs
+++ b/crates/savorywood-core/src/scheduler/routing.rs
@@ -74,6 +74,9 @@
     wanted: WantedVersion<'a>,
 }
 
+/// Share of all traffic, in thousandths.
+const ALL_TRAFFIC: u16 = 1_000;
+
 /// Versions that may get a request.
 #[derive(Debug, Clone, Copy)]
 enum WantedVersion<'a> {
@@ -92,6 +95,11 @@
             Self::Any => Ok(None),
             Self::Only(only) if only == version => Ok(None),
             Self::Side(split, SplitSide::New) if *version == split.new => Ok(Some(SplitSide::New)),
+            // A completed move leaves nothing to the old version. Without this rule a prompt whose
+            // prefix the old one still cached went there for as long as the move was declared.
+            Self::Side(split, _) if *version == split.old && split.new_per_mille >= ALL_TRAFFIC => {
+                Err(PickFailure::OtherVersion)
+            }
             // The new version may be full while its turn is: the old one then helps out, and the
             // share is made up for later. Never the other way round: the share is a bound.
             Self::Side(split, _) if *version == split.old => Ok(Some(SplitSide::Old)),
@@ -188,11 +196,18 @@
     ) -> PickContext<'a> {
         let objectives = objectives_of(name, view);
         let hashes = &waiting.request.prompt.prefix_hashes;
-        let matches = if self.options.has(SchedulerMechanism::Affinity) {
+        let wanted = self.wanted_version(name, service, waiting, view);
+        let mut matches = if self.options.has(SchedulerMechanism::Affinity) {
             self.prefixes.find(now, hashes)
         } else {
             Vec::new()
         };
+        // A prefix held by the other version is of no use: nobody waits for it.
+        matches.retain(|found| {
+            let state = self.fleet.get(found.upstream);
+            let side = state.map(|state| wanted.allows(&state.version));
+            matches!(side, Some(Ok(side)) if wanted.prefers(side))
+        });
         PickContext {
             now,
             view,
@@ -203,7 +218,7 @@
             matches,
             check_silence: self.options.has(SchedulerMechanism::Ejection)
                 && service.members.len() > 1,
-            wanted: self.wanted_version(name, service, waiting, view),
+            wanted,
         }
     }
 
--- a/crates/savorywood-core/tests/scheduler_rules/limits.rs
+++ b/crates/savorywood-core/tests/scheduler_rules/limits.rs
@@ -167,3 +167,40 @@
     bench.finish(&order);
     assert_eq!(bench.scheduler.counters().prefill.cache_miss, wasted);
 }
+
+/// A move is completed, but the old version still runs and has a caller's long prompt cached. The
+/// operators were told that all traffic is on the new version; the caller must not get answers of
+/// the old one, and must not wait for it either.
+#[test]
+fn completed_move_leaves_nothing_to_the_old_version() {
+    let mut bench = SchedulerBench::new(1, 4);
+    let request = BenchRequest {
+        prompt_tokens: 4_000,
+        prefix_hashes: (1..=60).collect(),
+        ..BenchRequest::default()
+    };
+    bench.send(&request);
+    let first = bench.dispatches().pop().unwrap();
+    bench.finish(&first);
+    bench.add_upstream("n0", 4, "v2");
+    bench.splits.insert(
+        bench.service(),
+        VersionSplit {
+            move_name: "to-v2".parse().unwrap(),
+            old: "v1".parse().unwrap(),
+            new: "v2".parse().unwrap(),
+            new_per_mille: 1_000,
+        },
+    );
+    bench.step(SchedulerEvent::ViewChanged);
+    for _ in 0..20 {
+        let before = bench.dispatches().len();
+        bench.send(&request);
+        let orders = bench.dispatches();
+        assert_eq!(orders.len(), before + 1, "the request waits");
+        let order = orders.last().unwrap().clone();
+        assert_eq!(order.upstream.as_str(), "n0");
+        bench.finish(&order);
+        bench.pass(Duration::from_millis(500));
+    }
+}
--- a/crates/savorywood-daemon/tests/whole_path.rs
+++ b/crates/savorywood-daemon/tests/whole_path.rs
@@ -310,3 +310,27 @@
     let told = lines.find(|line| line.as_ref().unwrap().contains(r#""type":"status""#));
     assert!(told.unwrap().unwrap().contains(r#""move_state":"planned""#));
 }
+
+/// A caller errs again and again: it calls a service that does not exist, or sends what is no
+/// request. The report on burn must not page an operator for that.
+#[test]
+fn callers_mistakes_burn_no_objective() {
+    let rig = TestRig::start(true);
+    rig.chat("hello").unwrap();
+    let body = json!({"kind": "service", "name": "shop", "spec": {"protocol": "plain"}});
+    let put = CallRequest::new(rig.daemon, Method::Put, "/v1/resources/service/shop")
+        .with_token(OPERATOR_TOKEN)
+        .with_body(body.to_string().into_bytes());
+    assert_eq!(rig.call(put).unwrap().status, 200);
+    let call = CallRequest::new(rig.daemon, Method::Post, "/services/shop/charges")
+        .with_token(TOKEN)
+        .with_header("idempotency-key", "no-uuid");
+    assert_eq!(rig.call(call).unwrap().status, 400);
+    let burn = CallRequest::new(rig.daemon, Method::Get, "/v1/burn").with_token(OPERATOR_TOKEN);
+    let burn: Value = serde_json::from_slice(&rig.call(burn).unwrap().body).unwrap();
+    let samples = burn["samples"].as_array().unwrap();
+    assert!(!samples.is_empty());
+    for sample in samples {
+        assert_eq!(sample["good"], sample["total"], "{sample}");
+    }
+}
--- a/crates/savorywood-protocol/src/outcome.rs
+++ b/crates/savorywood-protocol/src/outcome.rs
@@ -95,6 +95,34 @@
 }
 
 impl RefusalCode {
+    /// Whether the caller brought it about: then it says nothing of the service.
+    #[must_use]
+    pub fn is_caller_fault(self) -> bool {
+        match self {
+            Self::BadRequest
+            | Self::Unauthorized
+            | Self::Forbidden
+            | Self::NotFound
+            | Self::TooLarge
+            | Self::TooSlow
+            | Self::KeyRequired
+            | Self::KeyExpired
+            | Self::KeyUsed
+            | Self::CallerLeft
+            | Self::BadResumeToken
+            | Self::RevisionConflict => true,
+            Self::Overloaded
+            | Self::DeadlineExceeded
+            | Self::TierShed
+            | Self::NoUpstream
+            | Self::NotReady
+            | Self::ConfigStale
+            | Self::StoreUnavailable
+            | Self::UpstreamFailed
+            | Self::Internal => false,
+        }
+    }
+
     /// HTTP status that carries this code.
     #[must_use]
     pub fn http_status(self) -> u16 {
