--- a/crates/savorywood-daemon/src/relay/attempt.rs
+++ b/crates/savorywood-daemon/src/relay/attempt.rs
@@ -9,7 +9,7 @@
 use futures_lite::future;
 use http_types::{Body, Method, Request, Response, Url};
 use savorywood_core::{
-    AnswerReport, BreakCause, DaemonEvent, DispatchOrder, KeptAnswer, UpstreamEvent,
+    AnswerReport, BreakCause, DaemonEvent, DispatchOrder, InvariantName, KeptAnswer, UpstreamEvent,
 };
 use savorywood_http::{
     BodySender, CallRequest, SendError, UpstreamAnswer, body::BodyPair, body_channel,
@@ -143,11 +143,29 @@
         let mut observer = AnswerObserver::new(&self.task.call, status, &answer);
         let relayed = self.relay_body(&mut answer, &sender, &mut observer).await;
         match relayed {
-            Ok(()) => self.finish(sender, observer, status).await,
+            Ok(()) if self.is_whole(&answer) => self.finish(sender, observer, status).await,
+            Ok(()) => AttemptEnd::Broken(BreakCause::Truncated),
             Err(cause) => AttemptEnd::Broken(cause),
         }
     }
 
+    /// The last look before a body is ended cleanly: the caller would take a part for the whole.
+    /// Reading fails before it comes to this; the look does not depend on that.
+    fn is_whole(&self, answer: &UpstreamAnswer) -> bool {
+        let whole = answer.body.is_whole();
+        if !whole {
+            let metrics = &self.task.shared.driver.metrics;
+            metrics.count_breach(InvariantName::WholeOwnAnswer);
+            log::error!(
+                "event=invariant-breach name={} detail=\"request={} upstream={}\"",
+                InvariantName::WholeOwnAnswer,
+                self.task.request,
+                self.order.upstream
+            );
+        }
+        whole
+    }
+
     async fn relay_body(
         &self,
         answer: &mut UpstreamAnswer,
