--- a/crates/savorywood-daemon/src/api/model.rs
+++ b/crates/savorywood-daemon/src/api/model.rs
@@ -1,9 +1,9 @@
 //! Model services by the OpenAI-compatible protocol.
 
-use super::requests;
+use super::requests::{self, PreparedCall};
 use crate::{
     daemon::DaemonShared,
-    relay::{OutgoingCall, OutgoingHeader, RequestTask},
+    relay::{OutgoingCall, OutgoingHeader},
 };
 use http_types::Response;
 use savorywood_core::{PromptShape, RequestArrival};
@@ -106,31 +106,19 @@
 }
 
 /// Completes a chat or a prompt.
-pub async fn complete(shared: &Arc<DaemonShared>, mut incoming: IncomingRequest) -> Response {
+pub async fn complete(shared: &Arc<DaemonShared>, incoming: IncomingRequest) -> Response {
     if incoming.request.method() != http_types::Method::Post {
         let refusal = RequestRefusal::not_run(RefusalCode::BadRequest, "use POST");
         return requests::refuse(&refusal);
     }
-    let body = match incoming.read_body().await {
-        Ok(body) => body,
-        Err(fault) => return requests::refuse(&requests::body_refusal(&fault)),
-    };
-    match prepare(shared, &incoming, body) {
-        Ok(prepared) => RequestTask::serve(shared, prepared.arrival, prepared.call).await,
-        Err(refusal) => requests::refuse(&refusal),
-    }
-}
-
-struct PreparedRequest {
-    arrival: RequestArrival,
-    call: OutgoingCall,
+    requests::read_and_serve(shared, incoming, prepare).await
 }
 
 fn prepare(
     shared: &DaemonShared,
     incoming: &IncomingRequest,
     body: Vec<u8>,
-) -> Result<PreparedRequest, RequestRefusal> {
+) -> Result<PreparedCall, RequestRefusal> {
     let parsed: CompletionBody = serde_json::from_slice(&body).map_err(|error| {
         let detail = format!("the body is not a completion request: {error}");
         RequestRefusal::not_run(RefusalCode::BadRequest, detail)
@@ -157,7 +145,7 @@
         idempotent: true,
         team: requests::team(shared, incoming),
     };
-    Ok(PreparedRequest { arrival, call })
+    Ok(PreparedCall { arrival, call })
 }
 
 /// Headers that engines understand; the bearer token is the daemon's matter and is not passed on.
--- a/crates/savorywood-daemon/src/api/plain.rs
+++ b/crates/savorywood-daemon/src/api/plain.rs
@@ -1,9 +1,9 @@
 //! Plain services: calls that are passed through.
 
-use super::requests;
+use super::requests::{self, PreparedCall};
 use crate::{
     daemon::DaemonShared,
-    relay::{OutgoingCall, OutgoingHeader, RequestTask},
+    relay::{OutgoingCall, OutgoingHeader},
 };
 use http_types::Response;
 use savorywood_core::{PromptShape, RequestArrival};
@@ -18,20 +18,8 @@
 const BYTES_PER_UNIT: usize = 1_024;
 
 /// Passes a call through.
-pub async fn call(shared: &Arc<DaemonShared>, mut incoming: IncomingRequest) -> Response {
-    let body = match incoming.read_body().await {
-        Ok(body) => body,
-        Err(fault) => return requests::refuse(&requests::body_refusal(&fault)),
-    };
-    match prepare(shared, &incoming, body) {
-        Ok(prepared) => RequestTask::serve(shared, prepared.arrival, prepared.call).await,
-        Err(refusal) => requests::refuse(&refusal),
-    }
-}
-
-struct PreparedCall {
-    arrival: RequestArrival,
-    call: OutgoingCall,
+pub async fn call(shared: &Arc<DaemonShared>, incoming: IncomingRequest) -> Response {
+    requests::read_and_serve(shared, incoming, prepare).await
 }
 
 fn prepare(
--- a/crates/savorywood-daemon/src/api/requests.rs
+++ b/crates/savorywood-daemon/src/api/requests.rs
@@ -1,12 +1,16 @@
 //! What model calls and plain calls have in common on their way in.
 
-use crate::{daemon::DaemonShared, problem};
+use crate::{
+    daemon::DaemonShared,
+    problem,
+    relay::{OutgoingCall, RequestTask},
+};
 use http_types::Response;
-use savorywood_core::TokenDigest;
+use savorywood_core::{RequestArrival, TokenDigest};
 use savorywood_http::{BodyFault, IncomingRequest};
 use savorywood_protocol::{RefusalCode, RequestId, RequestRefusal, TeamName};
 use sha2::{Digest, Sha256};
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 /// Header that names the tier a caller asks for.
 pub const TIER_HEADER: &str = "x-savorywood-tier";
@@ -17,6 +21,34 @@
 /// Longest value of `Idempotency-Key`.
 const MAX_KEY_BYTES: usize = 128;
 
+/// A request that is ready for the core, and what is sent when the core says so.
+pub struct PreparedCall {
+    /// For the core.
+    pub arrival: RequestArrival,
+    /// For the upstream.
+    pub call: OutgoingCall,
+}
+
+/// Reads a request's body, prepares the call and carries it out.
+pub async fn read_and_serve(
+    shared: &Arc<DaemonShared>,
+    mut incoming: IncomingRequest,
+    prepare: impl FnOnce(
+        &DaemonShared,
+        &IncomingRequest,
+        Vec<u8>,
+    ) -> Result<PreparedCall, RequestRefusal>,
+) -> Response {
+    let body = match incoming.read_body().await {
+        Ok(body) => body,
+        Err(fault) => return refuse(&body_refusal(&fault)),
+    };
+    match prepare(shared, &incoming, body) {
+        Ok(prepared) => RequestTask::serve(shared, prepared.arrival, prepared.call).await,
+        Err(refusal) => refuse(&refusal),
+    }
+}
+
 /// A new request's identity: its time makes it sort and age like a log line.
 pub fn new_request_id() -> RequestId {
     RequestId(uuid::Uuid::now_v7().as_u128())
