Log each request's end with its identity, at debug level

Cause: request ids were in answers, and in logs only when something broke. Change: event=request-finished and event=request-refused, one line each, off by default. Conclusion: a caller's x-request-id finds its lines.

--- a/crates/savorywood-daemon/src/relay/task.rs
+++ b/crates/savorywood-daemon/src/relay/task.rs
@@ -16,7 +16,7 @@
     AttemptNumber, MonotonicTime, OutcomeKind, RefusalCode, RequestId, RequestRefusal, TeamName,
     resource::ServiceProtocol,
 };
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 /// What is sent to whichever upstream the core picks.
 #[derive(Debug, Clone)]
@@ -124,6 +124,12 @@
         while let Ok(command) = self.commands.recv().await {
             match command {
                 RequestCommand::Refuse(refusal) => {
+                    log::debug!(
+                        "event=request-refused request={} code={} outcome={}",
+                        self.request,
+                        refusal.code,
+                        refusal.outcome
+                    );
                     self.reply(problem::problem(&refusal, Some(self.request)));
                     break;
                 }
@@ -176,6 +182,14 @@
                 NextStep::AwaitCommand
             }
             AttemptEnd::Finished(report) => {
+                log::debug!(
+                    "event=request-finished request={request} upstream={} attempt={number} \
+                     status={} output_tokens={} elapsed_ms={}",
+                    order.upstream,
+                    report.status,
+                    report.output_tokens,
+                    self.elapsed().as_millis()
+                );
                 let event = UpstreamEvent::Finished {
                     request,
                     attempt: number,
@@ -213,6 +227,11 @@
         self.reply(problem::problem(&refusal, Some(self.request)));
     }
 
+    fn elapsed(&self) -> Duration {
+        let now = self.shared.driver.clock().now().monotonic;
+        now.since(self.arrived_at)
+    }
+
     async fn wait_for_cancel(&self, attempt: AttemptNumber) {
         loop {
             match self.commands.recv().await {
