--- a/crates/savorywood-core/src/scheduler/routing.rs
+++ b/crates/savorywood-core/src/scheduler/routing.rs
@@ -124,7 +124,7 @@
         let prompt = self.waiting.request.prompt.tokens;
         let cached = prompt - picked.uncached;
         let missed = picked.cached_elsewhere.saturating_sub(cached);
-        let large = missed >= prompt / 4;
+        let large = missed > 0 && missed >= prompt / 4;
         if large && self.now < self.waiting.patient_until {
             return Err(PickFailure::HeldElsewhere);
         }
--- a/crates/savorywood-core/tests/scheduler_rules/limits.rs
+++ b/crates/savorywood-core/tests/scheduler_rules/limits.rs
@@ -204,3 +204,22 @@
         bench.pass(Duration::from_millis(500));
     }
 }
+
+/// A plain call counts as a unit or two of work and has no prefix that anybody could hold. An idle
+/// daemon must send it on at once; its caller saw each call take a tenth of a second.
+#[test]
+fn smallest_request_is_sent_at_once() {
+    for prompt_tokens in 1..=4 {
+        let mut bench = SchedulerBench::new(2, 4);
+        for sent in 1..=5 {
+            bench.send(&BenchRequest {
+                prompt_tokens,
+                ..BenchRequest::default()
+            });
+            let orders = bench.dispatches();
+            assert_eq!(orders.len(), sent, "{prompt_tokens} tokens");
+            bench.finish(&orders[sent - 1]);
+            bench.pass(Duration::from_millis(500));
+        }
+    }
+}
