--- a/crates/savorywood-core/examples/core_slopes.rs
+++ b/crates/savorywood-core/examples/core_slopes.rs
@@ -204,7 +204,9 @@
 
     /// One request from arrival to the end of its answer.
     fn request(&mut self, number: u32, case: SlopeCase) {
-        for order in self.arrive(number, case) {
+        let orders = self.arrive(number, case);
+        assert_eq!(orders.len(), 1, "a request at rest is sent at once");
+        for order in orders {
             let request = order.request;
             let attempt = order.attempt;
             self.now = self.now.after(FIRST_TOKEN);
