--- /dev/null
+++ b/crates/savorywood-front/src/admin.rs
@@ -0,0 +1,136 @@
+//! Small servers beside the callers': directory, readiness and metrics.
+
+use crate::{
+    attempt::prepare,
+    clock::within,
+    shared::FrontShared,
+    sink::AnswerSink,
+    wire::{ByteReader, HeaderLine, RequestHead},
+};
+use async_net::{TcpListener, TcpStream};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+/// Longest time that a connection may be idle.
+const IDLE_TIME: Duration = Duration::from_secs(20);
+/// Largest head.
+const MAX_HEAD: usize = 16_384;
+/// Addresses in one answer of the directory.
+const MOST_ADDRESSES: usize = 64;
+/// Time for which callers keep addresses: short, so that a daemon that leaves or can't serve
+/// loses its callers soon.
+const KEEP_ADDRESSES: Duration = Duration::from_secs(1);
+
+/// An answer of these servers.
+struct AdminAnswer {
+    status: u16,
+    reason: &'static str,
+    kind: &'static str,
+    body: Vec<u8>,
+}
+
+impl AdminAnswer {
+    fn plain(status: u16, reason: &'static str) -> Self {
+        Self {
+            status,
+            reason,
+            kind: "text/plain; charset=utf-8",
+            body: Vec::new(),
+        }
+    }
+}
+
+/// Listens at an address and answers what directory, readiness and metrics are asked.
+///
+/// # Errors
+///
+/// When the address can't be had.
+pub async fn listen(shared: &Rc<FrontShared>, address: SocketAddr) -> io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    let server = Rc::clone(shared);
+    shared.spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let task = serve(Rc::clone(&server), stream);
+                    server.spawn(task);
+                }
+                Err(error) => {
+                    log::warn!("event=accept-failed error={error:?}");
+                    async_io::Timer::after(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn serve(shared: Rc<FrontShared>, stream: TcpStream) {
+    prepare(&stream);
+    let mut reader = ByteReader::new(stream);
+    while let Some(Some(head)) = within(IDLE_TIME, read_head(&mut reader)).await {
+        let answer = answer(&shared, &head);
+        let mut sink = AnswerSink::new(reader.stream().clone(), head.closes);
+        let lines = [HeaderLine::new("Content-Type", answer.kind)];
+        let written = sink.write_whole(answer.status, answer.reason, &lines, &answer.body);
+        if written.await.is_err() || head.closes {
+            return;
+        }
+    }
+}
+
+async fn read_head(reader: &mut ByteReader) -> Option<RequestHead> {
+    loop {
+        if let Some(end) = reader.head_end() {
+            return RequestHead::parse(&reader.take(end)).ok();
+        }
+        if reader.bytes().len() > MAX_HEAD || !matches!(reader.fill().await, Ok(1..)) {
+            return None;
+        }
+    }
+}
+
+fn answer(shared: &FrontShared, head: &RequestHead) -> AdminAnswer {
+    let now = shared.clock.now();
+    let gateway = shared.gateway.borrow();
+    if shared.dialect.asks_readiness(head) {
+        return if gateway.is_ready(now) {
+            AdminAnswer::plain(200, "OK")
+        } else {
+            AdminAnswer::plain(503, "Service Unavailable")
+        };
+    }
+    if let Some(query) = shared.dialect.directory_query(head) {
+        let addresses = gateway.addresses(now, query.zone.as_deref(), MOST_ADDRESSES);
+        if addresses.is_empty() {
+            return AdminAnswer::plain(503, "Service Unavailable");
+        }
+        return AdminAnswer {
+            status: 200,
+            reason: "OK",
+            kind: "application/json",
+            body: shared.dialect.directory_answer(&addresses, KEEP_ADDRESSES),
+        };
+    }
+    if head.path() == "/metrics" {
+        let view = gateway.view(now);
+        let metrics = &shared.metrics;
+        metrics.waiting.set(count(gateway.waiting_requests()));
+        metrics.running.set(count(gateway.running_requests()));
+        metrics.proof_age.set(view.proof_age.as_secs_f64());
+        metrics.config_version.set(count(view.version));
+        metrics.peers.set(count(gateway.peers().alive(now).count()));
+        metrics.ready.set(i64::from(view.ready));
+        metrics.connections.set(count(shared.connections.get()));
+        return AdminAnswer {
+            status: 200,
+            reason: "OK",
+            kind: "text/plain; version=0.0.4",
+            body: metrics.text(shared.log.omitted()),
+        };
+    }
+    AdminAnswer::plain(404, "Not Found")
+}
+
+fn count(number: impl TryInto<i64>) -> i64 {
+    number.try_into().unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/savorywood-front/src/attempt.rs
@@ -0,0 +1,391 @@
+//! One attempt at an upstream: connect, send, read the answer, pass it on.
+
+mod events;
+
+use crate::{
+    clock::within,
+    edge::{AnswerFacts, DispatchFacts},
+    shared::FrontShared,
+    sink::AnswerSink,
+    wire::{
+        AnswerHead, BodyDecoder, BodyFraming, ByteReader, HeaderLine, RequestHead, read_answer_head,
+        read_body,
+    },
+};
+use async_net::TcpStream;
+use events::{EventBuffer, StreamEvent};
+use futures_lite::{AsyncWriteExt, future};
+use savorywood_gateway::{AttemptOutcome, DispatchOrder, GatewayEvent, StreamEnd};
+use std::{cell::Cell, io, pin::pin, time::Duration};
+
+/// Longest time to connect: an opening packet that was lost comes again after a second only.
+const CONNECT_TIME: Duration = Duration::from_millis(350);
+/// Answers of earlier requests that are skipped before a connection is given up.
+const MAX_STRAY_ANSWERS: usize = 2;
+/// Largest plain answer.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Time after which the kernel gives up on bytes that nobody acknowledges.
+const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(4);
+
+/// A failure that the upstream gave, kept while another one is tried.
+#[derive(Debug)]
+pub struct KeptFailure {
+    /// Status.
+    pub status: u16,
+    /// Text beside it.
+    pub reason: String,
+    /// Header lines that pass.
+    pub lines: Vec<HeaderLine>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// What an attempt works with.
+pub struct UpstreamAttempt<'a> {
+    /// The daemon.
+    pub shared: &'a FrontShared,
+    /// What is wanted.
+    pub order: &'a DispatchOrder,
+    /// Head of the caller's request.
+    pub head: &'a RequestHead,
+    /// Its body.
+    pub body: &'a [u8],
+    /// Where the answer goes.
+    pub sink: &'a mut AnswerSink,
+    /// Gets the upstream's failure.
+    pub kept: &'a mut Option<KeptFailure>,
+}
+
+/// Why the answer could not be had.
+enum ReadFailure {
+    Silent,
+    Broken,
+}
+
+impl UpstreamAttempt<'_> {
+    /// Makes the attempt, until the request is given up.
+    pub async fn run(mut self) -> AttemptOutcome {
+        let clock = self.shared.clock;
+        let give_up_at = self.order.give_up_at;
+        let expired = async {
+            clock.sleep_until(give_up_at).await;
+            AttemptOutcome::Expired
+        };
+        future::or(self.attempt(), expired).await
+    }
+
+    async fn attempt(&mut self) -> AttemptOutcome {
+        let once = !self.order.idempotent;
+        let pooled = self.shared.pool.take(&self.order.upstream, once).await;
+        let mut reader = match pooled {
+            Some(reader) => reader,
+            None => match self.connect().await {
+                Some(reader) => reader,
+                None => return AttemptOutcome::NotSent,
+            },
+        };
+        let bytes = self.request_bytes();
+        let mut writer = reader.stream().clone();
+        let first = match writer.write(&bytes).await {
+            Ok(count) if count > 0 => count,
+            // The connection had ended before a byte of the request was taken.
+            Ok(_) | Err(_) => return AttemptOutcome::NotSent,
+        };
+        let written = Cell::new(first == bytes.len());
+        let write_rest = async {
+            if !written.get() && writer.write_all(&bytes[first..]).await.is_ok() {
+                written.set(true);
+            }
+            future::pending::<AttemptOutcome>().await
+        };
+        // Upstreams may answer before they have read a long body: both go on side by side.
+        let answer = self.read_answer(&mut reader);
+        let (outcome, reusable) = {
+            let answer = pin!(answer);
+            let never = async { (write_rest.await, None) };
+            future::or(answer, never).await
+        };
+        // Where the rest of a body is still due, any other byte would be taken for it.
+        if let Some(head) = reusable
+            && written.get()
+            && !head.closes
+        {
+            self.shared.pool.put(&self.order.upstream, reader, head.keep_alive);
+        }
+        outcome
+    }
+
+    async fn connect(&self) -> Option<ByteReader> {
+        let began = self.shared.clock.now();
+        let connecting = TcpStream::connect(self.order.address);
+        let stream = within(CONNECT_TIME, connecting).await?.ok()?;
+        let elapsed = self.shared.clock.now().since(began);
+        self.shared.metrics.connecting.observe(elapsed.as_secs_f64());
+        prepare(&stream);
+        Some(ByteReader::new(stream))
+    }
+
+    fn request_bytes(&self) -> Vec<u8> {
+        let left = self.order.give_up_at.since(self.shared.clock.now());
+        let facts = DispatchFacts {
+            upstream: &self.order.upstream,
+            team: self.order.team.as_ref(),
+            left,
+            last_event: self.sink.last_event(),
+        };
+        let lines = self.shared.dialect.upstream_headers(self.head, &facts);
+        let mut text = format!("{} {} HTTP/1.1\r\n", self.head.method, self.head.target);
+        for line in &lines {
+            text.push_str(&line.name);
+            text.push_str(": ");
+            text.push_str(&line.value);
+            text.push_str("\r\n");
+        }
+        if self.head.framing != BodyFraming::Empty {
+            text.push_str(&format!("Content-Length: {}\r\n", self.body.len()));
+        }
+        text.push_str("\r\n");
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(self.body);
+        bytes
+    }
+
+    /// Reads the answer; with the head of one that left the connection usable.
+    async fn read_answer(&mut self, reader: &mut ByteReader) -> (AttemptOutcome, Option<AnswerHead>) {
+        let (head, facts) = match self.read_own_head(reader).await {
+            Ok(read) => read,
+            Err(failure) => return (broken(&failure), None),
+        };
+        if facts.not_run || facts.misdirected {
+            let body = read_body(reader, head.framing, MAX_ANSWER_BYTES).await;
+            let outcome = AttemptOutcome::NotRun {
+                misdirected: facts.misdirected,
+                marks: facts.marks,
+            };
+            return (outcome, body.ok().map(|_| head));
+        }
+        let success = (200..300).contains(&head.status);
+        // A coded body is not the upstream's own: nobody asked for a coding.
+        let coded = head.headers.get("content-encoding").is_some();
+        if coded || (success && !facts.sealed) {
+            return (AttemptOutcome::Broken { silent: false }, None);
+        }
+        if success && self.order.stream && is_event_stream(&head) {
+            return self.relay_stream(reader, head, &facts).await;
+        }
+        if self.sink.has_begun() {
+            // A stream is read on only by another stream.
+            return (self.stream_broken(false), None);
+        }
+        self.relay_whole(reader, head, &facts).await
+    }
+
+    /// Head of the answer to this request: answers to earlier ones may come late, in the place
+    /// where this one is due.
+    async fn read_own_head(
+        &self,
+        reader: &mut ByteReader,
+    ) -> Result<(AnswerHead, AnswerFacts), ReadFailure> {
+        let mut strays = 0;
+        loop {
+            let head = self.read_in_time(read_answer_head(reader), self.order.first_silence).await?;
+            if head.status < 200 {
+                continue;
+            }
+            let facts = self.shared.dialect.answer_facts(&head);
+            let own = self.shared.dialect.arrival(self.head);
+            let own = own.map(|arrival| arrival.identity).unwrap_or_default();
+            match &facts.identity {
+                Some(identity) if *identity != own => {
+                    strays += 1;
+                    let framed = head.framing != BodyFraming::UntilClose;
+                    if strays > MAX_STRAY_ANSWERS || !framed {
+                        return Err(ReadFailure::Broken);
+                    }
+                    let skipped = read_body(reader, head.framing, MAX_ANSWER_BYTES).await;
+                    skipped.map_err(|_| ReadFailure::Broken)?;
+                }
+                Some(_) => return Ok((head, facts)),
+                None if facts.not_run || facts.misdirected => return Ok((head, facts)),
+                None => return Err(ReadFailure::Broken),
+            }
+        }
+    }
+
+    async fn read_in_time<T>(
+        &self,
+        read: impl Future<Output = io::Result<T>>,
+        silence: Option<Duration>,
+    ) -> Result<T, ReadFailure> {
+        let read = match silence {
+            Some(silence) => within(silence, read).await.ok_or(ReadFailure::Silent)?,
+            None => read.await,
+        };
+        read.map_err(|_| ReadFailure::Broken)
+    }
+
+    /// A plain answer reaches the caller only once it is whole.
+    async fn relay_whole(
+        &mut self,
+        reader: &mut ByteReader,
+        head: AnswerHead,
+        facts: &AnswerFacts,
+    ) -> (AttemptOutcome, Option<AnswerHead>) {
+        let framing = if self.head.method == "HEAD" {
+            BodyFraming::Empty
+        } else {
+            head.framing
+        };
+        let Ok(body) = read_body(reader, framing, MAX_ANSWER_BYTES).await else {
+            return (AttemptOutcome::Broken { silent: false }, None);
+        };
+        let lines = self.passing_lines(&head);
+        if head.status >= 500 || matches!(head.status, 408 | 421 | 429) {
+            *self.kept = Some(KeptFailure {
+                status: head.status,
+                reason: head.reason.clone(),
+                lines,
+                body,
+            });
+            let outcome = AttemptOutcome::Failed { marks: facts.marks };
+            return (outcome, Some(head));
+        }
+        let written = self.sink.write_whole(head.status, &head.reason, &lines, &body).await;
+        if written.is_err() {
+            return (AttemptOutcome::CallerLeft, Some(head));
+        }
+        let outcome = AttemptOutcome::Delivered {
+            marks: facts.marks,
+            events: 0,
+        };
+        (outcome, Some(head))
+    }
+
+    async fn relay_stream(
+        &mut self,
+        reader: &mut ByteReader,
+        head: AnswerHead,
+        facts: &AnswerFacts,
+    ) -> (AttemptOutcome, Option<AnswerHead>) {
+        let mut decoder = BodyDecoder::new(head.framing);
+        let mut buffer = EventBuffer::default();
+        let mut began = false;
+        loop {
+            if decoder.decode(reader, buffer.space()).is_err() {
+                return (self.stream_broken(false), None);
+            }
+            match self.pass_events(&mut buffer, &head).await {
+                Ok(passed) => {
+                    if passed && !began {
+                        began = true;
+                        self.report_begun(facts);
+                    }
+                }
+                Err(_) => return (AttemptOutcome::CallerLeft, None),
+            }
+            if decoder.is_done() {
+                break;
+            }
+            let silence = if began {
+                self.order.gap_silence
+            } else {
+                self.order.first_silence
+            };
+            match self.read_in_time(reader.fill(), silence).await {
+                Ok(0) if decoder.ended().is_ok() && buffer.is_empty() => break,
+                Ok(0) | Err(ReadFailure::Broken) => return (self.stream_broken(false), None),
+                Ok(_) => {}
+                Err(ReadFailure::Silent) => return (self.stream_broken(true), None),
+            }
+        }
+        if !buffer.is_empty() || !self.sink.has_begun() {
+            return (self.stream_broken(false), None);
+        }
+        if self.sink.end_stream().await.is_err() {
+            return (AttemptOutcome::CallerLeft, None);
+        }
+        let outcome = AttemptOutcome::Delivered {
+            marks: facts.marks,
+            events: self.sink.events(),
+        };
+        (outcome, Some(head))
+    }
+
+    /// Passes on the whole events of the buffer; says whether there were any.
+    async fn pass_events(&mut self, buffer: &mut EventBuffer, head: &AnswerHead) -> io::Result<bool> {
+        let mut bytes = Vec::new();
+        while let Some(event) = buffer.take_event() {
+            if self.is_repeated(&event) {
+                continue;
+            }
+            bytes.extend_from_slice(&event.bytes);
+            self.sink.note_event(event.identity);
+        }
+        if bytes.is_empty() {
+            return Ok(false);
+        }
+        if self.sink.has_begun() {
+            self.sink.write_events(&bytes).await?;
+        } else {
+            let lines = self.passing_lines(head);
+            self.sink
+                .begin_stream(head.status, &head.reason, &lines, &bytes)
+                .await?;
+        }
+        Ok(true)
+    }
+
+    /// An upstream that reads a stream on may begin with an event that the caller has.
+    fn is_repeated(&self, event: &StreamEvent) -> bool {
+        let known = self.sink.last_event().and_then(|id| id.parse::<u64>().ok());
+        let new = event.identity.as_ref().and_then(|id| id.parse::<u64>().ok());
+        matches!((known, new), (Some(known), Some(new)) if new <= known)
+    }
+
+    fn report_begun(&self, facts: &AnswerFacts) {
+        self.shared.step(GatewayEvent::AnswerBegan {
+            request: self.order.request,
+            marks: facts.marks,
+        });
+    }
+
+    fn stream_broken(&self, silent: bool) -> AttemptOutcome {
+        if self.sink.has_begun() {
+            AttemptOutcome::StreamBroken(StreamEnd {
+                events: self.sink.events(),
+                silent,
+            })
+        } else {
+            AttemptOutcome::Broken { silent }
+        }
+    }
+
+    fn passing_lines(&self, head: &AnswerHead) -> Vec<HeaderLine> {
+        let lines = head.headers.iter();
+        let passing = lines.filter(|line| self.shared.dialect.passes_answer_header(&line.name));
+        passing.cloned().collect()
+    }
+}
+
+fn broken(failure: &ReadFailure) -> AttemptOutcome {
+    AttemptOutcome::Broken {
+        silent: matches!(failure, ReadFailure::Silent),
+    }
+}
+
+fn is_event_stream(head: &AnswerHead) -> bool {
+    let kind = head.headers.get("content-type").unwrap_or_default();
+    kind.starts_with("text/event-stream")
+}
+
+/// Sets what each connection needs: small writes leave at once, and a peer that vanished without
+/// a word is noticed by the kernel.
+pub fn prepare(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let set = socket
+        .set_tcp_nodelay(true)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME)));
+    if let Err(error) = set {
+        log::debug!("event=socket-option-failed error={error:?}");
+    }
+}
--- /dev/null
+++ b/crates/savorywood-front/src/caller.rs
@@ -0,0 +1,417 @@
+//! One caller's connection: heads in, answers out.
+
+use crate::{
+    attempt::{KeptFailure, UpstreamAttempt, prepare},
+    clock::within,
+    shared::{FrontShared, RequestDecision},
+    sink::AnswerSink,
+    wire::{BodyFault, BodyFraming, ByteReader, HeadFault, HeaderLine, RequestHead, read_body},
+};
+use async_channel::Receiver;
+use async_net::TcpStream;
+use futures_lite::{AsyncWriteExt, future};
+use savorywood_gateway::{
+    AttemptOutcome, CallerLimits, DispatchOrder, GatewayEvent, LocalRequest, RefusalReason,
+};
+use savorywood_protocol::MonotonicTime;
+use std::{net::Shutdown, rc::Rc, time::Duration};
+
+/// Interim answer that lets a caller send its body.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// Time for which bytes of a refused request are still read: closing a connection with unread
+/// bytes resets it, and the reset can overtake the refusal.
+const LINGER_TIME: Duration = Duration::from_millis(300);
+/// Bytes of a next request that are read while one is answered.
+const MAX_AHEAD: usize = 65_536;
+/// Longest time for a body.
+const BODY_TIME: Duration = Duration::from_secs(20);
+/// Time beyond the limit for which idle connections are kept: a request may be on its way.
+const IDLE_MARGIN: Duration = Duration::from_secs(2);
+
+/// What becomes of the connection after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NextStep {
+    KeepAlive,
+    Close,
+    /// Close so that the answer can't look whole.
+    Abort,
+}
+
+/// A request read whole.
+struct WholeRequest {
+    head: RequestHead,
+    body: Vec<u8>,
+}
+
+enum RequestRead {
+    Request(Box<WholeRequest>),
+    Closed,
+    Fault(u16, &'static str),
+}
+
+/// Keeps a request open; dropped, the request counts as left by its caller.
+struct OpenRequest<'a> {
+    shared: &'a FrontShared,
+    request: LocalRequest,
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.shared.close_request(self.request);
+    }
+}
+
+/// Counts a connection or a request while it lives.
+struct CountGuard<'a>(&'a std::cell::Cell<usize>);
+
+impl<'a> CountGuard<'a> {
+    fn new(cell: &'a std::cell::Cell<usize>) -> Self {
+        cell.set(cell.get() + 1);
+        Self(cell)
+    }
+}
+
+impl Drop for CountGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Serves one connection until one side closes it.
+pub async fn serve(shared: Rc<FrontShared>, stream: TcpStream) {
+    prepare(&stream);
+    let _open = CountGuard::new(&shared.connections);
+    let mut reader = ByteReader::new(stream);
+    loop {
+        match read_request(&shared, &mut reader).await {
+            RequestRead::Request(request) => {
+                let _busy = CountGuard::new(&shared.busy);
+                match answer(&shared, &mut reader, &request).await {
+                    NextStep::KeepAlive => {}
+                    NextStep::Close => return linger(reader).await,
+                    NextStep::Abort => return,
+                }
+            }
+            RequestRead::Closed => return,
+            RequestRead::Fault(status, reason) => {
+                let _busy = CountGuard::new(&shared.busy);
+                let mut sink = AnswerSink::new(reader.stream().clone(), true);
+                log::info!("event=request-malformed status={status} reason={reason:?}");
+                let written = sink.write_whole(status, status_text(status), &[], &[]).await;
+                if written.is_ok() {
+                    linger(reader).await;
+                }
+                return;
+            }
+        }
+    }
+}
+
+async fn linger(mut reader: ByteReader) {
+    if reader.stream().shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let read_on = async {
+        while matches!(reader.fill().await, Ok(1..)) {
+            let count = reader.bytes().len();
+            reader.consume(count);
+        }
+    };
+    within(LINGER_TIME, read_on).await;
+}
+
+fn limits(shared: &FrontShared) -> CallerLimits {
+    let gateway = shared.gateway.borrow();
+    gateway.config().map(|config| config.limits).unwrap_or_default()
+}
+
+async fn read_request(shared: &FrontShared, reader: &mut ByteReader) -> RequestRead {
+    let limits = limits(shared);
+    skip_empty_lines(reader);
+    if reader.bytes().is_empty() {
+        let first = within(limits.idle_time + IDLE_MARGIN, reader.fill()).await;
+        if !matches!(first, Some(Ok(1..))) {
+            return RequestRead::Closed;
+        }
+    }
+    let head = match within(limits.header_time, read_head(reader, &limits)).await {
+        Some(Ok(Some(head))) => head,
+        Some(Ok(None)) => return RequestRead::Closed,
+        Some(Err(HeadFault::TooLarge)) => return RequestRead::Fault(431, "head too large"),
+        Some(Err(HeadFault::Malformed { reason })) => return RequestRead::Fault(400, reason),
+        None => return RequestRead::Fault(408, "the head did not come in time"),
+    };
+    if matches!(head.framing, BodyFraming::Length(length) if length > limits.body_bytes as u64) {
+        return RequestRead::Fault(413, "body too large");
+    }
+    if head.expects_continue {
+        let mut stream = reader.stream().clone();
+        if stream.write_all(CONTINUE).await.is_err() {
+            return RequestRead::Closed;
+        }
+    }
+    let body = read_body(reader, head.framing, limits.body_bytes);
+    match within(BODY_TIME, body).await {
+        Some(Ok(body)) => RequestRead::Request(Box::new(WholeRequest { head, body })),
+        Some(Err(BodyFault::TooLarge)) => RequestRead::Fault(413, "body too large"),
+        Some(Err(BodyFault::BadChunk)) => RequestRead::Fault(400, "the chunks can't be read"),
+        Some(Err(BodyFault::CutOff | BodyFault::Broken { .. })) => RequestRead::Closed,
+        None => RequestRead::Fault(408, "the body did not come in time"),
+    }
+}
+
+fn skip_empty_lines(reader: &mut ByteReader) {
+    while reader.bytes().starts_with(b"\r\n") {
+        reader.consume(2);
+    }
+}
+
+async fn read_head(
+    reader: &mut ByteReader,
+    limits: &CallerLimits,
+) -> Result<Option<RequestHead>, HeadFault> {
+    loop {
+        skip_empty_lines(reader);
+        if let Some(end) = reader.head_end() {
+            if end > limits.header_bytes {
+                return Err(HeadFault::TooLarge);
+            }
+            return RequestHead::parse(&reader.take(end)).map(Some);
+        }
+        if reader.bytes().len() > limits.header_bytes {
+            return Err(HeadFault::TooLarge);
+        }
+        if !matches!(reader.fill().await, Ok(1..)) {
+            return Ok(None);
+        }
+    }
+}
+
+/// Waits until the caller has gone. What it sends meanwhile is the next request.
+async fn caller_gone(reader: &mut ByteReader) {
+    loop {
+        if reader.bytes().len() > MAX_AHEAD {
+            return future::pending().await;
+        }
+        if !matches!(reader.fill().await, Ok(1..)) {
+            return;
+        }
+    }
+}
+
+async fn answer(
+    shared: &FrontShared,
+    reader: &mut ByteReader,
+    request: &WholeRequest,
+) -> NextStep {
+    shared.metrics.arrived.inc();
+    let closes = request.head.closes || shared.stopping.get();
+    let mut sink = AnswerSink::new(reader.stream().clone(), closes);
+    let arrival = match shared.dialect.arrival(&request.head) {
+        Ok(arrival) => arrival,
+        Err(fault) => {
+            log::info!("event=request-malformed status=400 reason={:?}", fault.reason);
+            let lines = shared.dialect.own_headers(&request.head);
+            let written = sink.write_whole(400, status_text(400), &lines, &[]).await;
+            return after(written.is_ok(), &sink);
+        }
+    };
+    let arrived_at = shared.clock.now();
+    let (id, decisions) = shared.open_request();
+    let open = OpenRequest {
+        shared,
+        request: id,
+    };
+    shared.step(GatewayEvent::Arrived {
+        request: id,
+        arrival: Box::new(arrival),
+    });
+    let exchange = CallerExchange {
+        shared,
+        request,
+        arrived_at,
+        id,
+    };
+    let next = exchange.decide(reader, &mut sink, &decisions).await;
+    drop(open);
+    next
+}
+
+fn after(written: bool, sink: &AnswerSink) -> NextStep {
+    match (written, sink.closes) {
+        (false, _) => NextStep::Abort,
+        (true, true) => NextStep::Close,
+        (true, false) => NextStep::KeepAlive,
+    }
+}
+
+/// One request between its arrival and its final answer.
+struct CallerExchange<'a> {
+    shared: &'a FrontShared,
+    request: &'a WholeRequest,
+    arrived_at: MonotonicTime,
+    id: LocalRequest,
+}
+
+impl CallerExchange<'_> {
+    async fn decide(
+        &self,
+        reader: &mut ByteReader,
+        sink: &mut AnswerSink,
+        decisions: &Receiver<RequestDecision>,
+    ) -> NextStep {
+        let mut kept = None;
+        loop {
+            let decision = async { decisions.recv().await.ok() };
+            let gone = async {
+                caller_gone(reader).await;
+                None
+            };
+            let Some(decision) = future::or(decision, gone).await else {
+                self.count_end("caller-left");
+                return NextStep::Abort;
+            };
+            sink.closes |= self.shared.stopping.get();
+            match decision {
+                RequestDecision::Dispatch(order) => {
+                    let outcome = self.attempt(reader, sink, &mut kept, &order).await;
+                    let end = self.after_attempt(&outcome, sink);
+                    self.report(outcome);
+                    if let Some(next) = end {
+                        return next;
+                    }
+                }
+                RequestDecision::Refuse {
+                    reason,
+                    retry_after,
+                } => {
+                    self.count_end(reason.into());
+                    let written = self.refuse(sink, reason, retry_after).await;
+                    return after(written, sink);
+                }
+                RequestDecision::PassFailure => {
+                    self.count_end("failure-passed");
+                    let written = self.pass_failure(sink, kept).await;
+                    return after(written, sink);
+                }
+                RequestDecision::BreakOff => {
+                    self.count_end("broken-off");
+                    return NextStep::Abort;
+                }
+            }
+        }
+    }
+
+    async fn attempt(
+        &self,
+        reader: &mut ByteReader,
+        sink: &mut AnswerSink,
+        kept: &mut Option<KeptFailure>,
+        order: &DispatchOrder,
+    ) -> AttemptOutcome {
+        let attempt = UpstreamAttempt {
+            shared: self.shared,
+            order,
+            head: &self.request.head,
+            body: &self.request.body,
+            sink,
+            kept,
+        };
+        let gone = async {
+            caller_gone(reader).await;
+            AttemptOutcome::CallerLeft
+        };
+        future::or(attempt.run(), gone).await
+    }
+
+    /// The connection's next step, when the outcome ends the request.
+    fn after_attempt(&self, outcome: &AttemptOutcome, sink: &AnswerSink) -> Option<NextStep> {
+        match outcome {
+            AttemptOutcome::Delivered { .. } => {
+                self.count_end("served");
+                let elapsed = self.shared.clock.now().since(self.arrived_at);
+                let kind = if sink.events() > 0 { "stream" } else { "plain" };
+                let metric = self.shared.metrics.first_byte.with_label_values(&[kind]);
+                metric.observe(elapsed.as_secs_f64());
+                Some(after(true, sink))
+            }
+            AttemptOutcome::CallerLeft => {
+                self.count_end("caller-left");
+                Some(NextStep::Abort)
+            }
+            _ => None,
+        }
+    }
+
+    fn report(&self, outcome: AttemptOutcome) {
+        self.shared.step(GatewayEvent::AttemptEnded {
+            request: self.id,
+            outcome,
+        });
+    }
+
+    fn count_end(&self, end: &str) {
+        self.shared.metrics.ended.with_label_values(&[end]).inc();
+    }
+
+    async fn refuse(
+        &self,
+        sink: &mut AnswerSink,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+    ) -> bool {
+        let status = refusal_status(reason);
+        let mut lines = self.shared.dialect.own_headers(&self.request.head);
+        if let Some(after) = retry_after {
+            let seconds = format!("{:.2}", after.as_secs_f64());
+            lines.push(HeaderLine::new("Retry-After", seconds));
+        }
+        lines.push(HeaderLine::new("Content-Type", "application/json"));
+        let body = format!("{{\"error\":\"{reason}\"}}");
+        let written = sink.write_whole(status, status_text(status), &lines, body.as_bytes());
+        written.await.is_ok()
+    }
+
+    /// Gives the caller the upstream's failure, unless its status would promise that the request
+    /// has not run.
+    async fn pass_failure(&self, sink: &mut AnswerSink, kept: Option<KeptFailure>) -> bool {
+        let kept = kept.filter(|kept| !matches!(kept.status, 408 | 421 | 429 | 503));
+        let Some(kept) = kept else {
+            return self.refuse(sink, RefusalReason::BrokenAnswer, None).await;
+        };
+        let written = sink.write_whole(kept.status, &kept.reason, &kept.lines, &kept.body);
+        written.await.is_ok()
+    }
+}
+
+fn refusal_status(reason: RefusalReason) -> u16 {
+    match reason {
+        RefusalReason::NotReady
+        | RefusalReason::NoUpstream
+        | RefusalReason::Overloaded
+        | RefusalReason::NotRun
+        | RefusalReason::ExpiredUnsent => 503,
+        RefusalReason::NoRoute => 404,
+        RefusalReason::UnknownKey => 401,
+        RefusalReason::OverLimit => 429,
+        RefusalReason::ExpiredUnknown => 504,
+        RefusalReason::BrokenAnswer => 502,
+    }
+}
+
+fn status_text(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Unknown",
+    }
+}
--- /dev/null
+++ b/crates/savorywood-front/src/edge.rs
@@ -0,0 +1,179 @@
+//! Where the platform's way of speaking comes in: names, formats and calls, no decisions.
+
+use crate::wire::{AnswerHead, HeaderLine, RequestHead, StoreCall};
+use savorywood_gateway::{
+    AnswerMarks, DeclaredConfig, RequestArrival, RolloutOrder, RolloutStatus, RolloutWrite,
+    TeamLabel, UpstreamEntry, UpstreamLabel,
+};
+use snafu::Snafu;
+use std::{net::SocketAddr, time::Duration};
+use strum::Display;
+
+/// Tables of the store that a front daemon reads or writes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum StoreTable {
+    /// What operators declare.
+    Declared,
+    /// Registrations of upstreams.
+    Upstreams,
+    /// Where daemons find each other.
+    Members,
+    /// States of roll-outs.
+    Status,
+}
+
+/// One row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreRow {
+    /// Key.
+    pub key: String,
+    /// Value; `None` when the row was removed.
+    pub value: Option<Vec<u8>>,
+    /// Version of the row.
+    pub version: u64,
+}
+
+/// An answer about rows.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StorePage {
+    /// Rows in order.
+    pub rows: Vec<StoreRow>,
+    /// There are more.
+    pub truncated: bool,
+    /// Newest version in the store.
+    pub revision: u64,
+    /// Steady clock of the store in microseconds.
+    pub store_micros: Option<u64>,
+}
+
+/// A row to be written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TableWrite {
+    /// Table.
+    pub table: StoreTable,
+    /// Key.
+    pub key: String,
+    /// Value; `None` removes the row.
+    pub value: Option<Vec<u8>>,
+    /// Version that the row must have; zero: it must not exist. `None`: any.
+    pub expected: Option<u64>,
+}
+
+/// The status row of a roll-out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutRow {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Vec<u8>,
+}
+
+/// What a declared row says.
+#[derive(Debug, Clone)]
+pub enum DeclaredNews {
+    /// A configuration.
+    Config(Box<DeclaredConfig>),
+    /// A roll-out.
+    Rollout(RolloutOrder),
+    /// Nothing that this daemon knows.
+    Unknown,
+}
+
+/// Why a request can't be taken.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("{reason}"))]
+pub struct ArrivalFault {
+    /// What is wrong.
+    pub reason: &'static str,
+}
+
+/// What an upstream is told beside the caller's own head.
+#[derive(Debug, Clone, Copy)]
+pub struct DispatchFacts<'a> {
+    /// Incarnation that is meant.
+    pub upstream: &'a UpstreamLabel,
+    /// Team of the caller's key.
+    pub team: Option<&'a TeamLabel>,
+    /// Time that is left.
+    pub left: Duration,
+    /// Last event that the caller has, for a stream that is read on.
+    pub last_event: Option<&'a str>,
+}
+
+/// What an answer's head says.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AnswerFacts {
+    /// Identity of the request that it answers.
+    pub identity: Option<String>,
+    /// The upstream says that it did not run the request.
+    pub not_run: bool,
+    /// Another incarnation has that address.
+    pub misdirected: bool,
+    /// It bears the mark of the upstream's own answers.
+    pub sealed: bool,
+    /// Load and the like.
+    pub marks: AnswerMarks,
+}
+
+/// A caller's question which addresses to use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DirectoryQuery {
+    /// Zone of the caller.
+    pub zone: Option<String>,
+}
+
+/// The platform's way of speaking.
+pub trait FrontDialect {
+    /// What a request asks.
+    ///
+    /// # Errors
+    ///
+    /// When the head lacks what every request must have.
+    fn arrival(&self, head: &RequestHead) -> Result<RequestArrival, ArrivalFault>;
+
+    /// Header lines for the upstream, those of the caller that pass included.
+    fn upstream_headers(&self, head: &RequestHead, facts: &DispatchFacts<'_>) -> Vec<HeaderLine>;
+
+    /// What an answer's head says.
+    fn answer_facts(&self, head: &AnswerHead) -> AnswerFacts;
+
+    /// A header of an upstream's answer reaches the caller.
+    fn passes_answer_header(&self, name: &str) -> bool;
+
+    /// Header lines of answers that the daemon gives itself.
+    fn own_headers(&self, head: &RequestHead) -> Vec<HeaderLine>;
+
+    /// The question in a call to the directory.
+    fn directory_query(&self, head: &RequestHead) -> Option<DirectoryQuery>;
+
+    /// The answer to it.
+    fn directory_answer(&self, addresses: &[SocketAddr], keep: Duration) -> Vec<u8>;
+
+    /// The call asks whether the daemon is ready.
+    fn asks_readiness(&self, head: &RequestHead) -> bool;
+
+    /// Reads rows of a table, those after a key.
+    fn read_rows(&self, table: StoreTable, after: Option<&str>) -> StoreCall;
+
+    /// Waits for rows of a table that changed after a version.
+    fn feed_rows(&self, table: StoreTable, after: u64, wait: Duration) -> StoreCall;
+
+    /// Writes a row.
+    fn write_row(&self, write: &TableWrite) -> StoreCall;
+
+    /// Reads an answer about rows; `None` when it can't be read.
+    fn page(&self, body: &[u8]) -> Option<StorePage>;
+
+    /// Reads a declared row.
+    fn declared(&self, row: &StoreRow) -> DeclaredNews;
+
+    /// Reads a registration; `None` when it names no upstream to use.
+    fn upstream(&self, row: &StoreRow) -> Option<UpstreamEntry>;
+
+    /// Reads a status row.
+    fn rollout_status(&self, row: &StoreRow) -> Option<RolloutStatus>;
+
+    /// Writes a status row.
+    fn rollout_row(&self, write: &RolloutWrite) -> RolloutRow;
+}
--- /dev/null
+++ b/crates/savorywood-front/src/feeds.rs
@@ -0,0 +1,332 @@
+//! What lies in the store reaches the decisions: a full read, then a feed, then a full read again
+//! after any gap.
+
+use crate::{
+    clock::BootClock,
+    edge::{DeclaredNews, StorePage, StoreRow, StoreTable, TableWrite},
+    shared::FrontShared,
+    store::{StoreAnswer, StoreFault, StoreLink},
+};
+use async_channel::Receiver;
+use async_io::Timer;
+use savorywood_gateway::{FreshnessClock, GatewayEvent, RolloutWrite, UpstreamEntry, UpstreamLabel};
+use savorywood_protocol::MonotonicTime;
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+/// Wait of one feed call. The age of the newest proof is about this at most.
+const FEED_WAIT: Duration = Duration::from_millis(900);
+/// Time beyond the wait within which the answer must come: a connection that fell silent must
+/// not hide a drain or a revoked key.
+const FEED_MARGIN: Duration = Duration::from_millis(700);
+/// Time for any other call.
+const CALL_TIME: Duration = Duration::from_millis(1_500);
+/// First pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+/// Longest pause after failed calls.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+/// Pause between two answers of a feed that told of changes: changes gather meanwhile.
+const CHANGE_PAUSE: Duration = Duration::from_millis(60);
+/// The feed alone may miss a change: the whole table is read again so often.
+const REREAD_TIME: Duration = Duration::from_secs(5);
+/// Members are read so often.
+const MEMBERS_TIME: Duration = Duration::from_secs(8);
+/// Status rows are read so often while a roll-out is under way.
+const STATUS_TIME: Duration = Duration::from_millis(1_000);
+
+/// Reads one table for as long as the process lives.
+pub struct TableReader {
+    shared: Rc<FrontShared>,
+    table: StoreTable,
+    link: StoreLink,
+    freshness: FreshnessClock,
+    revision: Option<u64>,
+    read_at: MonotonicTime,
+    pause: Duration,
+    reachable: bool,
+}
+
+impl TableReader {
+    /// A reader that begins with a full read.
+    pub fn new(shared: Rc<FrontShared>, table: StoreTable) -> Self {
+        let link = StoreLink::new(shared.settings.store.address);
+        Self {
+            shared,
+            table,
+            link,
+            freshness: FreshnessClock::default(),
+            revision: None,
+            read_at: MonotonicTime::default(),
+            pause: FIRST_PAUSE,
+            reachable: true,
+        }
+    }
+
+    /// Reads on and on.
+    pub async fn run(mut self) {
+        loop {
+            let due = BootClock.now().since(self.read_at) >= REREAD_TIME;
+            let result = match self.revision {
+                Some(after) if !due => self.follow(after).await,
+                _ => self.read_all().await,
+            };
+            match result {
+                Ok(()) => {
+                    self.pause = FIRST_PAUSE;
+                    self.note_reachable(true, "");
+                }
+                Err(cause) => self.rest(&cause).await,
+            }
+        }
+    }
+
+    async fn rest(&mut self, cause: &str) {
+        self.note_reachable(false, cause);
+        self.shared.step(GatewayEvent::StoreFailed);
+        let jitter = 0.5 + fastrand::f64();
+        Timer::after(self.pause.mul_f64(jitter)).await;
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+    }
+
+    fn note_reachable(&mut self, reachable: bool, cause: &str) {
+        if self.reachable == reachable {
+            return;
+        }
+        self.reachable = reachable;
+        let table = self.table;
+        if reachable {
+            log::info!("event=store-regained table={table}");
+        } else {
+            log::warn!("event=store-lost table={table} cause={cause:?}");
+        }
+    }
+
+    async fn read_all(&mut self) -> Result<(), String> {
+        let mut rows = Vec::new();
+        let mut first: Option<(StorePage, StoreAnswer)> = None;
+        let mut after: Option<String> = None;
+        loop {
+            let call = self.shared.dialect.read_rows(self.table, after.as_deref());
+            let answer = self.link.call(&call, CALL_TIME).await;
+            let answer = self.accept(answer)?;
+            let mut page = self.page(&answer)?;
+            rows.append(&mut page.rows);
+            after = rows.last().map(|row: &StoreRow| row.key.clone());
+            let truncated = page.truncated;
+            first.get_or_insert((page, answer));
+            if !truncated || after.is_none() {
+                break;
+            }
+        }
+        let Some((page, answer)) = first else {
+            return Err("no page was read".to_owned());
+        };
+        self.read_at = BootClock.now();
+        self.revision = Some(page.revision);
+        self.apply_all(&rows);
+        self.confirm(&page, &answer);
+        Ok(())
+    }
+
+    async fn follow(&mut self, after: u64) -> Result<(), String> {
+        let call = self.shared.dialect.feed_rows(self.table, after, FEED_WAIT);
+        let answer = self.link.call(&call, FEED_WAIT + FEED_MARGIN).await;
+        if matches!(&answer, Ok(answer) if answer.status == 410) {
+            log::info!("event=feed-gap table={} after={after}", self.table);
+            self.revision = None;
+            return Ok(());
+        }
+        let answer = self.accept(answer).inspect_err(|_| self.revision = None)?;
+        let page = self.page(&answer)?;
+        for row in &page.rows {
+            self.apply(row);
+        }
+        self.revision = Some(page.revision.max(after));
+        self.confirm(&page, &answer);
+        if !page.rows.is_empty() && self.table == StoreTable::Upstreams {
+            Timer::after(CHANGE_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    fn accept(&self, answer: Result<StoreAnswer, StoreFault>) -> Result<StoreAnswer, String> {
+        let outcome = match &answer {
+            Ok(answer) if answer.status == 200 => "ok",
+            Ok(_) => "refused",
+            Err(_) => "failed",
+        };
+        let calls = &self.shared.metrics.store_calls;
+        calls.with_label_values(&[outcome]).inc();
+        match answer {
+            Ok(answer) if answer.status == 200 => Ok(answer),
+            Ok(answer) => Err(format!("status {}", answer.status)),
+            Err(fault) => Err(fault.to_string()),
+        }
+    }
+
+    fn page(&self, answer: &StoreAnswer) -> Result<StorePage, String> {
+        let page = self.shared.dialect.page(&answer.body);
+        page.ok_or_else(|| "an answer that can't be read".to_owned())
+    }
+
+    /// Only the table with keys and routes proves that these are up to date.
+    fn confirm(&mut self, page: &StorePage, answer: &StoreAnswer) {
+        let at = self.freshness.proof(answer.exchange(page.store_micros));
+        if self.table == StoreTable::Declared {
+            self.shared.step(GatewayEvent::Confirmed { at });
+        }
+    }
+
+    fn apply_all(&self, rows: &[StoreRow]) {
+        match self.table {
+            StoreTable::Upstreams => {
+                let read = |row| self.shared.dialect.upstream(row);
+                let entries: Vec<UpstreamEntry> = rows.iter().filter_map(read).collect();
+                self.shared.step(GatewayEvent::UpstreamsRead(entries));
+            }
+            StoreTable::Declared | StoreTable::Members | StoreTable::Status => {
+                for row in rows {
+                    self.apply(row);
+                }
+            }
+        }
+    }
+
+    fn apply(&self, row: &StoreRow) {
+        match self.table {
+            StoreTable::Declared => self.apply_declared(row),
+            StoreTable::Upstreams => {
+                let event = match self.shared.dialect.upstream(row) {
+                    Some(entry) => GatewayEvent::UpstreamWritten(entry),
+                    None => GatewayEvent::UpstreamRemoved(UpstreamLabel::from(row.key.as_str())),
+                };
+                self.shared.step(event);
+            }
+            StoreTable::Members | StoreTable::Status => {}
+        }
+    }
+
+    fn apply_declared(&self, row: &StoreRow) {
+        match self.shared.dialect.declared(row) {
+            DeclaredNews::Config(config) => {
+                self.shared.step(GatewayEvent::ConfigRead(Arc::from(config)));
+            }
+            DeclaredNews::Rollout(order) => {
+                self.shared.step(GatewayEvent::RolloutOrdered(order));
+            }
+            DeclaredNews::Unknown => {
+                if row.value.is_some() {
+                    log::warn!("event=row-unreadable table={} key={:?}", self.table, row.key);
+                }
+            }
+        }
+    }
+}
+
+/// Keeps the list of members in the store and reads it.
+pub async fn keep_members(shared: Rc<FrontShared>, peers: Rc<crate::peers::PeerBook>) {
+    let mut link = StoreLink::new(shared.settings.store.address);
+    let mut registered = false;
+    loop {
+        if !registered {
+            let write = TableWrite {
+                table: StoreTable::Members,
+                key: shared.settings.host.clone(),
+                value: Some(shared.settings.listen.peers.to_string().into_bytes()),
+                expected: None,
+            };
+            let call = shared.dialect.write_row(&write);
+            let answer = link.call(&call, CALL_TIME).await;
+            registered = matches!(&answer, Ok(answer) if answer.status == 200);
+            if let Err(fault) = answer {
+                log::warn!("event=member-unregistered cause={:?}", fault.to_string());
+            }
+        }
+        let call = shared.dialect.read_rows(StoreTable::Members, None);
+        let answer = link.call(&call, CALL_TIME).await;
+        let page = answer.ok().filter(|answer| answer.status == 200);
+        let page = page.and_then(|answer| shared.dialect.page(&answer.body));
+        let read = page.is_some();
+        for row in page.into_iter().flat_map(|page| page.rows) {
+            let text = row.value.and_then(|value| String::from_utf8(value).ok());
+            if let Some(Ok(address)) = text.map(|text| text.parse()) {
+                peers.learn(address);
+            }
+        }
+        let pause = if read && registered {
+            MEMBERS_TIME
+        } else {
+            LONGEST_PAUSE
+        };
+        Timer::after(pause.mul_f64(0.8 + fastrand::f64() * 0.4)).await;
+    }
+}
+
+/// Takes this daemon out of the list of members.
+pub async fn leave_members(shared: &FrontShared) {
+    let mut link = StoreLink::new(shared.settings.store.address);
+    let write = TableWrite {
+        table: StoreTable::Members,
+        key: shared.settings.host.clone(),
+        value: None,
+        expected: None,
+    };
+    let call = shared.dialect.write_row(&write);
+    if let Err(fault) = link.call(&call, CALL_TIME).await {
+        log::warn!("event=member-unremoved cause={:?}", fault.to_string());
+    }
+}
+
+/// Writes states of roll-outs, and reads what others wrote while one is under way.
+pub async fn keep_rollouts(shared: Rc<FrontShared>, writes: Receiver<RolloutWrite>) {
+    let mut link = StoreLink::new(shared.settings.store.address);
+    loop {
+        let next = async { writes.recv().await.ok() };
+        let pause = async {
+            Timer::after(STATUS_TIME).await;
+            None
+        };
+        if let Some(write) = futures_lite::future::or(next, pause).await {
+            write_status(&shared, &mut link, write).await;
+        }
+        if shared.gateway.borrow().follows_rollouts() {
+            read_statuses(&shared, &mut link).await;
+        }
+    }
+}
+
+async fn write_status(shared: &FrontShared, link: &mut StoreLink, write: RolloutWrite) {
+    let row = shared.dialect.rollout_row(&write);
+    let table_write = TableWrite {
+        table: StoreTable::Status,
+        key: row.key,
+        value: Some(row.value),
+        expected: Some(write.expected),
+    };
+    let call = shared.dialect.write_row(&table_write);
+    let answer = link.call(&call, CALL_TIME).await;
+    let accepted = matches!(&answer, Ok(answer) if answer.status == 200);
+    log::info!(
+        "event=rollout-status-written service={} state={} expected={} accepted={accepted}",
+        write.service,
+        write.phase,
+        write.expected
+    );
+    // Whatever became of it, the row is read back: an answer may be lost after the write.
+    read_statuses(shared, link).await;
+    shared.step(GatewayEvent::RolloutWritten {
+        service: write.service,
+        accepted,
+    });
+}
+
+async fn read_statuses(shared: &FrontShared, link: &mut StoreLink) {
+    let call = shared.dialect.read_rows(StoreTable::Status, None);
+    let answer = link.call(&call, CALL_TIME).await;
+    let page = answer.ok().filter(|answer| answer.status == 200);
+    let page = page.and_then(|answer| shared.dialect.page(&answer.body));
+    for row in page.into_iter().flat_map(|page| page.rows) {
+        if let Some(status) = shared.dialect.rollout_status(&row) {
+            shared.step(GatewayEvent::RolloutRead(status));
+        }
+    }
+}
--- /dev/null
+++ b/crates/savorywood-front/src/lib.rs
@@ -0,0 +1,33 @@
+//! The shell of a gateway: callers, upstreams, store, peers, logs and metrics around its
+//! decisions.
+//!
+//! What other programs call things, and how they write them, comes in through [`FrontDialect`].
+
+mod admin;
+mod attempt;
+mod caller;
+mod clock;
+mod edge;
+mod feeds;
+mod logging;
+mod metrics;
+mod peers;
+mod pool;
+mod run;
+mod settings;
+mod shared;
+mod sink;
+mod stop;
+mod store;
+mod wire;
+
+pub use edge::{
+    AnswerFacts, ArrivalFault, DeclaredNews, DirectoryQuery, DispatchFacts, FrontDialect,
+    RolloutRow, StorePage, StoreRow, StoreTable, TableWrite,
+};
+pub use run::{FrontError, run};
+pub use settings::{BoundSettings, FrontSettings, LimitSettings, ListenSettings, StoreSettings};
+pub use wire::{
+    AnswerHead, BodyFraming, HeadFault, HeaderLine, HeaderList, RequestHead, StoreCall,
+    is_hop_header,
+};
--- /dev/null
+++ b/crates/savorywood-front/src/logging.rs
@@ -0,0 +1,207 @@
+//! Structured lines on standard output: bounded in volume, never blocking.
+
+use savorywood_core::{LogField, LogLevel, LogLine};
+use std::{
+    fmt::Write as _,
+    io::{self, Write},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{SyncSender, TrySendError, sync_channel},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Lines a second on average.
+const LINES_PER_SECOND: f64 = 400.0;
+/// Lines that may come at once.
+const LINE_BURST: f64 = 1_200.0;
+/// Part of the burst that is kept for warnings, refusals and changes of state.
+const KEPT_FOR_FAILURES: f64 = 0.4;
+/// Bytes that wait for a slow reader at most.
+const MAX_WAITING_BYTES: usize = 1 << 20;
+/// Batches that wait for a slow reader at most.
+const MAX_BATCHES: usize = 4;
+
+/// Lines that were left out, and why.
+#[derive(Debug, Default)]
+pub struct OmittedLines {
+    /// The budget was spent.
+    pub over_budget: AtomicU64,
+    /// Nobody read them.
+    pub unread: AtomicU64,
+}
+
+#[derive(Debug)]
+struct LineBuffer {
+    bytes: Vec<u8>,
+    lines: u64,
+    budget: f64,
+    filled_at: Instant,
+}
+
+/// The log's way to standard output.
+///
+/// Lines are gathered in memory and written by a thread of their own: a pipe that nobody reads
+/// blocks that thread and nothing else. What finds no room is left out and counted.
+#[derive(Debug, Clone)]
+pub struct LogQueue {
+    buffer: Arc<Mutex<LineBuffer>>,
+    omitted: Arc<OmittedLines>,
+    batches: SyncSender<Vec<u8>>,
+}
+
+struct QueueWriter(LogQueue);
+
+impl Write for QueueWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.push(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl LogQueue {
+    /// Starts the log at a level.
+    pub fn start(level: log::LevelFilter) -> Self {
+        let (batches, receiver) = sync_channel::<Vec<u8>>(MAX_BATCHES);
+        thread::spawn(move || {
+            while let Ok(batch) = receiver.recv() {
+                // A closed output is no reason to end: the daemon serves on without a log.
+                let _ = io::stdout().write_all(&batch);
+                let _ = io::stdout().flush();
+            }
+        });
+        let buffer = LineBuffer {
+            bytes: Vec::new(),
+            lines: 0,
+            budget: LINE_BURST,
+            filled_at: Instant::now(),
+        };
+        let queue = Self {
+            buffer: Arc::new(Mutex::new(buffer)),
+            omitted: Arc::default(),
+            batches,
+        };
+        let writer = Box::new(QueueWriter(queue.clone()));
+        let started = env_logger::Builder::new()
+            .filter_level(level)
+            .format(|out, record| {
+                let level = record.level().as_str().to_ascii_lowercase();
+                writeln!(out, "level={level} {}", record.args())
+            })
+            .target(env_logger::Target::Pipe(writer))
+            .try_init();
+        debug_assert!(started.is_ok());
+        queue
+    }
+
+    /// What was left out.
+    pub fn omitted(&self) -> &OmittedLines {
+        &self.omitted
+    }
+
+    /// Writes a line of the decisions, unless the budget is spent: successes go first.
+    pub fn write_line(&self, line: &LogLine) {
+        let level = match line.level {
+            LogLevel::Error => log::Level::Error,
+            LogLevel::Warn => log::Level::Warn,
+            LogLevel::Info => log::Level::Info,
+            LogLevel::Debug => log::Level::Debug,
+        };
+        if !log::log_enabled!(level) {
+            return;
+        }
+        if !self.spend(tells_of_failure(line)) {
+            self.omitted.over_budget.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        log::log!(level, "{}", format_line(line));
+    }
+
+    fn spend(&self, failure: bool) -> bool {
+        let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
+        let elapsed = buffer.filled_at.elapsed();
+        buffer.filled_at += elapsed;
+        let filled = buffer.budget + elapsed.as_secs_f64() * LINES_PER_SECOND;
+        buffer.budget = filled.min(LINE_BURST);
+        let floor = if failure {
+            0.0
+        } else {
+            LINE_BURST * KEPT_FOR_FAILURES
+        };
+        if buffer.budget - 1.0 < floor {
+            return false;
+        }
+        buffer.budget -= 1.0;
+        true
+    }
+
+    fn push(&self, bytes: &[u8]) {
+        let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
+        if buffer.bytes.len() + bytes.len() > MAX_WAITING_BYTES {
+            self.omitted.unread.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        buffer.bytes.extend_from_slice(bytes);
+        buffer.lines += 1;
+    }
+
+    /// Hands the gathered lines to the writing thread.
+    pub fn flush(&self) {
+        let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
+        if buffer.bytes.is_empty() {
+            return;
+        }
+        let batch = std::mem::take(&mut buffer.bytes);
+        match self.batches.try_send(batch) {
+            Ok(()) => buffer.lines = 0,
+            Err(TrySendError::Full(batch)) => buffer.bytes = batch,
+            Err(TrySendError::Disconnected(_)) => {}
+        }
+    }
+
+    /// Hands over what is left and gives the thread a moment to write it.
+    pub fn finish(&self) {
+        self.flush();
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn tells_of_failure(line: &LogLine) -> bool {
+    if line.level != LogLevel::Info {
+        return true;
+    }
+    match line.event {
+        "request-admitted" | "request-dispatched" => false,
+        "request-ended" => line
+            .fields
+            .iter()
+            .all(|field| field.key != "end" || field.value != "served"),
+        _ => true,
+    }
+}
+
+fn format_line(line: &LogLine) -> String {
+    let mut text = format!("event={}", line.event);
+    for field in &line.fields {
+        push_field(&mut text, field);
+    }
+    text
+}
+
+/// Values that hold blanks, quotes or control characters are quoted, so that a line stays one
+/// line and its pairs can be told apart.
+fn push_field(text: &mut String, field: &LogField) {
+    let bare = |c: char| !c.is_whitespace() && !c.is_control() && !matches!(c, '"' | '=');
+    let written = if !field.value.is_empty() && field.value.chars().all(bare) {
+        write!(text, " {}={}", field.key, field.value)
+    } else {
+        write!(text, " {}={:?}", field.key, field.value)
+    };
+    debug_assert!(written.is_ok());
+}
--- /dev/null
+++ b/crates/savorywood-front/src/metrics.rs
@@ -0,0 +1,145 @@
+//! Counters and histograms, served as text.
+
+use crate::logging::OmittedLines;
+use prometheus::{
+    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
+};
+use std::sync::atomic::Ordering;
+
+/// Bounds of latency buckets in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0,
+];
+
+/// Metrics of a front daemon.
+#[derive(Debug)]
+pub struct FrontMetrics {
+    registry: Registry,
+    /// Requests that arrived whole.
+    pub arrived: IntCounter,
+    /// Final answers by how they came about.
+    pub ended: IntCounterVec,
+    /// Attempts by outcome.
+    pub attempts: IntCounterVec,
+    /// Calls to the store by table and outcome.
+    pub store_calls: IntCounterVec,
+    /// Time from arrival to the first byte of the answer, by kind.
+    pub first_byte: HistogramVec,
+    /// Time to connect to an upstream.
+    pub connecting: Histogram,
+    /// Requests that wait for a place.
+    pub waiting: IntGauge,
+    /// Requests at upstreams.
+    pub running: IntGauge,
+    /// Age of the newest proof of the configuration.
+    pub proof_age: Gauge,
+    /// Configuration version in force.
+    pub config_version: IntGauge,
+    /// Peers heard lately.
+    pub peers: IntGauge,
+    /// Ready for callers.
+    pub ready: IntGauge,
+    /// Open connections of callers.
+    pub connections: IntGauge,
+    log_omitted: IntCounterVec,
+}
+
+impl Default for FrontMetrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let metrics = Self {
+            arrived: counter("requests_arrived_total", "Requests that arrived whole"),
+            ended: counters("requests_ended_total", "Final answers by how they came about", "end"),
+            attempts: counters("attempts_total", "Attempts at upstreams by outcome", "outcome"),
+            store_calls: counters("store_calls_total", "Calls to the store", "outcome"),
+            first_byte: histograms(
+                "first_byte_seconds",
+                "Time from a request's arrival to the first byte of its answer",
+                "kind",
+            ),
+            connecting: histogram("connecting_seconds", "Time to connect to an upstream"),
+            waiting: gauge("requests_waiting", "Requests that wait for a place"),
+            running: gauge("requests_running", "Requests at upstreams"),
+            proof_age: real_gauge("config_proof_age_seconds", "Age of the newest proof"),
+            config_version: gauge("config_version", "Configuration version in force"),
+            peers: gauge("peers_alive", "Peers heard lately"),
+            ready: gauge("ready", "1 when ready for callers"),
+            connections: gauge("caller_connections", "Open connections of callers"),
+            log_omitted: counters("log_lines_omitted_total", "Log lines left out", "cause"),
+            registry,
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+fn name_of(name: &str) -> String {
+    format!("savorywood_{name}")
+}
+
+fn counter(name: &str, help: &str) -> IntCounter {
+    IntCounter::new(name_of(name), help).expect("the name is a constant and valid")
+}
+
+fn counters(name: &str, help: &str, label: &str) -> IntCounterVec {
+    let opts = Opts::new(name_of(name), help);
+    IntCounterVec::new(opts, &[label]).expect("the name is a constant and valid")
+}
+
+fn gauge(name: &str, help: &str) -> IntGauge {
+    IntGauge::new(name_of(name), help).expect("the name is a constant and valid")
+}
+
+fn real_gauge(name: &str, help: &str) -> Gauge {
+    Gauge::new(name_of(name), help).expect("the name is a constant and valid")
+}
+
+fn histogram(name: &str, help: &str) -> Histogram {
+    let opts = HistogramOpts::new(name_of(name), help).buckets(LATENCY_BUCKETS.to_vec());
+    Histogram::with_opts(opts).expect("the name is a constant and valid")
+}
+
+fn histograms(name: &str, help: &str, label: &str) -> HistogramVec {
+    let opts = HistogramOpts::new(name_of(name), help).buckets(LATENCY_BUCKETS.to_vec());
+    HistogramVec::new(opts, &[label]).expect("the name is a constant and valid")
+}
+
+impl FrontMetrics {
+    fn register(&self) {
+        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
+            Box::new(self.arrived.clone()),
+            Box::new(self.ended.clone()),
+            Box::new(self.attempts.clone()),
+            Box::new(self.store_calls.clone()),
+            Box::new(self.first_byte.clone()),
+            Box::new(self.connecting.clone()),
+            Box::new(self.waiting.clone()),
+            Box::new(self.running.clone()),
+            Box::new(self.proof_age.clone()),
+            Box::new(self.config_version.clone()),
+            Box::new(self.peers.clone()),
+            Box::new(self.ready.clone()),
+            Box::new(self.connections.clone()),
+            Box::new(self.log_omitted.clone()),
+        ];
+        for collector in collectors {
+            self.registry
+                .register(collector)
+                .expect("each metric is registered once");
+        }
+    }
+
+    /// All metrics as text; `omitted` tells of the log.
+    pub fn text(&self, omitted: &OmittedLines) -> Vec<u8> {
+        for (cause, count) in [("budget", &omitted.over_budget), ("unread", &omitted.unread)] {
+            let metric = self.log_omitted.with_label_values(&[cause]);
+            let told = metric.get();
+            metric.inc_by(count.load(Ordering::Relaxed).saturating_sub(told));
+        }
+        let mut text = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        debug_assert!(encoded.is_ok());
+        text
+    }
+}
--- /dev/null
+++ b/crates/savorywood-front/src/run.rs
@@ -0,0 +1,179 @@
+//! A front daemon's whole life.
+
+use crate::{
+    admin, caller,
+    edge::{FrontDialect, StoreTable},
+    feeds::{TableReader, keep_members, keep_rollouts},
+    logging::LogQueue,
+    peers::PeerBook,
+    settings::FrontSettings,
+    shared::FrontShared,
+    stop,
+};
+use async_io::Timer;
+use async_net::TcpListener;
+use savorywood_gateway::{
+    BudgetOptions, Gateway, GatewayEvent, GatewayOptions, HostLabel, ZoneLabel,
+};
+use savorywood_settings::FaultReport;
+use snafu::{ResultExt, Snafu};
+use std::{
+    collections::BTreeSet,
+    io,
+    net::SocketAddr,
+    path::Path,
+    rc::Rc,
+    time::{Duration, SystemTime},
+};
+
+/// Time between two ticks while requests wait.
+const BUSY_TICK: Duration = Duration::from_millis(10);
+/// Time between two ticks otherwise.
+const IDLE_TICK: Duration = Duration::from_millis(100);
+/// Time between two hand-overs of log lines.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
+/// Why a front daemon did not run.
+#[derive(Debug, Snafu)]
+pub enum FrontError {
+    /// The settings have faults.
+    #[snafu(display("{report}"))]
+    Settings {
+        /// All of them.
+        report: FaultReport,
+    },
+    /// An address can't be had.
+    #[snafu(display("{step} at {address}: {source}; choose an address of this host that is free"))]
+    Listen {
+        /// What was being done.
+        step: &'static str,
+        /// Where.
+        address: SocketAddr,
+        /// Why not.
+        source: io::Error,
+    },
+    /// Signals can't be had.
+    #[snafu(display("waiting for signals: {source}"))]
+    Signals {
+        /// Why not.
+        source: io::Error,
+    },
+}
+
+/// Runs a front daemon with settings from a file until it is told to stop.
+///
+/// # Errors
+///
+/// When the settings have faults or an address can't be had.
+pub fn run(settings_path: &Path, dialect: Box<dyn FrontDialect>) -> Result<(), FrontError> {
+    let settings = FrontSettings::read(settings_path);
+    let settings = settings.map_err(|report| SettingsSnafu { report }.build())?;
+    let level = settings.log_level.parse().unwrap_or(log::LevelFilter::Info);
+    let log = LogQueue::start(level);
+    let (writer, writes) = async_channel::unbounded();
+    let gateway = Gateway::new(gateway_options(&settings));
+    let shared = FrontShared::new(settings, dialect, gateway, log.clone(), writer);
+    let executor = Rc::clone(&shared.executor);
+    let served = async_io::block_on(executor.run(async {
+        let peers = start(&shared).await?;
+        shared.spawn(keep_rollouts(Rc::clone(&shared), writes));
+        stop::wait_for_stop(&shared, settings_path)
+            .await
+            .context(SignalsSnafu)?;
+        stop::drain(&shared, &peers).await;
+        Ok(())
+    }));
+    log::info!("event=stopped");
+    log.finish();
+    served
+}
+
+fn gateway_options(settings: &FrontSettings) -> GatewayOptions {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let micros = since_epoch.unwrap_or_default().as_micros();
+    let bounds = &settings.bounds;
+    GatewayOptions {
+        host: HostLabel::from(settings.host.as_str()),
+        zone: ZoneLabel::from(settings.zone.as_str()),
+        incarnation: u64::try_from(micros).unwrap_or(u64::MAX),
+        caller_address: settings.listen.callers,
+        first_start: settings.first_start,
+        revocation: bounds.revocation_ms.map(Duration::from_millis),
+        budget: BudgetOptions {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: Duration::from_secs_f64(bounds.retry_window_s.max(0.1)),
+        },
+        exposure_share: bounds.exposure_share,
+        seed: fastrand::u64(..),
+    }
+}
+
+async fn start(shared: &Rc<FrontShared>) -> Result<Rc<PeerBook>, FrontError> {
+    let listen = shared.settings.listen.clone();
+    let address = listen.callers;
+    let step = "listening for callers";
+    let callers = TcpListener::bind(address).await;
+    let callers = callers.context(ListenSnafu { step, address })?;
+    let others = [listen.readiness, listen.directory, listen.metrics];
+    let others: BTreeSet<SocketAddr> = others.into_iter().flatten().collect();
+    for address in others {
+        let step = "listening for directory, readiness and metrics";
+        admin::listen(shared, address)
+            .await
+            .context(ListenSnafu { step, address })?;
+    }
+    let address = listen.peers;
+    let step = "listening for peers";
+    let peers = PeerBook::open(address).await;
+    let peers = peers.context(ListenSnafu { step, address })?;
+    for seed in &shared.settings.seeds {
+        peers.learn(SocketAddr::new(seed.ip(), listen.peers.port()));
+    }
+    log::info!(
+        "event=started host={} zone={} callers={} peers={} first_start={}",
+        shared.settings.host,
+        shared.settings.zone,
+        listen.callers,
+        listen.peers,
+        shared.settings.first_start
+    );
+    shared.spawn(accept(Rc::clone(shared), callers));
+    shared.spawn(TableReader::new(Rc::clone(shared), StoreTable::Declared).run());
+    shared.spawn(TableReader::new(Rc::clone(shared), StoreTable::Upstreams).run());
+    shared.spawn(keep_members(Rc::clone(shared), Rc::clone(&peers)));
+    shared.spawn(Rc::clone(&peers).hear(Rc::clone(shared)));
+    shared.spawn(Rc::clone(&peers).keep_telling(Rc::clone(shared)));
+    shared.spawn(tick(Rc::clone(shared)));
+    shared.spawn(flush(Rc::clone(shared)));
+    Ok(peers)
+}
+
+async fn accept(shared: Rc<FrontShared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => shared.spawn(caller::serve(Rc::clone(&shared), stream)),
+            Err(error) => {
+                log::warn!("event=accept-failed error={error:?}");
+                Timer::after(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn tick(shared: Rc<FrontShared>) {
+    loop {
+        shared.step(GatewayEvent::Tick);
+        let waiting = shared.gateway.borrow().waiting_requests();
+        let pause = if waiting > 0 { BUSY_TICK } else { IDLE_TICK };
+        Timer::after(pause).await;
+    }
+}
+
+async fn flush(shared: Rc<FrontShared>) {
+    loop {
+        Timer::after(FLUSH_TIME).await;
+        shared.log.flush();
+        shared.pool.sweep();
+    }
+}
--- /dev/null
+++ b/crates/savorywood-front/src/settings.rs
@@ -0,0 +1,147 @@
+//! Settings of a front daemon: JSON with comments, checked at the start.
+
+use savorywood_settings::{FaultReport, MemberPath, SourceText, decode, node::SourceNode};
+use serde::Deserialize;
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+/// Everything in a settings file of a front daemon.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FrontSettings {
+    /// Own host.
+    pub host: String,
+    /// Own availability zone.
+    pub zone: String,
+    /// The whole system starts for the first time.
+    #[serde(default)]
+    pub first_start: bool,
+    /// Where it listens.
+    pub listen: ListenSettings,
+    /// Addresses at which other daemons may be found at the start.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The store.
+    pub store: StoreSettings,
+    /// Bounds that must hold.
+    #[serde(default)]
+    pub bounds: BoundSettings,
+    /// What the process may use.
+    #[serde(default)]
+    pub limits: LimitSettings,
+    /// Level of the log: error, warn, info, debug or trace.
+    #[serde(default = "default_log_level")]
+    pub log_level: String,
+}
+
+/// Where a front daemon listens.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    /// Callers' requests.
+    pub callers: SocketAddr,
+    /// Checks of its readiness.
+    pub readiness: Option<SocketAddr>,
+    /// Callers' questions which addresses to use.
+    pub directory: Option<SocketAddr>,
+    /// Datagrams of other daemons; the port is the same on all hosts.
+    pub peers: SocketAddr,
+    /// Metrics.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Where the store is.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Bounds that must hold, as the operator set them.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct BoundSettings {
+    /// Time in which a key that was taken away must stop working; none without such a bound.
+    pub revocation_ms: Option<u64>,
+    /// Second tries for each request of a service.
+    pub retry_ratio: f64,
+    /// Second tries in a window beside these.
+    pub retry_slack: f64,
+    /// That window, in seconds.
+    pub retry_window_s: f64,
+    /// Share of traffic that an unproved version may get.
+    pub exposure_share: f64,
+    /// Time between the order to stop and the kill, in seconds.
+    pub grace_s: f64,
+    /// Longest time in seconds for which callers keep addresses.
+    pub address_ttl_s: f64,
+}
+
+impl Default for BoundSettings {
+    fn default() -> Self {
+        Self {
+            revocation_ms: None,
+            retry_ratio: 0.2,
+            retry_slack: 50.0,
+            retry_window_s: 10.0,
+            exposure_share: 0.1,
+            grace_s: 8.0,
+            address_ttl_s: 5.0,
+        }
+    }
+}
+
+/// What the process may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Memory in megabytes.
+    pub memory_mb: u64,
+    /// Descriptors.
+    pub descriptors: u64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            memory_mb: 256,
+            descriptors: 4_096,
+        }
+    }
+}
+
+fn default_log_level() -> String {
+    "info".to_owned()
+}
+
+impl FrontSettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// All faults of the file, each with its place and a remedy.
+    pub fn read(path: &Path) -> Result<Self, FaultReport> {
+        Self::parse(&SourceText::read(path)?)
+    }
+
+    /// Reads settings from a text.
+    ///
+    /// # Errors
+    ///
+    /// All faults of the text.
+    pub fn parse(source: &SourceText) -> Result<Self, FaultReport> {
+        let parsed = SourceNode::parse(source);
+        let (node, faults) = parsed.map_err(|fault| FaultReport::locate(source, vec![fault]))?;
+        if !faults.is_empty() {
+            return Err(FaultReport::locate(source, faults));
+        }
+        decode::decode(&node, &MemberPath::default())
+            .map_err(|faults| FaultReport::locate(source, faults))
+    }
+
+    /// Time between the order to stop and the kill.
+    #[must_use]
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.bounds.grace_s.max(0.0))
+    }
+}
--- /dev/null
+++ b/crates/savorywood-front/src/shared.rs
@@ -0,0 +1,158 @@
+//! What all tasks of a front daemon share, and the way of effects from decisions to tasks.
+
+use crate::{
+    clock::BootClock, edge::FrontDialect, logging::LogQueue, metrics::FrontMetrics,
+    pool::UpstreamPool, settings::FrontSettings,
+};
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use savorywood_gateway::{
+    DispatchOrder, Gateway, GatewayEffect, GatewayEvent, LocalRequest, RefusalReason, RolloutWrite,
+};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
+
+/// What becomes of a request next.
+#[derive(Debug, Clone)]
+pub enum RequestDecision {
+    /// Send it.
+    Dispatch(Box<DispatchOrder>),
+    /// Give it this final answer.
+    Refuse {
+        /// Why.
+        reason: RefusalReason,
+        /// When to come back.
+        retry_after: Option<Duration>,
+    },
+    /// Give it the failure that the upstream gave.
+    PassFailure,
+    /// Break its answer off.
+    BreakOff,
+}
+
+/// State of a front daemon.
+pub struct FrontShared {
+    /// Settings at the start.
+    pub settings: FrontSettings,
+    /// The platform's way of speaking.
+    pub dialect: Box<dyn FrontDialect>,
+    /// The clock.
+    pub clock: BootClock,
+    /// Decisions.
+    pub gateway: RefCell<Gateway>,
+    /// Idle connections to upstreams.
+    pub pool: UpstreamPool,
+    /// Counters.
+    pub metrics: FrontMetrics,
+    /// The log.
+    pub log: LogQueue,
+    /// Runs tasks.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// Roll-out states to be written.
+    pub rollout_writes: Sender<RolloutWrite>,
+    /// The process was told to stop.
+    pub stopping: Cell<bool>,
+    /// Requests that are being read or answered.
+    pub busy: Cell<usize>,
+    /// Open connections of callers.
+    pub connections: Cell<usize>,
+    waiters: RefCell<HashMap<LocalRequest, Sender<RequestDecision>>>,
+    next_request: Cell<u64>,
+}
+
+impl FrontShared {
+    /// Puts the parts together.
+    pub fn new(
+        settings: FrontSettings,
+        dialect: Box<dyn FrontDialect>,
+        gateway: Gateway,
+        log: LogQueue,
+        rollout_writes: Sender<RolloutWrite>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            settings,
+            dialect,
+            clock: BootClock,
+            gateway: RefCell::new(gateway),
+            pool: UpstreamPool::default(),
+            metrics: FrontMetrics::default(),
+            log,
+            executor: Rc::new(LocalExecutor::new()),
+            rollout_writes,
+            stopping: Cell::new(false),
+            busy: Cell::new(0),
+            connections: Cell::new(0),
+            waiters: RefCell::default(),
+            next_request: Cell::new(1),
+        })
+    }
+
+    /// Runs a task beside all others.
+    pub fn spawn(self: &Rc<Self>, task: impl Future<Output = ()> + 'static) {
+        self.executor.spawn(task).detach();
+    }
+
+    /// Handles one event and executes its effects.
+    pub fn step(&self, event: GatewayEvent) {
+        let mut effects = Vec::new();
+        let now = self.clock.now();
+        self.gateway.borrow_mut().step(now, event, &mut effects);
+        for effect in effects {
+            self.execute(effect);
+        }
+    }
+
+    /// Opens a request: its name and where its decisions come out.
+    pub fn open_request(&self) -> (LocalRequest, Receiver<RequestDecision>) {
+        let request = LocalRequest(self.next_request.get());
+        self.next_request.set(request.0 + 1);
+        let (sender, receiver) = async_channel::unbounded();
+        self.waiters.borrow_mut().insert(request, sender);
+        (request, receiver)
+    }
+
+    /// Closes a request; one that is still open counts as left by its caller.
+    pub fn close_request(&self, request: LocalRequest) {
+        self.waiters.borrow_mut().remove(&request);
+        self.step(GatewayEvent::CallerLeft(request));
+    }
+
+    fn execute(&self, effect: GatewayEffect) {
+        match effect {
+            GatewayEffect::Dispatch(order) => {
+                self.tell(order.request, RequestDecision::Dispatch(Box::new(order)));
+            }
+            GatewayEffect::Refuse {
+                request,
+                reason,
+                retry_after,
+            } => {
+                let decision = RequestDecision::Refuse {
+                    reason,
+                    retry_after,
+                };
+                self.tell(request, decision);
+            }
+            GatewayEffect::PassFailure { request } => {
+                self.tell(request, RequestDecision::PassFailure);
+            }
+            GatewayEffect::BreakOff { request } => self.tell(request, RequestDecision::BreakOff),
+            GatewayEffect::WriteRollout(write) => {
+                // The receiver lives as long as the daemon.
+                let _ = self.rollout_writes.try_send(write);
+            }
+            GatewayEffect::Log(line) => self.log.write_line(&line),
+        }
+    }
+
+    fn tell(&self, request: LocalRequest, decision: RequestDecision) {
+        if let Some(waiter) = self.waiters.borrow().get(&request) {
+            // Unbounded, and its receiver lives as long as the entry.
+            let _ = waiter.try_send(decision);
+        }
+    }
+}
--- /dev/null
+++ b/crates/savorywood-front/src/sink.rs
@@ -0,0 +1,142 @@
+//! The answer on its way to the caller.
+
+use crate::wire::HeaderLine;
+use async_net::TcpStream;
+use futures_lite::AsyncWriteExt;
+use std::{fmt::Write, io};
+
+/// What reaches one caller for one request.
+#[derive(Debug)]
+pub struct AnswerSink {
+    stream: TcpStream,
+    /// The connection ends after this answer.
+    pub closes: bool,
+    begun: bool,
+    last_event: Option<String>,
+    events: u32,
+}
+
+impl AnswerSink {
+    /// A sink for one answer.
+    #[must_use]
+    pub fn new(stream: TcpStream, closes: bool) -> Self {
+        Self {
+            stream,
+            closes,
+            begun: false,
+            last_event: None,
+            events: 0,
+        }
+    }
+
+    /// Something of the answer has reached the caller.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.begun
+    }
+
+    /// Identity of the last event that was passed on.
+    #[must_use]
+    pub fn last_event(&self) -> Option<&str> {
+        self.last_event.as_deref()
+    }
+
+    /// Events passed on.
+    #[must_use]
+    pub fn events(&self) -> u32 {
+        self.events
+    }
+
+    fn head(&self, status: u16, reason: &str, lines: &[HeaderLine]) -> String {
+        let mut head = format!("HTTP/1.1 {status} {reason}\r\n");
+        for line in lines {
+            let written = write!(head, "{}: {}\r\n", line.name, line.value);
+            debug_assert!(written.is_ok());
+        }
+        if self.closes {
+            head.push_str("Connection: close\r\n");
+        }
+        head
+    }
+
+    /// Writes a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// When the caller's connection is broken.
+    pub async fn write_whole(
+        &mut self,
+        status: u16,
+        reason: &str,
+        lines: &[HeaderLine],
+        body: &[u8],
+    ) -> io::Result<()> {
+        let mut head = self.head(status, reason, lines);
+        if !matches!(status, 204 | 304) {
+            let written = write!(head, "Content-Length: {}\r\n", body.len());
+            debug_assert!(written.is_ok());
+        }
+        head.push_str("\r\n");
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(body);
+        self.begun = true;
+        self.stream.write_all(&bytes).await
+    }
+
+    /// Writes the head of a stream together with its first events.
+    ///
+    /// # Errors
+    ///
+    /// When the caller's connection is broken.
+    pub async fn begin_stream(
+        &mut self,
+        status: u16,
+        reason: &str,
+        lines: &[HeaderLine],
+        events: &[u8],
+    ) -> io::Result<()> {
+        let mut head = self.head(status, reason, lines);
+        head.push_str("Transfer-Encoding: chunked\r\n\r\n");
+        let mut bytes = head.into_bytes();
+        push_chunk(&mut bytes, events);
+        self.begun = true;
+        self.stream.write_all(&bytes).await
+    }
+
+    /// Writes more events.
+    ///
+    /// # Errors
+    ///
+    /// When the caller's connection is broken.
+    pub async fn write_events(&mut self, events: &[u8]) -> io::Result<()> {
+        let mut bytes = Vec::with_capacity(events.len() + 16);
+        push_chunk(&mut bytes, events);
+        self.stream.write_all(&bytes).await
+    }
+
+    /// Ends a stream as whole.
+    ///
+    /// # Errors
+    ///
+    /// When the caller's connection is broken.
+    pub async fn end_stream(&mut self) -> io::Result<()> {
+        self.stream.write_all(b"0\r\n\r\n").await
+    }
+
+    /// Notes an event that was passed on.
+    pub fn note_event(&mut self, identity: Option<String>) {
+        self.events += 1;
+        if identity.is_some() {
+            self.last_event = identity;
+        }
+    }
+}
+
+fn push_chunk(bytes: &mut Vec<u8>, piece: &[u8]) {
+    if piece.is_empty() {
+        return;
+    }
+    bytes.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+    bytes.extend_from_slice(piece);
+    bytes.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/savorywood-front/src/wire/body.rs
@@ -0,0 +1,213 @@
+//! Bodies of messages, decoded as they come.
+
+use super::{head::BodyFraming, reader::ByteReader};
+use snafu::Snafu;
+use std::io;
+
+/// Longest line that tells a chunk's size.
+const MAX_CHUNK_LINE: usize = 256;
+/// Bytes of trailers at most.
+const MAX_TRAILERS: usize = 8_192;
+
+/// What is wrong with a body.
+#[derive(Debug, Snafu)]
+pub enum BodyFault {
+    /// The connection broke.
+    #[snafu(display("the connection broke within a body: {source}"))]
+    Broken {
+        /// How.
+        source: io::Error,
+    },
+    /// The connection ended before the body did.
+    #[snafu(display("the connection ended before the body did"))]
+    CutOff,
+    /// Chunks that can't be read.
+    #[snafu(display("the chunks of a body can't be read"))]
+    BadChunk,
+    /// It is over the limit.
+    #[snafu(display("the body has more bytes than allowed"))]
+    TooLarge,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DecodeState {
+    Done,
+    Remaining(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailers,
+    UntilClose,
+}
+
+/// Decodes one body.
+#[derive(Debug, Clone)]
+pub struct BodyDecoder {
+    state: DecodeState,
+}
+
+impl BodyDecoder {
+    /// A decoder for a framing.
+    #[must_use]
+    pub fn new(framing: BodyFraming) -> Self {
+        let state = match framing {
+            BodyFraming::Empty | BodyFraming::Length(0) => DecodeState::Done,
+            BodyFraming::Length(length) => DecodeState::Remaining(length),
+            BodyFraming::Chunked => DecodeState::ChunkSize,
+            BodyFraming::UntilClose => DecodeState::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// The whole body was decoded.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.state == DecodeState::Done
+    }
+
+    /// Moves what was read of the body from the reader to `out`.
+    ///
+    /// # Errors
+    ///
+    /// Chunks that can't be read.
+    pub fn decode(&mut self, reader: &mut ByteReader, out: &mut Vec<u8>) -> Result<(), BodyFault> {
+        while !self.is_done() && self.advance(reader, out)? {}
+        Ok(())
+    }
+
+    /// The connection ended in order.
+    ///
+    /// # Errors
+    ///
+    /// When the body is not whole.
+    pub fn ended(&mut self) -> Result<(), BodyFault> {
+        if self.state == DecodeState::UntilClose {
+            self.state = DecodeState::Done;
+        }
+        if self.is_done() {
+            Ok(())
+        } else {
+            Err(BodyFault::CutOff)
+        }
+    }
+
+    fn advance(&mut self, reader: &mut ByteReader, out: &mut Vec<u8>) -> Result<bool, BodyFault> {
+        if reader.bytes().is_empty() {
+            return Ok(false);
+        }
+        match self.state {
+            DecodeState::Done => return Ok(false),
+            DecodeState::Remaining(rest) => {
+                let rest = move_bytes(reader, out, rest);
+                self.state = if rest == 0 {
+                    DecodeState::Done
+                } else {
+                    DecodeState::Remaining(rest)
+                };
+            }
+            DecodeState::UntilClose => {
+                move_bytes(reader, out, u64::MAX);
+            }
+            DecodeState::ChunkSize => {
+                let Some(line) = take_line(reader, MAX_CHUNK_LINE)? else {
+                    return Ok(false);
+                };
+                self.state = match chunk_size(&line)? {
+                    0 => DecodeState::Trailers,
+                    size => DecodeState::ChunkData(size),
+                };
+            }
+            DecodeState::ChunkData(rest) => {
+                let rest = move_bytes(reader, out, rest);
+                self.state = if rest == 0 {
+                    DecodeState::ChunkEnd
+                } else {
+                    DecodeState::ChunkData(rest)
+                };
+            }
+            DecodeState::ChunkEnd => {
+                let Some(line) = take_line(reader, MAX_CHUNK_LINE)? else {
+                    return Ok(false);
+                };
+                if !line.is_empty() {
+                    return Err(BodyFault::BadChunk);
+                }
+                self.state = DecodeState::ChunkSize;
+            }
+            DecodeState::Trailers => {
+                let Some(line) = take_line(reader, MAX_TRAILERS)? else {
+                    return Ok(false);
+                };
+                if line.is_empty() {
+                    self.state = DecodeState::Done;
+                }
+            }
+        }
+        Ok(true)
+    }
+}
+
+fn move_bytes(reader: &mut ByteReader, out: &mut Vec<u8>, rest: u64) -> u64 {
+    let available = reader.bytes().len();
+    let count = usize::try_from(rest).unwrap_or(usize::MAX).min(available);
+    out.extend_from_slice(&reader.bytes()[..count]);
+    reader.consume(count);
+    rest - count as u64
+}
+
+fn take_line(reader: &mut ByteReader, most: usize) -> Result<Option<Vec<u8>>, BodyFault> {
+    let end = reader.bytes().windows(2).position(|pair| pair == b"\r\n");
+    match end {
+        Some(end) if end <= most => {
+            let line = reader.bytes()[..end].to_vec();
+            reader.consume(end + 2);
+            Ok(Some(line))
+        }
+        None if reader.bytes().len() <= most => Ok(None),
+        _ => Err(BodyFault::BadChunk),
+    }
+}
+
+fn chunk_size(line: &[u8]) -> Result<u64, BodyFault> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let digits = digits.trim_ascii_end();
+    let sound = !digits.is_empty() && digits.len() <= 15;
+    let text = std::str::from_utf8(digits).ok().filter(|_| sound);
+    let text = text.filter(|text| text.bytes().all(|byte| byte.is_ascii_hexdigit()));
+    text.and_then(|text| u64::from_str_radix(text, 16).ok())
+        .ok_or(BodyFault::BadChunk)
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// When it breaks, ends early, can't be read or is over the limit.
+pub async fn read_body(
+    reader: &mut ByteReader,
+    framing: BodyFraming,
+    limit: usize,
+) -> Result<Vec<u8>, BodyFault> {
+    if matches!(framing, BodyFraming::Length(length) if length > limit as u64) {
+        return Err(BodyFault::TooLarge);
+    }
+    let mut decoder = BodyDecoder::new(framing);
+    let mut body = Vec::new();
+    loop {
+        decoder.decode(reader, &mut body)?;
+        if body.len() > limit {
+            return Err(BodyFault::TooLarge);
+        }
+        if decoder.is_done() {
+            return Ok(body);
+        }
+        match reader.fill().await {
+            Ok(0) => {
+                decoder.ended()?;
+                return Ok(body);
+            }
+            Ok(_) => {}
+            Err(source) => return Err(BodyFault::Broken { source }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/savorywood-gateway/src/affinity.rs
@@ -0,0 +1,71 @@
+//! Which upstream read a part of a prompt last.
+
+use crate::{arrival::PromptPart, name::UpstreamLabel};
+use savorywood_protocol::MonotonicTime;
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+/// Parts remembered at most.
+const MAX_PARTS: usize = 4_096;
+/// A part that nobody asked for in this time is taken to be gone.
+const KEPT_TIME: Duration = Duration::from_secs(20);
+
+#[derive(Debug, Clone)]
+struct PartHolder {
+    upstream: UpstreamLabel,
+    at: MonotonicTime,
+}
+
+/// Holders of prompt parts, newest last.
+#[derive(Debug, Clone, Default)]
+pub struct PartIndex {
+    holders: HashMap<u64, Vec<PartHolder>>,
+    order: VecDeque<u64>,
+}
+
+/// Upstreams remembered for one part.
+const HOLDERS: usize = 4;
+
+impl PartIndex {
+    /// Tokens of the prompt's beginning that an upstream is expected to hold.
+    #[must_use]
+    pub fn held(&self, now: MonotonicTime, parts: &[PromptPart], upstream: &UpstreamLabel) -> u32 {
+        let mut tokens = 0;
+        for part in parts {
+            let holders = self.holders.get(&part.id);
+            let held = holders.into_iter().flatten().any(|holder| {
+                holder.upstream == *upstream && now.since(holder.at) < KEPT_TIME
+            });
+            if !held {
+                break;
+            }
+            tokens += part.tokens;
+        }
+        tokens
+    }
+
+    /// An upstream reads a prompt.
+    pub fn read(&mut self, now: MonotonicTime, parts: &[PromptPart], upstream: &UpstreamLabel) {
+        for part in parts {
+            let holders = self.holders.entry(part.id).or_insert_with(|| {
+                self.order.push_back(part.id);
+                Vec::new()
+            });
+            holders.retain(|holder| holder.upstream != *upstream);
+            if holders.len() >= HOLDERS {
+                holders.remove(0);
+            }
+            holders.push(PartHolder {
+                upstream: upstream.clone(),
+                at: now,
+            });
+        }
+        while self.order.len() > MAX_PARTS {
+            if let Some(oldest) = self.order.pop_front() {
+                self.holders.remove(&oldest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/savorywood-gateway/src/effect.rs
@@ -0,0 +1,66 @@
+//! What a gateway wants done.
+
+use crate::{
+    arrival::LocalRequest,
+    name::{TeamLabel, UpstreamLabel},
+    refusal::RefusalReason,
+    rollout::RolloutWrite,
+};
+use savorywood_core::LogLine;
+use savorywood_protocol::MonotonicTime;
+use std::{net::SocketAddr, time::Duration};
+
+/// Sends a request to an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DispatchOrder {
+    /// Which request.
+    pub request: LocalRequest,
+    /// Which send this is, from 1.
+    pub number: u32,
+    /// To whom.
+    pub upstream: UpstreamLabel,
+    /// Where.
+    pub address: SocketAddr,
+    /// Team that the upstream is told.
+    pub team: Option<TeamLabel>,
+    /// When it is given up.
+    pub give_up_at: MonotonicTime,
+    /// Time without the first event after which the upstream counts as silent.
+    pub first_silence: Option<Duration>,
+    /// The same between events.
+    pub gap_silence: Option<Duration>,
+    /// The answer is a stream of events.
+    pub stream: bool,
+    /// The request may run again after it may have run.
+    pub idempotent: bool,
+}
+
+/// One thing that a gateway wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum GatewayEffect {
+    /// Send a request.
+    Dispatch(DispatchOrder),
+    /// Give a request its final answer at once.
+    Refuse {
+        /// Which request.
+        request: LocalRequest,
+        /// Why.
+        reason: RefusalReason,
+        /// When the caller may come back.
+        retry_after: Option<Duration>,
+    },
+    /// Pass on the failure that the upstream gave.
+    PassFailure {
+        /// Which request.
+        request: LocalRequest,
+    },
+    /// Break off the answer that has begun.
+    BreakOff {
+        /// Which request.
+        request: LocalRequest,
+    },
+    /// Write the state of a roll-out.
+    WriteRollout(RolloutWrite),
+    /// Write a line to the log.
+    Log(LogLine),
+}
--- /dev/null
+++ b/crates/savorywood-gateway/src/event.rs
@@ -0,0 +1,143 @@
+//! Everything that can happen to a gateway.
+
+use crate::{
+    arrival::{LocalRequest, RequestArrival},
+    declared::DeclaredConfig,
+    name::{HostLabel, ServiceLabel, UpstreamLabel},
+    peer::PeerSummary,
+    rollout::{RolloutOrder, RolloutStatus},
+    upstream::UpstreamEntry,
+};
+use savorywood_protocol::MonotonicTime;
+use std::{sync::Arc, time::Duration};
+
+/// Load of an upstream as one of its answers tells it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadFigures {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// What an answer's head says beside the answer itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AnswerMarks {
+    /// Load there.
+    pub load: Option<LoadFigures>,
+    /// The upstream ends its connections: it is leaving, or just tidies up.
+    pub closing: bool,
+}
+
+/// How a stream stopped before its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamEnd {
+    /// Events passed on so far.
+    pub events: u32,
+    /// The upstream fell silent; otherwise the connection broke.
+    pub silent: bool,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AttemptOutcome {
+    /// No byte left this host.
+    NotSent,
+    /// The upstream says that it did not run it.
+    NotRun {
+        /// Another incarnation answers at that address.
+        misdirected: bool,
+        /// Marks of its answer.
+        marks: AnswerMarks,
+    },
+    /// The upstream said itself that it failed; its answer is kept and may be passed on.
+    Failed {
+        /// Marks of its answer.
+        marks: AnswerMarks,
+    },
+    /// No whole answer came, and nothing of it has reached the caller.
+    Broken {
+        /// The upstream fell silent; otherwise the connection broke or the answer was nonsense.
+        silent: bool,
+    },
+    /// A stream of which events have reached the caller stopped early.
+    StreamBroken(StreamEnd),
+    /// The whole answer reached the caller.
+    Delivered {
+        /// Marks of its answer.
+        marks: AnswerMarks,
+        /// Events of a stream.
+        events: u32,
+    },
+    /// The time for it is up.
+    Expired,
+    /// The caller has gone.
+    CallerLeft,
+}
+
+/// Everything that can happen to a gateway.
+#[derive(Debug, Clone)]
+pub enum GatewayEvent {
+    /// A request arrived whole.
+    Arrived {
+        /// Its name here.
+        request: LocalRequest,
+        /// What it asks.
+        arrival: Box<RequestArrival>,
+    },
+    /// Its caller closed the connection before an attempt was under way.
+    CallerLeft(LocalRequest),
+    /// The first event of a stream (or the head of a plain answer) came.
+    AnswerBegan {
+        /// Which request.
+        request: LocalRequest,
+        /// Marks of its head.
+        marks: AnswerMarks,
+    },
+    /// An attempt ended.
+    AttemptEnded {
+        /// Which request.
+        request: LocalRequest,
+        /// How.
+        outcome: AttemptOutcome,
+    },
+    /// A version of the configuration was read.
+    ConfigRead(Arc<DeclaredConfig>),
+    /// All upstream registrations were read.
+    UpstreamsRead(Vec<UpstreamEntry>),
+    /// One upstream registration was written.
+    UpstreamWritten(UpstreamEntry),
+    /// One upstream registration was removed.
+    UpstreamRemoved(UpstreamLabel),
+    /// The store answered: its rows of the configuration were as known at that moment.
+    Confirmed {
+        /// When they were.
+        at: MonotonicTime,
+    },
+    /// The store failed to answer a call.
+    StoreFailed,
+    /// An operator ordered a roll-out, or changed one.
+    RolloutOrdered(RolloutOrder),
+    /// What the store says of a roll-out.
+    RolloutRead(RolloutStatus),
+    /// The write of a roll-out's status was answered, or not.
+    RolloutWritten {
+        /// Which service's.
+        service: ServiceLabel,
+        /// It is known to be in the store.
+        accepted: bool,
+    },
+    /// Another daemon told of itself.
+    PeerHeard(Box<PeerSummary>),
+    /// Another daemon is known to have ended.
+    PeerEnded(HostLabel),
+    /// Time passes; comes every few milliseconds while requests wait.
+    Tick,
+    /// The process was told to stop within a time.
+    StopRequested {
+        /// Time until it is killed.
+        grace: Duration,
+    },
+}
--- /dev/null
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -0,0 +1,214 @@
+//! The whole gateway: one reducer over all events.
+
+mod admission;
+mod dispatch;
+mod ending;
+mod news;
+mod record;
+mod telling;
+
+pub use telling::GatewayView;
+
+use crate::{
+    affinity::PartIndex,
+    arrival::LocalRequest,
+    budget::{BudgetOptions, RetryBudget},
+    declared::DeclaredConfig,
+    effect::GatewayEffect,
+    event::GatewayEvent,
+    limit::TeamMeter,
+    name::{HostLabel, ServiceLabel, TeamLabel, ZoneLabel},
+    peer::PeerTable,
+    queue::WaitQueue,
+    rollout::{RolloutBook, TrialOptions},
+    upstream::UpstreamFleet,
+};
+use record::RequestRecord;
+use savorywood_core::{LogLevel, LogLine};
+use savorywood_protocol::MonotonicTime;
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+/// What a gateway is told at its start.
+#[derive(Debug, Clone)]
+pub struct GatewayOptions {
+    /// Own host.
+    pub host: HostLabel,
+    /// Own availability zone.
+    pub zone: ZoneLabel,
+    /// This life; later ones are larger.
+    pub incarnation: u64,
+    /// Where callers reach this daemon.
+    pub caller_address: SocketAddr,
+    /// The whole system starts for the first time.
+    pub first_start: bool,
+    /// A key must not work for longer than this after it was taken away; `None`: no such bound.
+    pub revocation: Option<Duration>,
+    /// Bounds of second tries.
+    pub budget: BudgetOptions,
+    /// Share of traffic that an unproved version may get.
+    pub exposure_share: f64,
+    /// Seed of all draws.
+    pub seed: u64,
+}
+
+/// Evenly drawn numbers (SplitMix64).
+#[derive(Debug, Clone)]
+struct DrawSequence(u64);
+
+impl DrawSequence {
+    fn next(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^= mixed >> 31;
+        (mixed >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// Decisions of one daemon.
+#[derive(Debug)]
+pub struct Gateway {
+    options: GatewayOptions,
+    draws: DrawSequence,
+    config: Option<Arc<DeclaredConfig>>,
+    fleet: UpstreamFleet,
+    upstreams_read: bool,
+    proof_at: Option<MonotonicTime>,
+    requests: BTreeMap<LocalRequest, RequestRecord>,
+    queues: BTreeMap<ServiceLabel, WaitQueue>,
+    parts: PartIndex,
+    peers: PeerTable,
+    meters: BTreeMap<TeamLabel, TeamMeter>,
+    budgets: BTreeMap<ServiceLabel, RetryBudget>,
+    rollouts: RolloutBook,
+    stopping: bool,
+    ready_logged: bool,
+    sequence: u64,
+}
+
+/// Effects of one step, in order.
+pub type GatewayEffects = Vec<GatewayEffect>;
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    #[must_use]
+    pub fn new(options: GatewayOptions) -> Self {
+        Self {
+            draws: DrawSequence(options.seed),
+            options,
+            config: None,
+            fleet: UpstreamFleet::default(),
+            upstreams_read: false,
+            proof_at: None,
+            requests: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            parts: PartIndex::default(),
+            peers: PeerTable::default(),
+            meters: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            rollouts: RolloutBook::default(),
+            stopping: false,
+            ready_logged: false,
+            sequence: 0,
+        }
+    }
+
+    /// Handles one event; what is to be done is appended to `effects`.
+    pub fn step(&mut self, now: MonotonicTime, event: GatewayEvent, effects: &mut GatewayEffects) {
+        match event {
+            GatewayEvent::Arrived { request, arrival } => {
+                self.arrive(now, request, &arrival, effects);
+            }
+            GatewayEvent::CallerLeft(request) => self.caller_left(now, request, effects),
+            GatewayEvent::AnswerBegan { request, marks } => {
+                self.answer_began(now, request, marks);
+            }
+            GatewayEvent::AttemptEnded { request, outcome } => {
+                self.attempt_ended(now, request, &outcome, effects);
+            }
+            GatewayEvent::ConfigRead(config) => self.config_read(now, config, effects),
+            GatewayEvent::UpstreamsRead(entries) => self.upstreams_read(now, entries, effects),
+            GatewayEvent::UpstreamWritten(entry) => self.upstream_written(now, entry, effects),
+            GatewayEvent::UpstreamRemoved(name) => self.upstream_removed(now, &name, effects),
+            GatewayEvent::Confirmed { at } => {
+                self.proof_at = Some(self.proof_at.map_or(at, |proof| proof.max(at)));
+                self.note_readiness(now, effects);
+            }
+            GatewayEvent::StoreFailed => self.fleet.store_failed(now),
+            GatewayEvent::RolloutOrdered(order) => self.rollout_ordered(now, order, effects),
+            GatewayEvent::RolloutRead(status) => self.rollouts.read(&status),
+            GatewayEvent::RolloutWritten { service, accepted } => {
+                self.rollouts.written(now, &service, accepted);
+            }
+            GatewayEvent::PeerHeard(summary) => self.peer_heard(now, *summary, effects),
+            GatewayEvent::PeerEnded(host) => self.peers.remove(&host),
+            GatewayEvent::Tick => self.tick(now, effects),
+            GatewayEvent::StopRequested { grace } => {
+                self.stopping = true;
+                let line = LogLine::new(LogLevel::Info, "stop-requested")
+                    .with("grace_ms", grace.as_millis())
+                    .with("open", self.requests.len());
+                effects.push(GatewayEffect::Log(line));
+            }
+        }
+    }
+
+    /// Configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<&Arc<DeclaredConfig>> {
+        self.config.as_ref()
+    }
+
+    /// Upstreams as known.
+    #[must_use]
+    pub fn fleet(&self) -> &UpstreamFleet {
+        &self.fleet
+    }
+
+    /// Peers as known.
+    #[must_use]
+    pub fn peers(&self) -> &PeerTable {
+        &self.peers
+    }
+
+    /// Requests that wait or run.
+    #[must_use]
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Requests that wait for a place.
+    #[must_use]
+    pub fn waiting_requests(&self) -> usize {
+        self.queues.values().map(WaitQueue::len).sum()
+    }
+
+    /// A roll-out is under way, or its end is not in the store yet.
+    #[must_use]
+    pub fn follows_rollouts(&self) -> bool {
+        self.rollouts.is_active()
+    }
+
+    fn trial(&self) -> TrialOptions {
+        TrialOptions {
+            share: self.options.exposure_share,
+        }
+    }
+
+    fn tick(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
+        self.note_readiness(now, effects);
+        self.expire_waiting(now, effects);
+        self.pump_all(now, effects);
+        self.fleet.sweep(now);
+        let leads = self.leads(now);
+        for write in self.rollouts.advance(now, leads) {
+            let line = LogLine::new(LogLevel::Info, "rollout-step")
+                .with("service", &write.service)
+                .with("to", &write.to)
+                .with("state", write.phase);
+            effects.push(GatewayEffect::Log(line));
+            effects.push(GatewayEffect::WriteRollout(write));
+        }
+    }
+}
--- /dev/null
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -0,0 +1,238 @@
+//! Arrivals: what is checked before a request is scheduled.
+
+use super::{
+    Gateway, GatewayEffects,
+    record::{RequestPlace, RequestRecord},
+};
+use crate::{
+    arrival::{LocalRequest, RequestArrival},
+    declared::{DeclaredConfig, RouteSpec, TeamSpec},
+    effect::GatewayEffect,
+    limit::TeamMeter,
+    pace::nominal_first_ms,
+    queue::{QueuePlace, RequestRank},
+    refusal::RefusalReason,
+};
+use savorywood_core::{LogLevel, LogLine};
+use savorywood_protocol::MonotonicTime;
+use std::{sync::Arc, time::Duration};
+
+/// Time that a proof loses on its way into a decision: clocks and steps.
+const PROOF_MARGIN: Duration = Duration::from_millis(400);
+/// A daemon whose newest proof is older sends no "no such route" and no "unknown key".
+const DENIAL_PROOF_AGE: Duration = Duration::from_millis(2_500);
+/// When to come back to a daemon that can't confirm its configuration; another address is better.
+const STALE_RETRY: Duration = Duration::from_millis(200);
+/// Time kept for the final answer's way to the caller.
+const ANSWER_MARGIN: Duration = Duration::from_millis(25);
+/// Longest time for a request that names no deadline on a route without a time limit.
+const LONGEST_TIME: Duration = Duration::from_secs(600);
+
+/// A refusal and when to come back.
+pub struct Denial {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl Denial {
+    fn of(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+
+    fn stale() -> Self {
+        Self {
+            reason: RefusalReason::NotReady,
+            retry_after: Some(STALE_RETRY),
+        }
+    }
+}
+
+impl Gateway {
+    pub(super) fn arrive(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        arrival: &RequestArrival,
+        effects: &mut GatewayEffects,
+    ) {
+        match self.admit(now, request, arrival) {
+            Ok(record) => {
+                let line = LogLine::new(LogLevel::Info, "request-admitted")
+                    .with("request", &record.identity)
+                    .with("route", &record.route.name)
+                    .with("service", &record.service)
+                    .with("team", record.team.as_ref().map_or("-", |team| team.as_str()))
+                    .with("rank", record.rank.route)
+                    .with("prompt", record.size.prompt)
+                    .with("give_up_ms", record.give_up_at.since(now).as_millis())
+                    .with("config", self.config_version())
+                    .with("proof_age_ms", self.proof_age(now).as_millis());
+                effects.push(GatewayEffect::Log(line));
+                let service = record.service.clone();
+                self.budgets.entry(service.clone()).or_default().earn(now);
+                self.enqueue(request, record);
+                self.pump(now, &service, effects);
+            }
+            Err(denial) => {
+                let line = LogLine::new(LogLevel::Info, "request-refused")
+                    .with("request", &arrival.identity)
+                    .with("reason", denial.reason)
+                    .with("config", self.config_version())
+                    .with("proof_age_ms", self.proof_age(now).as_millis());
+                effects.push(GatewayEffect::Log(line));
+                effects.push(GatewayEffect::Refuse {
+                    request,
+                    reason: denial.reason,
+                    retry_after: denial.retry_after,
+                });
+            }
+        }
+    }
+
+    pub(super) fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.version)
+    }
+
+    /// Age of the newest proof that the configuration is the store's.
+    pub(super) fn proof_age(&self, now: MonotonicTime) -> Duration {
+        let proof = self.proof_at.map(|at| now.since(at));
+        proof.unwrap_or(Duration::from_secs(3_600))
+    }
+
+    /// A key that was taken away must not work here after the bound, also when this daemon can't
+    /// hear of it: cut off from the store it would let a shut-out caller in for ever.
+    pub(super) fn keys_are_confirmed(&self, now: MonotonicTime) -> bool {
+        let bound = self.options.revocation.unwrap_or(Duration::MAX);
+        self.proof_age(now) < bound.saturating_sub(PROOF_MARGIN)
+    }
+
+    fn admit(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        arrival: &RequestArrival,
+    ) -> Result<RequestRecord, Denial> {
+        let config = self.config.clone().filter(|_| self.upstreams_read);
+        let config = config.ok_or_else(Denial::stale)?;
+        let route = self.find_route(now, &config, arrival)?;
+        let team = self.find_team(now, &config, &route, arrival)?;
+        let draw = self.draws.next();
+        let service = route.choose(draw).cloned();
+        let service = service.ok_or_else(|| Denial::of(RefusalReason::NoUpstream))?;
+        let mut units = 0.0;
+        if let Some(team) = &team {
+            units = self.take_units(now, team, arrival)?;
+        }
+        let deadline = arrival.deadline.unwrap_or(LONGEST_TIME);
+        let longest = deadline.min(route.timeout.unwrap_or(LONGEST_TIME));
+        let size = arrival.size.unwrap_or_default();
+        let rank = RequestRank {
+            team: team.as_ref().and_then(|team| team.priority).unwrap_or(0),
+            route: route.priority,
+        };
+        let expected = Duration::from_secs_f64(nominal_first_ms(size.prompt) / 1e3);
+        let begin_by = now + route.objective.saturating_sub(expected);
+        Ok(RequestRecord {
+            identity: arrival.identity.clone(),
+            service,
+            team: team.map(|team| team.name.clone()),
+            units,
+            rank,
+            size,
+            parts: arrival.parts.clone(),
+            arrived_at: now,
+            give_up_at: now + longest.saturating_sub(ANSWER_MARGIN),
+            place: RequestPlace::Waiting(QueuePlace {
+                rank,
+                begin_by,
+                request,
+            }),
+            tried: Vec::new(),
+            sends: 0,
+            runs: 0,
+            has_failure: false,
+            has_begun: false,
+            route,
+        })
+    }
+
+    fn find_route(
+        &self,
+        now: MonotonicTime,
+        config: &DeclaredConfig,
+        arrival: &RequestArrival,
+    ) -> Result<Arc<RouteSpec>, Denial> {
+        let route = config.route(&arrival.host, &arrival.path);
+        route
+            .cloned()
+            .ok_or_else(|| self.deny(now, RefusalReason::NoRoute))
+    }
+
+    /// "There is no such thing" is final for a caller: a daemon that may have missed the newest
+    /// configuration says "not ready" in its place.
+    fn deny(&self, now: MonotonicTime, reason: RefusalReason) -> Denial {
+        if self.proof_age(now) < DENIAL_PROOF_AGE {
+            Denial::of(reason)
+        } else {
+            Denial::stale()
+        }
+    }
+
+    fn find_team(
+        &self,
+        now: MonotonicTime,
+        config: &DeclaredConfig,
+        route: &RouteSpec,
+        arrival: &RequestArrival,
+    ) -> Result<Option<Arc<TeamSpec>>, Denial> {
+        let team = arrival.key.as_deref().and_then(|key| config.team_of(key));
+        if route.public || !config.needs_keys() {
+            return Ok(team.cloned());
+        }
+        if !self.keys_are_confirmed(now) {
+            return Err(Denial::stale());
+        }
+        let team = team.ok_or_else(|| self.deny(now, RefusalReason::UnknownKey))?;
+        Ok(Some(Arc::clone(team)))
+    }
+
+    fn take_units(
+        &mut self,
+        now: MonotonicTime,
+        team: &TeamSpec,
+        arrival: &RequestArrival,
+    ) -> Result<f64, Denial> {
+        let Some(limit) = team.limit else {
+            return Ok(0.0);
+        };
+        let units = if limit.in_tokens {
+            let size = arrival.size.map(|size| size.prompt + size.output);
+            f64::from(size.unwrap_or(limit.plain_tokens))
+        } else {
+            1.0
+        };
+        let full_part = if self.options.first_start { 1.0 } else { 0.5 };
+        let meter = self
+            .meters
+            .entry(team.name.clone())
+            .or_insert_with(|| TeamMeter::new(now, limit, full_part));
+        meter.take(now, units).map_err(|wait| Denial {
+            reason: RefusalReason::OverLimit,
+            retry_after: Some(wait),
+        })?;
+        Ok(units)
+    }
+
+    fn enqueue(&mut self, request: LocalRequest, record: RequestRecord) {
+        if let RequestPlace::Waiting(place) = &record.place {
+            let queue = self.queues.entry(record.service.clone()).or_default();
+            queue.insert(*place);
+        }
+        self.requests.insert(request, record);
+    }
+}
--- /dev/null
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -0,0 +1,241 @@
+//! Waiting requests get places at upstreams.
+
+use super::{
+    Gateway, GatewayEffects,
+    record::{RequestPlace, RequestRecord, RunningAttempt},
+};
+use crate::{
+    arrival::LocalRequest,
+    effect::{DispatchOrder, GatewayEffect},
+    name::ServiceLabel,
+    pick::{PickFailure, PickQuery, PickScene, PickedUpstream},
+    queue::QueuePlace,
+    refusal::RefusalReason,
+};
+use savorywood_core::{LogLevel, LogLine};
+use savorywood_protocol::MonotonicTime;
+use std::time::Duration;
+
+/// Requests without a place that are looked at before a service counts as full.
+const MAX_FULL: usize = 3;
+/// Part of the objective after which a request may queue inside an upstream: peers' seats are
+/// known late, and one that waits here for a seat that is free already is late for nothing.
+const OVERCOMMIT_PART: f64 = 0.4;
+/// Part of the objective for which a request waits for a service that has no upstream.
+const EMPTY_PART: f64 = 0.12;
+/// Part of the expected time that must be left when an attempt begins.
+const NEEDED_PART: f64 = 0.6;
+/// First silence of a stream that may be begun elsewhere, against what was expected.
+const SILENCE_FACTOR: f64 = 4.0;
+/// Least first silence.
+const LEAST_SILENCE: Duration = Duration::from_millis(400);
+/// Silence between events after which a stream is read on elsewhere, against its objective.
+const GAP_PART: f64 = 0.75;
+/// Least silence between events.
+const LEAST_GAP: Duration = Duration::from_millis(400);
+
+impl Gateway {
+    pub(super) fn pump_all(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
+        let waiting = self.queues.iter().filter(|(_, queue)| queue.len() > 0);
+        let services: Vec<ServiceLabel> = waiting.map(|(service, _)| service.clone()).collect();
+        for service in services {
+            self.pump(now, &service, effects);
+        }
+    }
+
+    /// Gives places at upstreams of a service to the most urgent requests.
+    pub(super) fn pump(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceLabel,
+        effects: &mut GatewayEffects,
+    ) {
+        let places = self.places_in_order(now, service);
+        let mut full = 0;
+        for place in places {
+            let Some(record) = self.requests.get(&place.request) else {
+                continue;
+            };
+            match self.pick(now, record) {
+                Ok(picked) => self.dispatch(now, place.request, &picked, effects),
+                Err(PickFailure::Full) => {
+                    full += 1;
+                    if full >= MAX_FULL {
+                        return;
+                    }
+                }
+                Err(PickFailure::None) => self.without_upstream(now, place.request, effects),
+            }
+        }
+    }
+
+    /// Most urgent rank first; within a rank those that can still be in time before those that
+    /// can't: a late answer is worth little, and it would make the next one late as well.
+    fn places_in_order(&self, now: MonotonicTime, service: &ServiceLabel) -> Vec<QueuePlace> {
+        let Some(queue) = self.queues.get(service) else {
+            return Vec::new();
+        };
+        let mut places: Vec<QueuePlace> = queue.iter().copied().collect();
+        places.sort_by_key(|place| (place.rank, place.begin_by < now, place.begin_by));
+        places
+    }
+
+    fn pick(&self, now: MonotonicTime, record: &RequestRecord) -> Result<PickedUpstream, PickFailure> {
+        let waited = now.since(record.arrived_at);
+        let patient = waited < record.route.objective.mul_f64(OVERCOMMIT_PART);
+        let mut rollouts = self.rollouts.clone();
+        let query = PickQuery {
+            service: &record.service,
+            prompt: record.size.prompt,
+            stream: record.route.repeat.is_stream(),
+            parts: &record.parts,
+            tried: &record.tried,
+            versions: rollouts.choose(now, &record.service, self.trial()),
+            overcommit: u32::from(!patient),
+            idempotent: record.route.repeat.is_idempotent(),
+        };
+        let scene = PickScene {
+            now,
+            fleet: &self.fleet,
+            peers: &self.peers,
+            parts: &self.parts,
+            zone: &self.options.zone,
+        };
+        let mut draws = self.draws.clone();
+        scene.pick(&query, || draws.next())
+    }
+
+    fn dispatch(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        picked: &PickedUpstream,
+        effects: &mut GatewayEffects,
+    ) {
+        self.draws.next();
+        let others = self.has_others(now, request, picked);
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let Some(state) = self.fleet.get_mut(&picked.name) else {
+            return;
+        };
+        state.running += 1;
+        state.outlier.sent();
+        if let RequestPlace::Waiting(place) = &record.place
+            && let Some(queue) = self.queues.get_mut(&record.service)
+        {
+            queue.remove(place);
+        }
+        record.sends += 1;
+        record.place = RequestPlace::Running(RunningAttempt {
+            upstream: picked.name.clone(),
+            sent_at: now,
+            began_at: None,
+            expected_ms: picked.expected_ms,
+        });
+        self.parts.read(now, &record.parts, &picked.name);
+        self.rollouts.sent(&record.service, &state.entry.version);
+        let order = DispatchOrder {
+            request,
+            number: record.sends,
+            upstream: picked.name.clone(),
+            address: state.entry.address,
+            team: record.team.clone(),
+            give_up_at: record.give_up_at,
+            first_silence: first_silence(record, picked).filter(|_| others),
+            gap_silence: gap_silence(record),
+            stream: record.route.repeat.is_stream(),
+            idempotent: record.route.repeat.is_idempotent(),
+        };
+        let line = LogLine::new(LogLevel::Info, "request-dispatched")
+            .with("request", &record.identity)
+            .with("upstream", &picked.name)
+            .with("send", record.sends)
+            .with("waited_ms", now.since(record.arrived_at).as_millis())
+            .with("expected_ms", format_args!("{:.0}", picked.expected_ms))
+            .with("score", format_args!("{:.0}", picked.score))
+            .with("occupied", picked.occupied)
+            .with("slots", state.entry.slots);
+        effects.push(GatewayEffect::Log(line));
+        effects.push(GatewayEffect::Dispatch(order));
+    }
+
+    /// There is another upstream to which the request could go.
+    fn has_others(&self, now: MonotonicTime, request: LocalRequest, picked: &PickedUpstream) -> bool {
+        let Some(record) = self.requests.get(&request) else {
+            return false;
+        };
+        let mut members = self.fleet.members(&record.service);
+        members.any(|state| {
+            let name = &state.entry.name;
+            let usable = state.is_open(now) && state.outlier.is_usable(now);
+            usable && *name != picked.name && !record.tried.contains(name)
+        })
+    }
+
+    /// All upstreams of the service are gone, or have had the request.
+    fn without_upstream(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        effects: &mut GatewayEffects,
+    ) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        if !record.tried.is_empty() && record.runs == 0 && record.sends < MAX_SENDS {
+            // All said that they were full or could not be reached: they may have room by now.
+            record.tried.clear();
+        }
+        let waited = now.since(record.arrived_at);
+        if waited >= record.route.objective.mul_f64(EMPTY_PART) {
+            self.finish(now, request, RefusalReason::NoUpstream, effects);
+        }
+    }
+
+    /// Gives up requests that could not be answered in time any more.
+    pub(super) fn expire_waiting(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
+        let mut expired = Vec::new();
+        for (service, queue) in &self.queues {
+            let usual = self.fleet.usual(service);
+            for place in queue.iter() {
+                let Some(record) = self.requests.get(&place.request) else {
+                    continue;
+                };
+                let needed = if record.route.repeat.is_stream() {
+                    usual.first_ms(&usual, record.size.prompt) + usual.rest_ms(&usual)
+                } else {
+                    usual.whole_ms(&usual)
+                };
+                let needed = Duration::from_secs_f64(needed * NEEDED_PART / 1e3);
+                if now + needed >= record.give_up_at {
+                    expired.push(place.request);
+                }
+            }
+        }
+        for request in expired {
+            self.finish(now, request, RefusalReason::ExpiredUnsent, effects);
+        }
+    }
+}
+
+/// Times that a request is sent at most, those included that upstreams did not run.
+pub(super) const MAX_SENDS: u32 = 4;
+
+fn first_silence(record: &RequestRecord, picked: &PickedUpstream) -> Option<Duration> {
+    if !record.route.repeat.is_idempotent() || record.runs + 1 >= record.route.max_attempts {
+        return None;
+    }
+    let expected = Duration::from_secs_f64(picked.expected_ms * SILENCE_FACTOR / 1e3);
+    let half = record.route.objective.mul_f64(0.6);
+    Some(expected.max(half).max(LEAST_SILENCE))
+}
+
+fn gap_silence(record: &RequestRecord) -> Option<Duration> {
+    if !record.route.repeat.is_idempotent() || record.runs + 1 >= record.route.max_attempts {
+        return None;
+    }
+    let gap = record.route.gap_objective?;
+    Some(gap.mul_f64(GAP_PART).max(LEAST_GAP))
+}
--- /dev/null
+++ b/crates/savorywood-gateway/src/gateway/ending.rs
@@ -0,0 +1,371 @@
+//! Attempts end: what was learned, and what becomes of the request.
+
+use super::{
+    Gateway, GatewayEffects,
+    dispatch::MAX_SENDS,
+    record::{RequestPlace, RunningAttempt},
+};
+use crate::{
+    arrival::LocalRequest,
+    effect::GatewayEffect,
+    event::{AnswerMarks, AttemptOutcome},
+    name::ServiceLabel,
+    queue::QueuePlace,
+    refusal::RefusalReason,
+};
+use savorywood_core::{LogLevel, LogLine};
+use savorywood_protocol::MonotonicTime;
+use std::time::Duration;
+
+/// A plain answer that took this many times what was expected speaks against a version.
+const SLOW_FACTOR: f64 = 3.0;
+/// When to come back where nothing better is known.
+const BUSY_RETRY: Duration = Duration::from_millis(400);
+
+impl Gateway {
+    pub(super) fn answer_began(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        marks: AnswerMarks,
+    ) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let RequestPlace::Running(attempt) = &mut record.place else {
+            return;
+        };
+        attempt.began_at.get_or_insert(now);
+        record.has_begun |= record.route.repeat.is_stream();
+        let elapsed = now.since(attempt.sent_at);
+        let upstream = attempt.upstream.clone();
+        if record.route.repeat.is_stream() {
+            let prompt = record.size.prompt;
+            self.fleet.usual_mut(&record.service).saw_first(prompt, elapsed);
+            if let Some(state) = self.fleet.get_mut(&upstream) {
+                state.pace.saw_first(prompt, elapsed);
+            }
+        }
+        self.mark(now, &upstream, marks);
+    }
+
+    fn mark(&mut self, now: MonotonicTime, upstream: &crate::UpstreamLabel, marks: AnswerMarks) {
+        if let Some(state) = self.fleet.get_mut(upstream)
+            && marks.load.is_some()
+        {
+            state.load = marks.load;
+            state.load_at = now;
+        }
+    }
+
+    pub(super) fn caller_left(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        effects: &mut GatewayEffects,
+    ) {
+        let Some(record) = self.requests.get(&request) else {
+            return;
+        };
+        match &record.place {
+            RequestPlace::Waiting(_) => {
+                self.give_units_back(request);
+                self.close(now, request, "caller-left", effects);
+            }
+            RequestPlace::Running(_) => {
+                self.attempt_ended(now, request, &AttemptOutcome::CallerLeft, effects);
+            }
+        }
+    }
+
+    pub(super) fn attempt_ended(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        outcome: &AttemptOutcome,
+        effects: &mut GatewayEffects,
+    ) {
+        let Some(record) = self.requests.get(&request) else {
+            return;
+        };
+        let RequestPlace::Running(attempt) = record.place.clone() else {
+            return;
+        };
+        let service = record.service.clone();
+        self.release(now, request, &attempt, outcome, effects);
+        self.decide(now, request, &attempt, outcome, effects);
+        self.pump(now, &service, effects);
+    }
+
+    /// Frees the place and learns from the outcome.
+    fn release(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        attempt: &RunningAttempt,
+        outcome: &AttemptOutcome,
+        effects: &mut GatewayEffects,
+    ) {
+        let Some(record) = self.requests.get(&request) else {
+            return;
+        };
+        let usual = self.fleet.usual_failures(&record.service);
+        let elapsed = now.since(attempt.sent_at);
+        let stream = record.route.repeat.is_stream();
+        let service = record.service.clone();
+        let Some(state) = self.fleet.get_mut(&attempt.upstream) else {
+            return;
+        };
+        state.running = state.running.saturating_sub(1);
+        let outlier = &mut state.outlier;
+        let overdue = elapsed.as_secs_f64() * 1e3 > attempt.expected_ms * 4.0 + 500.0;
+        let mut taken_out = false;
+        let mut bad = None;
+        match outcome {
+            AttemptOutcome::NotSent => taken_out = outlier.broke(now, false),
+            AttemptOutcome::NotRun { misdirected, .. } => {
+                outlier.unknown();
+                if *misdirected {
+                    state.gone_at = Some(now);
+                }
+            }
+            AttemptOutcome::Failed { .. } => {
+                taken_out = outlier.failed(now, usual);
+                bad = Some(true);
+            }
+            AttemptOutcome::Broken { silent } => {
+                taken_out = outlier.broke(now, *silent);
+                bad = Some(true);
+            }
+            AttemptOutcome::StreamBroken(end) => {
+                taken_out = outlier.broke(now, end.silent);
+                bad = Some(true);
+            }
+            AttemptOutcome::Expired if overdue && attempt.began_at.is_none() => {
+                taken_out = outlier.broke(now, false);
+                bad = Some(true);
+            }
+            AttemptOutcome::Expired | AttemptOutcome::CallerLeft => outlier.unknown(),
+            AttemptOutcome::Delivered { events, .. } => {
+                if outlier.succeeded() {
+                    let line = LogLine::new(LogLevel::Info, "upstream-back")
+                        .with("upstream", &attempt.upstream);
+                    effects.push(GatewayEffect::Log(line));
+                }
+                let slow = elapsed.as_secs_f64() * 1e3 > attempt.expected_ms * SLOW_FACTOR + 200.0;
+                bad = Some(slow && !stream);
+                if stream {
+                    let began = attempt.began_at.unwrap_or(now);
+                    state.pace.saw_stream(*events, now.since(began), elapsed);
+                } else {
+                    state.pace.saw_answer(elapsed);
+                }
+                let version = state.entry.version.clone();
+                let usual = self.fleet.usual_mut(&service);
+                if stream {
+                    let began = attempt.began_at.unwrap_or(now);
+                    usual.saw_stream(*events, now.since(began), elapsed);
+                } else {
+                    usual.saw_answer(elapsed);
+                }
+                self.rollouts.answered(&service, &version, bad == Some(true));
+                bad = None;
+            }
+        }
+        if let Some(bad) = bad
+            && let Some(state) = self.fleet.get(&attempt.upstream)
+        {
+            self.rollouts.answered(&service, &state.entry.version, bad);
+        }
+        if taken_out {
+            let line = LogLine::new(LogLevel::Warn, "upstream-suspected")
+                .with("upstream", &attempt.upstream)
+                .with("service", &service)
+                .with("cause", outcome_name(outcome))
+                .with("usual_failures", format_args!("{usual:.2}"));
+            effects.push(GatewayEffect::Log(line));
+        }
+        match outcome {
+            AttemptOutcome::NotRun { marks, .. }
+            | AttemptOutcome::Failed { marks }
+            | AttemptOutcome::Delivered { marks, .. } => self.mark(now, &attempt.upstream, *marks),
+            _ => {}
+        }
+    }
+
+    /// Sends the request once more, or gives it its final answer.
+    fn decide(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        attempt: &RunningAttempt,
+        outcome: &AttemptOutcome,
+        effects: &mut GatewayEffects,
+    ) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        record.tried.push(attempt.upstream.clone());
+        match outcome {
+            AttemptOutcome::Delivered { .. } => return self.close(now, request, "served", effects),
+            AttemptOutcome::CallerLeft => return self.close(now, request, "caller-left", effects),
+            AttemptOutcome::NotSent => {
+                if record.sends < MAX_SENDS {
+                    return self.requeue(now, request, outcome, effects);
+                }
+                return self.finish(now, request, RefusalReason::NoUpstream, effects);
+            }
+            AttemptOutcome::NotRun { .. } => {
+                if record.sends < MAX_SENDS && self.spend_try(now, request) {
+                    return self.requeue(now, request, outcome, effects);
+                }
+                return self.finish(now, request, RefusalReason::NotRun, effects);
+            }
+            AttemptOutcome::Expired => {
+                record.runs += 1;
+                return self.finish(now, request, RefusalReason::ExpiredUnknown, effects);
+            }
+            AttemptOutcome::Failed { .. } => {
+                record.runs += 1;
+                record.has_failure = true;
+            }
+            AttemptOutcome::Broken { .. } | AttemptOutcome::StreamBroken(_) => record.runs += 1,
+        }
+        let again = record.may_run_again() && record.sends < MAX_SENDS;
+        if again && self.spend_try(now, request) {
+            return self.requeue(now, request, outcome, effects);
+        }
+        self.finish(now, request, RefusalReason::BrokenAnswer, effects);
+    }
+
+    fn spend_try(&mut self, now: MonotonicTime, request: LocalRequest) -> bool {
+        let Some(record) = self.requests.get(&request) else {
+            return false;
+        };
+        let daemons = self.peers.len() + 1;
+        let budget = self.budgets.entry(record.service.clone()).or_default();
+        budget.spend(now, &self.options.budget, daemons)
+    }
+
+    /// Puts a request back into its queue; it has waited and goes first in its rank.
+    fn requeue(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        outcome: &AttemptOutcome,
+        effects: &mut GatewayEffects,
+    ) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let place = QueuePlace {
+            rank: record.rank,
+            begin_by: now,
+            request,
+        };
+        record.place = RequestPlace::Waiting(place);
+        let line = LogLine::new(LogLevel::Info, "request-again")
+            .with("request", &record.identity)
+            .with("after", outcome_name(outcome))
+            .with("sends", record.sends)
+            .with("runs", record.runs);
+        effects.push(GatewayEffect::Log(line));
+        let queue = self.queues.entry(record.service.clone()).or_default();
+        queue.insert(place);
+    }
+
+    /// Gives a request its final answer. This is the one place that decides which statuses are
+    /// true: whatever may have run never hears that it has not.
+    pub(super) fn finish(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        reason: RefusalReason,
+        effects: &mut GatewayEffects,
+    ) {
+        let Some(record) = self.requests.get(&request) else {
+            return;
+        };
+        if record.has_begun {
+            effects.push(GatewayEffect::BreakOff { request });
+            return self.close(now, request, "broken-off", effects);
+        }
+        if record.has_failure {
+            effects.push(GatewayEffect::PassFailure { request });
+            return self.close(now, request, "failure-passed", effects);
+        }
+        let reason = match (record.runs > 0, reason.promises_not_run()) {
+            (true, true) if reason == RefusalReason::ExpiredUnsent => RefusalReason::ExpiredUnknown,
+            (true, true) => RefusalReason::BrokenAnswer,
+            _ => reason,
+        };
+        let retry_after = reason.promises_not_run().then_some(BUSY_RETRY);
+        if reason.promises_not_run() {
+            self.give_units_back(request);
+        }
+        effects.push(GatewayEffect::Refuse {
+            request,
+            reason,
+            retry_after,
+        });
+        self.close(now, request, reason.into(), effects);
+    }
+
+    fn give_units_back(&mut self, request: LocalRequest) {
+        let Some(record) = self.requests.get(&request) else {
+            return;
+        };
+        if let Some(team) = &record.team
+            && record.runs == 0
+            && let Some(meter) = self.meters.get_mut(team)
+        {
+            meter.give_back(record.units);
+        }
+    }
+
+    fn close(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        end: &'static str,
+        effects: &mut GatewayEffects,
+    ) {
+        let Some(record) = self.requests.remove(&request) else {
+            return;
+        };
+        if let RequestPlace::Waiting(place) = &record.place {
+            self.unqueue(&record.service, place);
+        }
+        let line = LogLine::new(LogLevel::Info, "request-ended")
+            .with("request", &record.identity)
+            .with("end", end)
+            .with("took_ms", now.since(record.arrived_at).as_millis())
+            .with("sends", record.sends)
+            .with("runs", record.runs);
+        effects.push(GatewayEffect::Log(line));
+    }
+
+    fn unqueue(&mut self, service: &ServiceLabel, place: &QueuePlace) {
+        if let Some(queue) = self.queues.get_mut(service) {
+            queue.remove(place);
+        }
+    }
+}
+
+fn outcome_name(outcome: &AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::NotSent => "not-sent",
+        AttemptOutcome::NotRun {
+            misdirected: true, ..
+        } => "misdirected",
+        AttemptOutcome::NotRun { .. } => "not-run",
+        AttemptOutcome::Failed { .. } => "failed",
+        AttemptOutcome::Broken { silent: true } => "silent",
+        AttemptOutcome::Broken { .. } => "broken",
+        AttemptOutcome::StreamBroken(end) if end.silent => "stream-silent",
+        AttemptOutcome::StreamBroken(_) => "stream-broken",
+        AttemptOutcome::Delivered { .. } => "delivered",
+        AttemptOutcome::Expired => "expired",
+        AttemptOutcome::CallerLeft => "caller-left",
+    }
+}
--- /dev/null
+++ b/crates/savorywood-gateway/src/gateway/news.rs
@@ -0,0 +1,178 @@
+//! News of configuration, upstreams, roll-outs and peers.
+
+use super::{Gateway, GatewayEffects};
+use crate::{
+    declared::DeclaredConfig,
+    effect::GatewayEffect,
+    limit::TeamMeter,
+    name::{HostLabel, UpstreamLabel},
+    peer::{PeerPhase, PeerSummary, name_digest},
+    rollout::RolloutOrder,
+    upstream::{FleetChange, UpstreamEntry},
+};
+use savorywood_core::{LogLevel, LogLine};
+use savorywood_protocol::MonotonicTime;
+use std::sync::Arc;
+
+impl Gateway {
+    /// A version is never followed by an older one: a slow answer that comes late would bring
+    /// back routes and keys that operators took away.
+    pub(super) fn config_read(
+        &mut self,
+        now: MonotonicTime,
+        config: Arc<DeclaredConfig>,
+        effects: &mut GatewayEffects,
+    ) {
+        if self.config.as_ref().is_some_and(|old| old.version >= config.version) {
+            return;
+        }
+        let line = LogLine::new(LogLevel::Info, "config-in-force")
+            .with("version", config.version)
+            .with("before", self.config_version())
+            .with("routes", config.route_count())
+            .with("services", config.services.len())
+            .with("teams", config.teams().count());
+        effects.push(GatewayEffect::Log(line));
+        self.set_limits(now, &config);
+        self.config = Some(config);
+        self.note_readiness(now, effects);
+    }
+
+    fn set_limits(&mut self, now: MonotonicTime, config: &DeclaredConfig) {
+        self.meters.retain(|team, _| config.team(team).is_some());
+        let first = self.config.is_none();
+        for team in config.teams() {
+            let Some(limit) = team.limit else {
+                self.meters.remove(&team.name);
+                continue;
+            };
+            match self.meters.get_mut(&team.name) {
+                Some(meter) if meter.limit() != limit => meter.set_limit(now, limit),
+                Some(_) => {}
+                None => {
+                    let known = !first || self.options.first_start;
+                    let full_part = if known { 1.0 } else { 0.5 };
+                    let meter = TeamMeter::new(now, limit, full_part);
+                    self.meters.insert(team.name.clone(), meter);
+                }
+            }
+        }
+    }
+
+    pub(super) fn upstreams_read(
+        &mut self,
+        now: MonotonicTime,
+        entries: Vec<UpstreamEntry>,
+        effects: &mut GatewayEffects,
+    ) {
+        let line = LogLine::new(LogLevel::Info, "upstreams-read").with("count", entries.len());
+        effects.push(GatewayEffect::Log(line));
+        for (name, change) in self.fleet.replace(now, entries) {
+            log_change(&name, change, effects);
+        }
+        self.upstreams_read = true;
+        self.note_readiness(now, effects);
+        self.pump_all(now, effects);
+    }
+
+    pub(super) fn upstream_written(
+        &mut self,
+        now: MonotonicTime,
+        entry: UpstreamEntry,
+        effects: &mut GatewayEffects,
+    ) {
+        let name = entry.name.clone();
+        if let Some(change) = self.fleet.write(entry) {
+            log_change(&name, change, effects);
+            self.pump_all(now, effects);
+        }
+    }
+
+    pub(super) fn upstream_removed(
+        &mut self,
+        now: MonotonicTime,
+        name: &UpstreamLabel,
+        effects: &mut GatewayEffects,
+    ) {
+        if let Some(change) = self.fleet.remove(now, name) {
+            log_change(name, change, effects);
+        }
+    }
+
+    pub(super) fn rollout_ordered(
+        &mut self,
+        now: MonotonicTime,
+        order: RolloutOrder,
+        effects: &mut GatewayEffects,
+    ) {
+        let line = LogLine::new(LogLevel::Info, "rollout-ordered")
+            .with("service", &order.service)
+            .with("to", &order.to)
+            .with("within_ms", order.within.as_millis());
+        if self.rollouts.order(now, order) {
+            effects.push(GatewayEffect::Log(line));
+        }
+    }
+
+    pub(super) fn peer_heard(
+        &mut self,
+        now: MonotonicTime,
+        summary: PeerSummary,
+        effects: &mut GatewayEffects,
+    ) {
+        let peer = name_digest(&summary.host);
+        if peer == name_digest(self.options.host.as_str()) {
+            return;
+        }
+        let host = HostLabel::from(summary.host.as_str());
+        let was_alive = self.peers.alive(now).any(|known| known.summary.host == summary.host);
+        let usage = summary.usage.clone();
+        let tallies = summary.tallies.clone();
+        let incarnation = summary.incarnation;
+        let phase = summary.phase;
+        if !self.peers.hear(now, summary) {
+            return;
+        }
+        if !was_alive {
+            let line = LogLine::new(LogLevel::Info, "peer-heard")
+                .with("peer", &host)
+                .with("phase", format_args!("{phase:?}"));
+            effects.push(GatewayEffect::Log(line));
+        }
+        for (team, meter) in &mut self.meters {
+            let digest = name_digest(team.as_str());
+            let used = usage.iter().find(|used| used.team == digest);
+            if let Some(used) = used {
+                meter.heard(now, peer, incarnation, used.total);
+            }
+            if phase == PeerPhase::Leaving {
+                meter.ended(now, peer);
+            }
+        }
+        self.rollouts.heard(peer, &tallies);
+        self.pump_all(now, effects);
+    }
+
+    /// Logs a change of readiness with what decided it.
+    pub(super) fn note_readiness(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
+        let ready = self.is_ready(now);
+        if ready == self.ready_logged {
+            return;
+        }
+        self.ready_logged = ready;
+        let line = LogLine::new(LogLevel::Info, "readiness")
+            .with("ready", ready)
+            .with("config", self.config_version())
+            .with("upstreams_read", self.upstreams_read)
+            .with("proof_age_ms", self.proof_age(now).as_millis())
+            .with("stopping", self.stopping);
+        effects.push(GatewayEffect::Log(line));
+    }
+}
+
+fn log_change(name: &UpstreamLabel, change: FleetChange, effects: &mut GatewayEffects) {
+    let line = LogLine::new(LogLevel::Info, "upstream-changed")
+        .with("upstream", name)
+        .with("change", change);
+    effects.push(GatewayEffect::Log(line));
+}
--- /dev/null
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -0,0 +1,76 @@
+//! What a gateway knows of one open request.
+
+use crate::{
+    arrival::{PromptPart, RequestSize},
+    declared::RouteSpec,
+    name::{ServiceLabel, TeamLabel, UpstreamLabel},
+    queue::{QueuePlace, RequestRank},
+};
+use savorywood_protocol::MonotonicTime;
+use std::sync::Arc;
+
+/// An attempt under way.
+#[derive(Debug, Clone)]
+pub struct RunningAttempt {
+    /// Where.
+    pub upstream: UpstreamLabel,
+    /// Since when.
+    pub sent_at: MonotonicTime,
+    /// When its answer began.
+    pub began_at: Option<MonotonicTime>,
+    /// Milliseconds that were expected until then.
+    pub expected_ms: f64,
+}
+
+/// Where a request is.
+#[derive(Debug, Clone)]
+pub enum RequestPlace {
+    /// It waits.
+    Waiting(QueuePlace),
+    /// It runs.
+    Running(RunningAttempt),
+}
+
+/// One open request.
+#[derive(Debug, Clone)]
+pub struct RequestRecord {
+    /// Identity of the caller's, for the log.
+    pub identity: String,
+    /// Its route.
+    pub route: Arc<RouteSpec>,
+    /// Service drawn from the route's split.
+    pub service: ServiceLabel,
+    /// Team of its key.
+    pub team: Option<TeamLabel>,
+    /// Units taken from the team's limit.
+    pub units: f64,
+    /// Its rank.
+    pub rank: RequestRank,
+    /// Its size.
+    pub size: RequestSize,
+    /// Parts of its prompt.
+    pub parts: Vec<PromptPart>,
+    /// When it came.
+    pub arrived_at: MonotonicTime,
+    /// When it must have its final answer.
+    pub give_up_at: MonotonicTime,
+    /// Where it is.
+    pub place: RequestPlace,
+    /// Upstreams that have had it.
+    pub tried: Vec<UpstreamLabel>,
+    /// Times that it was sent.
+    pub sends: u32,
+    /// Upstreams that may have run it.
+    pub runs: u32,
+    /// An upstream's own failure is kept for the caller.
+    pub has_failure: bool,
+    /// Events or bytes have reached the caller.
+    pub has_begun: bool,
+}
+
+impl RequestRecord {
+    /// A second run is allowed by the route.
+    pub fn may_run_again(&self) -> bool {
+        self.route.repeat.is_idempotent() && self.runs < self.route.max_attempts.max(1)
+    }
+}
--- /dev/null
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -0,0 +1,44 @@
+//! Decisions of a daemon whose routes, teams and upstreams are declared in a shared store.
+//!
+//! [`Gateway`] is one reducer over all events with effects as data: it reads no clock and does no
+//! I/O, so the same events give the same effects.
+
+mod affinity;
+mod arrival;
+mod budget;
+mod declared;
+mod effect;
+mod event;
+mod freshness;
+mod gateway;
+mod limit;
+mod name;
+mod outlier;
+mod pace;
+mod peer;
+mod pick;
+mod queue;
+mod refusal;
+mod rollout;
+mod upstream;
+
+pub use arrival::{LocalRequest, PromptPart, RequestArrival, RequestSize};
+pub use budget::{BudgetOptions, RetryBudget};
+pub use declared::{
+    CallerLimits, DeclaredConfig, EngineSpec, RepeatKind, RouteSpec, ServiceSpec, TeamLimit,
+    TeamSpec, TrafficShare,
+};
+pub use effect::{DispatchOrder, GatewayEffect};
+pub use event::{AnswerMarks, AttemptOutcome, GatewayEvent, LoadFigures, StreamEnd};
+pub use freshness::{FreshnessClock, StoreExchange};
+pub use gateway::{Gateway, GatewayOptions, GatewayView};
+pub use limit::TeamMeter;
+pub use name::{HostLabel, ServiceLabel, TeamLabel, UpstreamLabel, VersionLabel, ZoneLabel};
+pub use outlier::OutlierState;
+pub use peer::{
+    PeerPhase, PeerSummary, PeerTable, SeatUse, TeamUse, VersionTally, name_digest,
+};
+pub use queue::RequestRank;
+pub use refusal::RefusalReason;
+pub use rollout::{RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite};
+pub use upstream::{UpstreamEntry, UpstreamFleet};
--- /dev/null
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -0,0 +1,184 @@
+//! Which upstream gets a request.
+
+use crate::{
+    affinity::PartIndex,
+    arrival::PromptPart,
+    name::{ServiceLabel, UpstreamLabel, VersionLabel, ZoneLabel},
+    peer::PeerTable,
+    upstream::{UpstreamFleet, UpstreamState},
+};
+use savorywood_protocol::MonotonicTime;
+
+/// What an upstream in another zone must be faster by, in milliseconds, to be worth the bytes.
+const ZONE_PENALTY_MS: f64 = 60.0;
+/// Slowdown of the first event by each request that runs beside it.
+const CROWD_SLOWDOWN: f64 = 0.3;
+/// What a certain failure costs, in milliseconds.
+const FAILURE_PENALTY_MS: f64 = 2_500.0;
+/// Weight of the time after the first event: it holds a seat but is not waited for.
+const REST_WEIGHT: f64 = 0.25;
+/// What an upstream on trial costs, in milliseconds.
+const TRIAL_PENALTY_MS: f64 = 300.0;
+
+/// Which versions may get a request while a roll-out is under way.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum VersionChoice {
+    /// Any.
+    Any,
+    /// Only this one.
+    Only(VersionLabel),
+    /// Any but this one.
+    Not(VersionLabel),
+}
+
+impl VersionChoice {
+    fn allows(&self, version: &VersionLabel) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => only == version,
+            Self::Not(other) => other != version,
+        }
+    }
+}
+
+/// What is asked for.
+#[derive(Debug, Clone)]
+pub struct PickQuery<'a> {
+    /// Service.
+    pub service: &'a ServiceLabel,
+    /// Prompt tokens; zero for plain calls.
+    pub prompt: u32,
+    /// The answer is a stream.
+    pub stream: bool,
+    /// Parts of the prompt.
+    pub parts: &'a [PromptPart],
+    /// Upstreams that have had it.
+    pub tried: &'a [UpstreamLabel],
+    /// Versions that may get it.
+    pub versions: VersionChoice,
+    /// Requests that may wait in an upstream beyond its slots.
+    pub overcommit: u32,
+    /// It may run again: upstreams on trial may have it.
+    pub idempotent: bool,
+}
+
+/// What is looked at.
+#[derive(Debug, Clone, Copy)]
+pub struct PickScene<'a> {
+    /// Now.
+    pub now: MonotonicTime,
+    /// Upstreams.
+    pub fleet: &'a UpstreamFleet,
+    /// Peers and their seats.
+    pub peers: &'a PeerTable,
+    /// Holders of prompt parts.
+    pub parts: &'a PartIndex,
+    /// Own zone.
+    pub zone: &'a ZoneLabel,
+}
+
+/// Why none was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PickFailure {
+    /// All are full.
+    Full,
+    /// There is none that may have it.
+    None,
+}
+
+/// An upstream chosen.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PickedUpstream {
+    /// Who.
+    pub name: UpstreamLabel,
+    /// Expected milliseconds to the first event, or of the whole plain answer.
+    pub expected_ms: f64,
+    /// Requests counted there, of all daemons.
+    pub occupied: u32,
+    /// The figure that was compared.
+    pub score: f64,
+}
+
+impl PickScene<'_> {
+    /// Chooses the upstream with the least expected cost among those with room.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none.
+    pub fn pick(
+        &self,
+        query: &PickQuery<'_>,
+        mut draw: impl FnMut() -> f64,
+    ) -> Result<PickedUpstream, PickFailure> {
+        let mut best: Option<PickedUpstream> = None;
+        let mut failure = PickFailure::None;
+        let all_suspect = self.all_suspect(query);
+        for state in self.fleet.members(query.service) {
+            if !self.may_have(state, query, all_suspect) {
+                continue;
+            }
+            failure = PickFailure::Full;
+            let picked = self.appraise(state, query, draw());
+            let Some(picked) = picked else { continue };
+            if best.as_ref().is_none_or(|best| picked.score < best.score) {
+                best = Some(picked);
+            }
+        }
+        best.ok_or(failure)
+    }
+
+    /// When every upstream looks ill, the fault is more likely in the requests or on the way:
+    /// leaving all of them out would turn a partial failure into a whole one.
+    fn all_suspect(&self, query: &PickQuery<'_>) -> bool {
+        let mut members = self.fleet.members(query.service);
+        let open = |state: &UpstreamState| state.is_open(self.now);
+        members.all(|state| !open(state) || state.outlier.is_suspect())
+    }
+
+    fn may_have(&self, state: &UpstreamState, query: &PickQuery<'_>, all_suspect: bool) -> bool {
+        let usable = all_suspect
+            || (state.outlier.is_usable(self.now)
+                && (query.idempotent || !state.outlier.is_suspect()));
+        usable
+            && state.is_open(self.now)
+            && query.versions.allows(&state.entry.version)
+            && !query.tried.contains(&state.entry.name)
+    }
+
+    fn appraise(
+        &self,
+        state: &UpstreamState,
+        query: &PickQuery<'_>,
+        noise: f64,
+    ) -> Option<PickedUpstream> {
+        let entry = &state.entry;
+        let occupied = state.running + self.peers.seats_at(self.now, &entry.name);
+        if occupied >= entry.slots + query.overcommit {
+            return None;
+        }
+        let usual = self.fleet.usual(query.service);
+        let held = self.parts.held(self.now, query.parts, &entry.name);
+        let crowd = 1.0 + f64::from(occupied) * CROWD_SLOWDOWN;
+        let (first, rest) = if query.stream {
+            let prompt = query.prompt.saturating_sub(held);
+            let first = state.pace.first_ms(&usual, prompt) * crowd;
+            (first, state.pace.rest_ms(&usual) * crowd)
+        } else {
+            (state.pace.whole_ms(&usual) * crowd, 0.0)
+        };
+        let mut score = first + rest * REST_WEIGHT;
+        score += state.outlier.failure_share() * FAILURE_PENALTY_MS;
+        if entry.zone != *self.zone {
+            score += ZONE_PENALTY_MS;
+        }
+        if state.outlier.is_suspect() {
+            score += TRIAL_PENALTY_MS;
+        }
+        Some(PickedUpstream {
+            name: entry.name.clone(),
+            expected_ms: first,
+            occupied,
+            score: score * (1.0 + noise * 0.05),
+        })
+    }
+}
--- /dev/null
+++ b/crates/savorywood-gateway/src/rollout.rs
@@ -0,0 +1,310 @@
+//! Roll-outs: traffic moves to a new version by a time, or is taken back.
+
+use crate::{
+    name::{ServiceLabel, VersionLabel},
+    peer::{VersionTally, name_digest},
+    pick::VersionChoice,
+};
+use savorywood_protocol::MonotonicTime;
+use std::{collections::BTreeMap, time::Duration};
+use strum::{Display, EnumString, IntoStaticStr};
+
+/// What an operator ordered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutOrder {
+    /// Whose traffic moves.
+    pub service: ServiceLabel,
+    /// Where to.
+    pub to: VersionLabel,
+    /// Within this time.
+    pub within: Duration,
+    /// Version of the order's row in the store.
+    pub row_version: u64,
+}
+
+/// State of a roll-out as operators see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RolloutPhase {
+    /// Under way.
+    Running,
+    /// All traffic is at the new version.
+    Completed,
+    /// All traffic is at the old versions.
+    RolledBack,
+}
+
+/// What the store says of a roll-out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutStatus {
+    /// Whose.
+    pub service: ServiceLabel,
+    /// To which version; none when the row can't be read.
+    pub to: Option<VersionLabel>,
+    /// Its state.
+    pub phase: Option<RolloutPhase>,
+    /// Version of the row; zero if there is none.
+    pub row_version: u64,
+}
+
+/// A status to be written under the condition that its row is as last read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutWrite {
+    /// Whose.
+    pub service: ServiceLabel,
+    /// To which version.
+    pub to: VersionLabel,
+    /// State.
+    pub phase: RolloutPhase,
+    /// Version that the row must have; zero: it must not exist.
+    pub expected: u64,
+}
+
+/// Answers of the new version that are needed before it is held for good.
+const NEEDED_ANSWERS: u32 = 30;
+/// Bad answers that are needed before it is held for bad.
+const NEEDED_BAD: u32 = 3;
+/// Part of the allowed share of traffic that a version on trial gets.
+const TRIAL_PART: f64 = 0.6;
+/// Part of the time after which a version that was not proved bad gets all traffic.
+const TRIAL_TIME: f64 = 0.45;
+/// Part of the time after which the old versions get nothing any more.
+const MOVED_TIME: f64 = 0.7;
+/// Part of the time at which the move is called complete.
+const COMPLETE_TIME: f64 = 0.85;
+
+/// Bounds of trials.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TrialOptions {
+    /// Share of a service's traffic that a version on trial may get.
+    pub share: f64,
+}
+
+#[derive(Debug, Clone)]
+struct RolloutState {
+    order: RolloutOrder,
+    seen_at: MonotonicTime,
+    own: VersionTally,
+    peers: BTreeMap<u64, VersionTally>,
+    phase: RolloutPhase,
+    row_version: u64,
+    written: bool,
+    writing: bool,
+    write_after: MonotonicTime,
+}
+
+impl RolloutState {
+    fn total(&self) -> VersionTally {
+        let mut total = self.own;
+        for tally in self.peers.values() {
+            total.new_answers += tally.new_answers;
+            total.new_bad += tally.new_bad;
+            total.old_answers += tally.old_answers;
+            total.old_bad += tally.old_bad;
+            total.sent += tally.sent;
+            total.sent_new += tally.sent_new;
+            total.condemned |= tally.condemned;
+        }
+        total
+    }
+
+    fn progress(&self, now: MonotonicTime) -> f64 {
+        let elapsed = now.since(self.seen_at).as_secs_f64();
+        elapsed / self.order.within.as_secs_f64().max(0.001)
+    }
+}
+
+/// Bad shares differ so much that chance is no explanation.
+fn is_bad(total: &VersionTally) -> bool {
+    if total.new_bad < NEEDED_BAD || total.new_answers == 0 {
+        return false;
+    }
+    let new = f64::from(total.new_bad) / f64::from(total.new_answers);
+    let old = f64::from(total.old_bad) / f64::from(total.old_answers.max(1));
+    let spread = (old.max(0.02) * (1.0 - old.min(0.98)) / f64::from(total.new_answers)).sqrt();
+    new > old + 3.0 * spread + 0.02
+}
+
+/// All roll-outs that were ordered.
+#[derive(Debug, Clone, Default)]
+pub struct RolloutBook {
+    states: BTreeMap<ServiceLabel, RolloutState>,
+}
+
+fn digest(order: &RolloutOrder) -> u64 {
+    name_digest(order.service.as_str()) ^ name_digest(order.to.as_str()).rotate_left(17)
+}
+
+impl RolloutBook {
+    /// An order was read.
+    pub fn order(&mut self, now: MonotonicTime, order: RolloutOrder) -> bool {
+        let known = self.states.get(&order.service);
+        if known.is_some_and(|state| state.order.row_version >= order.row_version) {
+            return false;
+        }
+        let own = VersionTally {
+            rollout: digest(&order),
+            new_answers: 0,
+            new_bad: 0,
+            old_answers: 0,
+            old_bad: 0,
+            sent: 0,
+            sent_new: 0,
+            condemned: false,
+        };
+        let row_version = known.map_or(0, |state| state.row_version);
+        let state = RolloutState {
+            seen_at: now,
+            own,
+            peers: BTreeMap::new(),
+            phase: RolloutPhase::Running,
+            row_version,
+            written: false,
+            writing: false,
+            write_after: now,
+            order,
+        };
+        self.states.insert(state.order.service.clone(), state);
+        true
+    }
+
+    /// The store's word of a roll-out: it stands, whoever wrote it.
+    pub fn read(&mut self, status: &RolloutStatus) {
+        let Some(state) = self.states.get_mut(&status.service) else {
+            return;
+        };
+        state.row_version = status.row_version;
+        if status.to.as_ref() != Some(&state.order.to) {
+            return;
+        }
+        match status.phase {
+            Some(phase @ (RolloutPhase::Completed | RolloutPhase::RolledBack)) => {
+                state.phase = phase;
+                state.written = true;
+            }
+            Some(RolloutPhase::Running) => {
+                state.written = state.phase == RolloutPhase::Running;
+            }
+            None => {}
+        }
+    }
+
+    /// A write was answered, or not.
+    pub fn written(&mut self, now: MonotonicTime, service: &ServiceLabel, accepted: bool) {
+        if let Some(state) = self.states.get_mut(service) {
+            state.writing = false;
+            state.written |= accepted;
+            state.write_after = now + Duration::from_millis(400);
+        }
+    }
+
+    /// Which versions may get the next request of a service.
+    pub fn choose(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceLabel,
+        options: TrialOptions,
+    ) -> VersionChoice {
+        let Some(state) = self.states.get(service) else {
+            return VersionChoice::Any;
+        };
+        let to = state.order.to.clone();
+        match state.phase {
+            RolloutPhase::Completed => return VersionChoice::Only(to),
+            RolloutPhase::RolledBack => return VersionChoice::Not(to),
+            RolloutPhase::Running => {}
+        }
+        let total = state.total();
+        if total.condemned || is_bad(&total) {
+            return VersionChoice::Not(to);
+        }
+        let progress = state.progress(now);
+        if progress >= MOVED_TIME {
+            return VersionChoice::Only(to);
+        }
+        let proved = total.new_answers >= NEEDED_ANSWERS;
+        if progress >= TRIAL_TIME && proved {
+            return VersionChoice::Any;
+        }
+        let allowed = f64::from(total.sent) * options.share * TRIAL_PART + 2.0;
+        if f64::from(total.sent_new) < allowed {
+            VersionChoice::Only(to)
+        } else {
+            VersionChoice::Not(to)
+        }
+    }
+
+    /// A request went to an upstream.
+    pub fn sent(&mut self, service: &ServiceLabel, version: &VersionLabel) {
+        if let Some(state) = self.states.get_mut(service) {
+            state.own.sent += 1;
+            state.own.sent_new += u32::from(state.order.to == *version);
+        }
+    }
+
+    /// An upstream answered, well or not.
+    pub fn answered(&mut self, service: &ServiceLabel, version: &VersionLabel, bad: bool) {
+        if let Some(state) = self.states.get_mut(service) {
+            if state.order.to == *version {
+                state.own.new_answers += 1;
+                state.own.new_bad += u32::from(bad);
+            } else {
+                state.own.old_answers += 1;
+                state.own.old_bad += u32::from(bad);
+            }
+        }
+    }
+
+    /// A peer tells what it saw.
+    pub fn heard(&mut self, peer: u64, tallies: &[VersionTally]) {
+        for state in self.states.values_mut() {
+            let own = state.own.rollout;
+            if let Some(tally) = tallies.iter().find(|tally| tally.rollout == own) {
+                state.peers.insert(peer, *tally);
+            }
+        }
+    }
+
+    /// What this daemon saw of the roll-outs under way.
+    #[must_use]
+    pub fn tallies(&self) -> Vec<VersionTally> {
+        let running = |state: &&RolloutState| state.phase == RolloutPhase::Running;
+        let states = self.states.values().filter(running);
+        states.map(|state| state.own).collect()
+    }
+
+    /// A roll-out is under way, or its end is not in the store yet.
+    #[must_use]
+    pub fn is_active(&self) -> bool {
+        let mut states = self.states.values();
+        states.any(|state| state.phase == RolloutPhase::Running || !state.written)
+    }
+
+    /// Moves roll-outs on; returns the writes to make now.
+    pub fn advance(&mut self, now: MonotonicTime, leads: bool) -> Vec<RolloutWrite> {
+        let mut writes = Vec::new();
+        for state in self.states.values_mut() {
+            let total = state.total();
+            if state.phase == RolloutPhase::Running {
+                if total.condemned || is_bad(&total) {
+                    state.own.condemned = true;
+                    state.phase = RolloutPhase::RolledBack;
+                    state.written = false;
+                } else if state.progress(now) >= COMPLETE_TIME {
+                    state.phase = RolloutPhase::Completed;
+                    state.written = false;
+                }
+            }
+            if leads && !state.written && !state.writing && now >= state.write_after {
+                state.writing = true;
+                writes.push(RolloutWrite {
+                    service: state.order.service.clone(),
+                    to: state.order.to.clone(),
+                    phase: state.phase,
+                    expected: state.row_version,
+                });
+            }
+        }
+        writes
+    }
+}
