--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -8,8 +8,8 @@
     shared::FrontShared,
     sink::AnswerSink,
     wire::{
-        AnswerHead, BodyDecoder, BodyFraming, ByteReader, HeaderLine, RequestHead, read_answer_head,
-        read_body,
+        AnswerHead, BodyDecoder, BodyFraming, ByteReader, HeaderLine, RequestHead,
+        read_answer_head, read_body,
     },
 };
 use async_net::TcpStream;
@@ -110,7 +110,9 @@
             && written.get()
             && !head.closes
         {
-            self.shared.pool.put(&self.order.upstream, reader, head.keep_alive);
+            self.shared
+                .pool
+                .put(&self.order.upstream, reader, head.keep_alive);
         }
         outcome
     }
@@ -120,7 +122,10 @@
         let connecting = TcpStream::connect(self.order.address);
         let stream = within(CONNECT_TIME, connecting).await?.ok()?;
         let elapsed = self.shared.clock.now().since(began);
-        self.shared.metrics.connecting.observe(elapsed.as_secs_f64());
+        self.shared
+            .metrics
+            .connecting
+            .observe(elapsed.as_secs_f64());
         prepare(&stream);
         Some(ByteReader::new(stream))
     }
@@ -151,7 +156,10 @@
     }
 
     /// Reads the answer; with the head of one that left the connection usable.
-    async fn read_answer(&mut self, reader: &mut ByteReader) -> (AttemptOutcome, Option<AnswerHead>) {
+    async fn read_answer(
+        &mut self,
+        reader: &mut ByteReader,
+    ) -> (AttemptOutcome, Option<AnswerHead>) {
         let (head, facts) = match self.read_own_head(reader).await {
             Ok(read) => read,
             Err(failure) => return (broken(&failure), None),
@@ -188,7 +196,9 @@
     ) -> Result<(AnswerHead, AnswerFacts), ReadFailure> {
         let mut strays = 0;
         loop {
-            let head = self.read_in_time(read_answer_head(reader), self.order.first_silence).await?;
+            let head = self
+                .read_in_time(read_answer_head(reader), self.order.first_silence)
+                .await?;
             if head.status < 200 {
                 continue;
             }
@@ -250,7 +260,10 @@
             let outcome = AttemptOutcome::Failed { marks: facts.marks };
             return (outcome, Some(head));
         }
-        let written = self.sink.write_whole(head.status, &head.reason, &lines, &body).await;
+        let written = self
+            .sink
+            .write_whole(head.status, &head.reason, &lines, &body)
+            .await;
         if written.is_err() {
             return (AttemptOutcome::CallerLeft, Some(head));
         }
@@ -312,7 +325,11 @@
     }
 
     /// Passes on the whole events of the buffer; says whether there were any.
-    async fn pass_events(&mut self, buffer: &mut EventBuffer, head: &AnswerHead) -> io::Result<bool> {
+    async fn pass_events(
+        &mut self,
+        buffer: &mut EventBuffer,
+        head: &AnswerHead,
+    ) -> io::Result<bool> {
         let mut bytes = Vec::new();
         while let Some(event) = buffer.take_event() {
             if self.is_repeated(&event) {
@@ -338,7 +355,10 @@
     /// An upstream that reads a stream on may begin with an event that the caller has.
     fn is_repeated(&self, event: &StreamEvent) -> bool {
         let known = self.sink.last_event().and_then(|id| id.parse::<u64>().ok());
-        let new = event.identity.as_ref().and_then(|id| id.parse::<u64>().ok());
+        let new = event
+            .identity
+            .as_ref()
+            .and_then(|id| id.parse::<u64>().ok());
         matches!((known, new), (Some(known), Some(new)) if new <= known)
     }
 
--- a/crates/savorywood-front/src/attempt/events.rs
+++ b/crates/savorywood-front/src/attempt/events.rs
@@ -33,11 +33,6 @@
         Some(StreamEvent { bytes, identity })
     }
 
-    /// Takes what is left at the end of a whole stream.
-    pub fn take_rest(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.bytes)
-    }
-
     /// Nothing is left over.
     pub fn is_empty(&self) -> bool {
         self.bytes.is_empty()
--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -97,7 +97,9 @@
                 let _busy = CountGuard::new(&shared.busy);
                 let mut sink = AnswerSink::new(reader.stream().clone(), true);
                 log::info!("event=request-malformed status={status} reason={reason:?}");
-                let written = sink.write_whole(status, status_text(status), &[], &[]).await;
+                let written = sink
+                    .write_whole(status, status_text(status), &[], &[])
+                    .await;
                 if written.is_ok() {
                     linger(reader).await;
                 }
@@ -122,7 +124,10 @@
 
 fn limits(shared: &FrontShared) -> CallerLimits {
     let gateway = shared.gateway.borrow();
-    gateway.config().map(|config| config.limits).unwrap_or_default()
+    gateway
+        .config()
+        .map(|config| config.limits)
+        .unwrap_or_default()
 }
 
 async fn read_request(shared: &FrontShared, reader: &mut ByteReader) -> RequestRead {
@@ -199,18 +204,17 @@
     }
 }
 
-async fn answer(
-    shared: &FrontShared,
-    reader: &mut ByteReader,
-    request: &WholeRequest,
-) -> NextStep {
+async fn answer(shared: &FrontShared, reader: &mut ByteReader, request: &WholeRequest) -> NextStep {
     shared.metrics.arrived.inc();
     let closes = request.head.closes || shared.stopping.get();
     let mut sink = AnswerSink::new(reader.stream().clone(), closes);
     let arrival = match shared.dialect.arrival(&request.head) {
         Ok(arrival) => arrival,
         Err(fault) => {
-            log::info!("event=request-malformed status=400 reason={:?}", fault.reason);
+            log::info!(
+                "event=request-malformed status=400 reason={:?}",
+                fault.reason
+            );
             let lines = shared.dialect.own_headers(&request.head);
             let written = sink.write_whole(400, status_text(400), &lines, &[]).await;
             return after(written.is_ok(), &sink);
--- a/crates/savorywood-front/src/feeds.rs
+++ b/crates/savorywood-front/src/feeds.rs
@@ -9,12 +9,16 @@
 };
 use async_channel::Receiver;
 use async_io::Timer;
-use savorywood_gateway::{FreshnessClock, GatewayEvent, RolloutWrite, UpstreamEntry, UpstreamLabel};
+use savorywood_gateway::{
+    FreshnessClock, GatewayEvent, RolloutWrite, UpstreamEntry, UpstreamLabel,
+};
 use savorywood_protocol::MonotonicTime;
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-/// Wait of one feed call. The age of the newest proof is about this at most.
-const FEED_WAIT: Duration = Duration::from_millis(900);
+/// Wait of one call for declared rows. The age of the newest proof is about this at most.
+const DECLARED_WAIT: Duration = Duration::from_millis(1_400);
+/// Wait of one call for registrations; changes are answered at once.
+const UPSTREAMS_WAIT: Duration = Duration::from_millis(2_400);
 /// Time beyond the wait within which the answer must come: a connection that fell silent must
 /// not hide a drain or a revoked key.
 const FEED_MARGIN: Duration = Duration::from_millis(700);
@@ -27,7 +31,7 @@
 /// Pause between two answers of a feed that told of changes: changes gather meanwhile.
 const CHANGE_PAUSE: Duration = Duration::from_millis(60);
 /// The feed alone may miss a change: the whole table is read again so often.
-const REREAD_TIME: Duration = Duration::from_secs(5);
+const REREAD_TIME: Duration = Duration::from_secs(10);
 /// Members are read so often.
 const MEMBERS_TIME: Duration = Duration::from_secs(8);
 /// Status rows are read so often while a roll-out is under way.
@@ -128,8 +132,12 @@
     }
 
     async fn follow(&mut self, after: u64) -> Result<(), String> {
-        let call = self.shared.dialect.feed_rows(self.table, after, FEED_WAIT);
-        let answer = self.link.call(&call, FEED_WAIT + FEED_MARGIN).await;
+        let wait = match self.table {
+            StoreTable::Declared => DECLARED_WAIT,
+            _ => UPSTREAMS_WAIT,
+        };
+        let call = self.shared.dialect.feed_rows(self.table, after, wait);
+        let answer = self.link.call(&call, wait + FEED_MARGIN).await;
         if matches!(&answer, Ok(answer) if answer.status == 410) {
             log::info!("event=feed-gap table={} after={after}", self.table);
             self.revision = None;
@@ -208,14 +216,19 @@
     fn apply_declared(&self, row: &StoreRow) {
         match self.shared.dialect.declared(row) {
             DeclaredNews::Config(config) => {
-                self.shared.step(GatewayEvent::ConfigRead(Arc::from(config)));
+                self.shared
+                    .step(GatewayEvent::ConfigRead(Arc::from(config)));
             }
             DeclaredNews::Rollout(order) => {
                 self.shared.step(GatewayEvent::RolloutOrdered(order));
             }
             DeclaredNews::Unknown => {
                 if row.value.is_some() {
-                    log::warn!("event=row-unreadable table={} key={:?}", self.table, row.key);
+                    log::warn!(
+                        "event=row-unreadable table={} key={:?}",
+                        self.table,
+                        row.key
+                    );
                 }
             }
         }
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -50,8 +50,16 @@
         let registry = Registry::new();
         let metrics = Self {
             arrived: counter("requests_arrived_total", "Requests that arrived whole"),
-            ended: counters("requests_ended_total", "Final answers by how they came about", "end"),
-            attempts: counters("attempts_total", "Attempts at upstreams by outcome", "outcome"),
+            ended: counters(
+                "requests_ended_total",
+                "Final answers by how they came about",
+                "end",
+            ),
+            attempts: counters(
+                "attempts_total",
+                "Attempts at upstreams by outcome",
+                "outcome",
+            ),
             store_calls: counters("store_calls_total", "Calls to the store", "outcome"),
             first_byte: histograms(
                 "first_byte_seconds",
@@ -132,7 +140,10 @@
 
     /// All metrics as text; `omitted` tells of the log.
     pub fn text(&self, omitted: &OmittedLines) -> Vec<u8> {
-        for (cause, count) in [("budget", &omitted.over_budget), ("unread", &omitted.unread)] {
+        for (cause, count) in [
+            ("budget", &omitted.over_budget),
+            ("unread", &omitted.unread),
+        ] {
             let metric = self.log_omitted.with_label_values(&[cause]);
             let told = metric.get();
             metric.inc_by(count.load(Ordering::Relaxed).saturating_sub(told));
--- a/crates/savorywood-front/src/peers.rs
+++ b/crates/savorywood-front/src/peers.rs
@@ -6,14 +6,7 @@
 use futures_lite::future;
 use savorywood_gateway::{GatewayEvent, PeerSummary};
 use savorywood_protocol::MonotonicTime;
-use std::{
-    cell::RefCell,
-    collections::BTreeMap,
-    io,
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
 /// Time between two words to a peer.
 const TELL_TIME: Duration = Duration::from_millis(250);
@@ -80,7 +73,12 @@
             return all;
         }
         let start = round * MOST_TOLD % all.len();
-        all.iter().cycle().skip(start).take(MOST_TOLD).copied().collect()
+        all.iter()
+            .cycle()
+            .skip(start)
+            .take(MOST_TOLD)
+            .copied()
+            .collect()
     }
 
     /// Hears peers for as long as the process lives.
--- a/crates/savorywood-front/src/run.rs
+++ b/crates/savorywood-front/src/run.rs
@@ -13,7 +13,7 @@
 use async_io::Timer;
 use async_net::TcpListener;
 use savorywood_gateway::{
-    BudgetOptions, Gateway, GatewayEvent, GatewayOptions, HostLabel, ZoneLabel,
+    BudgetOptions, Gateway, GatewayEvent, GatewayOptions, HostLabel, LimitTolerance, ZoneLabel,
 };
 use savorywood_settings::FaultReport;
 use snafu::{ResultExt, Snafu};
@@ -104,6 +104,11 @@
             slack: bounds.retry_slack,
             window: Duration::from_secs_f64(bounds.retry_window_s.max(0.1)),
         },
+        tolerance: LimitTolerance {
+            window: Duration::from_secs_f64(bounds.limit_window_s.max(0.1)),
+            overage: bounds.limit_overage.max(0.0),
+            slack: bounds.limit_slack.max(0.0),
+        },
         exposure_share: bounds.exposure_share,
         seed: fastrand::u64(..),
     }
--- a/crates/savorywood-front/src/settings.rs
+++ b/crates/savorywood-front/src/settings.rs
@@ -69,6 +69,12 @@
     pub retry_slack: f64,
     /// That window, in seconds.
     pub retry_window_s: f64,
+    /// Span in seconds over which the use of teams is summed up.
+    pub limit_window_s: f64,
+    /// Share of a team's limit that may come on top of it.
+    pub limit_overage: f64,
+    /// Units that may come on top of a team's limit in a window.
+    pub limit_slack: f64,
     /// Share of traffic that an unproved version may get.
     pub exposure_share: f64,
     /// Time between the order to stop and the kill, in seconds.
@@ -84,6 +90,9 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window_s: 10.0,
+            limit_window_s: 8.0,
+            limit_overage: 0.0,
+            limit_slack: 0.0,
             exposure_share: 0.1,
             grace_s: 8.0,
             address_ttl_s: 5.0,
--- a/crates/savorywood-front/src/store.rs
+++ b/crates/savorywood-front/src/store.rs
@@ -92,12 +92,22 @@
     /// # Errors
     ///
     /// When there is no answer.
-    pub async fn call(&mut self, call: &StoreCall, time: Duration) -> Result<StoreAnswer, StoreFault> {
+    pub async fn call(
+        &mut self,
+        call: &StoreCall,
+        time: Duration,
+    ) -> Result<StoreAnswer, StoreFault> {
         let reader = self.reader.take();
         let address = self.address;
         let exchange = self.exchange(reader, call);
         let answered = within(time, exchange).await;
-        let (answer, reader) = answered.unwrap_or(SilentSnafu { address, after: time }.fail())?;
+        let (answer, reader) = answered.unwrap_or(
+            SilentSnafu {
+                address,
+                after: time,
+            }
+            .fail(),
+        )?;
         self.reader = reader;
         Ok(answer)
     }
@@ -116,7 +126,10 @@
         let bytes = self.call_bytes(call);
         let mut writer = reader.stream().clone();
         let step = "sending";
-        writer.write_all(&bytes).await.context(BrokenSnafu { step, address })?;
+        writer
+            .write_all(&bytes)
+            .await
+            .context(BrokenSnafu { step, address })?;
         let step = "reading";
         let head = read_answer_head(&mut reader).await;
         let head = head.context(BrokenSnafu { step, address })?;
@@ -143,7 +156,10 @@
     }
 
     fn call_bytes(&self, call: &StoreCall) -> Vec<u8> {
-        let mut text = format!("{} {} HTTP/1.1\r\nHost: {}\r\n", call.method, call.target, self.host);
+        let mut text = format!(
+            "{} {} HTTP/1.1\r\nHost: {}\r\n",
+            call.method, call.target, self.host
+        );
         if !call.content_type.is_empty() {
             text.push_str(&format!(
                 "Content-Type: {}\r\nContent-Length: {}\r\n",
--- a/crates/savorywood-front/src/wire/head.rs
+++ b/crates/savorywood-front/src/wire/head.rs
@@ -33,7 +33,10 @@
     /// Value of the first line of a name.
     #[must_use]
     pub fn get(&self, name: &str) -> Option<&str> {
-        let line = self.0.iter().find(|line| line.name.eq_ignore_ascii_case(name));
+        let line = self
+            .0
+            .iter()
+            .find(|line| line.name.eq_ignore_ascii_case(name));
         line.map(|line| line.value.as_str())
     }
 
@@ -229,7 +232,9 @@
         _ => false,
     });
     if bare {
-        return Err(malformed("lines must end with carriage return and line feed"));
+        return Err(malformed(
+            "lines must end with carriage return and line feed",
+        ));
     }
     Ok(())
 }
--- a/crates/savorywood-front/src/wire/reader.rs
+++ b/crates/savorywood-front/src/wire/reader.rs
@@ -72,7 +72,10 @@
     /// End of the head at the front, if it is there whole.
     #[must_use]
     pub fn head_end(&self) -> Option<usize> {
-        let end = self.bytes().windows(4).position(|window| window == b"\r\n\r\n")?;
+        let end = self
+            .bytes()
+            .windows(4)
+            .position(|window| window == b"\r\n\r\n")?;
         Some(end + 4)
     }
 
@@ -96,7 +99,11 @@
             return AnswerHead::parse(&bytes).map_err(invalid);
         }
         // Bytes that are no answer need not end: what can't begin one is refused at once.
-        let begins = reader.bytes().iter().zip(b"HTTP/1.").all(|(got, want)| got == want);
+        let begins = reader
+            .bytes()
+            .iter()
+            .zip(b"HTTP/1.")
+            .all(|(got, want)| got == want);
         if !begins {
             return Err(invalid(HeadFault::Malformed {
                 reason: "what came is no answer",
--- a/crates/savorywood-gateway/src/affinity.rs
+++ b/crates/savorywood-gateway/src/affinity.rs
@@ -35,9 +35,10 @@
         let mut tokens = 0;
         for part in parts {
             let holders = self.holders.get(&part.id);
-            let held = holders.into_iter().flatten().any(|holder| {
-                holder.upstream == *upstream && now.since(holder.at) < KEPT_TIME
-            });
+            let held = holders
+                .into_iter()
+                .flatten()
+                .any(|holder| holder.upstream == *upstream && now.since(holder.at) < KEPT_TIME);
             if !held {
                 break;
             }
--- a/crates/savorywood-gateway/src/declared.rs
+++ b/crates/savorywood-gateway/src/declared.rs
@@ -88,7 +88,11 @@
                 return Some(&share.service);
             }
         }
-        self.split.iter().rev().find(|share| share.weight > 0).map(|share| &share.service)
+        self.split
+            .iter()
+            .rev()
+            .find(|share| share.weight > 0)
+            .map(|share| &share.service)
     }
 }
 
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -16,7 +16,7 @@
     declared::DeclaredConfig,
     effect::GatewayEffect,
     event::GatewayEvent,
-    limit::TeamMeter,
+    limit::{LimitTolerance, TeamMeter},
     name::{HostLabel, ServiceLabel, TeamLabel, ZoneLabel},
     peer::PeerTable,
     queue::WaitQueue,
@@ -45,6 +45,8 @@
     pub revocation: Option<Duration>,
     /// Bounds of second tries.
     pub budget: BudgetOptions,
+    /// By how much teams may exceed their limits.
+    pub tolerance: LimitTolerance,
     /// Share of traffic that an unproved version may get.
     pub exposure_share: f64,
     /// Seed of all draws.
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -8,7 +8,8 @@
     arrival::{LocalRequest, RequestArrival},
     declared::{DeclaredConfig, RouteSpec, TeamSpec},
     effect::GatewayEffect,
-    limit::TeamMeter,
+    limit::{MeterVerdict, TeamMeter},
+    name::ServiceLabel,
     pace::nominal_first_ms,
     queue::{QueuePlace, RequestRank},
     refusal::RefusalReason,
@@ -66,7 +67,10 @@
                     .with("request", &record.identity)
                     .with("route", &record.route.name)
                     .with("service", &record.service)
-                    .with("team", record.team.as_ref().map_or("-", |team| team.as_str()))
+                    .with(
+                        "team",
+                        record.team.as_ref().map_or("-", |team| team.as_str()),
+                    )
                     .with("rank", record.rank.route)
                     .with("prompt", record.size.prompt)
                     .with("give_up_ms", record.give_up_at.since(now).as_millis())
@@ -126,7 +130,7 @@
         let service = service.ok_or_else(|| Denial::of(RefusalReason::NoUpstream))?;
         let mut units = 0.0;
         if let Some(team) = &team {
-            units = self.take_units(now, team, arrival)?;
+            units = self.take_units(now, team, arrival, &service)?;
         }
         let deadline = arrival.deadline.unwrap_or(LONGEST_TIME);
         let longest = deadline.min(route.timeout.unwrap_or(LONGEST_TIME));
@@ -206,25 +210,41 @@
         now: MonotonicTime,
         team: &TeamSpec,
         arrival: &RequestArrival,
+        service: &ServiceLabel,
     ) -> Result<f64, Denial> {
         let Some(limit) = team.limit else {
             return Ok(0.0);
         };
+        // Beyond its limit a team gets only what nobody else waits for.
+        let idle = self
+            .queues
+            .get(service)
+            .is_none_or(|queue| queue.len() == 0);
         let units = if limit.in_tokens {
             let size = arrival.size.map(|size| size.prompt + size.output);
             f64::from(size.unwrap_or(limit.plain_tokens))
         } else {
             1.0
         };
-        let full_part = if self.options.first_start { 1.0 } else { 0.5 };
+        let fresh = self.options.first_start;
+        let tolerance = self.options.tolerance;
         let meter = self
             .meters
             .entry(team.name.clone())
-            .or_insert_with(|| TeamMeter::new(now, limit, full_part));
-        meter.take(now, units).map_err(|wait| Denial {
-            reason: RefusalReason::OverLimit,
-            retry_after: Some(wait),
-        })?;
+            .or_insert_with(|| TeamMeter::new(now, limit, tolerance, fresh));
+        let verdict = meter.look(now);
+        let refused = match verdict {
+            MeterVerdict::Within => false,
+            MeterVerdict::Tolerated => !idle,
+            MeterVerdict::Beyond { .. } => true,
+        };
+        if refused {
+            return Err(Denial {
+                reason: RefusalReason::OverLimit,
+                retry_after: Some(meter.wait()),
+            });
+        }
+        meter.take(units, verdict);
         Ok(units)
     }
 
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -80,7 +80,11 @@
         places
     }
 
-    fn pick(&self, now: MonotonicTime, record: &RequestRecord) -> Result<PickedUpstream, PickFailure> {
+    fn pick(
+        &self,
+        now: MonotonicTime,
+        record: &RequestRecord,
+    ) -> Result<PickedUpstream, PickFailure> {
         let waited = now.since(record.arrived_at);
         let patient = waited < record.route.objective.mul_f64(OVERCOMMIT_PART);
         let mut rollouts = self.rollouts.clone();
@@ -162,7 +166,12 @@
     }
 
     /// There is another upstream to which the request could go.
-    fn has_others(&self, now: MonotonicTime, request: LocalRequest, picked: &PickedUpstream) -> bool {
+    fn has_others(
+        &self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        picked: &PickedUpstream,
+    ) -> bool {
         let Some(record) = self.requests.get(&request) else {
             return false;
         };
--- a/crates/savorywood-gateway/src/gateway/ending.rs
+++ b/crates/savorywood-gateway/src/gateway/ending.rs
@@ -41,7 +41,9 @@
         let upstream = attempt.upstream.clone();
         if record.route.repeat.is_stream() {
             let prompt = record.size.prompt;
-            self.fleet.usual_mut(&record.service).saw_first(prompt, elapsed);
+            self.fleet
+                .usual_mut(&record.service)
+                .saw_first(prompt, elapsed);
             if let Some(state) = self.fleet.get_mut(&upstream) {
                 state.pace.saw_first(prompt, elapsed);
             }
@@ -168,7 +170,8 @@
                 } else {
                     usual.saw_answer(elapsed);
                 }
-                self.rollouts.answered(&service, &version, bad == Some(true));
+                self.rollouts
+                    .answered(&service, &version, bad == Some(true));
                 bad = None;
             }
         }
@@ -242,7 +245,7 @@
         let Some(record) = self.requests.get(&request) else {
             return false;
         };
-        let daemons = self.peers.len() + 1;
+        let daemons = self.peers.known() + 1;
         let budget = self.budgets.entry(record.service.clone()).or_default();
         budget.spend(now, &self.options.budget, daemons)
     }
--- a/crates/savorywood-gateway/src/gateway/news.rs
+++ b/crates/savorywood-gateway/src/gateway/news.rs
@@ -23,7 +23,11 @@
         config: Arc<DeclaredConfig>,
         effects: &mut GatewayEffects,
     ) {
-        if self.config.as_ref().is_some_and(|old| old.version >= config.version) {
+        if self
+            .config
+            .as_ref()
+            .is_some_and(|old| old.version >= config.version)
+        {
             return;
         }
         let line = LogLine::new(LogLevel::Info, "config-in-force")
@@ -50,9 +54,8 @@
                 Some(meter) if meter.limit() != limit => meter.set_limit(now, limit),
                 Some(_) => {}
                 None => {
-                    let known = !first || self.options.first_start;
-                    let full_part = if known { 1.0 } else { 0.5 };
-                    let meter = TeamMeter::new(now, limit, full_part);
+                    let fresh = !first || self.options.first_start;
+                    let meter = TeamMeter::new(now, limit, self.options.tolerance, fresh);
                     self.meters.insert(team.name.clone(), meter);
                 }
             }
@@ -125,7 +128,10 @@
             return;
         }
         let host = HostLabel::from(summary.host.as_str());
-        let was_alive = self.peers.alive(now).any(|known| known.summary.host == summary.host);
+        let was_alive = self
+            .peers
+            .alive(now)
+            .any(|known| known.summary.host == summary.host);
         let usage = summary.usage.clone();
         let tallies = summary.tallies.clone();
         let incarnation = summary.incarnation;
--- a/crates/savorywood-gateway/src/gateway/telling.rs
+++ b/crates/savorywood-gateway/src/gateway/telling.rs
@@ -45,7 +45,12 @@
     /// Addresses for a caller of a zone, those of its own zone alone if there are enough: bytes
     /// between zones are dear.
     #[must_use]
-    pub fn addresses(&self, now: MonotonicTime, zone: Option<&str>, most: usize) -> Vec<SocketAddr> {
+    pub fn addresses(
+        &self,
+        now: MonotonicTime,
+        zone: Option<&str>,
+        most: usize,
+    ) -> Vec<SocketAddr> {
         let mut near = Vec::new();
         let mut far = Vec::new();
         let mut sort = |of: &str, address| {
@@ -105,7 +110,11 @@
     /// both think so are harmless, as each write has a condition.
     pub(super) fn leads(&self, now: MonotonicTime) -> bool {
         let own = self.options.host.as_str();
-        self.is_ready(now) && self.peers.ready(now).all(|peer| peer.summary.host.as_str() > own)
+        self.is_ready(now)
+            && self
+                .peers
+                .ready(now)
+                .all(|peer| peer.summary.host.as_str() > own)
     }
 
     /// Zone of this daemon.
--- a/crates/savorywood-gateway/src/limit.rs
+++ b/crates/savorywood-gateway/src/limit.rs
@@ -16,27 +16,121 @@
     heard_at: MonotonicTime,
 }
 
-/// Token bucket of one team as this daemon sees it: own use exactly, that of peers as they tell.
+/// By how much the sum of what all daemons admit may exceed a limit, as operators allow it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitTolerance {
+    /// Span over which use is summed up.
+    pub window: Duration,
+    /// Share of the limit that may come on top.
+    pub overage: f64,
+    /// Units that may come on top.
+    pub slack: f64,
+}
+
+impl Default for LimitTolerance {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(8),
+            overage: 0.0,
+            slack: 0.0,
+        }
+    }
+}
+
+/// Part of the tolerated use that is admitted knowingly; the rest covers what daemons admit
+/// before they hear of each other, and what those that ended had admitted.
+const KNOWING_PART: f64 = 0.65;
+
+/// One token bucket.
+#[derive(Debug, Clone, Copy)]
+struct TokenBucket {
+    rate: f64,
+    capacity: f64,
+    level: f64,
+}
+
+impl TokenBucket {
+    fn fill(&mut self, units: f64) {
+        self.level = (self.level + units).min(self.capacity);
+    }
+}
+
+/// What a meter says of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MeterVerdict {
+    /// It is within the limit.
+    Within,
+    /// It is beyond the limit and within the tolerance.
+    Tolerated,
+    /// It is beyond both.
+    Beyond {
+        /// Time after which the limit may have room.
+        wait: Duration,
+    },
+}
+
+/// Token buckets of one team as this daemon sees it: own use exactly, that of peers as they tell.
 ///
-/// Each daemon keeps a copy of the one bucket. A burst that reaches several daemons within the
-/// time of a datagram overdraws it once; the debt then holds all of them back until it is paid,
-/// so the sum over a window exceeds the limit by that one overdraft at most.
+/// Each daemon keeps a copy of the same two buckets. The first is the limit. The second holds
+/// what operators tolerate on top of it: daemons hear of each other late, and a limit kept to the
+/// token by each of them would refuse what is within it. A burst that reaches several daemons
+/// within the time of a datagram overdraws the buckets once; the debt then holds all of them back
+/// until it is paid.
 #[derive(Debug, Clone)]
 pub struct TeamMeter {
     limit: TeamLimit,
-    level: f64,
+    tolerance: LimitTolerance,
+    strict: TokenBucket,
+    tolerated: TokenBucket,
     filled_at: MonotonicTime,
     own_total: u64,
     peers: BTreeMap<u64, PeerUse>,
 }
 
+fn strict_bucket(limit: TeamLimit) -> TokenBucket {
+    TokenBucket {
+        rate: limit.per_second,
+        capacity: limit.burst,
+        level: limit.burst,
+    }
+}
+
+/// A bucket that lets through the knowing part of the tolerated use within any window.
+fn tolerated_bucket(limit: TeamLimit, tolerance: LimitTolerance) -> TokenBucket {
+    let window = tolerance.window.as_secs_f64().max(0.1);
+    let declared = limit.per_second * window + limit.burst;
+    let tolerated = declared * (1.0 + tolerance.overage) + tolerance.slack;
+    let most = declared + (tolerated - declared) * KNOWING_PART;
+    TokenBucket {
+        rate: (most - limit.burst) / window,
+        capacity: limit.burst,
+        level: limit.burst,
+    }
+}
+
 impl TeamMeter {
-    /// A meter that starts with a part of the burst: the life before this one is not known.
+    /// A meter of a daemon. `fresh` means that nothing can have been used before.
+    ///
+    /// A daemon that starts again does not know what its last life admitted. When all of them
+    /// start again together, nobody does: for one window they admit what the limit alone allows.
     #[must_use]
-    pub fn new(now: MonotonicTime, limit: TeamLimit, full_part: f64) -> Self {
+    pub fn new(
+        now: MonotonicTime,
+        limit: TeamLimit,
+        tolerance: LimitTolerance,
+        fresh: bool,
+    ) -> Self {
+        let mut strict = strict_bucket(limit);
+        let mut tolerated = tolerated_bucket(limit, tolerance);
+        if !fresh {
+            strict.level *= 0.5;
+            tolerated.level = -tolerated.rate * tolerance.window.as_secs_f64();
+        }
         Self {
             limit,
-            level: limit.burst * full_part,
+            tolerance,
+            strict,
+            tolerated,
             filled_at: now,
             own_total: 0,
             peers: BTreeMap::new(),
@@ -46,9 +140,13 @@
     /// Puts another limit in force; what was used stays used.
     pub fn set_limit(&mut self, now: MonotonicTime, limit: TeamLimit) {
         self.fill(now);
-        let used = self.limit.burst - self.level;
+        let strict_used = self.strict.capacity - self.strict.level;
+        let tolerated_used = self.tolerated.capacity - self.tolerated.level;
         self.limit = limit;
-        self.level = limit.burst - used.min(limit.burst);
+        self.strict = strict_bucket(limit);
+        self.strict.level -= strict_used.min(limit.burst);
+        self.tolerated = tolerated_bucket(limit, self.tolerance);
+        self.tolerated.level -= tolerated_used.min(limit.burst);
     }
 
     /// Limit in force.
@@ -63,25 +161,38 @@
         self.own_total
     }
 
-    /// Takes units for a request.
-    ///
-    /// # Errors
-    ///
-    /// The time after which they may be there.
-    pub fn take(&mut self, now: MonotonicTime, units: f64) -> Result<(), Duration> {
+    /// Says whether a request may pass now; nothing is taken yet.
+    pub fn look(&mut self, now: MonotonicTime) -> MeterVerdict {
         self.fill(now);
-        if self.level < 0.0 {
-            let wait = -self.level / self.limit.per_second.max(1e-6);
-            return Err(Duration::from_secs_f64(wait.clamp(0.05, 30.0)));
+        if self.strict.level >= 0.0 {
+            return MeterVerdict::Within;
+        }
+        if self.tolerated.level >= 0.0 {
+            return MeterVerdict::Tolerated;
+        }
+        MeterVerdict::Beyond { wait: self.wait() }
+    }
+
+    /// Time after which the limit has room again.
+    #[must_use]
+    pub fn wait(&self) -> Duration {
+        let wait = -self.strict.level / self.strict.rate.max(1e-6);
+        Duration::from_secs_f64(wait.clamp(0.05, 30.0))
+    }
+
+    /// Takes units for a request. Beyond the limit they count only against the tolerance.
+    pub fn take(&mut self, units: f64, verdict: MeterVerdict) {
+        if verdict == MeterVerdict::Within {
+            self.strict.level -= units;
         }
-        self.level -= units;
+        self.tolerated.level -= units;
         self.own_total += units as u64;
-        Ok(())
     }
 
     /// Gives back what a request did not use, because it never ran.
     pub fn give_back(&mut self, units: f64) {
-        self.level = (self.level + units).min(self.limit.burst);
+        self.strict.fill(units);
+        self.tolerated.fill(units);
         self.own_total = self.own_total.saturating_sub(units as u64);
     }
 
@@ -99,7 +210,10 @@
             // Of a peer met for the first time only the newest use matters.
             None => 0.0,
         };
-        self.level = (self.level - news).min(self.limit.burst);
+        self.strict.fill(-news);
+        self.tolerated.fill(-news);
+        let least = -self.strict.capacity.max(self.limit.per_second);
+        self.strict.level = self.strict.level.max(least);
         let heard = PeerUse {
             incarnation,
             total,
@@ -126,13 +240,17 @@
     fn fill(&mut self, now: MonotonicTime) {
         let elapsed = now.since(self.filled_at).as_secs_f64();
         let silent = self.silent_use(now) - self.silent_use(self.filled_at);
-        self.level += elapsed * self.limit.per_second - silent;
-        self.level = self.level.min(self.limit.burst);
+        self.strict.fill(elapsed * self.strict.rate - silent);
+        self.tolerated.fill(elapsed * self.tolerated.rate - silent);
         self.filled_at = now;
-        self.peers.retain(|_, peer| now.since(peer.heard_at) < GONE_TIME);
+        self.peers
+            .retain(|_, peer| now.since(peer.heard_at) < GONE_TIME);
     }
 
     fn silent_use(&self, now: MonotonicTime) -> f64 {
-        self.peers.values().map(|peer| self.assumed(*peer, now)).sum()
+        self.peers
+            .values()
+            .map(|peer| self.assumed(*peer, now))
+            .sum()
     }
 }
--- a/crates/savorywood-gateway/src/peer.rs
+++ b/crates/savorywood-gateway/src/peer.rs
@@ -140,7 +140,8 @@
             heard_at: now,
         };
         self.peers.insert(host, peer);
-        self.peers.retain(|_, peer| now.since(peer.heard_at) < FORGET_TIME);
+        self.peers
+            .retain(|_, peer| now.since(peer.heard_at) < FORGET_TIME);
         true
     }
 
@@ -153,7 +154,10 @@
     #[must_use]
     pub fn seats_at(&self, now: MonotonicTime, upstream: &UpstreamLabel) -> u32 {
         let digest = name_digest(upstream.as_str());
-        let fresh = self.peers.values().filter(|peer| now.since(peer.heard_at) < SEATS_TIME);
+        let fresh = self
+            .peers
+            .values()
+            .filter(|peer| now.since(peer.heard_at) < SEATS_TIME);
         fresh
             .flat_map(|peer| &peer.summary.seats)
             .filter(|seat| seat.upstream == digest)
@@ -163,7 +167,9 @@
 
     /// Peers that take callers.
     pub fn ready(&self, now: MonotonicTime) -> impl Iterator<Item = &KnownPeer> {
-        self.peers.values().filter(move |peer| peer.takes_callers(now))
+        self.peers
+            .values()
+            .filter(move |peer| peer.takes_callers(now))
     }
 
     /// Peers heard lately.
@@ -171,9 +177,9 @@
         self.peers.values().filter(move |peer| peer.is_alive(now))
     }
 
-    /// Peers that were heard within the last minute.
+    /// Number of peers that were heard within the last minute.
     #[must_use]
-    pub fn len(&self) -> usize {
+    pub fn known(&self) -> usize {
         self.peers.len()
     }
 
--- a/crates/savorywood-gateway/src/queue.rs
+++ b/crates/savorywood-gateway/src/queue.rs
@@ -51,10 +51,4 @@
     pub fn len(&self) -> usize {
         self.places.len()
     }
-
-    /// Requests that go before one of this rank.
-    #[must_use]
-    pub fn ahead_of(&self, rank: RequestRank) -> usize {
-        self.places.iter().take_while(|place| place.rank <= rank).count()
-    }
 }
--- a/crates/savorywood-gateway/src/refusal.rs
+++ b/crates/savorywood-gateway/src/refusal.rs
@@ -3,7 +3,9 @@
 use strum::{Display, EnumIter, IntoStaticStr};
 
 /// Why a request gets no answer of an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, EnumIter, IntoStaticStr)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, EnumIter, IntoStaticStr,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum RefusalReason {
     /// Configuration or upstreams are not known, or not confirmed lately.
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -160,7 +160,8 @@
             } else {
                 FleetChange::Joined
             };
-            self.states.insert(entry.name.clone(), UpstreamState::new(entry));
+            self.states
+                .insert(entry.name.clone(), UpstreamState::new(entry));
             return Some(change);
         };
         state.gone_at = None;
