Begin team meters with nothing after a restart

Ruled out: too large a knowing part of the tolerance alone; the windows that broke all ended within 0.5 s after the restart. Change: a daemon that starts again begins with an empty bucket, fills at a fifth of the rate for 0.9 s and counts what young peers have used.

--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -87,6 +87,7 @@
     stopping: bool,
     ready_logged: bool,
     sequence: u64,
+    started_at: Option<MonotonicTime>,
 }
 
 /// Effects of one step, in order.
@@ -113,6 +114,7 @@
             stopping: false,
             ready_logged: false,
             sequence: 0,
+            started_at: None,
         }
     }
 
--- a/crates/savorywood-gateway/src/gateway/news.rs
+++ b/crates/savorywood-gateway/src/gateway/news.rs
@@ -4,7 +4,7 @@
 use crate::{
     declared::DeclaredConfig,
     effect::GatewayEffect,
-    limit::TeamMeter,
+    limit::{PeerReading, TeamMeter},
     name::{HostLabel, UpstreamLabel},
     peer::{PeerPhase, PeerSummary, name_digest},
     rollout::RolloutOrder,
@@ -12,7 +12,7 @@
 };
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 impl Gateway {
     /// A version is never followed by an older one: a slow answer that comes late would bring
@@ -135,6 +135,7 @@
         let usage = summary.usage.clone();
         let tallies = summary.tallies.clone();
         let incarnation = summary.incarnation;
+        let age = Duration::from_millis(summary.age_ms);
         let phase = summary.phase;
         if !self.peers.hear(now, summary) {
             return;
@@ -149,7 +150,13 @@
             let digest = name_digest(team.as_str());
             let used = usage.iter().find(|used| used.team == digest);
             if let Some(used) = used {
-                meter.heard(now, peer, incarnation, used.total);
+                let reading = PeerReading {
+                    peer,
+                    incarnation,
+                    age,
+                    total: used.total,
+                };
+                meter.heard(now, reading);
             }
             if phase == PeerPhase::Leaving {
                 meter.ended(now, peer);
--- a/crates/savorywood-gateway/src/gateway/telling.rs
+++ b/crates/savorywood-gateway/src/gateway/telling.rs
@@ -76,6 +76,8 @@
     /// What this daemon tells its peers.
     pub fn summary(&mut self, now: MonotonicTime) -> PeerSummary {
         self.sequence += 1;
+        let started_at = *self.started_at.get_or_insert(now);
+        let age_ms = now.since(started_at).as_millis();
         let phase = if self.stopping {
             PeerPhase::Leaving
         } else if self.is_ready(now) {
@@ -95,6 +97,7 @@
         PeerSummary {
             host: self.options.host.as_str().to_owned(),
             incarnation: self.options.incarnation,
+            age_ms: u64::try_from(age_ms).unwrap_or(u64::MAX),
             sequence: self.sequence,
             zone: self.options.zone.as_str().to_owned(),
             caller_address: self.options.caller_address,
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -32,7 +32,7 @@
 pub use event::{AnswerMarks, AttemptOutcome, GatewayEvent, LoadFigures, StreamEnd};
 pub use freshness::{FreshnessClock, StoreExchange};
 pub use gateway::{Gateway, GatewayOptions, GatewayView};
-pub use limit::{LimitTolerance, MeterVerdict, TeamMeter};
+pub use limit::{LimitTolerance, MeterVerdict, PeerReading, TeamMeter};
 pub use name::{HostLabel, ServiceLabel, TeamLabel, UpstreamLabel, VersionLabel, ZoneLabel};
 pub use outlier::OutlierState;
 pub use peer::{PeerPhase, PeerSummary, PeerTable, SeatUse, TeamUse, VersionTally, name_digest};
--- a/crates/savorywood-gateway/src/limit.rs
+++ b/crates/savorywood-gateway/src/limit.rs
@@ -9,6 +9,26 @@
 /// A peer that was not heard for this long is taken to be gone.
 const GONE_TIME: Duration = Duration::from_secs(10);
 
+/// After a start the other daemons may be unknown for so long.
+const UNKNOWN_TIME: Duration = Duration::from_millis(900);
+/// Part of the rate that a daemon takes meanwhile.
+const UNKNOWN_PART: f64 = 0.2;
+/// What a peer has used in a life of less than this is counted when it is met.
+const YOUNG_TIME: Duration = Duration::from_secs(5);
+
+/// A peer as a meter hears it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerReading {
+    /// Digest of its name.
+    pub peer: u64,
+    /// Its life.
+    pub incarnation: u64,
+    /// Age of that life.
+    pub age: Duration,
+    /// Units used in it.
+    pub total: u64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct PeerUse {
     incarnation: u64,
@@ -83,6 +103,7 @@
     strict: TokenBucket,
     tolerated: TokenBucket,
     filled_at: MonotonicTime,
+    slow_until: MonotonicTime,
     own_total: u64,
     peers: BTreeMap<u64, PeerUse>,
 }
@@ -112,7 +133,9 @@
     /// A meter of a daemon. `fresh` means that nothing can have been used before.
     ///
     /// A daemon that starts again does not know what its last life admitted. When all of them
-    /// start again together, nobody does: for one window they admit what the limit alone allows.
+    /// start again together, nobody does: each then begins with nothing, fills slowly until it can
+    /// have heard the others, and for one window admits what the limit alone allows. Begun with a
+    /// part of the burst each, seven daemons would admit several bursts at once.
     #[must_use]
     pub fn new(
         now: MonotonicTime,
@@ -123,7 +146,7 @@
         let mut strict = strict_bucket(limit);
         let mut tolerated = tolerated_bucket(limit, tolerance);
         if !fresh {
-            strict.level *= 0.5;
+            strict.level = 0.0;
             tolerated.level = -tolerated.rate * tolerance.window.as_secs_f64();
         }
         Self {
@@ -132,6 +155,7 @@
             strict,
             tolerated,
             filled_at: now,
+            slow_until: if fresh { now } else { now + UNKNOWN_TIME },
             own_total: 0,
             peers: BTreeMap::new(),
         }
@@ -197,17 +221,18 @@
     }
 
     /// A peer tells what it has used in its life.
-    pub fn heard(&mut self, now: MonotonicTime, peer: u64, incarnation: u64, total: u64) {
+    pub fn heard(&mut self, now: MonotonicTime, reading: PeerReading) {
         self.fill(now);
-        let known = self.peers.get(&peer).copied();
+        let known = self.peers.get(&reading.peer).copied();
+        let total = reading.total as f64;
         let news = match known {
-            Some(known) if known.incarnation == incarnation => {
+            Some(known) if known.incarnation == reading.incarnation => {
                 // What was assumed while it was silent is settled against what it tells.
-                let assumed = self.assumed(known, now);
-                total as f64 - known.total as f64 - assumed
+                total - known.total as f64 - self.assumed(known, now)
             }
-            Some(_) => total as f64,
-            // Of a peer met for the first time only the newest use matters.
+            Some(_) => total,
+            None if reading.age < YOUNG_TIME => total,
+            // What an old peer used long ago is no news.
             None => 0.0,
         };
         self.strict.fill(-news);
@@ -215,11 +240,11 @@
         let least = -self.strict.capacity.max(self.limit.per_second);
         self.strict.level = self.strict.level.max(least);
         let heard = PeerUse {
-            incarnation,
-            total,
+            incarnation: reading.incarnation,
+            total: reading.total,
             heard_at: now,
         };
-        self.peers.insert(peer, heard);
+        self.peers.insert(reading.peer, heard);
     }
 
     /// A peer is known to have ended.
@@ -238,7 +263,10 @@
     }
 
     fn fill(&mut self, now: MonotonicTime) {
-        let elapsed = now.since(self.filled_at).as_secs_f64();
+        let mut elapsed = now.since(self.filled_at).as_secs_f64();
+        if now < self.slow_until {
+            elapsed *= UNKNOWN_PART;
+        }
         let silent = self.silent_use(now) - self.silent_use(self.filled_at);
         self.strict.fill(elapsed * self.strict.rate - silent);
         self.tolerated.fill(elapsed * self.tolerated.rate - silent);
--- a/crates/savorywood-gateway/src/peer.rs
+++ b/crates/savorywood-gateway/src/peer.rs
@@ -77,6 +77,8 @@
     pub host: String,
     /// Its life; a later one is larger.
     pub incarnation: u64,
+    /// Age of that life in milliseconds.
+    pub age_ms: u64,
     /// Grows with each summary of a life.
     pub sequence: u64,
     /// Its zone.
