--- a/crates/savorywood-gateway/src/limit.rs
+++ b/crates/savorywood-gateway/src/limit.rs
@@ -9,6 +9,8 @@
 /// A peer that was not heard for this long is taken to be gone.
 const GONE_TIME: Duration = Duration::from_secs(10);
 
+/// Part of the burst with which a daemon begins that starts again.
+const START_PART: f64 = 0.125;
 /// After a start the other daemons may be unknown for so long.
 const UNKNOWN_TIME: Duration = Duration::from_millis(900);
 /// Part of the rate that a daemon takes meanwhile.
@@ -133,9 +135,9 @@
     /// A meter of a daemon. `fresh` means that nothing can have been used before.
     ///
     /// A daemon that starts again does not know what its last life admitted. When all of them
-    /// start again together, nobody does: each then begins with nothing, fills slowly until it can
-    /// have heard the others, and for one window admits what the limit alone allows. Begun with a
-    /// part of the burst each, seven daemons would admit several bursts at once.
+    /// start again together, nobody does: each begins with a small part of the burst and fills
+    /// slowly until it can have heard the others. Begun with half of it each, seven daemons would
+    /// admit several bursts at once.
     #[must_use]
     pub fn new(
         now: MonotonicTime,
@@ -146,8 +148,8 @@
         let mut strict = strict_bucket(limit);
         let mut tolerated = tolerated_bucket(limit, tolerance);
         if !fresh {
-            strict.level = 0.0;
-            tolerated.level = -tolerated.rate * tolerance.window.as_secs_f64();
+            strict.level *= START_PART;
+            tolerated.level *= START_PART;
         }
         Self {
             limit,
