--- a/crates/savorywood-front/src/attempt/events.rs
+++ b/crates/savorywood-front/src/attempt/events.rs
@@ -57,8 +57,8 @@
 
 fn identity(event: &[u8]) -> Option<String> {
     let lines = event.split(|byte| *byte == b'\n');
-    let values = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let value = values.last()?;
+    let mut values = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let value = values.next_back()?;
     let text = std::str::from_utf8(value).ok()?;
     Some(text.trim().to_owned())
 }
--- /dev/null
+++ b/crates/savorywood-gateway/tests/waiting.rs
@@ -0,0 +1,179 @@
+//! Who waits, who goes first, and where work goes.
+
+#[path = "common/scene.rs"]
+mod scene;
+
+use savorywood_gateway::{
+    AttemptOutcome, GatewayEvent, PeerPhase, PeerSummary, RefusalReason, SeatUse, name_digest,
+};
+use scene::{GatewayScene, arrival, upstream};
+use std::time::Duration;
+
+fn peer(sequence: u64, seats: Vec<SeatUse>) -> Box<PeerSummary> {
+    Box::new(PeerSummary {
+        host: "host-b".to_owned(),
+        incarnation: 1,
+        age_ms: 60_000,
+        sequence,
+        zone: "zone-b".to_owned(),
+        caller_address: "10.0.0.2:80".parse().expect("an address"),
+        phase: PeerPhase::Ready,
+        version: 1,
+        seats,
+        usage: Vec::new(),
+        tallies: Vec::new(),
+    })
+}
+
+/// Engines know no priorities: what waits in them is served in the order of arrival. So it waits
+/// here, and the urgent request that came last gets the first place that is free.
+#[test]
+fn the_most_urgent_request_gets_the_next_place() {
+    let mut scene = GatewayScene::ready(1);
+    let running = scene.arrive(arrival("/safe/1"));
+    let usual = scene.arrive(arrival("/safe/2"));
+    let urgent = scene.arrive(arrival("/urgent/3"));
+    assert!(scene.orders(usual).is_empty() && scene.orders(urgent).is_empty());
+    scene.deliver(running);
+    assert_eq!(scene.orders(urgent).len(), 1);
+    assert!(scene.orders(usual).is_empty());
+}
+
+/// Two daemons send to the same upstream. What the other one has there counts here as well;
+/// counted alone, both would fill it twice and its answers would be late.
+#[test]
+fn places_that_a_peer_has_taken_are_not_free() {
+    let mut scene = GatewayScene::ready(1);
+    let seat = SeatUse {
+        upstream: name_digest("upstream-1"),
+        running: 1,
+    };
+    scene.step(GatewayEvent::PeerHeard(peer(1, vec![seat])));
+    let request = scene.arrive(arrival("/safe/1"));
+    assert!(scene.orders(request).is_empty());
+    scene.step(GatewayEvent::PeerHeard(peer(2, Vec::new())));
+    assert_eq!(scene.orders(request).len(), 1);
+}
+
+/// A daemon died with requests at an upstream. The places that it told of must come free by
+/// themselves: nobody will tell that they are.
+#[test]
+fn places_of_a_peer_that_fell_silent_come_free() {
+    let mut scene = GatewayScene::ready(1);
+    let seat = SeatUse {
+        upstream: name_digest("upstream-1"),
+        running: 1,
+    };
+    scene.step(GatewayEvent::PeerHeard(peer(1, vec![seat])));
+    let request = scene.arrive(arrival("/safe/1"));
+    scene.advance(Duration::from_millis(1_400));
+    assert_eq!(scene.orders(request).len(), 1);
+}
+
+#[test]
+fn a_request_that_waits_too_long_is_refused_before_its_deadline() {
+    let mut scene = GatewayScene::ready(1);
+    scene.arrive(arrival("/safe/1"));
+    scene.arrive(arrival("/safe/2"));
+    let third = scene.arrive(arrival("/safe/3"));
+    for _ in 0..85 {
+        scene.advance(Duration::from_millis(100));
+    }
+    assert_eq!(scene.refusal(third), Some(RefusalReason::ExpiredUnsent));
+}
+
+/// An upstream breaks every connection while its registration looks sound. It is left out after
+/// a few requests and tried again later; the other one serves meanwhile.
+#[test]
+fn an_upstream_that_keeps_failing_is_left_out_for_a_while() {
+    let mut scene = GatewayScene::ready(2);
+    let mut sent_to_bad = 0;
+    for _ in 0..40 {
+        scene.confirm();
+        let request = scene.arrive(arrival("/safe/1"));
+        loop {
+            let orders = scene.orders(request);
+            let Some(order) = orders.last().copied() else {
+                break;
+            };
+            if order.upstream.as_str() == "upstream-1" {
+                sent_to_bad += 1;
+                let sends = orders.len();
+                scene.end(request, AttemptOutcome::Broken { silent: false });
+                if scene.orders(request).len() == sends {
+                    break;
+                }
+            } else {
+                scene.deliver(request);
+                break;
+            }
+        }
+        scene.advance(Duration::from_millis(50));
+    }
+    assert!((1..=6).contains(&sent_to_bad), "{sent_to_bad} requests");
+}
+
+/// All upstreams fail at once, so the fault is likely elsewhere. Were all of them left out, every
+/// request would be refused, also once the fault is gone.
+#[test]
+fn upstreams_are_never_left_out_all_at_once() {
+    let mut scene = GatewayScene::ready(2);
+    for _ in 0..10 {
+        scene.confirm();
+        let request = scene.arrive(arrival("/safe/1"));
+        while scene.refusal(request).is_none() && !scene.orders(request).is_empty() {
+            let sends = scene.orders(request).len();
+            scene.end(request, AttemptOutcome::Broken { silent: false });
+            if scene.orders(request).len() == sends {
+                break;
+            }
+        }
+        scene.advance(Duration::from_millis(20));
+    }
+    scene.confirm();
+    let request = scene.arrive(arrival("/safe/1"));
+    assert_eq!(scene.orders(request).len(), 1);
+}
+
+/// The store is out, and registrations expire though their owners live. They are used on for the
+/// time in which they come back; a service without any upstream would refuse everything.
+#[test]
+fn registrations_that_expire_in_an_outage_are_kept_for_a_while() {
+    let mut scene = GatewayScene::ready(1);
+    scene.step(GatewayEvent::StoreFailed);
+    scene.step(GatewayEvent::UpstreamsRead(Vec::new()));
+    let request = scene.arrive(arrival("/safe/1"));
+    assert_eq!(scene.orders(request).len(), 1);
+    scene.deliver(request);
+    scene.advance(Duration::from_secs(2));
+    scene.confirm();
+    let request = scene.arrive(arrival("/safe/1"));
+    assert!(scene.orders(request).is_empty());
+}
+
+/// An upstream says that it leaves. Work that is sent there from now on is cut off.
+#[test]
+fn a_draining_upstream_gets_no_new_work() {
+    let mut scene = GatewayScene::ready(2);
+    let mut leaving = upstream(1, 1);
+    leaving.draining = true;
+    scene.step(GatewayEvent::UpstreamWritten(leaving));
+    for _ in 0..5 {
+        let request = scene.arrive(arrival("/safe/1"));
+        assert_eq!(scene.orders(request)[0].upstream.as_str(), "upstream-2");
+        scene.deliver(request);
+    }
+}
+
+/// A daemon that is about to end is in no directory any more, its own included.
+#[test]
+fn a_stopping_daemon_is_in_no_directory() {
+    let mut scene = GatewayScene::ready(1);
+    scene.step(GatewayEvent::PeerHeard(peer(1, Vec::new())));
+    assert_eq!(scene.gateway.addresses(scene.now, None, 64).len(), 2);
+    let grace = Duration::from_secs(8);
+    scene.step(GatewayEvent::StopRequested { grace });
+    let addresses = scene.gateway.addresses(scene.now, Some("zone-a"), 64);
+    assert_eq!(addresses, vec!["10.0.0.2:80".parse().expect("an address")]);
+    assert!(!scene.gateway.is_ready(scene.now));
+}
