Judge readiness, denials and keys as parts of the revocation bound; test the path as processes

Cause: with a bound of 3 s a daemon still said it was ready after it had begun to refuse keys: the ages were fixed for a bound of 5 s (seen red in a_key_that_was_taken_away_stops_working_in_time). An empty answer of a feed that is deaf before its history is dropped also proved too much. Change: ages are parts of the bound; keys stop at 0.76 of it.

--- a/crates/savorywood-front/src/feeds.rs
+++ b/crates/savorywood-front/src/feeds.rs
@@ -15,8 +15,6 @@
 use savorywood_protocol::MonotonicTime;
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-/// Wait of one call for declared rows. The age of the newest proof is about this at most.
-const DECLARED_WAIT: Duration = Duration::from_millis(1_400);
 /// Wait of one call for registrations; changes are answered at once.
 const UPSTREAMS_WAIT: Duration = Duration::from_millis(2_400);
 /// Time beyond the wait within which the answer must come: a connection that fell silent must
@@ -133,7 +131,7 @@
 
     async fn follow(&mut self, after: u64) -> Result<(), String> {
         let wait = match self.table {
-            StoreTable::Declared => DECLARED_WAIT,
+            StoreTable::Declared => self.shared.gateway.borrow().declared_wait(),
             _ => UPSTREAMS_WAIT,
         };
         let call = self.shared.dialect.feed_rows(self.table, after, wait);
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -53,6 +53,19 @@
     pub seed: u64,
 }
 
+/// Bound of proofs where keys have none.
+const USUAL_PROOF_BOUND: Duration = Duration::from_secs(5);
+/// Part of the bound for which one call may wait for changes of what is declared.
+const WAIT_PART: f64 = 0.28;
+
+impl GatewayOptions {
+    /// Age at which a proof of the configuration is worth nothing.
+    #[must_use]
+    pub fn proof_bound(&self) -> Duration {
+        self.revocation.unwrap_or(USUAL_PROOF_BOUND)
+    }
+}
+
 /// Evenly drawn numbers (SplitMix64).
 #[derive(Debug, Clone)]
 struct DrawSequence(u64);
@@ -176,6 +189,13 @@
         &self.peers
     }
 
+    /// Time for which one call may wait for changes of what is declared: two that fail in a row
+    /// must not leave the daemon unready.
+    #[must_use]
+    pub fn declared_wait(&self) -> Duration {
+        self.options.proof_bound().mul_f64(WAIT_PART)
+    }
+
     /// Requests that wait or run.
     #[must_use]
     pub fn open_requests(&self) -> usize {
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -18,10 +18,11 @@
 use savorywood_protocol::MonotonicTime;
 use std::{sync::Arc, time::Duration};
 
-/// Time that a proof loses on its way into a decision: clocks and steps.
-const PROOF_MARGIN: Duration = Duration::from_millis(400);
-/// A daemon whose newest proof is older sends no "no such route" and no "unknown key".
-const DENIAL_PROOF_AGE: Duration = Duration::from_millis(2_500);
+/// Part of the bound after which keys are confirmed no more. The rest covers a feed that was deaf
+/// for a second before its history was dropped: until then its empty answers prove too much.
+const KEY_PART: f64 = 0.76;
+/// Part of the bound after which a daemon sends no "no such route" and no "unknown key".
+const DENIAL_PART: f64 = 0.5;
 /// When to come back to a daemon that can't confirm its configuration; another address is better.
 const STALE_RETRY: Duration = Duration::from_millis(200);
 /// Time kept for the final answer's way to the caller.
@@ -111,8 +112,8 @@
     /// A key that was taken away must not work here after the bound, also when this daemon can't
     /// hear of it: cut off from the store it would let a shut-out caller in for ever.
     pub(super) fn keys_are_confirmed(&self, now: MonotonicTime) -> bool {
-        let bound = self.options.revocation.unwrap_or(Duration::MAX);
-        self.proof_age(now) < bound.saturating_sub(PROOF_MARGIN)
+        let bound = self.options.revocation;
+        bound.is_none_or(|bound| self.proof_age(now) < bound.mul_f64(KEY_PART))
     }
 
     fn admit(
@@ -180,7 +181,7 @@
     /// "There is no such thing" is final for a caller: a daemon that may have missed the newest
     /// configuration says "not ready" in its place.
     fn deny(&self, now: MonotonicTime, reason: RefusalReason) -> Denial {
-        if self.proof_age(now) < DENIAL_PROOF_AGE {
+        if self.proof_age(now) < self.options.proof_bound().mul_f64(DENIAL_PART) {
             Denial::of(reason)
         } else {
             Denial::stale()
--- a/crates/savorywood-gateway/src/gateway/telling.rs
+++ b/crates/savorywood-gateway/src/gateway/telling.rs
@@ -8,8 +8,9 @@
 use savorywood_protocol::MonotonicTime;
 use std::{net::SocketAddr, time::Duration};
 
-/// A daemon whose newest proof is older is not ready: callers are better off elsewhere.
-const READY_PROOF_AGE: Duration = Duration::from_millis(2_700);
+/// Part of the bound after which a daemon without a newer proof is not ready: callers are better
+/// off elsewhere.
+const READY_PART: f64 = 0.54;
 /// Addresses of a caller's own zone that are enough.
 const ENOUGH_NEAR: usize = 1;
 
@@ -29,7 +30,9 @@
     #[must_use]
     pub fn is_ready(&self, now: MonotonicTime) -> bool {
         let known = self.config.is_some() && self.upstreams_read;
-        known && !self.stopping && self.proof_age(now) < READY_PROOF_AGE
+        known
+            && !self.stopping
+            && self.proof_age(now) < self.options.proof_bound().mul_f64(READY_PART)
     }
 
     /// State now.
--- a/crates/savorywood-testing/src/process.rs
+++ b/crates/savorywood-testing/src/process.rs
@@ -112,6 +112,12 @@
         joined(&self.errors)
     }
 
+    /// What it wrote to its standard output so far.
+    #[must_use]
+    pub fn output(&self) -> String {
+        joined(&self.output)
+    }
+
     /// Sends a signal to this process and no other.
     ///
     /// # Panics
@@ -153,6 +159,7 @@
         self.child.wait().ok();
         if thread::panicking() {
             eprintln!("--- {} wrote:\n{}", self.name, joined(&self.errors));
+            eprintln!("--- and as output:\n{}", joined(&self.output));
         }
     }
 }
