Expect each answer's length where the caller guesses it; loosen place and zone

Long answers were begun where they could not end in time. Change: the rest of a stream is expected from the caller's guess and the learned events per token; an upstream where it would end late costs more. A request may queue inside an upstream from a quarter of its objective on.

--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -149,6 +149,7 @@
             units,
             rank,
             size,
+            output: arrival.output_guess.unwrap_or(size.output),
             parts: arrival.parts.clone(),
             arrived_at: now,
             give_up_at: now + longest.saturating_sub(ANSWER_MARGIN),
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -20,7 +20,7 @@
 const MAX_FULL: usize = 3;
 /// Part of the objective after which a request may queue inside an upstream: peers' seats are
 /// known late, and one that waits here for a seat that is free already is late for nothing.
-const OVERCOMMIT_PART: f64 = 0.4;
+const OVERCOMMIT_PART: f64 = 0.25;
 /// Part of the objective for which a request waits for a service that has no upstream.
 const EMPTY_PART: f64 = 0.12;
 /// Part of the expected time that must be left when an attempt begins.
@@ -91,6 +91,8 @@
         let query = PickQuery {
             service: &record.service,
             prompt: record.size.prompt,
+            output: record.output,
+            left_ms: record.give_up_at.since(now).as_secs_f64() * 1e3,
             stream: record.route.repeat.is_stream(),
             parts: &record.parts,
             tried: &record.tried,
@@ -213,7 +215,8 @@
                     continue;
                 };
                 let needed = if record.route.repeat.is_stream() {
-                    usual.first_ms(&usual, record.size.prompt) + usual.rest_ms(&usual)
+                    usual.first_ms(&usual, record.size.prompt)
+                        + usual.rest_ms(&usual, record.output)
                 } else {
                     usual.whole_ms(&usual)
                 };
--- a/crates/savorywood-gateway/src/gateway/ending.rs
+++ b/crates/savorywood-gateway/src/gateway/ending.rs
@@ -114,6 +114,7 @@
         let usual = self.fleet.usual_failures(&record.service);
         let elapsed = now.since(attempt.sent_at);
         let stream = record.route.repeat.is_stream();
+        let output = record.output;
         let service = record.service.clone();
         let Some(state) = self.fleet.get_mut(&attempt.upstream) else {
             return;
@@ -158,7 +159,9 @@
                 bad = Some(slow && !stream);
                 if stream {
                     let began = attempt.began_at.unwrap_or(now);
-                    state.pace.saw_stream(*events, now.since(began), elapsed);
+                    state
+                        .pace
+                        .saw_stream(*events, output, now.since(began), elapsed);
                 } else {
                     state.pace.saw_answer(elapsed);
                 }
@@ -166,7 +169,7 @@
                 let usual = self.fleet.usual_mut(&service);
                 if stream {
                     let began = attempt.began_at.unwrap_or(now);
-                    usual.saw_stream(*events, now.since(began), elapsed);
+                    usual.saw_stream(*events, output, now.since(began), elapsed);
                 } else {
                     usual.saw_answer(elapsed);
                 }
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -48,6 +48,8 @@
     pub rank: RequestRank,
     /// Its size.
     pub size: RequestSize,
+    /// Tokens of its answer as the caller expects.
+    pub output: u32,
     /// Parts of its prompt.
     pub parts: Vec<PromptPart>,
     /// When it came.
--- a/crates/savorywood-gateway/src/pace.rs
+++ b/crates/savorywood-gateway/src/pace.rs
@@ -8,6 +8,9 @@
 const BASE_MS: f64 = 20.0;
 /// Time of one prompt token, before anything was seen.
 const TOKEN_MS: f64 = 0.025;
+/// Weight of a caller's guess of its answer's length against the usual length: guesses are right
+/// at the median and often far off.
+const GUESS_WEIGHT: f64 = 0.7;
 /// Time between two events, before anything was seen.
 const GAP_MS: f64 = 20.0;
 
@@ -28,6 +31,8 @@
     whole_ms: Option<f64>,
     /// Events of an answer.
     events: Option<f64>,
+    /// Events against the tokens that the caller expected.
+    events_per_token: Option<f64>,
 }
 
 fn blend(mean: &mut Option<f64>, value: f64) {
@@ -46,12 +51,22 @@
     }
 
     /// A stream ended well.
-    pub fn saw_stream(&mut self, events: u32, after_first: Duration, whole: Duration) {
+    pub fn saw_stream(
+        &mut self,
+        events: u32,
+        expected_tokens: u32,
+        after_first: Duration,
+        whole: Duration,
+    ) {
         if events > 1 {
             let gap = after_first.as_secs_f64() * 1e3 / f64::from(events - 1);
             blend(&mut self.gap_ms, gap);
         }
         blend(&mut self.events, f64::from(events));
+        if expected_tokens > 0 {
+            let ratio = f64::from(events) / f64::from(expected_tokens);
+            blend(&mut self.events_per_token, ratio.min(2.0));
+        }
         blend(&mut self.whole_ms, whole.as_secs_f64() * 1e3);
     }
 
@@ -66,11 +81,17 @@
         nominal_first_ms(prompt) * self.first.or(usual.first).unwrap_or(1.0)
     }
 
-    /// Expected milliseconds from the first event to the last.
+    /// Expected milliseconds from the first event to the last, for an answer of about so many
+    /// tokens; zero where nobody guessed.
     #[must_use]
-    pub fn rest_ms(&self, usual: &Self) -> f64 {
+    pub fn rest_ms(&self, usual: &Self, expected_tokens: u32) -> f64 {
         let gap = self.gap_ms.or(usual.gap_ms).unwrap_or(GAP_MS);
-        gap * usual.events.unwrap_or(10.0)
+        let mean = usual.events.unwrap_or(10.0);
+        let guessed = match usual.events_per_token {
+            Some(ratio) if expected_tokens > 0 => ratio * f64::from(expected_tokens),
+            _ => mean,
+        };
+        gap * (guessed * GUESS_WEIGHT + mean * (1.0 - GUESS_WEIGHT))
     }
 
     /// Expected milliseconds of a whole answer.
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -10,7 +10,7 @@
 use savorywood_protocol::MonotonicTime;
 
 /// What an upstream in another zone must be faster by, in milliseconds, to be worth the bytes.
-const ZONE_PENALTY_MS: f64 = 60.0;
+const ZONE_PENALTY_MS: f64 = 35.0;
 /// Slowdown of the first event by each request that runs beside it.
 const CROWD_SLOWDOWN: f64 = 0.3;
 /// What a certain failure costs, in milliseconds.
@@ -48,6 +48,10 @@
     pub service: &'a ServiceLabel,
     /// Prompt tokens; zero for plain calls.
     pub prompt: u32,
+    /// Tokens of the answer as the caller expects; zero if it says nothing.
+    pub output: u32,
+    /// Milliseconds until the answer must be whole.
+    pub left_ms: f64,
     /// The answer is a stream.
     pub stream: bool,
     /// Parts of the prompt.
@@ -162,11 +166,13 @@
         let (first, rest) = if query.stream {
             let prompt = query.prompt.saturating_sub(held);
             let first = state.pace.first_ms(&usual, prompt) * crowd;
-            (first, state.pace.rest_ms(&usual) * crowd)
+            (first, state.pace.rest_ms(&usual, query.output) * crowd)
         } else {
             (state.pace.whole_ms(&usual) * crowd, 0.0)
         };
         let mut score = first + rest * REST_WEIGHT;
+        // Begun where it would not end in time, it holds a place for nothing.
+        score += (first + rest - query.left_ms).max(0.0);
         score += state.outlier.failure_share() * FAILURE_PENALTY_MS;
         if entry.zone != *self.zone {
             score += ZONE_PENALTY_MS;
