--- a/crates/savorywood-cli/src/commands.rs
+++ b/crates/savorywood-cli/src/commands.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod delete;
 pub mod dev;
+pub mod explain;
 pub mod get;
 pub mod report;
 pub mod serve;
@@ -39,6 +40,7 @@
         CliCommand::Check(options) => check::run(&options),
         CliCommand::Apply(options) => apply::run(&options, &default_server),
         CliCommand::Get(options) => get::run(&options, &default_server),
+        CliCommand::Explain(options) => explain::run(&options),
         CliCommand::Delete(options) => delete::run(&options, &default_server),
         CliCommand::Watch(options) => watch::run(&options, &default_server),
         CliCommand::Report(command) => report::run(&command, &default_server),
--- a/crates/savorywood-cli/src/lib.rs
+++ b/crates/savorywood-cli/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod options;
 mod process;
 pub mod table;
+pub mod trace;
 
 pub use error::CommandError;
 pub use options::{CliCommand, CliOptions};
--- a/crates/savorywood-cli/src/options.rs
+++ b/crates/savorywood-cli/src/options.rs
@@ -5,6 +5,7 @@
     check::{CheckOptions, check_options},
     delete::{DeleteOptions, delete_options},
     dev::{DevOptions, dev_options},
+    explain::{ExplainOptions, explain_options},
     get::{GetOptions, get_options},
     report::{ReportCommand, report_command},
     serve::{ServeOptions, serve_options},
@@ -145,6 +146,14 @@
         footer("Examples:\n   savorywood report burn\n   savorywood report burn -o json")
     )]
     Report(#[bpaf(external(report_command))] ReportCommand),
+    /// Tell one request's way from the logs of several daemons
+    #[bpaf(
+        command("explain"),
+        footer(
+            "Examples:\n   savorywood explain 9c41d07be2a35f68 host-a.out host-b.out\n   cat *.out | savorywood explain 9c41d07be2a35f68"
+        )
+    )]
+    Explain(#[bpaf(external(explain_options))] ExplainOptions),
 }
 
 /// How to print resources.
--- a/crates/savorywood-front/src/attempt/events.rs
+++ b/crates/savorywood-front/src/attempt/events.rs
@@ -62,3 +62,6 @@
     let text = std::str::from_utf8(value).ok()?;
     Some(text.trim().to_owned())
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/savorywood-front/src/logging.rs
+++ b/crates/savorywood-front/src/logging.rs
@@ -36,7 +36,6 @@
 #[derive(Debug)]
 struct LineBuffer {
     bytes: Vec<u8>,
-    lines: u64,
     budget: f64,
     filled_at: Instant,
 }
@@ -49,6 +48,7 @@
 pub struct LogQueue {
     buffer: Arc<Mutex<LineBuffer>>,
     omitted: Arc<OmittedLines>,
+    told: Arc<AtomicU64>,
     batches: SyncSender<Vec<u8>>,
 }
 
@@ -78,13 +78,13 @@
         });
         let buffer = LineBuffer {
             bytes: Vec::new(),
-            lines: 0,
             budget: LINE_BURST,
             filled_at: Instant::now(),
         };
         let queue = Self {
             buffer: Arc::new(Mutex::new(buffer)),
             omitted: Arc::default(),
+            told: Arc::default(),
             batches,
         };
         let writer = Box::new(QueueWriter(queue.clone()));
@@ -92,7 +92,8 @@
             .filter_level(level)
             .format(|out, record| {
                 let level = record.level().as_str().to_ascii_lowercase();
-                writeln!(out, "level={level} {}", record.args())
+                let at = out.timestamp_millis();
+                writeln!(out, "at={at} level={level} {}", record.args())
             })
             .target(env_logger::Target::Pipe(writer))
             .try_init();
@@ -148,20 +149,25 @@
             return;
         }
         buffer.bytes.extend_from_slice(bytes);
-        buffer.lines += 1;
     }
 
-    /// Hands the gathered lines to the writing thread.
+    /// Says what was left out since the last time, then hands the gathered lines to the writing
+    /// thread.
     pub fn flush(&self) {
+        let over_budget = self.omitted.over_budget.load(Ordering::Relaxed);
+        let unread = self.omitted.unread.load(Ordering::Relaxed);
+        let told = self.told.swap(over_budget + unread, Ordering::Relaxed);
+        if over_budget + unread > told {
+            log::warn!("event=log-omitted over_budget={over_budget} unread={unread}");
+        }
         let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
         if buffer.bytes.is_empty() {
             return;
         }
         let batch = std::mem::take(&mut buffer.bytes);
         match self.batches.try_send(batch) {
-            Ok(()) => buffer.lines = 0,
+            Ok(()) | Err(TrySendError::Disconnected(_)) => {}
             Err(TrySendError::Full(batch)) => buffer.bytes = batch,
-            Err(TrySendError::Disconnected(_)) => {}
         }
     }
 
@@ -205,3 +211,6 @@
     };
     debug_assert!(written.is_ok());
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/savorywood-front/src/logging/tests.rs
@@ -0,0 +1,29 @@
+//! The log's budget.
+
+use super::*;
+
+fn line(event: &'static str) -> LogLine {
+    LogLine::new(LogLevel::Info, event)
+}
+
+/// A burst of requests fills the log's budget. Successes are left out first and failures still
+/// find room, so the requests that somebody will ask about can be followed.
+#[test]
+fn successes_are_left_out_before_failures() {
+    let queue = LogQueue::start(log::LevelFilter::Info);
+    for _ in 0..5_000 {
+        queue.write_line(&line("request-dispatched"));
+    }
+    let omitted = queue.omitted().over_budget.load(Ordering::Relaxed);
+    assert!(omitted > 3_000, "{omitted}");
+    for _ in 0..400 {
+        queue.write_line(&line("request-refused"));
+    }
+    let after = queue.omitted().over_budget.load(Ordering::Relaxed);
+    assert_eq!(after, omitted, "refusals were left out");
+    let ended = line("request-ended").with("end", "broken-answer");
+    assert!(tells_of_failure(&ended));
+    assert!(!tells_of_failure(
+        &line("request-ended").with("end", "served")
+    ));
+}
--- a/crates/savorywood-front/src/wire/body.rs
+++ b/crates/savorywood-front/src/wire/body.rs
@@ -211,3 +211,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/savorywood-front/src/wire/body/tests.rs
@@ -0,0 +1,88 @@
+//! Bodies split in any way, over a real connection.
+
+use super::*;
+use async_net::{TcpListener, TcpStream};
+use futures_lite::{AsyncWriteExt, future};
+use quickcheck::QuickCheck;
+
+/// Sends bytes in pieces and reads a body from them.
+fn read_split(bytes: &[u8], cuts: &[u8], framing: BodyFraming) -> Result<Vec<u8>, BodyFault> {
+    async_io::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let mut writer = TcpStream::connect(address).await.expect("a connection");
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let mut reader = ByteReader::new(stream);
+        let write = async {
+            let mut rest = bytes;
+            for cut in cuts {
+                let (piece, after) = rest.split_at(usize::from(*cut).min(rest.len()));
+                writer.write_all(piece).await.expect("a write");
+                future::yield_now().await;
+                rest = after;
+            }
+            writer.write_all(rest).await.expect("a write");
+            drop(writer);
+        };
+        let read = read_body(&mut reader, framing, 1 << 20);
+        let (result, ()) = future::zip(read, write).await;
+        result
+    })
+}
+
+fn chunked(pieces: &[Vec<u8>]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for piece in pieces.iter().filter(|piece| !piece.is_empty()) {
+        bytes.extend_from_slice(format!("{:x};ext=1\r\n", piece.len()).as_bytes());
+        bytes.extend_from_slice(piece);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"0\r\nTrailer: x\r\n\r\n");
+    bytes
+}
+
+#[test]
+fn chunks_give_the_same_body_however_they_are_split() {
+    let property = |pieces: Vec<Vec<u8>>, cuts: Vec<u8>| {
+        let read = read_split(&chunked(&pieces), &cuts, BodyFraming::Chunked);
+        read.is_ok_and(|body| body == pieces.concat())
+    };
+    QuickCheck::new()
+        .tests(200)
+        .quickcheck(property as fn(Vec<Vec<u8>>, Vec<u8>) -> bool);
+}
+
+/// The connection ends within a body. Taken for whole, a caller would get a part as the answer.
+#[test]
+fn a_body_that_ends_early_is_never_whole() {
+    let property = |pieces: Vec<Vec<u8>>, cut: usize| {
+        let bytes = chunked(&pieces);
+        let cut = cut % bytes.len();
+        read_split(&bytes[..cut], &[], BodyFraming::Chunked).is_err()
+    };
+    QuickCheck::new()
+        .tests(200)
+        .quickcheck(property as fn(Vec<Vec<u8>>, usize) -> bool);
+    assert!(read_split(b"hell", &[], BodyFraming::Length(5)).is_err());
+    assert!(read_split(b"hello", &[2], BodyFraming::Length(5)).is_ok());
+    assert!(read_split(b"hello", &[2], BodyFraming::UntilClose).is_ok());
+}
+
+#[test]
+fn chunks_that_two_programs_may_read_differently_are_refused() {
+    let texts: [&[u8]; 7] = [
+        b"0x5\r\nhello\r\n0\r\n\r\n",
+        b"+5\r\nhello\r\n0\r\n\r\n",
+        b" 5\r\nhello\r\n0\r\n\r\n",
+        b"5\nhello\n0\n\n",
+        b"5\r\nhelloX\r\n0\r\n\r\n",
+        b"\r\nhello\r\n0\r\n\r\n",
+        b"ffffffffffffffffff\r\nhello",
+    ];
+    for text in texts {
+        assert!(
+            read_split(text, &[], BodyFraming::Chunked).is_err(),
+            "{text:?}"
+        );
+    }
+}
--- a/crates/savorywood-gateway/tests/truth.rs
+++ b/crates/savorywood-gateway/tests/truth.rs
@@ -107,7 +107,6 @@
                 }
                 scene.end(savorywood_gateway::LocalRequest(number), ended);
             }
-            RandomStep::End(..) => {}
             RandomStep::Leave(which) if !open.is_empty() => {
                 let number = open[usize::from(which) % open.len()];
                 let request = seen.get_mut(&number).expect("an open request");
@@ -117,7 +116,7 @@
                     number,
                 )));
             }
-            RandomStep::Leave(_) => {}
+            RandomStep::End(..) | RandomStep::Leave(_) => {}
             RandomStep::Wait(millis) => scene.advance(Duration::from_millis(millis.into())),
             RandomStep::Remove(which) => {
                 let name = upstream(u16::from(which % 3) + 1, 1).name;
