Give a mended upstream work again while others have room

Cause: an upstream that had been left out was usable again after its pause, but its share of failures never faded and its trial was the dearest choice, so with room elsewhere it got no request that could show it was sound (seen red in a test that mends a runner). Change: shares of failures fade by half in 3 s; one request that may run again is sent on trial on purpose; what may not run twice follows 4 s later.

--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -98,7 +98,8 @@
             tried: &record.tried,
             versions: rollouts.choose(now, &record.service, self.trial()),
             overcommit: u32::from(!patient),
-            idempotent: record.route.repeat.is_idempotent(),
+            may_try: record.route.repeat.is_idempotent()
+                && record.runs + 1 < record.route.max_attempts,
         };
         let scene = PickScene {
             now,
@@ -180,7 +181,7 @@
         let mut members = self.fleet.members(&record.service);
         members.any(|state| {
             let name = &state.entry.name;
-            let usable = state.is_open(now) && state.outlier.is_usable(now);
+            let usable = state.is_open(now) && state.outlier.is_usable(now, true);
             usable && *name != picked.name && !record.tried.contains(name)
         })
     }
--- a/crates/savorywood-gateway/src/gateway/ending.rs
+++ b/crates/savorywood-gateway/src/gateway/ending.rs
@@ -111,7 +111,7 @@
         let Some(record) = self.requests.get(&request) else {
             return;
         };
-        let usual = self.fleet.usual_failures(&record.service);
+        let usual = self.fleet.usual_failures(now, &record.service);
         let elapsed = now.since(attempt.sent_at);
         let stream = record.route.repeat.is_stream();
         let output = record.output;
@@ -150,7 +150,7 @@
             }
             AttemptOutcome::Expired | AttemptOutcome::CallerLeft => outlier.unknown(),
             AttemptOutcome::Delivered { events, .. } => {
-                if outlier.succeeded() {
+                if outlier.succeeded(now) {
                     let line = LogLine::new(LogLevel::Info, "upstream-back")
                         .with("upstream", &attempt.upstream);
                     effects.push(GatewayEffect::Log(line));
--- a/crates/savorywood-gateway/src/outlier.rs
+++ b/crates/savorywood-gateway/src/outlier.rs
@@ -9,6 +9,10 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(6);
 /// Failures in a row that take an upstream out.
 const FAILURES_IN_A_ROW: u32 = 3;
+/// Time after its time out from which work that may not run twice goes there as well.
+const TRUST_PAUSE: Duration = Duration::from_secs(4);
+/// Time in which old failures lose half of their weight.
+const FORGET_TIME: Duration = Duration::from_secs(3);
 /// Weight of the newest answer in the share of failures.
 const NEWEST_WEIGHT: f64 = 0.15;
 
@@ -20,22 +24,31 @@
     out_until: MonotonicTime,
     trial_running: bool,
     failure_share: f64,
+    seen_at: MonotonicTime,
 }
 
 impl OutlierState {
-    /// Share of failures among the newest answers, 0 to 1.
+    /// Share of failures among the newest answers, 0 to 1. It fades: an upstream that gets no work
+    /// could never show that it is sound again.
     #[must_use]
-    pub fn failure_share(&self) -> f64 {
-        self.failure_share
+    pub fn failure_share(&self, now: MonotonicTime) -> f64 {
+        let halvings = now.since(self.seen_at).as_secs_f64() / FORGET_TIME.as_secs_f64();
+        self.failure_share * 0.5f64.powf(halvings)
     }
 
-    /// It may get work: it is in, or its time out is over and no other trial runs.
+    /// It may get work: it is in, or its time out is over and no other trial runs. What may not
+    /// run twice comes back later than the rest.
     #[must_use]
-    pub fn is_usable(&self, now: MonotonicTime) -> bool {
+    pub fn is_usable(&self, now: MonotonicTime, repeatable: bool) -> bool {
         if self.times_out == 0 {
             return true;
         }
-        now >= self.out_until && !self.trial_running
+        let pause = if repeatable {
+            Duration::ZERO
+        } else {
+            TRUST_PAUSE
+        };
+        now >= self.out_until + pause && !self.trial_running
     }
 
     /// It is out, or on trial.
@@ -55,8 +68,9 @@
     }
 
     /// It answered well. Returns true when that brings it back in.
-    pub fn succeeded(&mut self) -> bool {
-        self.failure_share *= 1.0 - NEWEST_WEIGHT;
+    pub fn succeeded(&mut self, now: MonotonicTime) -> bool {
+        self.failure_share = self.failure_share(now) * (1.0 - NEWEST_WEIGHT);
+        self.seen_at = now;
         self.failures_in_a_row = 0;
         self.trial_running = false;
         std::mem::take(&mut self.times_out) > 0
@@ -65,7 +79,7 @@
     /// It answered with a failure of its own, which some requests deserve. `usual` is the share
     /// of failures among its peers. Returns true when that takes it out.
     pub fn failed(&mut self, now: MonotonicTime, usual: f64) -> bool {
-        self.count_failure();
+        self.count_failure(now);
         let far_worse = self.failure_share > usual * 2.0 + 0.25;
         let row = self.failures_in_a_row >= FAILURES_IN_A_ROW && self.failure_share > usual + 0.1;
         if self.times_out == 0 && !row && !far_worse {
@@ -76,15 +90,17 @@
 
     /// It broke a connection or fell silent. Returns true when that takes it out.
     pub fn broke(&mut self, now: MonotonicTime, certain: bool) -> bool {
-        self.count_failure();
+        self.count_failure(now);
         if self.times_out == 0 && !certain && self.failures_in_a_row < 2 {
             return false;
         }
         self.take_out(now)
     }
 
-    fn count_failure(&mut self) {
-        self.failure_share += (1.0 - self.failure_share) * NEWEST_WEIGHT;
+    fn count_failure(&mut self, now: MonotonicTime) {
+        let share = self.failure_share(now);
+        self.failure_share = share + (1.0 - share) * NEWEST_WEIGHT;
+        self.seen_at = now;
         self.failures_in_a_row += 1;
         self.trial_running = false;
     }
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -15,10 +15,15 @@
 const CROWD_SLOWDOWN: f64 = 0.3;
 /// What a certain failure costs, in milliseconds.
 const FAILURE_PENALTY_MS: f64 = 2_500.0;
+/// Share of failures that counts as none.
+const HARMLESS_FAILURES: f64 = 0.05;
 /// Weight of the time after the first event: it holds a seat but is not waited for.
 const REST_WEIGHT: f64 = 0.25;
-/// What an upstream on trial costs, in milliseconds.
+/// What an upstream on trial costs, in milliseconds, for what can't run elsewhere after it.
 const TRIAL_PENALTY_MS: f64 = 300.0;
+/// What a trial is worth, in milliseconds: while others have room an upstream that was left out
+/// would never get the one request that shows that it is sound again.
+const TRIAL_WORTH_MS: f64 = 60_000.0;
 
 /// Which versions may get a request while a roll-out is under way.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -62,8 +67,8 @@
     pub versions: VersionChoice,
     /// Requests that may wait in an upstream beyond its slots.
     pub overcommit: u32,
-    /// It may run again: upstreams on trial may have it.
-    pub idempotent: bool,
+    /// It may run again elsewhere: upstreams on trial may have it.
+    pub may_try: bool,
 }
 
 /// What is looked at.
@@ -140,9 +145,7 @@
     }
 
     fn may_have(&self, state: &UpstreamState, query: &PickQuery<'_>, all_suspect: bool) -> bool {
-        let usable = all_suspect
-            || (state.outlier.is_usable(self.now)
-                && (query.idempotent || !state.outlier.is_suspect()));
+        let usable = all_suspect || state.outlier.is_usable(self.now, query.may_try);
         usable
             && state.is_open(self.now)
             && query.versions.allows(&state.entry.version)
@@ -173,18 +176,24 @@
         let mut score = first + rest * REST_WEIGHT;
         // Begun where it would not end in time, it holds a place for nothing.
         score += (first + rest - query.left_ms).max(0.0);
-        score += state.outlier.failure_share() * FAILURE_PENALTY_MS;
+        let failures = state.outlier.failure_share(self.now) - HARMLESS_FAILURES;
+        score += failures.max(0.0) * FAILURE_PENALTY_MS;
         if entry.zone != *self.zone {
             score += ZONE_PENALTY_MS;
         }
         if state.outlier.is_suspect() {
-            score += TRIAL_PENALTY_MS;
+            let trial = query.may_try && state.outlier.is_usable(self.now, true);
+            score += if trial {
+                -TRIAL_WORTH_MS
+            } else {
+                TRIAL_PENALTY_MS
+            };
         }
         Some(PickedUpstream {
             name: entry.name.clone(),
             expected_ms: first,
             occupied,
-            score: score * (1.0 + noise * 0.05),
+            score: score + score.abs() * noise * 0.05,
         })
     }
 }
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -135,9 +135,11 @@
 
     /// Median share of failures at a service.
     #[must_use]
-    pub fn usual_failures(&self, service: &ServiceLabel) -> f64 {
+    pub fn usual_failures(&self, now: MonotonicTime, service: &ServiceLabel) -> f64 {
         let members = self.members(service);
-        let mut shares: Vec<f64> = members.map(|state| state.outlier.failure_share()).collect();
+        let mut shares: Vec<f64> = members
+            .map(|state| state.outlier.failure_share(now))
+            .collect();
         shares.sort_by(f64::total_cmp);
         shares.get(shares.len() / 2).copied().unwrap_or_default()
     }
--- a/crates/savorywood-gateway/tests/waiting.rs
+++ b/crates/savorywood-gateway/tests/waiting.rs
@@ -177,3 +177,25 @@
     assert_eq!(addresses, vec!["10.0.0.2:80".parse().expect("an address")]);
     assert!(!scene.gateway.is_ready(scene.now));
 }
+
+/// An upstream that broke every connection is mended while the others have room for everything.
+/// It gets a request now and then, and once it answers it is one of them again; left out for good,
+/// each fault would take an upstream away for ever.
+#[test]
+fn a_mended_upstream_gets_work_again() {
+    let mut scene = GatewayScene::ready(2);
+    let mut mended_runs = 0;
+    for number in 0..600 {
+        scene.confirm();
+        let request = scene.arrive(arrival("/safe/1"));
+        let order = scene.orders(request)[0].clone();
+        if order.upstream.as_str() == "upstream-1" && number < 200 {
+            scene.end(request, AttemptOutcome::Broken { silent: true });
+        }
+        scene.advance(Duration::from_millis(20));
+        mended_runs += u32::from(order.upstream.as_str() == "upstream-1" && number >= 300);
+        scene.deliver(request);
+        scene.advance(Duration::from_millis(30));
+    }
+    assert!(mended_runs >= 50, "{mended_runs} of 300 requests");
+}
