Let callers wait for a starting daemon's first reads of the store

Change: connections are taken on once the daemon is ready, after 0.5 s at the latest. Refusals tell team, path and when to come back in the log.

--- a/crates/savorywood-front/src/run.rs
+++ b/crates/savorywood-front/src/run.rs
@@ -30,6 +30,10 @@
 const BUSY_TICK: Duration = Duration::from_millis(10);
 /// Time between two ticks otherwise.
 const IDLE_TICK: Duration = Duration::from_millis(100);
+/// Longest time for which callers wait for the first reads of the store.
+const FIRST_READS_TIME: Duration = Duration::from_millis(500);
+/// How often these are looked for.
+const FIRST_READS_LOOK: Duration = Duration::from_millis(2);
 /// Time between two hand-overs of log lines.
 const FLUSH_TIME: Duration = Duration::from_millis(200);
 
@@ -154,7 +158,23 @@
     Ok(peers)
 }
 
+/// Callers that come while a process starts wait for its first reads of the store.
+///
+/// After a kill of all daemons every caller comes back at once, and the first reads take some
+/// milliseconds. Taken on before these, all of those callers would be refused, though the daemon
+/// could serve them a moment later. A store that does not answer must not keep them for long.
+async fn wait_for_first_reads(shared: &FrontShared) {
+    let began = shared.clock.now();
+    while !shared.gateway.borrow().is_ready(shared.clock.now()) {
+        if shared.clock.now().since(began) >= FIRST_READS_TIME {
+            return;
+        }
+        Timer::after(FIRST_READS_LOOK).await;
+    }
+}
+
 async fn accept(shared: Rc<FrontShared>, listener: TcpListener) {
+    wait_for_first_reads(&shared).await;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => shared.spawn(caller::serve(Rc::clone(&shared), stream)),
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -9,7 +9,7 @@
     declared::{DeclaredConfig, RouteSpec, TeamSpec},
     effect::GatewayEffect,
     limit::{MeterVerdict, TeamMeter},
-    name::ServiceLabel,
+    name::{ServiceLabel, TeamLabel},
     pace::nominal_first_ms,
     queue::{QueuePlace, RequestRank},
     refusal::RefusalReason,
@@ -36,6 +36,8 @@
     pub reason: RefusalReason,
     /// When to come back.
     pub retry_after: Option<Duration>,
+    /// Team of the key, where it was known.
+    pub team: Option<TeamLabel>,
 }
 
 impl Denial {
@@ -43,6 +45,7 @@
         Self {
             reason,
             retry_after: None,
+            team: None,
         }
     }
 
@@ -50,6 +53,7 @@
         Self {
             reason: RefusalReason::NotReady,
             retry_after: Some(STALE_RETRY),
+            team: None,
         }
     }
 }
@@ -68,10 +72,7 @@
                     .with("request", &record.identity)
                     .with("route", &record.route.name)
                     .with("service", &record.service)
-                    .with(
-                        "team",
-                        record.team.as_ref().map_or("-", |team| team.as_str()),
-                    )
+                    .with("team", record.team.as_ref().map_or("-", TeamLabel::as_str))
                     .with("rank", record.rank.route)
                     .with("prompt", record.size.prompt)
                     .with("give_up_ms", record.give_up_at.since(now).as_millis())
@@ -87,6 +88,12 @@
                 let line = LogLine::new(LogLevel::Info, "request-refused")
                     .with("request", &arrival.identity)
                     .with("reason", denial.reason)
+                    .with("team", denial.team.as_ref().map_or("-", TeamLabel::as_str))
+                    .with("path", &arrival.path)
+                    .with(
+                        "retry_ms",
+                        denial.retry_after.unwrap_or_default().as_millis(),
+                    )
                     .with("config", self.config_version())
                     .with("proof_age_ms", self.proof_age(now).as_millis());
                 effects.push(GatewayEffect::Log(line));
@@ -244,6 +251,7 @@
             return Err(Denial {
                 reason: RefusalReason::OverLimit,
                 retry_after: Some(meter.wait()),
+                team: Some(team.name.clone()),
             });
         }
         meter.take(units, verdict);
