--- a/crates/savorywood-gateway/src/limit.rs
+++ b/crates/savorywood-gateway/src/limit.rs
@@ -10,11 +10,11 @@
 const GONE_TIME: Duration = Duration::from_secs(10);
 
 /// Part of the burst with which a daemon begins that starts again.
-const START_PART: f64 = 0.125;
+const START_PART: f64 = 0.3;
 /// After a start the other daemons may be unknown for so long.
 const UNKNOWN_TIME: Duration = Duration::from_millis(900);
 /// Part of the rate that a daemon takes meanwhile.
-const UNKNOWN_PART: f64 = 0.2;
+const UNKNOWN_PART: f64 = 0.4;
 /// What a peer has used in a life of less than this is counted when it is met.
 const YOUNG_TIME: Duration = Duration::from_secs(5);
 
