--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -16,6 +16,7 @@
 use events::{EventBuffer, StreamEvent};
 use futures_lite::{AsyncWriteExt, future};
 use savorywood_gateway::{AttemptOutcome, DispatchOrder, GatewayEvent, StreamEnd};
+use savorywood_protocol::MonotonicTime;
 use std::{cell::Cell, io, pin::pin, time::Duration};
 
 /// Longest time to connect: an opening packet that was lost comes again after a second only.
@@ -44,6 +45,8 @@
 pub struct UpstreamAttempt<'a> {
     /// The daemon.
     pub shared: &'a FrontShared,
+    /// When the request came.
+    pub arrived_at: MonotonicTime,
     /// What is wanted.
     pub order: &'a DispatchOrder,
     /// Head of the caller's request.
@@ -363,6 +366,11 @@
     }
 
     fn report_begun(&self, facts: &AnswerFacts) {
+        let elapsed = self.shared.clock.now().since(self.arrived_at);
+        self.shared
+            .metrics
+            .first_event
+            .observe(elapsed.as_secs_f64());
         self.shared.step(GatewayEvent::AnswerBegan {
             request: self.order.request,
             marks: facts.marks,
--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -313,8 +313,18 @@
         kept: &mut Option<KeptFailure>,
         order: &DispatchOrder,
     ) -> AttemptOutcome {
+        if order.number == 1 {
+            let waited = self.shared.clock.now().since(self.arrived_at);
+            let metric = self
+                .shared
+                .metrics
+                .waiting_time
+                .with_label_values(&[kind_of(order.stream)]);
+            metric.observe(waited.as_secs_f64());
+        }
         let attempt = UpstreamAttempt {
             shared: self.shared,
+            arrived_at: self.arrived_at,
             order,
             head: &self.request.head,
             body: &self.request.body,
@@ -334,8 +344,8 @@
             AttemptOutcome::Delivered { .. } => {
                 self.count_end("served");
                 let elapsed = self.shared.clock.now().since(self.arrived_at);
-                let kind = if sink.events() > 0 { "stream" } else { "plain" };
-                let metric = self.shared.metrics.first_byte.with_label_values(&[kind]);
+                let kind = kind_of(sink.events() > 0);
+                let metric = self.shared.metrics.whole_answer.with_label_values(&[kind]);
                 metric.observe(elapsed.as_secs_f64());
                 Some(after(true, sink))
             }
@@ -348,6 +358,12 @@
     }
 
     fn report(&self, outcome: AttemptOutcome) {
+        let metric = self
+            .shared
+            .metrics
+            .attempts
+            .with_label_values(&[outcome.name()]);
+        metric.inc();
         self.shared.step(GatewayEvent::AttemptEnded {
             request: self.id,
             outcome,
@@ -388,6 +404,11 @@
     }
 }
 
+/// Label of a kind of answer.
+fn kind_of(stream: bool) -> &'static str {
+    if stream { "stream" } else { "plain" }
+}
+
 fn refusal_status(reason: RefusalReason) -> u16 {
     match reason {
         RefusalReason::NotReady
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -24,8 +24,12 @@
     pub attempts: IntCounterVec,
     /// Calls to the store by table and outcome.
     pub store_calls: IntCounterVec,
-    /// Time from arrival to the first byte of the answer, by kind.
-    pub first_byte: HistogramVec,
+    /// Time from arrival to the first send, by kind of answer.
+    pub waiting_time: HistogramVec,
+    /// Time from arrival to the first event of a stream.
+    pub first_event: Histogram,
+    /// Time from arrival to the end of a whole answer, by kind.
+    pub whole_answer: HistogramVec,
     /// Time to connect to an upstream.
     pub connecting: Histogram,
     /// Requests that wait for a place.
@@ -61,9 +65,18 @@
                 "outcome",
             ),
             store_calls: counters("store_calls_total", "Calls to the store", "outcome"),
-            first_byte: histograms(
-                "first_byte_seconds",
-                "Time from a request's arrival to the first byte of its answer",
+            waiting_time: histograms(
+                "waiting_seconds",
+                "Time from a request's arrival to its first send",
+                "kind",
+            ),
+            first_event: histogram(
+                "first_event_seconds",
+                "Time from a request's arrival to the first event of its stream",
+            ),
+            whole_answer: histograms(
+                "whole_answer_seconds",
+                "Time from a request's arrival to the end of its whole answer",
                 "kind",
             ),
             connecting: histogram("connecting_seconds", "Time to connect to an upstream"),
@@ -115,12 +128,14 @@
 
 impl FrontMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
             Box::new(self.arrived.clone()),
             Box::new(self.ended.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.store_calls.clone()),
-            Box::new(self.first_byte.clone()),
+            Box::new(self.waiting_time.clone()),
+            Box::new(self.first_event.clone()),
+            Box::new(self.whole_answer.clone()),
             Box::new(self.connecting.clone()),
             Box::new(self.waiting.clone()),
             Box::new(self.running.clone()),
@@ -154,3 +169,6 @@
         text
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/savorywood-front/src/metrics/tests.rs
@@ -0,0 +1,40 @@
+//! The page and the code name the same metrics.
+
+use super::*;
+use std::collections::BTreeSet;
+
+/// The operators' page, in which a table row begins with the metrics that it explains.
+const PAGE: &str = include_str!("../../../../docs/OPERATIONS.md");
+
+fn names_on_page() -> BTreeSet<String> {
+    let section = PAGE.split("## Metrics").last().expect("a section");
+    let rows = section.lines().filter(|line| line.starts_with("| `"));
+    let cells = rows.filter_map(|line| line.split('|').nth(1));
+    let names = cells.flat_map(|cell| {
+        cell.split(',')
+            .map(|name| name.trim().trim_matches('`').to_owned())
+    });
+    names.collect()
+}
+
+fn names_in_code(metrics: &FrontMetrics) -> BTreeSet<String> {
+    for family in [&metrics.ended, &metrics.attempts, &metrics.store_calls] {
+        family.with_label_values(&["x"]).inc();
+    }
+    for family in [&metrics.waiting_time, &metrics.whole_answer] {
+        family.with_label_values(&["x"]).observe(1.0);
+    }
+    let text = metrics.text(&OmittedLines::default());
+    let text = String::from_utf8(text).expect("text");
+    let lines = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE savorywood_"));
+    let names = lines.filter_map(|line| line.split(' ').next());
+    names.map(str::to_owned).collect()
+}
+
+#[test]
+fn the_page_lists_all_metrics() {
+    let metrics = FrontMetrics::default();
+    assert_eq!(names_on_page(), names_in_code(&metrics));
+}
--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -77,6 +77,28 @@
     CallerLeft,
 }
 
+impl AttemptOutcome {
+    /// Its name in logs and metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::NotSent => "not-sent",
+            Self::NotRun {
+                misdirected: true, ..
+            } => "misdirected",
+            Self::NotRun { .. } => "not-run",
+            Self::Failed { .. } => "failed",
+            Self::Broken { silent: true } => "silent",
+            Self::Broken { .. } => "broken",
+            Self::StreamBroken(end) if end.silent => "stream-silent",
+            Self::StreamBroken(_) => "stream-broken",
+            Self::Delivered { .. } => "delivered",
+            Self::Expired => "expired",
+            Self::CallerLeft => "caller-left",
+        }
+    }
+}
+
 /// Everything that can happen to a gateway.
 #[derive(Debug, Clone)]
 pub enum GatewayEvent {
--- a/crates/savorywood-gateway/src/gateway/ending.rs
+++ b/crates/savorywood-gateway/src/gateway/ending.rs
@@ -187,7 +187,7 @@
             let line = LogLine::new(LogLevel::Warn, "upstream-suspected")
                 .with("upstream", &attempt.upstream)
                 .with("service", &service)
-                .with("cause", outcome_name(outcome))
+                .with("cause", outcome.name())
                 .with("usual_failures", format_args!("{usual:.2}"));
             effects.push(GatewayEffect::Log(line));
         }
@@ -272,7 +272,7 @@
         record.place = RequestPlace::Waiting(place);
         let line = LogLine::new(LogLevel::Info, "request-again")
             .with("request", &record.identity)
-            .with("after", outcome_name(outcome))
+            .with("after", outcome.name())
             .with("sends", record.sends)
             .with("runs", record.runs);
         effects.push(GatewayEffect::Log(line));
@@ -357,21 +357,3 @@
         }
     }
 }
-
-fn outcome_name(outcome: &AttemptOutcome) -> &'static str {
-    match outcome {
-        AttemptOutcome::NotSent => "not-sent",
-        AttemptOutcome::NotRun {
-            misdirected: true, ..
-        } => "misdirected",
-        AttemptOutcome::NotRun { .. } => "not-run",
-        AttemptOutcome::Failed { .. } => "failed",
-        AttemptOutcome::Broken { silent: true } => "silent",
-        AttemptOutcome::Broken { .. } => "broken",
-        AttemptOutcome::StreamBroken(end) if end.silent => "stream-silent",
-        AttemptOutcome::StreamBroken(_) => "stream-broken",
-        AttemptOutcome::Delivered { .. } => "delivered",
-        AttemptOutcome::Expired => "expired",
-        AttemptOutcome::CallerLeft => "caller-left",
-    }
-}
