Leave the usage chunk out of streams whose callers did not ask for it

Cause: engines send usage in a chunk without choices, and every caller got it; an unmodified client that reads choices[0] of each chunk breaks there. Change: a filter in the relay holds back one event at a time and drops that chunk unless stream_options.include_usage is set; the daemon still reads it.

--- a/crates/savorywood-daemon/src/api/model.rs
+++ b/crates/savorywood-daemon/src/api/model.rs
@@ -26,6 +26,20 @@
     max_completion_tokens: Option<u32>,
     messages: Option<Vec<ChatMessage>>,
     prompt: Option<Value>,
+    stream_options: Option<StreamOptions>,
+}
+
+impl CompletionBody {
+    fn asks_for_usage(&self) -> bool {
+        let options = self.stream_options.as_ref();
+        options.is_some_and(|options| options.include_usage)
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
 }
 
 #[derive(Debug, Deserialize)]
@@ -143,6 +157,7 @@
         headers: passed_headers(incoming),
         body,
         idempotent: true,
+        hides_usage: !parsed.asks_for_usage(),
         team: requests::team(shared, incoming),
     };
     Ok(PreparedCall { arrival, call })
--- a/crates/savorywood-daemon/src/api/plain.rs
+++ b/crates/savorywood-daemon/src/api/plain.rs
@@ -68,6 +68,7 @@
         headers: passed_headers(incoming),
         body,
         idempotent,
+        hides_usage: false,
         team: None,
     };
     Ok(PreparedCall { arrival, call })
--- a/crates/savorywood-daemon/src/api/streams.rs
+++ b/crates/savorywood-daemon/src/api/streams.rs
@@ -28,6 +28,7 @@
         headers: Vec::new(),
         body: Vec::new(),
         idempotent: true,
+        hides_usage: false,
         team: None,
     };
     RequestTask::serve_event(shared, request, event, call).await
--- a/crates/savorywood-daemon/src/relay.rs
+++ b/crates/savorywood-daemon/src/relay.rs
@@ -5,6 +5,7 @@
 mod resume;
 mod stream;
 mod task;
+mod usage_filter;
 
 pub use attempt::is_hop_header;
 pub use task::{OutgoingCall, OutgoingHeader, RequestTask};
--- a/crates/savorywood-daemon/src/relay/attempt.rs
+++ b/crates/savorywood-daemon/src/relay/attempt.rs
@@ -3,6 +3,7 @@
 use super::{
     observer::{AnswerObserver, ObservedEnd},
     task::{OutgoingCall, RequestTask},
+    usage_filter::UsageFilter,
 };
 use crate::problem::{OUTCOME_HEADER, REQUEST_HEADER, RESUME_HEADER};
 use async_io::Timer;
@@ -173,14 +174,25 @@
         observer: &mut AnswerObserver,
     ) -> Result<(), BreakCause> {
         let mut piece = vec![0; READ_BYTES];
+        let hides = self.task.call.hides_usage && observer.is_token_stream();
+        let mut filter = hides.then(UsageFilter::default);
         loop {
             let count = self.read_piece(answer, &mut piece).await?;
+            let tokens = observer.observe(&piece[..count]);
+            self.report_tokens(observer, tokens);
+            let passed = match &mut filter {
+                Some(filter) if count == 0 => filter.finish(),
+                Some(filter) => filter.pass(&piece[..count]),
+                None => piece[..count].to_vec(),
+            };
+            let sent = if passed.is_empty() {
+                Ok(())
+            } else {
+                sender.send(passed).await
+            };
             if count == 0 {
                 return Ok(());
             }
-            let tokens = observer.observe(&piece[..count]);
-            self.report_tokens(observer, tokens);
-            let sent = sender.send(piece[..count].to_vec()).await;
             // A caller that left must not stop a call that may not be repeated: its outcome is
             // recorded for the caller's retry.
             if sent.is_err() && self.task.call.idempotent {
--- a/crates/savorywood-daemon/src/relay/observer.rs
+++ b/crates/savorywood-daemon/src/relay/observer.rs
@@ -99,6 +99,11 @@
         !std::mem::replace(&mut self.first_seen, true)
     }
 
+    /// The answer is a stream of tokens.
+    pub fn is_token_stream(&self) -> bool {
+        matches!(self.kind, AnswerKind::Tokens(_))
+    }
+
     /// Media type of the answer.
     pub fn content_type(&self) -> &str {
         &self.content_type
--- a/crates/savorywood-daemon/src/relay/task.rs
+++ b/crates/savorywood-daemon/src/relay/task.rs
@@ -33,6 +33,8 @@
     pub body: Vec<u8>,
     /// The call may run twice without harm.
     pub idempotent: bool,
+    /// The caller of a token stream did not ask for usage.
+    pub hides_usage: bool,
     /// Team that calls, as far as its token names one.
     pub team: Option<TeamName>,
 }
