--- a/crates/savorywood-gateway/tests/rollouts.rs
+++ b/crates/savorywood-gateway/tests/rollouts.rs
@@ -79,14 +79,9 @@
         if !daemon.orders(request).is_empty() && bad {
             daemon.deliver(request);
         }
-        for index in 0..DAEMONS {
-            take_writes(
-                &mut daemons[index],
-                &mut stored,
-                &mut result,
-                now.since(start),
-                play_options,
-            );
+        let elapsed = now.since(start);
+        for daemon in &mut daemons {
+            take_writes(daemon, &mut stored, &mut result, elapsed, play_options);
         }
         if step % 25 == 24 {
             tell_all(&mut daemons, now, play_options.linked, stored.as_ref());
