--- a/crates/savorywood-front/src/run.rs
+++ b/crates/savorywood-front/src/run.rs
@@ -12,9 +12,7 @@
 };
 use async_io::Timer;
 use async_net::TcpListener;
-use savorywood_gateway::{
-    BudgetOptions, Gateway, GatewayEvent, GatewayOptions, HostLabel, LimitTolerance, ZoneLabel,
-};
+use savorywood_gateway::{Gateway, GatewayEvent, GatewayOptions, HostLabel, ZoneLabel};
 use savorywood_settings::FaultReport;
 use snafu::{ResultExt, Snafu};
 use std::{
@@ -81,6 +79,8 @@
     let served = async_io::block_on(executor.run(async {
         let peers = start(&shared).await?;
         shared.spawn(keep_rollouts(Rc::clone(&shared), writes));
+        let watched = settings_path.to_owned();
+        shared.spawn(stop::watch_settings(Rc::clone(&shared), watched));
         stop::wait_for_stop(&shared, settings_path)
             .await
             .context(SignalsSnafu)?;
@@ -95,25 +95,13 @@
 fn gateway_options(settings: &FrontSettings) -> GatewayOptions {
     let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let micros = since_epoch.unwrap_or_default().as_micros();
-    let bounds = &settings.bounds;
     GatewayOptions {
         host: HostLabel::from(settings.host.as_str()),
         zone: ZoneLabel::from(settings.zone.as_str()),
         incarnation: u64::try_from(micros).unwrap_or(u64::MAX),
         caller_address: settings.listen.callers,
         first_start: settings.first_start,
-        revocation: bounds.revocation_ms.map(Duration::from_millis),
-        budget: BudgetOptions {
-            ratio: bounds.retry_ratio,
-            slack: bounds.retry_slack,
-            window: Duration::from_secs_f64(bounds.retry_window_s.max(0.1)),
-        },
-        tolerance: LimitTolerance {
-            window: Duration::from_secs_f64(bounds.limit_window_s.max(0.1)),
-            overage: bounds.limit_overage.max(0.0),
-            slack: bounds.limit_slack.max(0.0),
-        },
-        exposure_share: bounds.exposure_share,
+        bounds: settings.gateway_bounds(),
         seed: fastrand::u64(..),
     }
 }
--- a/crates/savorywood-front/src/settings.rs
+++ b/crates/savorywood-front/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a front daemon: JSON with comments, checked at the start.
 
+use savorywood_gateway::{BudgetOptions, GatewayBounds, LimitTolerance};
 use savorywood_settings::{FaultReport, MemberPath, SourceText, decode, node::SourceNode};
 use serde::Deserialize;
 use std::{net::SocketAddr, path::Path, time::Duration};
@@ -148,6 +149,26 @@
             .map_err(|faults| FaultReport::locate(source, faults))
     }
 
+    /// Bounds as the decisions take them.
+    #[must_use]
+    pub fn gateway_bounds(&self) -> GatewayBounds {
+        let bounds = &self.bounds;
+        GatewayBounds {
+            revocation: bounds.revocation_ms.map(Duration::from_millis),
+            budget: BudgetOptions {
+                ratio: bounds.retry_ratio,
+                slack: bounds.retry_slack,
+                window: Duration::from_secs_f64(bounds.retry_window_s.max(0.1)),
+            },
+            tolerance: LimitTolerance {
+                window: Duration::from_secs_f64(bounds.limit_window_s.max(0.1)),
+                overage: bounds.limit_overage.max(0.0),
+                slack: bounds.limit_slack.max(0.0),
+            },
+            exposure_share: bounds.exposure_share,
+        }
+    }
+
     /// Time between the order to stop and the kill.
     #[must_use]
     pub fn grace(&self) -> Duration {
--- a/crates/savorywood-front/src/stop.rs
+++ b/crates/savorywood-front/src/stop.rs
@@ -5,12 +5,19 @@
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use savorywood_gateway::GatewayEvent;
-use std::{io, path::Path, rc::Rc, time::Duration};
+use std::{
+    fs, io,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::{Duration, SystemTime},
+};
 
 /// Callers that hold an old answer of the directory still come for about this long.
 const LEAST_DRAIN: Duration = Duration::from_millis(3_300);
 /// The process ends this long before it would be killed.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// How often the settings file is looked at.
+const SETTINGS_TIME: Duration = Duration::from_secs(3);
 /// How often open requests are counted.
 const LOOK_TIME: Duration = Duration::from_millis(25);
 
@@ -30,17 +37,36 @@
     Ok(())
 }
 
-/// Settings that can't be read leave those in force; addresses change only with a restart.
+/// Settings that can't be read leave those in force. Bounds follow at once, addresses with a
+/// restart only.
 fn reload(shared: &FrontShared, path: &Path) {
     match FrontSettings::read(path) {
         Ok(settings) => {
             let changed = settings != shared.settings;
             log::info!("event=settings-reloaded changed={changed}");
+            shared.step(GatewayEvent::BoundsRead(settings.gateway_bounds()));
         }
         Err(report) => log::error!("event=settings-faulty report={:?}", report.to_string()),
     }
 }
 
+/// Settings may change without a signal: the file's time of change is looked at now and then.
+pub async fn watch_settings(shared: Rc<FrontShared>, path: PathBuf) {
+    let mut known = changed_at(&path);
+    loop {
+        Timer::after(SETTINGS_TIME).await;
+        let newest = changed_at(&path);
+        if newest != known {
+            known = newest;
+            reload(&shared, &path);
+        }
+    }
+}
+
+fn changed_at(path: &Path) -> Option<SystemTime> {
+    fs::metadata(path).and_then(|data| data.modified()).ok()
+}
+
 /// Stops: out of all directories at once, then every open request is answered.
 pub async fn drain(shared: &Rc<FrontShared>, peers: &PeerBook) {
     let grace = shared.settings.grace();
--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -3,6 +3,7 @@
 use crate::{
     arrival::{LocalRequest, RequestArrival},
     declared::DeclaredConfig,
+    gateway::GatewayBounds,
     name::{HostLabel, ServiceLabel, UpstreamLabel},
     peer::PeerSummary,
     rollout::{RolloutOrder, RolloutStatus},
@@ -138,6 +139,8 @@
         /// When they were.
         at: MonotonicTime,
     },
+    /// Bounds were read from changed settings.
+    BoundsRead(GatewayBounds),
     /// The store failed to answer a call.
     StoreFailed,
     /// An operator ordered a roll-out, or changed one.
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -41,6 +41,15 @@
     pub caller_address: SocketAddr,
     /// The whole system starts for the first time.
     pub first_start: bool,
+    /// Bounds that must hold; they may change later.
+    pub bounds: GatewayBounds,
+    /// Seed of all draws.
+    pub seed: u64,
+}
+
+/// Bounds that must hold.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct GatewayBounds {
     /// A key must not work for longer than this after it was taken away; `None`: no such bound.
     pub revocation: Option<Duration>,
     /// Bounds of second tries.
@@ -49,8 +58,6 @@
     pub tolerance: LimitTolerance,
     /// Share of traffic that an unproved version may get.
     pub exposure_share: f64,
-    /// Seed of all draws.
-    pub seed: u64,
 }
 
 /// Bound of proofs where keys have none.
@@ -58,7 +65,7 @@
 /// Part of the bound for which one call may wait for changes of what is declared.
 const WAIT_PART: f64 = 0.28;
 
-impl GatewayOptions {
+impl GatewayBounds {
     /// Age at which a proof of the configuration is worth nothing.
     #[must_use]
     pub fn proof_bound(&self) -> Duration {
@@ -152,6 +159,7 @@
                 self.proof_at = Some(self.proof_at.map_or(at, |proof| proof.max(at)));
                 self.note_readiness(now, effects);
             }
+            GatewayEvent::BoundsRead(bounds) => self.bounds_read(now, bounds, effects),
             GatewayEvent::StoreFailed => self.fleet.store_failed(now),
             GatewayEvent::RolloutOrdered(order) => self.rollout_ordered(now, order, effects),
             GatewayEvent::RolloutRead(status) => self.rollouts.read(&status),
@@ -193,7 +201,7 @@
     /// must not leave the daemon unready.
     #[must_use]
     pub fn declared_wait(&self) -> Duration {
-        self.options.proof_bound().mul_f64(WAIT_PART)
+        self.options.bounds.proof_bound().mul_f64(WAIT_PART)
     }
 
     /// Requests that wait or run.
@@ -216,7 +224,7 @@
 
     fn trial(&self) -> TrialOptions {
         TrialOptions {
-            share: self.options.exposure_share,
+            share: self.options.bounds.exposure_share,
         }
     }
 
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -119,7 +119,7 @@
     /// A key that was taken away must not work here after the bound, also when this daemon can't
     /// hear of it: cut off from the store it would let a shut-out caller in for ever.
     pub(super) fn keys_are_confirmed(&self, now: MonotonicTime) -> bool {
-        let bound = self.options.revocation;
+        let bound = self.options.bounds.revocation;
         bound.is_none_or(|bound| self.proof_age(now) < bound.mul_f64(KEY_PART))
     }
 
@@ -189,7 +189,7 @@
     /// "There is no such thing" is final for a caller: a daemon that may have missed the newest
     /// configuration says "not ready" in its place.
     fn deny(&self, now: MonotonicTime, reason: RefusalReason) -> Denial {
-        if self.proof_age(now) < self.options.proof_bound().mul_f64(DENIAL_PART) {
+        if self.proof_age(now) < self.options.bounds.proof_bound().mul_f64(DENIAL_PART) {
             Denial::of(reason)
         } else {
             Denial::stale()
@@ -236,7 +236,7 @@
             1.0
         };
         let fresh = self.options.first_start;
-        let tolerance = self.options.tolerance;
+        let tolerance = self.options.bounds.tolerance;
         let meter = self
             .meters
             .entry(team.name.clone())
--- a/crates/savorywood-gateway/src/gateway/ending.rs
+++ b/crates/savorywood-gateway/src/gateway/ending.rs
@@ -250,7 +250,7 @@
         };
         let daemons = self.peers.known() + 1;
         let budget = self.budgets.entry(record.service.clone()).or_default();
-        budget.spend(now, &self.options.budget, daemons)
+        budget.spend(now, &self.options.bounds.budget, daemons)
     }
 
     /// Puts a request back into its queue; it has waited and goes first in its rank.
--- a/crates/savorywood-gateway/src/gateway/news.rs
+++ b/crates/savorywood-gateway/src/gateway/news.rs
@@ -1,6 +1,6 @@
 //! News of configuration, upstreams, roll-outs and peers.
 
-use super::{Gateway, GatewayEffects};
+use super::{Gateway, GatewayBounds, GatewayEffects};
 use crate::{
     declared::DeclaredConfig,
     effect::GatewayEffect,
@@ -55,13 +55,41 @@
                 Some(_) => {}
                 None => {
                     let fresh = !first || self.options.first_start;
-                    let meter = TeamMeter::new(now, limit, self.options.tolerance, fresh);
+                    let meter = TeamMeter::new(now, limit, self.options.bounds.tolerance, fresh);
                     self.meters.insert(team.name.clone(), meter);
                 }
             }
         }
     }
 
+    /// Settings changed while the process runs: bounds follow at once, buckets begin anew where
+    /// their tolerance is another one.
+    pub(super) fn bounds_read(
+        &mut self,
+        now: MonotonicTime,
+        bounds: GatewayBounds,
+        effects: &mut GatewayEffects,
+    ) {
+        if self.options.bounds == bounds {
+            return;
+        }
+        let line = LogLine::new(LogLevel::Info, "bounds-in-force")
+            .with(
+                "revocation_ms",
+                bounds.revocation.unwrap_or_default().as_millis(),
+            )
+            .with("retry_ratio", bounds.budget.ratio)
+            .with("limit_slack", bounds.tolerance.slack);
+        effects.push(GatewayEffect::Log(line));
+        if self.options.bounds.tolerance != bounds.tolerance {
+            for meter in self.meters.values_mut() {
+                *meter = TeamMeter::new(now, meter.limit(), bounds.tolerance, false);
+            }
+        }
+        self.options.bounds = bounds;
+        self.note_readiness(now, effects);
+    }
+
     pub(super) fn upstreams_read(
         &mut self,
         now: MonotonicTime,
--- a/crates/savorywood-gateway/src/gateway/telling.rs
+++ b/crates/savorywood-gateway/src/gateway/telling.rs
@@ -32,7 +32,7 @@
         let known = self.config.is_some() && self.upstreams_read;
         known
             && !self.stopping
-            && self.proof_age(now) < self.options.proof_bound().mul_f64(READY_PART)
+            && self.proof_age(now) < self.options.bounds.proof_bound().mul_f64(READY_PART)
     }
 
     /// State now.
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -31,7 +31,7 @@
 pub use effect::{DispatchOrder, GatewayEffect};
 pub use event::{AnswerMarks, AttemptOutcome, GatewayEvent, LoadFigures, StreamEnd};
 pub use freshness::{FreshnessClock, StoreExchange};
-pub use gateway::{Gateway, GatewayOptions, GatewayView};
+pub use gateway::{Gateway, GatewayBounds, GatewayOptions, GatewayView};
 pub use limit::{LimitTolerance, MeterVerdict, PeerReading, TeamMeter};
 pub use name::{HostLabel, ServiceLabel, TeamLabel, UpstreamLabel, VersionLabel, ZoneLabel};
 pub use outlier::OutlierState;
--- a/crates/savorywood-gateway/tests/admission.rs
+++ b/crates/savorywood-gateway/tests/admission.rs
@@ -128,3 +128,18 @@
     let request = scene.arrive(arrival("/safe/1"));
     assert_eq!(scene.refusal(request), None);
 }
+
+/// An operator shortens the bound of keys while a daemon is cut off. It holds from then on: what was
+/// allowed by the longer one is refused.
+#[test]
+fn changed_bounds_hold_at_once() {
+    let mut scene = GatewayScene::ready(1);
+    scene.advance(2 * SECOND);
+    let request = scene.arrive(arrival("/safe/1"));
+    assert_eq!(scene.refusal(request), None);
+    let mut bounds = options("host-a").bounds;
+    bounds.revocation = Some(2 * SECOND);
+    scene.step(GatewayEvent::BoundsRead(bounds));
+    let request = scene.arrive(arrival("/safe/1"));
+    assert_eq!(scene.refusal(request), Some(RefusalReason::NotReady));
+}
