Gather changes of registrations longer where many daemons read them

Change: the pause between two answers grows by 8 ms with each daemon, up to 0.4 s; a draining upstream is heard of well before its bound.

--- a/crates/savorywood-front/src/feeds.rs
+++ b/crates/savorywood-front/src/feeds.rs
@@ -26,8 +26,12 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 /// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
-/// Pause between two answers of a feed that told of changes: changes gather meanwhile.
-const CHANGE_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between two answers of a feed that told of changes, for each daemon that reads it: changes
+/// gather meanwhile. Every change is an answer to every daemon, so without a pause that grows with
+/// them the calls grow with daemons times upstreams.
+const CHANGE_PAUSE: Duration = Duration::from_millis(8);
+/// Longest such pause: an upstream that leaves must be heard of well before its bound.
+const LONGEST_CHANGE_PAUSE: Duration = Duration::from_millis(400);
 /// The feed alone may miss a change: the whole table is read again so often.
 const REREAD_TIME: Duration = Duration::from_secs(10);
 /// Members are read so often.
@@ -149,7 +153,10 @@
         self.revision = Some(page.revision.max(after));
         self.confirm(&page, &answer);
         if !page.rows.is_empty() && self.table == StoreTable::Upstreams {
-            Timer::after(CHANGE_PAUSE).await;
+            let daemons = self.shared.gateway.borrow().peers().known() + 1;
+            let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
+            let pause = CHANGE_PAUSE.saturating_mul(daemons);
+            Timer::after(pause.min(LONGEST_CHANGE_PAUSE)).await;
         }
         Ok(())
     }
