--- a/crates/savorywood-core/src/effect.rs
+++ b/crates/savorywood-core/src/effect.rs
@@ -11,7 +11,7 @@
     AttemptNumber, HostName, MonotonicTime, RequestId, RequestRefusal, UpstreamName,
     peer::PeerMessage, table::TableRequest,
 };
-use std::net::SocketAddr;
+use std::{fmt, net::SocketAddr};
 
 /// Severity of a log line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -66,6 +66,28 @@
     }
 }
 
+impl fmt::Display for LogLine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "event={}", self.event)?;
+        self.fields
+            .iter()
+            .try_for_each(|field| write!(f, " {field}"))
+    }
+}
+
+/// Values that hold blanks, quotes or control characters are quoted, so that a line stays one
+/// line and its pairs can be told apart.
+impl fmt::Display for LogField {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let bare = |c: char| !c.is_whitespace() && !c.is_control() && !matches!(c, '"' | '=');
+        if !self.value.is_empty() && self.value.chars().all(bare) {
+            write!(f, "{}={}", self.key, self.value)
+        } else {
+            write!(f, "{}={:?}", self.key, self.value)
+        }
+    }
+}
+
 /// Sends a request to an upstream. The dispatch is on record before this effect exists.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DispatchOrder {
--- a/crates/savorywood-front/src/logging.rs
+++ b/crates/savorywood-front/src/logging.rs
@@ -1,8 +1,7 @@
 //! Structured lines on standard output: bounded in volume, never blocking.
 
-use savorywood_core::{LogField, LogLevel, LogLine};
+use savorywood_core::{LogLevel, LogLine};
 use std::{
-    fmt::Write as _,
     io::{self, Write},
     sync::{
         Arc, Mutex, PoisonError,
@@ -121,7 +120,7 @@
             self.omitted.over_budget.fetch_add(1, Ordering::Relaxed);
             return;
         }
-        log::log!(level, "{}", format_line(line));
+        log::log!(level, "{line}");
     }
 
     fn spend(&self, failure: bool) -> bool {
@@ -192,25 +191,5 @@
     }
 }
 
-fn format_line(line: &LogLine) -> String {
-    let mut text = format!("event={}", line.event);
-    for field in &line.fields {
-        push_field(&mut text, field);
-    }
-    text
-}
-
-/// Values that hold blanks, quotes or control characters are quoted, so that a line stays one
-/// line and its pairs can be told apart.
-fn push_field(text: &mut String, field: &LogField) {
-    let bare = |c: char| !c.is_whitespace() && !c.is_control() && !matches!(c, '"' | '=');
-    let written = if !field.value.is_empty() && field.value.chars().all(bare) {
-        write!(text, " {}={}", field.key, field.value)
-    } else {
-        write!(text, " {}={:?}", field.key, field.value)
-    };
-    debug_assert!(written.is_ok());
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/savorywood-gateway/src/gateway/ending.rs
+++ b/crates/savorywood-gateway/src/gateway/ending.rs
@@ -9,7 +9,8 @@
     arrival::LocalRequest,
     effect::GatewayEffect,
     event::{AnswerMarks, AttemptOutcome},
-    name::ServiceLabel,
+    name::{ServiceLabel, UpstreamLabel},
+    pace::PaceEstimate,
     queue::QueuePlace,
     refusal::RefusalReason,
 };
@@ -19,9 +20,43 @@
 
 /// A plain answer that took this many times what was expected speaks against a version.
 const SLOW_FACTOR: f64 = 3.0;
+/// And so many milliseconds more.
+const SLOW_MARGIN_MS: f64 = 200.0;
+/// An upstream from which nothing came in this many times what was expected is at fault.
+const OVERDUE_FACTOR: f64 = 4.0;
+/// And in so many milliseconds more.
+const OVERDUE_MARGIN_MS: f64 = 500.0;
 /// When to come back where nothing better is known.
 const BUSY_RETRY: Duration = Duration::from_millis(400);
 
+/// A whole answer, as far as speed can be learned from it.
+struct SeenAnswer {
+    /// Events, if it was a stream.
+    events: Option<u32>,
+    /// Tokens that the caller expected.
+    output: u32,
+    /// Time from its first event to its last.
+    after_first: Duration,
+    /// Time from the sending to its end.
+    whole: Duration,
+}
+
+impl SeenAnswer {
+    fn teach(&self, pace: &mut PaceEstimate) {
+        match self.events {
+            Some(events) => pace.saw_stream(events, self.output, self.after_first, self.whole),
+            None => pace.saw_answer(self.whole),
+        }
+    }
+}
+
+/// Nothing came for so long that the upstream is at fault, not the size of the request.
+fn is_overdue(now: MonotonicTime, attempt: &RunningAttempt) -> bool {
+    let millis = now.since(attempt.sent_at).as_secs_f64() * 1e3;
+    let late = millis > attempt.expected_ms * OVERDUE_FACTOR + OVERDUE_MARGIN_MS;
+    attempt.began_at.is_none() && late
+}
+
 impl Gateway {
     pub(super) fn answer_began(
         &mut self,
@@ -51,7 +86,7 @@
         self.mark(now, &upstream, marks);
     }
 
-    fn mark(&mut self, now: MonotonicTime, upstream: &crate::UpstreamLabel, marks: AnswerMarks) {
+    fn mark(&mut self, now: MonotonicTime, upstream: &UpstreamLabel, marks: AnswerMarks) {
         if let Some(state) = self.fleet.get_mut(upstream)
             && marks.load.is_some()
         {
@@ -111,91 +146,115 @@
         let Some(record) = self.requests.get(&request) else {
             return;
         };
-        let usual = self.fleet.usual_failures(now, &record.service);
-        let elapsed = now.since(attempt.sent_at);
+        let service = record.service.clone();
         let stream = record.route.repeat.is_stream();
         let output = record.output;
-        let service = record.service.clone();
+        if let AttemptOutcome::Delivered { events, .. } = outcome {
+            let seen = SeenAnswer {
+                events: stream.then_some(*events),
+                output,
+                after_first: now.since(attempt.began_at.unwrap_or(now)),
+                whole: now.since(attempt.sent_at),
+            };
+            self.learn_pace(&service, &attempt.upstream, &seen);
+        }
+        self.judge_upstream(now, &service, attempt, outcome, effects);
+        self.judge_version(now, &service, attempt, outcome, stream);
+        match outcome {
+            AttemptOutcome::NotRun { marks, .. }
+            | AttemptOutcome::Failed { marks }
+            | AttemptOutcome::Delivered { marks, .. } => self.mark(now, &attempt.upstream, *marks),
+            _ => {}
+        }
+    }
+
+    fn learn_pace(&mut self, service: &ServiceLabel, upstream: &UpstreamLabel, seen: &SeenAnswer) {
+        seen.teach(self.fleet.usual_mut(service));
+        if let Some(state) = self.fleet.get_mut(upstream) {
+            seen.teach(&mut state.pace);
+        }
+    }
+
+    /// Whether the upstream is left out, or in again.
+    fn judge_upstream(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceLabel,
+        attempt: &RunningAttempt,
+        outcome: &AttemptOutcome,
+        effects: &mut GatewayEffects,
+    ) {
+        let usual = self.fleet.usual_failures(now, service);
+        let overdue = is_overdue(now, attempt);
         let Some(state) = self.fleet.get_mut(&attempt.upstream) else {
             return;
         };
         state.running = state.running.saturating_sub(1);
         let outlier = &mut state.outlier;
-        let overdue = elapsed.as_secs_f64() * 1e3 > attempt.expected_ms * 4.0 + 500.0;
-        let mut taken_out = false;
-        let mut bad = None;
-        match outcome {
-            AttemptOutcome::NotSent => taken_out = outlier.broke(now, false),
-            AttemptOutcome::NotRun { misdirected, .. } => {
-                outlier.unknown();
-                if *misdirected {
-                    state.gone_at = Some(now);
-                }
-            }
-            AttemptOutcome::Failed { .. } => {
-                taken_out = outlier.failed(now, usual);
-                bad = Some(true);
+        let mut is_back = false;
+        let taken_out = match outcome {
+            AttemptOutcome::NotSent => outlier.broke(now, false),
+            AttemptOutcome::Failed { .. } => outlier.failed(now, usual),
+            AttemptOutcome::Broken { silent } => outlier.broke(now, *silent),
+            AttemptOutcome::StreamBroken(end) => outlier.broke(now, end.silent),
+            AttemptOutcome::Expired if overdue => outlier.broke(now, false),
+            AttemptOutcome::Delivered { .. } => {
+                is_back = outlier.succeeded(now);
+                false
             }
-            AttemptOutcome::Broken { silent } => {
-                taken_out = outlier.broke(now, *silent);
-                bad = Some(true);
-            }
-            AttemptOutcome::StreamBroken(end) => {
-                taken_out = outlier.broke(now, end.silent);
-                bad = Some(true);
-            }
-            AttemptOutcome::Expired if overdue && attempt.began_at.is_none() => {
-                taken_out = outlier.broke(now, false);
-                bad = Some(true);
-            }
-            AttemptOutcome::Expired | AttemptOutcome::CallerLeft => outlier.unknown(),
-            AttemptOutcome::Delivered { events, .. } => {
-                if outlier.succeeded(now) {
-                    let line = LogLine::new(LogLevel::Info, "upstream-back")
-                        .with("upstream", &attempt.upstream);
-                    effects.push(GatewayEffect::Log(line));
-                }
-                let slow = elapsed.as_secs_f64() * 1e3 > attempt.expected_ms * SLOW_FACTOR + 200.0;
-                bad = Some(slow && !stream);
-                if stream {
-                    let began = attempt.began_at.unwrap_or(now);
-                    state
-                        .pace
-                        .saw_stream(*events, output, now.since(began), elapsed);
-                } else {
-                    state.pace.saw_answer(elapsed);
-                }
-                let version = state.entry.version.clone();
-                let usual = self.fleet.usual_mut(&service);
-                if stream {
-                    let began = attempt.began_at.unwrap_or(now);
-                    usual.saw_stream(*events, output, now.since(began), elapsed);
-                } else {
-                    usual.saw_answer(elapsed);
-                }
-                self.rollouts
-                    .answered(&service, &version, bad == Some(true));
-                bad = None;
+            AttemptOutcome::NotRun { .. }
+            | AttemptOutcome::Expired
+            | AttemptOutcome::CallerLeft => {
+                outlier.unknown();
+                false
             }
-        }
-        if let Some(bad) = bad
-            && let Some(state) = self.fleet.get(&attempt.upstream)
+        };
+        if let AttemptOutcome::NotRun {
+            misdirected: true, ..
+        } = outcome
         {
-            self.rollouts.answered(&service, &state.entry.version, bad);
+            state.gone_at = Some(now);
+        }
+        if is_back {
+            let line =
+                LogLine::new(LogLevel::Info, "upstream-back").with("upstream", &attempt.upstream);
+            effects.push(GatewayEffect::Log(line));
         }
         if taken_out {
             let line = LogLine::new(LogLevel::Warn, "upstream-suspected")
                 .with("upstream", &attempt.upstream)
-                .with("service", &service)
+                .with("service", service)
                 .with("cause", outcome.name())
                 .with("usual_failures", format_args!("{usual:.2}"));
             effects.push(GatewayEffect::Log(line));
         }
-        match outcome {
-            AttemptOutcome::NotRun { marks, .. }
-            | AttemptOutcome::Failed { marks }
-            | AttemptOutcome::Delivered { marks, .. } => self.mark(now, &attempt.upstream, *marks),
-            _ => {}
+    }
+
+    /// What the outcome says of the version that the upstream runs, while a roll-out is under way.
+    fn judge_version(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceLabel,
+        attempt: &RunningAttempt,
+        outcome: &AttemptOutcome,
+        stream: bool,
+    ) {
+        let bad = match outcome {
+            AttemptOutcome::Failed { .. }
+            | AttemptOutcome::Broken { .. }
+            | AttemptOutcome::StreamBroken(_) => true,
+            AttemptOutcome::Expired if is_overdue(now, attempt) => true,
+            AttemptOutcome::Delivered { .. } => {
+                let millis = now.since(attempt.sent_at).as_secs_f64() * 1e3;
+                !stream && millis > attempt.expected_ms * SLOW_FACTOR + SLOW_MARGIN_MS
+            }
+            AttemptOutcome::NotSent
+            | AttemptOutcome::NotRun { .. }
+            | AttemptOutcome::Expired
+            | AttemptOutcome::CallerLeft => return,
+        };
+        if let Some(state) = self.fleet.get(&attempt.upstream) {
+            self.rollouts.answered(service, &state.entry.version, bad);
         }
     }
 
