Let zones tell each other; keep limits by levels, shares and parts

Cause: with more than 12 peers each was told in turn, so that seats and teams' use were 1.25 s old at 59 daemons. A team at several times its limit was let through by all of them meanwhile. Three more ways to exceed a limit showed in tests of 48 daemons: one that joins began with 0.3 of the burst whatever the team had used; one that is cut off kept a copy of the whole burst and forgot the others after 10 s; with all of what is left in reach of each, many overdraw a bucket before they hear of each other.

Telling everybody directly: bytes between zones grow with the square of the daemons.

Change: daemons of a zone tell each other; each daemon of another zone hears a digest of the zone from one of its daemons, chosen alike by all. Up to 13 daemons all tell each other as before. Meters: levels are taken over at a start, a group that hears only itself keeps to its part of burst and rate, below three quarters of a bucket a daemon spends between two words only its share, a silent peer's use is assumed from 0.3 s on and settled by its next word. Seats of others are summed once a word, not once a choice.

--- a/crates/savorywood-front/src/feeds.rs
+++ b/crates/savorywood-front/src/feeds.rs
@@ -4,13 +4,15 @@
 use crate::{
     clock::BootClock,
     edge::{DeclaredNews, StorePage, StoreRow, StoreTable, TableWrite},
+    settings::FrontSettings,
     shared::FrontShared,
     store::{StoreAnswer, StoreFault, StoreLink},
 };
 use async_channel::Receiver;
 use async_io::Timer;
 use savorywood_gateway::{
-    FreshnessClock, GatewayEvent, RolloutWrite, UpstreamEntry, UpstreamLabel,
+    FreshnessClock, GatewayEvent, PeerContact, RolloutWrite, UpstreamEntry, UpstreamLabel,
+    ZoneLabel,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{rc::Rc, sync::Arc, time::Duration};
@@ -153,7 +155,7 @@
         self.revision = Some(page.revision.max(after));
         self.confirm(&page, &answer);
         if !page.rows.is_empty() && self.table == StoreTable::Upstreams {
-            let daemons = self.shared.gateway.borrow().peers().known() + 1;
+            let daemons = self.shared.gateway.borrow().peers().known(BootClock.now()) + 1;
             let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
             let pause = CHANGE_PAUSE.saturating_mul(daemons);
             Timer::after(pause.min(LONGEST_CHANGE_PAUSE)).await;
@@ -241,7 +243,7 @@
 }
 
 /// Keeps the list of members in the store and reads it.
-pub async fn keep_members(shared: Rc<FrontShared>, peers: Rc<crate::peers::PeerBook>) {
+pub async fn keep_members(shared: Rc<FrontShared>) {
     let mut link = StoreLink::new(shared.settings.store.address);
     let mut registered = false;
     loop {
@@ -249,7 +251,7 @@
             let write = TableWrite {
                 table: StoreTable::Members,
                 key: shared.settings.host.clone(),
-                value: Some(shared.settings.listen.peers.to_string().into_bytes()),
+                value: Some(member_text(&shared.settings).into_bytes()),
                 expected: None,
             };
             let call = shared.dialect.write_row(&write);
@@ -264,12 +266,9 @@
         let page = answer.ok().filter(|answer| answer.status == 200);
         let page = page.and_then(|answer| shared.dialect.page(&answer.body));
         let read = page.is_some();
-        for row in page.into_iter().flat_map(|page| page.rows) {
-            let text = row.value.and_then(|value| String::from_utf8(value).ok());
-            if let Some(Ok(address)) = text.map(|text| text.parse()) {
-                peers.learn(address);
-            }
-        }
+        let rows = page.into_iter().flat_map(|page| page.rows);
+        let contacts = rows.filter_map(|row| read_member(&row.value?));
+        shared.step(GatewayEvent::ContactsRead(contacts.collect()));
         let pause = if read && registered {
             MEMBERS_TIME
         } else {
@@ -279,6 +278,20 @@
     }
 }
 
+fn member_text(settings: &FrontSettings) -> String {
+    format!("{} {}", settings.listen.peers, settings.zone)
+}
+
+/// Reads a row of the members: an address and, after a space, a zone.
+fn read_member(value: &[u8]) -> Option<PeerContact> {
+    let text = std::str::from_utf8(value).ok()?;
+    let (address, zone) = text.split_once(' ').unwrap_or((text, ""));
+    Some(PeerContact {
+        address: address.parse().ok()?,
+        zone: (!zone.is_empty()).then(|| ZoneLabel::from(zone)),
+    })
+}
+
 /// Takes this daemon out of the list of members.
 pub async fn leave_members(shared: &FrontShared) {
     let mut link = StoreLink::new(shared.settings.store.address);
--- a/crates/savorywood-front/src/run.rs
+++ b/crates/savorywood-front/src/run.rs
@@ -5,14 +5,16 @@
     edge::{FrontDialect, StoreTable},
     feeds::{TableReader, keep_members, keep_rollouts},
     logging::LogQueue,
-    peers::PeerBook,
+    peers::PeerSocket,
     settings::FrontSettings,
     shared::FrontShared,
     stop,
 };
 use async_io::Timer;
 use async_net::TcpListener;
-use savorywood_gateway::{Gateway, GatewayEvent, GatewayOptions, HostLabel, ZoneLabel};
+use savorywood_gateway::{
+    Gateway, GatewayEvent, GatewayOptions, HostLabel, PeerContact, ZoneLabel,
+};
 use savorywood_settings::FaultReport;
 use snafu::{ResultExt, Snafu};
 use std::{
@@ -99,6 +101,7 @@
         host: HostLabel::from(settings.host.as_str()),
         zone: ZoneLabel::from(settings.zone.as_str()),
         incarnation: u64::try_from(micros).unwrap_or(u64::MAX),
+        peer_address: settings.listen.peers,
         caller_address: settings.listen.callers,
         first_start: settings.first_start,
         bounds: settings.gateway_bounds(),
@@ -106,7 +109,7 @@
     }
 }
 
-async fn start(shared: &Rc<FrontShared>) -> Result<Rc<PeerBook>, FrontError> {
+async fn start(shared: &Rc<FrontShared>) -> Result<Rc<PeerSocket>, FrontError> {
     let listen = shared.settings.listen.clone();
     let address = listen.callers;
     let step = "listening for callers";
@@ -122,11 +125,13 @@
     }
     let address = listen.peers;
     let step = "listening for peers";
-    let peers = PeerBook::open(address).await;
+    let peers = PeerSocket::open(address).await;
     let peers = peers.context(ListenSnafu { step, address })?;
-    for seed in &shared.settings.seeds {
-        peers.learn(SocketAddr::new(seed.ip(), listen.peers.port()));
-    }
+    let seeds = shared.settings.seeds.iter().map(|seed| PeerContact {
+        address: SocketAddr::new(seed.ip(), listen.peers.port()),
+        zone: None,
+    });
+    shared.step(GatewayEvent::ContactsRead(seeds.collect()));
     log::info!(
         "event=started host={} zone={} callers={} peers={} first_start={}",
         shared.settings.host,
@@ -138,7 +143,7 @@
     shared.spawn(accept(Rc::clone(shared), callers));
     shared.spawn(TableReader::new(Rc::clone(shared), StoreTable::Declared).run());
     shared.spawn(TableReader::new(Rc::clone(shared), StoreTable::Upstreams).run());
-    shared.spawn(keep_members(Rc::clone(shared), Rc::clone(&peers)));
+    shared.spawn(keep_members(Rc::clone(shared)));
     shared.spawn(Rc::clone(&peers).hear(Rc::clone(shared)));
     shared.spawn(Rc::clone(&peers).keep_telling(Rc::clone(shared)));
     shared.spawn(tick(Rc::clone(shared)));
--- a/crates/savorywood-front/src/stop.rs
+++ b/crates/savorywood-front/src/stop.rs
@@ -1,6 +1,6 @@
 //! Signals, and the planned stop.
 
-use crate::{feeds, peers::PeerBook, settings::FrontSettings, shared::FrontShared};
+use crate::{feeds, peers::PeerSocket, settings::FrontSettings, shared::FrontShared};
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
@@ -68,14 +68,14 @@
 }
 
 /// Stops: out of all directories at once, then every open request is answered.
-pub async fn drain(shared: &Rc<FrontShared>, peers: &PeerBook) {
+pub async fn drain(shared: &Rc<FrontShared>, peers: &PeerSocket) {
     let grace = shared.settings.grace();
     let began = shared.clock.now();
     shared.stopping.set(true);
     shared.step(GatewayEvent::StopRequested { grace });
     // A lost datagram would leave this daemon in a directory: it is told three times.
-    for round in 0..3 {
-        peers.tell(shared, round).await;
+    for _ in 0..3 {
+        peers.tell(shared).await;
         Timer::after(Duration::from_millis(8)).await;
     }
     let leaver = Rc::clone(shared);
--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -7,7 +7,9 @@
     name::{HostLabel, ServiceLabel, UpstreamLabel},
     peer::PeerSummary,
     rollout::{RolloutOrder, RolloutStatus},
+    talk::PeerContact,
     upstream::UpstreamEntry,
+    zone::ZoneDigest,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{sync::Arc, time::Duration};
@@ -156,6 +158,10 @@
     },
     /// Another daemon told of itself.
     PeerHeard(Box<PeerSummary>),
+    /// A daemon of another zone told of its zone.
+    ZoneHeard(Box<ZoneDigest>),
+    /// Where other daemons may be was read.
+    ContactsRead(Vec<PeerContact>),
     /// Another daemon is known to have ended.
     PeerEnded(HostLabel),
     /// Time passes; comes every few milliseconds while requests wait.
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -21,6 +21,7 @@
     peer::PeerTable,
     queue::WaitQueue,
     rollout::{RolloutBook, TrialOptions},
+    talk::ContactBook,
     upstream::UpstreamFleet,
 };
 use record::RequestRecord;
@@ -37,6 +38,8 @@
     pub zone: ZoneLabel,
     /// This life; later ones are larger.
     pub incarnation: u64,
+    /// Where other daemons reach this daemon.
+    pub peer_address: SocketAddr,
     /// Where callers reach this daemon.
     pub caller_address: SocketAddr,
     /// The whole system starts for the first time.
@@ -101,6 +104,7 @@
     queues: BTreeMap<ServiceLabel, WaitQueue>,
     parts: PartIndex,
     peers: PeerTable,
+    contacts: ContactBook,
     meters: BTreeMap<TeamLabel, TeamMeter>,
     budgets: BTreeMap<ServiceLabel, RetryBudget>,
     rollouts: RolloutBook,
@@ -119,6 +123,8 @@
     pub fn new(options: GatewayOptions) -> Self {
         Self {
             draws: DrawSequence(options.seed),
+            peers: PeerTable::new(options.zone.clone()),
+            contacts: ContactBook::new(options.peer_address, options.zone.clone()),
             options,
             config: None,
             fleet: UpstreamFleet::default(),
@@ -127,7 +133,6 @@
             requests: BTreeMap::new(),
             queues: BTreeMap::new(),
             parts: PartIndex::default(),
-            peers: PeerTable::default(),
             meters: BTreeMap::new(),
             budgets: BTreeMap::new(),
             rollouts: RolloutBook::default(),
@@ -167,6 +172,8 @@
                 self.rollouts.written(now, &service, accepted);
             }
             GatewayEvent::PeerHeard(summary) => self.peer_heard(now, *summary, effects),
+            GatewayEvent::ZoneHeard(digest) => self.zone_heard(now, *digest, effects),
+            GatewayEvent::ContactsRead(contacts) => self.contacts_read(now, contacts),
             GatewayEvent::PeerEnded(host) => self.peers.remove(&host),
             GatewayEvent::Tick => self.tick(now, effects),
             GatewayEvent::StopRequested { grace } => {
@@ -230,6 +237,7 @@
 
     fn tick(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
         self.note_readiness(now, effects);
+        self.peers.count_seats(now);
         self.expire_waiting(now, effects);
         self.pump_all(now, effects);
         self.fleet.sweep(now);
--- a/crates/savorywood-gateway/src/gateway/ending.rs
+++ b/crates/savorywood-gateway/src/gateway/ending.rs
@@ -307,7 +307,7 @@
         let Some(record) = self.requests.get(&request) else {
             return false;
         };
-        let daemons = self.peers.known() + 1;
+        let daemons = self.peers.known(now) + 1;
         let budget = self.budgets.entry(record.service.clone()).or_default();
         budget.spend(now, &self.options.bounds.budget, daemons)
     }
--- a/crates/savorywood-gateway/src/gateway/news.rs
+++ b/crates/savorywood-gateway/src/gateway/news.rs
@@ -5,15 +5,27 @@
     declared::DeclaredConfig,
     effect::GatewayEffect,
     limit::{PeerReading, TeamMeter},
-    name::{HostLabel, UpstreamLabel},
-    peer::{PeerPhase, PeerSummary, name_digest},
+    name::{UpstreamLabel, ZoneLabel},
+    peer::{PeerPhase, PeerSummary, TeamUse, name_digest},
     rollout::RolloutOrder,
+    talk::PeerContact,
     upstream::{FleetChange, UpstreamEntry},
+    zone::{ZoneDigest, ZoneNews},
 };
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
 use std::{sync::Arc, time::Duration};
 
+/// Whose use of teams is told.
+#[derive(Debug, Clone, Copy)]
+struct PeerAccount {
+    peer: u64,
+    incarnation: u64,
+    age: Duration,
+    daemons: u32,
+    near: bool,
+}
+
 impl Gateway {
     /// A version is never followed by an older one: a slow answer that comes late would bring
     /// back routes and keys that operators took away.
@@ -55,7 +67,9 @@
                 Some(_) => {}
                 None => {
                     let fresh = !first || self.options.first_start;
-                    let meter = TeamMeter::new(now, limit, self.options.bounds.tolerance, fresh);
+                    let tolerance = self.options.bounds.tolerance;
+                    let mut meter = TeamMeter::new(now, limit, tolerance, fresh);
+                    meter.expect(self.contacts.daemons());
                     self.meters.insert(team.name.clone(), meter);
                 }
             }
@@ -155,45 +169,128 @@
         if peer == name_digest(self.options.host.as_str()) {
             return;
         }
-        let host = HostLabel::from(summary.host.as_str());
         let was_alive = self
             .peers
             .alive(now)
             .any(|known| known.summary.host == summary.host);
-        let usage = summary.usage.clone();
-        let tallies = summary.tallies.clone();
-        let incarnation = summary.incarnation;
-        let age = Duration::from_millis(summary.age_ms);
-        let phase = summary.phase;
-        if !self.peers.hear(now, summary) {
+        if !self.peers.hear(now, summary.clone()) {
             return;
         }
+        self.contacts.learn(
+            now,
+            PeerContact {
+                address: summary.peer_address,
+                zone: Some(ZoneLabel::from(summary.zone.as_str())),
+            },
+        );
         if !was_alive {
             let line = LogLine::new(LogLevel::Info, "peer-heard")
-                .with("peer", &host)
-                .with("phase", format_args!("{phase:?}"));
+                .with("peer", &summary.host)
+                .with("phase", format_args!("{:?}", summary.phase));
             effects.push(GatewayEffect::Log(line));
         }
-        for (team, meter) in &mut self.meters {
-            let digest = name_digest(team.as_str());
-            let used = usage.iter().find(|used| used.team == digest);
-            if let Some(used) = used {
-                let reading = PeerReading {
-                    peer,
-                    incarnation,
-                    age,
-                    total: used.total,
-                };
-                meter.heard(now, reading);
-            }
-            if phase == PeerPhase::Leaving {
+        // Of a zone that another daemon tells of, its word alone counts, or all would count twice.
+        if self.peers.counts(now, &summary.zone) {
+            let account = PeerAccount {
+                peer,
+                incarnation: summary.incarnation,
+                age: Duration::from_millis(summary.age_ms),
+                daemons: 1,
+                near: summary.zone == self.options.zone.as_str(),
+            };
+            self.usage_heard(now, account, &summary.usage);
+            self.rollouts.heard(peer, &summary.tallies);
+        }
+        if summary.phase == PeerPhase::Leaving {
+            for meter in self.meters.values_mut() {
                 meter.ended(now, peer);
             }
         }
-        self.rollouts.heard(peer, &tallies);
         self.pump_all(now, effects);
     }
 
+    pub(super) fn zone_heard(
+        &mut self,
+        now: MonotonicTime,
+        digest: ZoneDigest,
+        effects: &mut GatewayEffects,
+    ) {
+        let zone = ZoneLabel::from(digest.zone.as_str());
+        match self.peers.hear_zone(now, digest.clone()) {
+            ZoneNews::Ignored => return,
+            ZoneNews::SameTeller => {}
+            ZoneNews::NewTeller { before } => {
+                let line = LogLine::new(LogLevel::Info, "zone-heard")
+                    .with("zone", &zone)
+                    .with("daemons", digest.members.len())
+                    .with("teller", format_args!("{:x}", digest.teller));
+                effects.push(GatewayEffect::Log(line));
+                self.drop_accounts(now, &zone, before);
+            }
+        }
+        for member in &digest.members {
+            let contact = PeerContact {
+                address: member.peer_address,
+                zone: Some(zone.clone()),
+            };
+            self.contacts.learn(now, contact);
+        }
+        let account = PeerAccount {
+            peer: digest.teller.rotate_left(1),
+            incarnation: digest.incarnation,
+            age: Duration::from_millis(digest.age_ms),
+            daemons: digest.daemons,
+            near: false,
+        };
+        self.usage_heard(now, account, &digest.usage);
+        self.rollouts
+            .heard(name_digest(zone.as_str()), &digest.tallies);
+        self.pump_all(now, effects);
+    }
+
+    pub(super) fn contacts_read(&mut self, now: MonotonicTime, contacts: Vec<PeerContact>) {
+        for contact in contacts {
+            self.contacts.learn(now, contact);
+        }
+        for meter in self.meters.values_mut() {
+            meter.expect(self.contacts.daemons());
+        }
+    }
+
+    /// Another daemon tells of a zone now: what it says includes what was heard before of that
+    /// zone's daemons, from themselves or from the one that told.
+    fn drop_accounts(&mut self, now: MonotonicTime, zone: &ZoneLabel, before: Option<u64>) {
+        let alive = self.peers.alive(now);
+        let members = alive.filter(|peer| peer.summary.zone == zone.as_str());
+        let mut ended: Vec<u64> = members
+            .map(|peer| name_digest(&peer.summary.host))
+            .collect();
+        ended.extend(before.map(|teller| teller.rotate_left(1)));
+        for meter in self.meters.values_mut() {
+            for peer in &ended {
+                meter.ended(now, *peer);
+            }
+        }
+    }
+
+    /// A team that is not told of has used nothing there.
+    fn usage_heard(&mut self, now: MonotonicTime, account: PeerAccount, usage: &[TeamUse]) {
+        for (team, meter) in &mut self.meters {
+            let digest = name_digest(team.as_str());
+            let used = usage.iter().find(|used| used.team == digest);
+            let reading = PeerReading {
+                peer: account.peer,
+                incarnation: account.incarnation,
+                age: account.age,
+                total: used.map_or(0, |used| used.total),
+                daemons: account.daemons,
+                near: account.near,
+                levels: used.map(|used| used.levels),
+            };
+            meter.heard(now, reading);
+        }
+    }
+
     /// Logs a change of readiness with what decided it.
     pub(super) fn note_readiness(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
         let ready = self.is_ready(now);
--- a/crates/savorywood-gateway/src/limit.rs
+++ b/crates/savorywood-gateway/src/limit.rs
@@ -1,20 +1,29 @@
 //! What teams may use, over all daemons together.
 
-use crate::declared::TeamLimit;
+use crate::{declared::TeamLimit, talk::MOST_DIRECT};
 use savorywood_protocol::MonotonicTime;
+use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
 
-/// A peer that was not heard for this long is taken to use its even share.
-const UNHEARD_TIME: Duration = Duration::from_millis(1_500);
-/// A peer that was not heard for this long is taken to be gone.
-const GONE_TIME: Duration = Duration::from_secs(10);
+/// From so long after a peer's last word on it is taken to use its even share; what it tells next
+/// settles that, so that a lost word costs nothing.
+const ASSUMED_TIME: Duration = Duration::from_millis(300);
+/// A peer that was not heard for this long counts as out of reach.
+const UNHEARD_TIME: Duration = Duration::from_millis(450);
+/// A peer that was not heard for this long is taken to be gone, if most others are heard.
+const GONE_TIME: Duration = Duration::from_secs(20);
+/// A daemon that hears hardly anybody is cut off, and the others live: they are not taken to be
+/// gone before this time.
+const CUT_OFF_TIME: Duration = Duration::from_secs(60);
+/// For so long after a start the levels of those that have run longer are taken over.
+const ADOPT_TIME: Duration = Duration::from_secs(3);
 
 /// Part of the burst with which a daemon begins that starts again.
 const START_PART: f64 = 0.3;
 /// After a start the other daemons may be unknown for so long.
 const UNKNOWN_TIME: Duration = Duration::from_millis(900);
-/// Part of the rate that a daemon takes meanwhile.
-const UNKNOWN_PART: f64 = 0.4;
+/// Meanwhile a daemon takes so many times its even part of burst and rate.
+const UNKNOWN_FACTOR: f64 = 2.0;
 /// What a peer has used in a life of less than this is counted when it is met.
 const YOUNG_TIME: Duration = Duration::from_secs(5);
 
@@ -29,6 +38,21 @@
     pub age: Duration,
     /// Units used in it.
     pub total: u64,
+    /// Daemons whose use that is.
+    pub daemons: u32,
+    /// It is of this daemon's own zone.
+    pub near: bool,
+    /// Levels of its buckets, where it tells them.
+    pub levels: Option<MeterLevels>,
+}
+
+/// Levels of the buckets of one team, in units; below zero they are overdrawn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MeterLevels {
+    /// Bucket of the limit.
+    pub strict: i64,
+    /// Bucket of what is tolerated on top.
+    pub tolerated: i64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -36,6 +60,15 @@
     incarnation: u64,
     total: u64,
     heard_at: MonotonicTime,
+    daemons: u32,
+    near: bool,
+}
+
+/// What silent peers are taken to have used, in seconds of the whole limit's rate.
+#[derive(Debug, Clone, Copy, Default)]
+struct SilentUse {
+    all_s: f64,
+    near_s: f64,
 }
 
 /// By how much the sum of what all daemons admit may exceed a limit, as operators allow it.
@@ -62,6 +95,16 @@
 /// Part of the tolerated use that is admitted knowingly; the rest covers what daemons admit
 /// before they hear of each other, and what those that ended had admitted.
 const KNOWING_PART: f64 = 0.65;
+/// The same where zones tell each other: use is then heard of by way of another daemon, later.
+const ZONED_KNOWING_PART: f64 = 0.45;
+
+/// Below this part of a full bucket a daemon spends between two of its words only its share of what
+/// is left: with all of it in reach of each, many daemons overdraw it before they hear of each other.
+const SHARED_PART: f64 = 0.75;
+/// How many times its share a daemon may spend: use moves between daemons.
+const SHARE_FACTOR: f64 = 1.2;
+/// Time in which old use loses most of its weight in the shares.
+const RECENT_TIME: Duration = Duration::from_secs(1);
 
 /// One token bucket.
 #[derive(Debug, Clone, Copy)]
@@ -75,6 +118,11 @@
     fn fill(&mut self, units: f64) {
         self.level = (self.level + units).min(self.capacity);
     }
+
+    /// Holds no more than a part of what the bucket can hold.
+    fn keep_part(&mut self, part: f64) {
+        self.level = self.level.min(self.capacity * part);
+    }
 }
 
 /// What a meter says of a request.
@@ -107,6 +155,19 @@
     filled_at: MonotonicTime,
     slow_until: MonotonicTime,
     own_total: u64,
+    /// Until then levels of peers are taken over.
+    adopt_until: MonotonicTime,
+    /// Units used in this daemon's zone since it began to count, those that silent daemons are
+    /// taken to use included.
+    zone_total: f64,
+    /// Own use that no word told of yet.
+    untold: f64,
+    /// Own use lately, fading.
+    own_recent: f64,
+    /// Use of all others lately, fading.
+    others_recent: f64,
+    /// Daemons that there are, as far as they are known beside by their words.
+    expected: u32,
     peers: BTreeMap<u64, PeerUse>,
 }
 
@@ -119,11 +180,11 @@
 }
 
 /// A bucket that lets through the knowing part of the tolerated use within any window.
-fn tolerated_bucket(limit: TeamLimit, tolerance: LimitTolerance) -> TokenBucket {
+fn tolerated_bucket(limit: TeamLimit, tolerance: LimitTolerance, knowing: f64) -> TokenBucket {
     let window = tolerance.window.as_secs_f64().max(0.1);
     let declared = limit.per_second * window + limit.burst;
     let tolerated = declared * (1.0 + tolerance.overage) + tolerance.slack;
-    let most = declared + (tolerated - declared) * KNOWING_PART;
+    let most = declared + (tolerated - declared) * knowing;
     TokenBucket {
         rate: (most - limit.burst) / window,
         capacity: limit.burst,
@@ -146,7 +207,7 @@
         fresh: bool,
     ) -> Self {
         let mut strict = strict_bucket(limit);
-        let mut tolerated = tolerated_bucket(limit, tolerance);
+        let mut tolerated = tolerated_bucket(limit, tolerance, KNOWING_PART);
         if !fresh {
             strict.level *= START_PART;
             tolerated.level *= START_PART;
@@ -159,6 +220,12 @@
             filled_at: now,
             slow_until: if fresh { now } else { now + UNKNOWN_TIME },
             own_total: 0,
+            adopt_until: if fresh { now } else { now + ADOPT_TIME },
+            zone_total: 0.0,
+            untold: 0.0,
+            own_recent: 0.0,
+            others_recent: 0.0,
+            expected: 1,
             peers: BTreeMap::new(),
         }
     }
@@ -171,7 +238,7 @@
         self.limit = limit;
         self.strict = strict_bucket(limit);
         self.strict.level -= strict_used.min(limit.burst);
-        self.tolerated = tolerated_bucket(limit, self.tolerance);
+        self.tolerated = tolerated_bucket(limit, self.tolerance, self.knowing_part());
         self.tolerated.level -= tolerated_used.min(limit.burst);
     }
 
@@ -187,18 +254,49 @@
         self.own_total
     }
 
+    /// Units that the daemons of this daemon's zone have used since it began to count.
+    #[must_use]
+    pub fn zone_total(&self) -> u64 {
+        self.zone_total.max(0.0) as u64
+    }
+
     /// Says whether a request may pass now; nothing is taken yet.
     pub fn look(&mut self, now: MonotonicTime) -> MeterVerdict {
         self.fill(now);
-        if self.strict.level >= 0.0 {
+        if self.is_open(&self.strict) {
             return MeterVerdict::Within;
         }
-        if self.tolerated.level >= 0.0 {
+        if self.is_open(&self.tolerated) {
             return MeterVerdict::Tolerated;
         }
         MeterVerdict::Beyond { wait: self.wait() }
     }
 
+    /// A bucket has room for this daemon.
+    fn is_open(&self, bucket: &TokenBucket) -> bool {
+        if bucket.level < 0.0 {
+            return false;
+        }
+        if bucket.level >= bucket.capacity * SHARED_PART {
+            return true;
+        }
+        let others: u32 = self.peers.values().map(|peer| peer.daemons).sum();
+        let even = 1.0 / f64::from(others + 1);
+        let used = self.own_recent + self.others_recent;
+        let share = if used > 0.0 {
+            self.own_recent / used
+        } else {
+            even
+        };
+        let left = (bucket.level + self.untold) * (share.max(even) * SHARE_FACTOR).min(1.0);
+        self.untold <= left
+    }
+
+    /// A word tells of all that was used so far.
+    pub fn told(&mut self) {
+        self.untold = 0.0;
+    }
+
     /// Time after which the limit has room again.
     #[must_use]
     pub fn wait(&self) -> Duration {
@@ -213,6 +311,9 @@
         }
         self.tolerated.level -= units;
         self.own_total += units as u64;
+        self.zone_total += units;
+        self.untold += units;
+        self.own_recent += units;
     }
 
     /// Gives back what a request did not use, because it never ran.
@@ -220,6 +321,7 @@
         self.strict.fill(units);
         self.tolerated.fill(units);
         self.own_total = self.own_total.saturating_sub(units as u64);
+        self.zone_total -= units;
     }
 
     /// A peer tells what it has used in its life.
@@ -227,60 +329,140 @@
         self.fill(now);
         let known = self.peers.get(&reading.peer).copied();
         let total = reading.total as f64;
-        let news = match known {
-            Some(known) if known.incarnation == reading.incarnation => {
-                // What was assumed while it was silent is settled against what it tells.
-                total - known.total as f64 - self.assumed(known, now)
-            }
+        let used = match known {
+            Some(known) if known.incarnation == reading.incarnation => total - known.total as f64,
             Some(_) => total,
             None if reading.age < YOUNG_TIME => total,
             // What an old peer used long ago is no news.
             None => 0.0,
         };
-        self.strict.fill(-news);
-        self.tolerated.fill(-news);
+        // What was assumed while it was silent is settled against what it tells.
+        let same_life = known.filter(|known| known.incarnation == reading.incarnation);
+        let assumed_s = same_life.map_or(0.0, |known| self.assumed_s(known, now));
+        if reading.near {
+            self.zone_total += used - assumed_s * self.strict.rate;
+        }
+        self.others_recent += used.max(0.0);
+        self.strict.fill(assumed_s * self.strict.rate - used);
+        self.tolerated.fill(assumed_s * self.tolerated.rate - used);
+        self.adopt(now, reading);
         let least = -self.strict.capacity.max(self.limit.per_second);
         self.strict.level = self.strict.level.max(least);
         let heard = PeerUse {
             incarnation: reading.incarnation,
             total: reading.total,
             heard_at: now,
+            daemons: reading.daemons,
+            near: reading.near,
         };
         self.peers.insert(reading.peer, heard);
     }
 
+    /// A daemon that starts beside others takes over what they know of the team.
+    ///
+    /// Each copy of the buckets is meant to be the same. Begun with a level of its own, every
+    /// daemon that joins or comes back while a team is at its limit would let through a part of
+    /// the burst once more; ten of them would let through several limits.
+    fn adopt(&mut self, now: MonotonicTime, reading: PeerReading) {
+        if now >= self.adopt_until || reading.age < ADOPT_TIME {
+            return;
+        }
+        if let Some(levels) = reading.levels {
+            self.strict.level = self.strict.level.min(levels.strict as f64);
+            self.tolerated.level = self.tolerated.level.min(levels.tolerated as f64);
+        }
+    }
+
+    /// Levels of the buckets as of the last look.
+    #[must_use]
+    pub fn levels(&self) -> MeterLevels {
+        MeterLevels {
+            strict: self.strict.level as i64,
+            tolerated: self.tolerated.level as i64,
+        }
+    }
+
     /// A peer is known to have ended.
     pub fn ended(&mut self, now: MonotonicTime, peer: u64) {
         self.fill(now);
         self.peers.remove(&peer);
     }
 
-    fn share_rate(&self) -> f64 {
-        self.limit.per_second / (self.peers.len() + 1) as f64
+    /// There are so many daemons, heard or not.
+    pub fn expect(&mut self, daemons: u32) {
+        self.expected = daemons;
+        let bucket = tolerated_bucket(self.limit, self.tolerance, self.knowing_part());
+        self.tolerated.rate = bucket.rate;
+    }
+
+    fn knowing_part(&self) -> f64 {
+        if self.expected > MOST_DIRECT {
+            ZONED_KNOWING_PART
+        } else {
+            KNOWING_PART
+        }
     }
 
-    fn assumed(&self, peer: PeerUse, now: MonotonicTime) -> f64 {
-        let silent = now.since(peer.heard_at).min(GONE_TIME);
-        silent.saturating_sub(UNHEARD_TIME).as_secs_f64() * self.share_rate()
+    /// What a silent peer is taken to have used: its even share, in seconds of the whole rate.
+    fn assumed_s(&self, peer: PeerUse, now: MonotonicTime) -> f64 {
+        let others: u32 = self.peers.values().map(|peer| peer.daemons).sum();
+        let share = f64::from(peer.daemons) / f64::from(others + 1);
+        let silent = now.since(peer.heard_at);
+        silent.saturating_sub(ASSUMED_TIME).as_secs_f64() * share
     }
 
     fn fill(&mut self, now: MonotonicTime) {
-        let mut elapsed = now.since(self.filled_at).as_secs_f64();
+        let part = self.heard_part(now);
+        let mut elapsed_s = now.since(self.filled_at).as_secs_f64();
         if now < self.slow_until {
-            elapsed *= UNKNOWN_PART;
+            elapsed_s *= part;
+        }
+        let fading = (-now.since(self.filled_at).as_secs_f64() / RECENT_TIME.as_secs_f64()).exp();
+        self.own_recent *= fading;
+        self.others_recent *= fading;
+        let before = self.silent_use(self.filled_at);
+        let after = self.silent_use(now);
+        self.zone_total += (after.near_s - before.near_s) * self.strict.rate;
+        let left_s = elapsed_s - (after.all_s - before.all_s);
+        for bucket in [&mut self.strict, &mut self.tolerated] {
+            bucket.fill(left_s * bucket.rate);
+            bucket.keep_part(part);
         }
-        let silent = self.silent_use(now) - self.silent_use(self.filled_at);
-        self.strict.fill(elapsed * self.strict.rate - silent);
-        self.tolerated.fill(elapsed * self.tolerated.rate - silent);
         self.filled_at = now;
-        self.peers
-            .retain(|_, peer| now.since(peer.heard_at) < GONE_TIME);
+        let gone = if part > 0.5 { GONE_TIME } else { CUT_OFF_TIME };
+        self.peers.retain(|_, peer| now.since(peer.heard_at) < gone);
+    }
+
+    /// Part of the burst that this daemon and those that it hears may hold.
+    ///
+    /// A daemon that is cut off holds a copy of the whole burst. Spending it alone, as every other
+    /// one that is cut off would, they let through many bursts; so each group of daemons that hear
+    /// each other keeps to its part. One that has just started knows only how many there are.
+    fn heard_part(&self, now: MonotonicTime) -> f64 {
+        let mut heard = 1;
+        let mut all = 1;
+        for peer in self.peers.values() {
+            all += peer.daemons;
+            if now.since(peer.heard_at) < UNHEARD_TIME {
+                heard += peer.daemons;
+            }
+        }
+        if now < self.slow_until && self.expected > all {
+            let part = f64::from(heard) / f64::from(self.expected);
+            return (part * UNKNOWN_FACTOR).min(1.0);
+        }
+        f64::from(heard) / f64::from(all)
     }
 
-    fn silent_use(&self, now: MonotonicTime) -> f64 {
-        self.peers
-            .values()
-            .map(|peer| self.assumed(*peer, now))
-            .sum()
+    fn silent_use(&self, now: MonotonicTime) -> SilentUse {
+        let mut silent = SilentUse::default();
+        for peer in self.peers.values() {
+            let used_s = self.assumed_s(*peer, now);
+            silent.all_s += used_s;
+            if peer.near {
+                silent.near_s += used_s;
+            }
+        }
+        silent
     }
 }
--- a/crates/savorywood-gateway/src/peer.rs
+++ b/crates/savorywood-gateway/src/peer.rs
@@ -1,9 +1,17 @@
 //! What daemons tell each other, and what each knows of the others.
 
-use crate::name::{HostLabel, UpstreamLabel, ZoneLabel};
+use crate::{
+    limit::MeterLevels,
+    name::{HostLabel, UpstreamLabel, ZoneLabel},
+    zone::{KnownZone, ZoneDigest, ZoneNews},
+};
 use savorywood_protocol::MonotonicTime;
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
 
 /// A peer whose last word is older than this gets no callers sent.
 const ALIVE_TIME: Duration = Duration::from_millis(1_300);
@@ -47,6 +55,8 @@
     pub team: u64,
     /// Units used.
     pub total: u64,
+    /// Levels of the teller's copy of the team's buckets.
+    pub levels: MeterLevels,
 }
 
 /// Answers that a daemon has seen from one side of a roll-out.
@@ -83,6 +93,8 @@
     pub sequence: u64,
     /// Its zone.
     pub zone: String,
+    /// Where other daemons reach it.
+    pub peer_address: SocketAddr,
     /// Where callers reach it.
     pub caller_address: SocketAddr,
     /// What it does.
@@ -120,13 +132,28 @@
     }
 }
 
-/// All peers.
-#[derive(Debug, Clone, Default)]
+/// All peers: those heard themselves, and other zones as one of their daemons tells of them.
+#[derive(Debug, Clone)]
 pub struct PeerTable {
+    own_zone: ZoneLabel,
     peers: BTreeMap<HostLabel, KnownPeer>,
+    zones: BTreeMap<ZoneLabel, KnownZone>,
+    /// Seats of all others by the digest of the upstream's name, as of the last change.
+    seats: HashMap<u64, u32>,
 }
 
 impl PeerTable {
+    /// A table of a daemon in a zone.
+    #[must_use]
+    pub fn new(own_zone: ZoneLabel) -> Self {
+        Self {
+            own_zone,
+            peers: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            seats: HashMap::new(),
+        }
+    }
+
     /// Takes a peer's word, unless a newer one is known. Returns whether it was taken.
     pub fn hear(&mut self, now: MonotonicTime, summary: PeerSummary) -> bool {
         let host = HostLabel::from(summary.host.as_str());
@@ -144,51 +171,124 @@
         self.peers.insert(host, peer);
         self.peers
             .retain(|_, peer| now.since(peer.heard_at) < FORGET_TIME);
+        self.count_seats(now);
         true
     }
 
+    /// Takes the word of a daemon of another zone on that zone.
+    pub fn hear_zone(&mut self, now: MonotonicTime, digest: ZoneDigest) -> ZoneNews {
+        let zone = ZoneLabel::from(digest.zone.as_str());
+        if zone == self.own_zone {
+            return ZoneNews::Ignored;
+        }
+        let known = self.zones.get(&zone);
+        let news = known.map_or(ZoneNews::NewTeller { before: None }, |known| {
+            known.compare(now, &digest)
+        });
+        if news != ZoneNews::Ignored {
+            let known = KnownZone {
+                digest,
+                heard_at: now,
+            };
+            self.zones.insert(zone, known);
+            self.count_seats(now);
+        }
+        news
+    }
+
     /// Forgets a peer that ended.
     pub fn remove(&mut self, host: &HostLabel) {
         self.peers.remove(host);
     }
 
-    /// Requests of all peers at an upstream, as they last told.
+    /// Drops the seats of those that have been silent for too long.
+    pub fn count_seats(&mut self, now: MonotonicTime) {
+        self.seats.clear();
+        let fresh = |at: MonotonicTime| now.since(at) < SEATS_TIME;
+        let peers = self.peers.values().filter(|peer| fresh(peer.heard_at));
+        for peer in peers {
+            if counts_itself(&self.own_zone, &self.zones, now, &peer.summary.zone) {
+                add_seats(&mut self.seats, &peer.summary.seats);
+            }
+        }
+        for zone in self.zones.values().filter(|zone| zone.is_fresh(now)) {
+            add_seats(&mut self.seats, &zone.digest.seats);
+        }
+    }
+
+    /// Requests of all others at an upstream, as they last told.
     #[must_use]
-    pub fn seats_at(&self, now: MonotonicTime, upstream: &UpstreamLabel) -> u32 {
+    pub fn seats_at(&self, upstream: &UpstreamLabel) -> u32 {
         let digest = name_digest(upstream.as_str());
-        let fresh = self
-            .peers
-            .values()
-            .filter(|peer| now.since(peer.heard_at) < SEATS_TIME);
-        fresh
-            .flat_map(|peer| &peer.summary.seats)
-            .filter(|seat| seat.upstream == digest)
-            .map(|seat| u32::from(seat.running))
-            .sum()
-    }
-
-    /// Peers that take callers.
+        self.seats.get(&digest).copied().unwrap_or_default()
+    }
+
+    /// Peers that count by their own word: those of a zone of which a digest is known do not.
+    fn heard_themselves(&self, now: MonotonicTime) -> impl Iterator<Item = &KnownPeer> {
+        let peers = self.peers.values();
+        peers.filter(move |peer| self.counts(now, &peer.summary.zone))
+    }
+
+    /// The word of this peer counts, not that of another daemon of its zone.
+    #[must_use]
+    pub fn counts(&self, now: MonotonicTime, zone: &str) -> bool {
+        counts_itself(&self.own_zone, &self.zones, now, zone)
+    }
+
+    /// Peers that take callers, as far as they count themselves.
     pub fn ready(&self, now: MonotonicTime) -> impl Iterator<Item = &KnownPeer> {
-        self.peers
-            .values()
+        self.heard_themselves(now)
             .filter(move |peer| peer.takes_callers(now))
     }
 
+    /// Other zones of which one daemon tells.
+    pub fn zones(&self, now: MonotonicTime) -> impl Iterator<Item = &ZoneDigest> {
+        let fresh = self.zones.values().filter(move |zone| zone.is_fresh(now));
+        fresh.map(|zone| &zone.digest)
+    }
+
+    /// Peers of the own zone heard lately that do not leave.
+    pub fn neighbours(&self, now: MonotonicTime) -> impl Iterator<Item = &KnownPeer> {
+        let alive = self.alive(now);
+        alive.filter(|peer| {
+            peer.summary.zone == self.own_zone.as_str() && peer.summary.phase != PeerPhase::Leaving
+        })
+    }
+
+    /// Daemons of the own zone that have not left, this one and silent ones included.
+    #[must_use]
+    pub fn daemons_here(&self) -> usize {
+        let peers = self.peers.values();
+        let here = peers.filter(|peer| {
+            peer.summary.zone == self.own_zone.as_str() && peer.summary.phase != PeerPhase::Leaving
+        });
+        here.count() + 1
+    }
+
     /// Peers heard lately.
     pub fn alive(&self, now: MonotonicTime) -> impl Iterator<Item = &KnownPeer> {
         self.peers.values().filter(move |peer| peer.is_alive(now))
     }
 
-    /// Number of peers that were heard within the last minute.
+    /// Number of other daemons heard or told of within the last minute.
     #[must_use]
-    pub fn known(&self) -> usize {
-        self.peers.len()
+    pub fn known(&self, now: MonotonicTime) -> usize {
+        let told: usize = self.zones(now).map(|zone| zone.members.len()).sum();
+        self.heard_themselves(now).count() + told
     }
+}
 
-    /// Zone of a peer.
-    #[must_use]
-    pub fn zone_of(&self, host: &HostLabel) -> Option<ZoneLabel> {
-        let peer = self.peers.get(host)?;
-        Some(ZoneLabel::from(peer.summary.zone.as_str()))
+fn counts_itself(
+    own_zone: &ZoneLabel,
+    zones: &BTreeMap<ZoneLabel, KnownZone>,
+    now: MonotonicTime,
+    zone: &str,
+) -> bool {
+    zone == own_zone.as_str() || zones.get(zone).is_none_or(|known| !known.is_fresh(now))
+}
+
+fn add_seats(sums: &mut HashMap<u64, u32>, seats: &[SeatUse]) {
+    for seat in seats {
+        *sums.entry(seat.upstream).or_default() += u32::from(seat.running);
     }
 }
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -159,7 +159,7 @@
         noise: f64,
     ) -> Option<PickedUpstream> {
         let entry = &state.entry;
-        let occupied = state.running + self.peers.seats_at(self.now, &entry.name);
+        let occupied = state.running + self.peers.seats_at(&entry.name);
         if occupied >= entry.slots + query.overcommit {
             return None;
         }
--- a/crates/savorywood-gateway/src/rollout.rs
+++ b/crates/savorywood-gateway/src/rollout.rs
@@ -95,8 +95,13 @@
 
 impl RolloutState {
     fn total(&self) -> VersionTally {
+        self.sum(|_| true)
+    }
+
+    fn sum(&self, includes: impl Fn(u64) -> bool) -> VersionTally {
         let mut total = self.own;
-        for tally in self.peers.values() {
+        let peers = self.peers.iter().filter(|(peer, _)| includes(**peer));
+        for (_, tally) in peers {
             total.new_answers += tally.new_answers;
             total.new_bad += tally.new_bad;
             total.old_answers += tally.old_answers;
@@ -273,6 +278,15 @@
         states.map(|state| state.own).collect()
     }
 
+    /// What this daemon and some peers saw of the roll-outs under way.
+    #[must_use]
+    pub fn tallies_with(&self, peers: &[u64]) -> Vec<VersionTally> {
+        let running = |state: &&RolloutState| state.phase == RolloutPhase::Running;
+        let states = self.states.values().filter(running);
+        let sums = states.map(|state| state.sum(|peer| peers.contains(&peer)));
+        sums.collect()
+    }
+
     /// A roll-out is under way, or its end is not in the store yet.
     #[must_use]
     pub fn is_active(&self) -> bool {
--- a/crates/savorywood-gateway/tests/common/scene.rs
+++ b/crates/savorywood-gateway/tests/common/scene.rs
@@ -27,6 +27,7 @@
         host: HostLabel::from(host),
         zone: ZoneLabel::from("zone-a"),
         incarnation: 1,
+        peer_address: "10.0.0.1:7600".parse().expect("an address"),
         caller_address: "10.0.0.1:80".parse().expect("an address"),
         first_start: true,
         bounds: GatewayBounds {
--- a/crates/savorywood-gateway/tests/waiting.rs
+++ b/crates/savorywood-gateway/tests/waiting.rs
@@ -16,6 +16,7 @@
         age_ms: 60_000,
         sequence,
         zone: "zone-b".to_owned(),
+        peer_address: "10.0.0.2:7600".parse().expect("an address"),
         caller_address: "10.0.0.2:80".parse().expect("an address"),
         phase: PeerPhase::Ready,
         version: 1,
