--- a/crates/savorywood-front/src/run.rs
+++ b/crates/savorywood-front/src/run.rs
@@ -70,6 +70,7 @@
 ///
 /// When the settings have faults or an address can't be had.
 pub fn run(settings_path: &Path, dialect: Box<dyn FrontDialect>) -> Result<(), FrontError> {
+    let mut signals = stop::take_signals().context(SignalsSnafu)?;
     let settings = FrontSettings::read(settings_path);
     let settings = settings.map_err(|report| SettingsSnafu { report }.build())?;
     let level = settings.log_level.parse().unwrap_or(log::LevelFilter::Info);
@@ -83,7 +84,7 @@
         shared.spawn(keep_rollouts(Rc::clone(&shared), writes));
         let watched = settings_path.to_owned();
         shared.spawn(stop::watch_settings(Rc::clone(&shared), watched));
-        stop::wait_for_stop(&shared, settings_path)
+        stop::wait_for_stop(&shared, &mut signals, settings_path)
             .await
             .context(SignalsSnafu)?;
         stop::drain(&shared, &peers).await;
--- a/crates/savorywood-front/src/stop.rs
+++ b/crates/savorywood-front/src/stop.rs
@@ -21,13 +21,28 @@
 /// How often open requests are counted.
 const LOOK_TIME: Duration = Duration::from_millis(25);
 
-/// Waits for the order to stop; settings that change meanwhile are read again.
+/// Takes signals from now on.
+///
+/// Until then a signal ends the process: a word of changed settings that comes while a daemon
+/// starts would kill it. So this is the first thing that a process does.
 ///
 /// # Errors
 ///
 /// When signals can't be had.
-pub async fn wait_for_stop(shared: &FrontShared, settings_path: &Path) -> io::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+pub fn take_signals() -> io::Result<Signals> {
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+}
+
+/// Waits for the order to stop; settings that change meanwhile are read again.
+///
+/// # Errors
+///
+/// When signals can't be read.
+pub async fn wait_for_stop(
+    shared: &FrontShared,
+    signals: &mut Signals,
+    settings_path: &Path,
+) -> io::Result<()> {
     while let Some(signal) = signals.next().await {
         match signal? {
             Signal::Hup => reload(shared, settings_path),
--- a/crates/savorywood-gateway/src/freshness.rs
+++ b/crates/savorywood-gateway/src/freshness.rs
@@ -2,6 +2,9 @@
 
 use savorywood_protocol::MonotonicTime;
 
+/// The store may tell its clock in whole milliseconds: the true time is less than this later.
+const CLOCK_STEP_MICROS: i128 = 1_000;
+
 /// One call to the store: when it was sent, when its answer came, and the store's clock in it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoreExchange {
@@ -31,7 +34,7 @@
         let Some(store) = exchange.store_micros else {
             return exchange.sent;
         };
-        let latest_difference = i128::from(store) - i128::from(exchange.sent.0);
+        let latest_difference = i128::from(store) + CLOCK_STEP_MICROS - i128::from(exchange.sent.0);
         let earliest_difference = i128::from(store) - i128::from(exchange.received.0);
         let upper = match self.upper {
             // The store's clock is another one than before: begin anew.
--- a/crates/savorywood-gateway/tests/together.rs
+++ b/crates/savorywood-gateway/tests/together.rs
@@ -203,3 +203,25 @@
     let proof = clock.proof(exchange(1_000, 30_000_000));
     assert_eq!(proof, MonotonicTime(30_000_000));
 }
+
+/// The store tells its clock in whole milliseconds, and a quick call takes less than one. Taken as
+/// exact, the two bounds of the clocks' difference contradict each other now and then; each long
+/// poll then seemed as old as its wait, and a daemon that is in touch called itself unready.
+#[test]
+fn a_clock_told_in_whole_milliseconds_is_no_other_clock() {
+    let mut clock = FreshnessClock::default();
+    let quick = StoreExchange {
+        sent: MonotonicTime(10_000_900),
+        received: MonotonicTime(10_000_990),
+        store_micros: Some(500_000_000),
+    };
+    clock.proof(quick);
+    let poll = StoreExchange {
+        sent: MonotonicTime(10_001_000),
+        received: MonotonicTime(10_841_010),
+        store_micros: Some(500_841_000),
+    };
+    let proof = clock.proof(poll);
+    assert!(proof > MonotonicTime(10_838_000), "{proof:?}");
+    assert!(proof <= MonotonicTime(10_841_010), "{proof:?}");
+}
--- a/crates/savorywood-testing/src/process.rs
+++ b/crates/savorywood-testing/src/process.rs
@@ -24,6 +24,8 @@
     Kill,
     /// Asks for a planned stop.
     Terminate,
+    /// Says that settings have changed.
+    Hangup,
     /// Freezes.
     Stop,
     /// Ends a freeze.
@@ -35,6 +37,7 @@
         match self {
             Self::Kill => "-KILL",
             Self::Terminate => "-TERM",
+            Self::Hangup => "-HUP",
             Self::Stop => "-STOP",
             Self::Continue => "-CONT",
         }
