Let one daemon of a zone read the store and vouch for the others

Change: where zones tell each other, the first daemon of a zone that has read the store lately vouches for the last change that it knows and the age of its proof, echoes its neighbours' words, and hands on changed registrations at once. A neighbour that holds that change takes the proof as of the sending of its own echoed word. One that lacks a change reads it; one that hears no vouch, or is not echoed, reads by itself. Members are read every 30 s there.

Conclusion: control's calls no longer grow with daemons but with zones and changes.

--- a/crates/savorywood-front/src/edge.rs
+++ b/crates/savorywood-front/src/edge.rs
@@ -5,6 +5,7 @@
     AnswerMarks, DeclaredConfig, RequestArrival, RolloutOrder, RolloutStatus, RolloutWrite,
     TeamLabel, UpstreamEntry, UpstreamLabel,
 };
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::{net::SocketAddr, time::Duration};
 use strum::Display;
@@ -24,7 +25,7 @@
 }
 
 /// One row.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreRow {
     /// Key.
     pub key: String,
--- a/crates/savorywood-front/src/feeds.rs
+++ b/crates/savorywood-front/src/feeds.rs
@@ -4,18 +4,20 @@
 use crate::{
     clock::BootClock,
     edge::{DeclaredNews, StorePage, StoreRow, StoreTable, TableWrite},
+    peers::{PeerSocket, RowsPush},
     settings::FrontSettings,
     shared::FrontShared,
     store::{StoreAnswer, StoreFault, StoreLink},
 };
 use async_channel::Receiver;
 use async_io::Timer;
+use futures_lite::future;
 use savorywood_gateway::{
-    FreshnessClock, GatewayEvent, PeerContact, RolloutWrite, UpstreamEntry, UpstreamLabel,
-    ZoneLabel,
+    FreshnessClock, GatewayEvent, PeerContact, ReadPlan, RolloutWrite, SharedTable, TableKnowledge,
+    UpstreamEntry, UpstreamLabel, ZoneLabel,
 };
 use savorywood_protocol::MonotonicTime;
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
 /// Wait of one call for registrations; changes are answered at once.
 const UPSTREAMS_WAIT: Duration = Duration::from_millis(2_400);
@@ -38,31 +40,53 @@
 const REREAD_TIME: Duration = Duration::from_secs(10);
 /// Members are read so often.
 const MEMBERS_TIME: Duration = Duration::from_secs(8);
+/// The same where daemons hear of most others from their peers.
+const ZONED_MEMBERS_TIME: Duration = Duration::from_secs(30);
 /// Status rows are read so often while a roll-out is under way.
 const STATUS_TIME: Duration = Duration::from_millis(1_000);
 
+/// Time between two looks whether another daemon still vouches for a table.
+const REST_TIME: Duration = Duration::from_millis(40);
+
 /// Reads one table for as long as the process lives.
 pub struct TableReader {
     shared: Rc<FrontShared>,
+    sources: TableSources,
     table: StoreTable,
     link: StoreLink,
     freshness: FreshnessClock,
+    /// All changes up to this store version are known.
     revision: Option<u64>,
+    /// Store version of the last change that is known.
+    changed: u64,
+    /// Versions of the rows that are known.
+    versions: BTreeMap<String, u64>,
     read_at: MonotonicTime,
     pause: Duration,
     reachable: bool,
 }
 
+/// Where a reader of a table has news from beside the store, and whom it tells.
+pub struct TableSources {
+    /// Other daemons.
+    pub peers: Rc<PeerSocket>,
+    /// Rows that other daemons hand on.
+    pub pushes: Option<Receiver<RowsPush>>,
+}
+
 impl TableReader {
     /// A reader that begins with a full read.
-    pub fn new(shared: Rc<FrontShared>, table: StoreTable) -> Self {
+    pub fn new(shared: Rc<FrontShared>, table: StoreTable, sources: TableSources) -> Self {
         let link = StoreLink::new(shared.settings.store.address);
         Self {
             shared,
+            sources,
             table,
             link,
             freshness: FreshnessClock::default(),
             revision: None,
+            changed: 0,
+            versions: BTreeMap::new(),
             read_at: MonotonicTime::default(),
             pause: FIRST_PAUSE,
             reachable: true,
@@ -72,9 +96,20 @@
     /// Reads on and on.
     pub async fn run(mut self) {
         loop {
-            let due = BootClock.now().since(self.read_at) >= REREAD_TIME;
-            let result = match self.revision {
-                Some(after) if !due => self.follow(after).await,
+            let now = BootClock.now();
+            let due = now.since(self.read_at) >= REREAD_TIME;
+            let plan = self
+                .shared
+                .gateway
+                .borrow()
+                .read_plan(now, self.shared_table());
+            let result = match (self.revision, plan) {
+                (Some(after), ReadPlan::Rest) => {
+                    self.rest_on_vouch(after).await;
+                    continue;
+                }
+                (Some(after), ReadPlan::CatchUp) => self.follow(after, Duration::ZERO).await,
+                (Some(after), ReadPlan::Direct) if !due => self.follow(after, self.wait()).await,
                 _ => self.read_all().await,
             };
             match result {
@@ -87,6 +122,70 @@
         }
     }
 
+    fn shared_table(&self) -> SharedTable {
+        match self.table {
+            StoreTable::Upstreams => SharedTable::Upstreams,
+            StoreTable::Declared | StoreTable::Members | StoreTable::Status => {
+                SharedTable::Declared
+            }
+        }
+    }
+
+    fn wait(&self) -> Duration {
+        match self.table {
+            StoreTable::Declared => self.shared.gateway.borrow().declared_wait(),
+            _ => UPSTREAMS_WAIT,
+        }
+    }
+
+    /// Another daemon vouches for what is known; it hands on what changes.
+    async fn rest_on_vouch(&mut self, known: u64) {
+        let pushed = async {
+            match &self.sources.pushes {
+                Some(pushes) => pushes.recv().await.ok(),
+                None => future::pending().await,
+            }
+        };
+        let pause = async {
+            Timer::after(REST_TIME).await;
+            None
+        };
+        let push = future::or(pushed, pause).await;
+        // Rows after a gap are not enough: what lies in it is read.
+        let Some(push) = push.filter(|push| push.after <= known && push.through > known) else {
+            return;
+        };
+        for row in &push.rows {
+            // A version that is not told of can't be known.
+            if row.version > known || row.version == 0 {
+                self.apply(row);
+            }
+        }
+        self.know(&push.rows, push.through, None);
+    }
+
+    /// Notes what is known now.
+    fn know(&mut self, rows: &[StoreRow], through: u64, proof_at: Option<MonotonicTime>) {
+        for row in rows {
+            self.changed = self.changed.max(row.version);
+            if row.value.is_some() {
+                self.versions.insert(row.key.clone(), row.version);
+            } else {
+                self.versions.remove(&row.key);
+            }
+        }
+        self.revision = Some(through);
+        let knowledge = TableKnowledge {
+            through,
+            changed: self.changed,
+        };
+        self.shared.step(GatewayEvent::TableRead {
+            table: self.shared_table(),
+            knowledge,
+            proof_at,
+        });
+    }
+
     async fn rest(&mut self, cause: &str) {
         self.note_reachable(false, cause);
         self.shared.step(GatewayEvent::StoreFailed);
@@ -129,17 +228,20 @@
             return Err("no page was read".to_owned());
         };
         self.read_at = BootClock.now();
-        self.revision = Some(page.revision);
         self.apply_all(&rows);
+        let versions = rows.iter().map(|row| (row.key.clone(), row.version));
+        let versions: BTreeMap<String, u64> = versions.collect();
+        if versions != self.versions {
+            // A row that is missing was removed at a version that this answer does not tell.
+            self.changed = page.revision;
+            self.versions = versions;
+        }
+        self.know(&[], page.revision, None);
         self.confirm(&page, &answer);
         Ok(())
     }
 
-    async fn follow(&mut self, after: u64) -> Result<(), String> {
-        let wait = match self.table {
-            StoreTable::Declared => self.shared.gateway.borrow().declared_wait(),
-            _ => UPSTREAMS_WAIT,
-        };
+    async fn follow(&mut self, after: u64, wait: Duration) -> Result<(), String> {
         let call = self.shared.dialect.feed_rows(self.table, after, wait);
         let answer = self.link.call(&call, wait + FEED_MARGIN).await;
         if matches!(&answer, Ok(answer) if answer.status == 410) {
@@ -152,9 +254,16 @@
         for row in &page.rows {
             self.apply(row);
         }
-        self.revision = Some(page.revision.max(after));
+        let through = page.revision.max(after);
+        self.know(&page.rows, through, None);
         self.confirm(&page, &answer);
         if !page.rows.is_empty() && self.table == StoreTable::Upstreams {
+            let push = RowsPush {
+                after,
+                through,
+                rows: page.rows,
+            };
+            self.sources.peers.push(&self.shared, push).await;
             let daemons = self.shared.gateway.borrow().peers().known(BootClock.now()) + 1;
             let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
             let pause = CHANGE_PAUSE.saturating_mul(daemons);
@@ -186,6 +295,9 @@
     /// Only the table with keys and routes proves that these are up to date.
     fn confirm(&mut self, page: &StorePage, answer: &StoreAnswer) {
         let at = self.freshness.proof(answer.exchange(page.store_micros));
+        if let Some(through) = self.revision {
+            self.know(&[], through, Some(at));
+        }
         if self.table == StoreTable::Declared {
             self.shared.step(GatewayEvent::Confirmed { at });
         }
@@ -269,10 +381,11 @@
         let rows = page.into_iter().flat_map(|page| page.rows);
         let contacts = rows.filter_map(|row| read_member(&row.value?));
         shared.step(GatewayEvent::ContactsRead(contacts.collect()));
-        let pause = if read && registered {
-            MEMBERS_TIME
-        } else {
-            LONGEST_PAUSE
+        let zoned = shared.gateway.borrow().is_zoned();
+        let pause = match (read && registered, zoned) {
+            (false, _) => LONGEST_PAUSE,
+            (true, false) => MEMBERS_TIME,
+            (true, true) => ZONED_MEMBERS_TIME,
         };
         Timer::after(pause.mul_f64(0.8 + fastrand::f64() * 0.4)).await;
     }
@@ -316,7 +429,7 @@
             Timer::after(STATUS_TIME).await;
             None
         };
-        if let Some(write) = futures_lite::future::or(next, pause).await {
+        if let Some(write) = future::or(next, pause).await {
             write_status(&shared, &mut link, write).await;
         }
         if shared.gateway.borrow().follows_rollouts() {
--- a/crates/savorywood-front/src/peers.rs
+++ b/crates/savorywood-front/src/peers.rs
@@ -1,15 +1,36 @@
 //! Datagrams between daemons.
 
-use crate::{clock::BootClock, shared::FrontShared};
+use crate::{clock::BootClock, edge::StoreRow, shared::FrontShared};
 use async_io::Timer;
 use async_net::UdpSocket;
 use futures_lite::future;
 use savorywood_gateway::{GatewayEvent, PeerMessage};
+use serde::{Deserialize, Serialize};
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 /// Largest datagram that passes usual links in one piece.
 const MAX_DATAGRAM: usize = 1_400;
 
+/// Rows that changed, handed on by a daemon that reads the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowsPush {
+    /// All changes up to this store version were known before.
+    pub after: u64,
+    /// All changes up to this one are known with these rows.
+    pub through: u64,
+    /// The rows, in order.
+    pub rows: Vec<StoreRow>,
+}
+
+/// What travels between daemons.
+#[derive(Debug, Serialize, Deserialize)]
+enum PeerDatagram {
+    /// Of decisions to decisions.
+    Message(PeerMessage),
+    /// Rows of registrations.
+    Rows(RowsPush),
+}
+
 /// The socket on which daemons tell each other.
 #[derive(Debug)]
 pub struct PeerSocket {
@@ -36,18 +57,27 @@
         let plan = shared.gateway.borrow_mut().plan_talk(now);
         if !plan.summary_to.is_empty() {
             let summary = shared.gateway.borrow_mut().summary(now);
-            self.send(&PeerMessage::Summary(summary), &plan.summary_to)
-                .await;
+            let datagram = PeerDatagram::Message(PeerMessage::Summary(summary));
+            self.send(&datagram, &plan.summary_to).await;
         }
         if !plan.digest_to.is_empty() {
             let digest = shared.gateway.borrow_mut().digest(now);
-            self.send(&PeerMessage::Digest(digest), &plan.digest_to)
-                .await;
+            let datagram = PeerDatagram::Message(PeerMessage::Digest(digest));
+            self.send(&datagram, &plan.digest_to).await;
+        }
+    }
+
+    /// Hands changed rows on to the neighbours that rely on this daemon. Those that miss them see
+    /// by its next word that they lack something, and read it.
+    pub async fn push(&self, shared: &FrontShared, push: RowsPush) {
+        let followers = shared.gateway.borrow().followers(self.clock.now());
+        if !followers.is_empty() {
+            self.send(&PeerDatagram::Rows(push), &followers).await;
         }
     }
 
-    async fn send(&self, message: &PeerMessage, addresses: &[SocketAddr]) {
-        let Ok(bytes) = postcard::to_stdvec(message) else {
+    async fn send(&self, datagram: &PeerDatagram, addresses: &[SocketAddr]) {
+        let Ok(bytes) = postcard::to_stdvec(datagram) else {
             return;
         };
         if bytes.len() > MAX_DATAGRAM {
@@ -65,12 +95,15 @@
         loop {
             match self.socket.recv_from(&mut buffer).await {
                 Ok((count, _)) => match postcard::from_bytes(&buffer[..count]) {
-                    Ok(PeerMessage::Summary(summary)) => {
+                    Ok(PeerDatagram::Message(PeerMessage::Summary(summary))) => {
                         shared.step(GatewayEvent::PeerHeard(Box::new(summary)));
                     }
-                    Ok(PeerMessage::Digest(digest)) => {
+                    Ok(PeerDatagram::Message(PeerMessage::Digest(digest))) => {
                         shared.step(GatewayEvent::ZoneHeard(Box::new(digest)));
                     }
+                    // The receiver lives as long as the daemon; a full queue drops the rows, which
+                    // are then read.
+                    Ok(PeerDatagram::Rows(push)) => drop(shared.row_pushes.try_send(push)),
                     // Of another version of the daemon, or of nobody's.
                     Err(error) => log::debug!("event=datagram-unknown error={error:?}"),
                 },
--- a/crates/savorywood-front/src/run.rs
+++ b/crates/savorywood-front/src/run.rs
@@ -3,7 +3,7 @@
 use crate::{
     admin, caller,
     edge::{FrontDialect, StoreTable},
-    feeds::{TableReader, keep_members, keep_rollouts},
+    feeds::{TableReader, TableSources, keep_members, keep_rollouts},
     logging::LogQueue,
     peers::PeerSocket,
     settings::FrontSettings,
@@ -142,8 +142,15 @@
         shared.settings.first_start
     );
     shared.spawn(accept(Rc::clone(shared), callers));
-    shared.spawn(TableReader::new(Rc::clone(shared), StoreTable::Declared).run());
-    shared.spawn(TableReader::new(Rc::clone(shared), StoreTable::Upstreams).run());
+    let sources = |pushes| TableSources {
+        peers: Rc::clone(&peers),
+        pushes,
+    };
+    let declared = TableReader::new(Rc::clone(shared), StoreTable::Declared, sources(None));
+    shared.spawn(declared.run());
+    let pushes = Some(shared.pushed_rows.clone());
+    let upstreams = TableReader::new(Rc::clone(shared), StoreTable::Upstreams, sources(pushes));
+    shared.spawn(upstreams.run());
     shared.spawn(keep_members(Rc::clone(shared)));
     shared.spawn(Rc::clone(&peers).hear(Rc::clone(shared)));
     shared.spawn(Rc::clone(&peers).keep_telling(Rc::clone(shared)));
--- a/crates/savorywood-front/src/shared.rs
+++ b/crates/savorywood-front/src/shared.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::BootClock, edge::FrontDialect, logging::LogQueue, metrics::FrontMetrics,
-    pool::UpstreamPool, settings::FrontSettings,
+    peers::RowsPush, pool::UpstreamPool, settings::FrontSettings,
 };
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -16,6 +16,9 @@
     time::Duration,
 };
 
+/// Pushes of rows that wait to be applied at most.
+const MOST_PUSHES: usize = 64;
+
 /// What becomes of a request next.
 #[derive(Debug, Clone)]
 pub enum RequestDecision {
@@ -54,6 +57,10 @@
     pub executor: Rc<LocalExecutor<'static>>,
     /// Roll-out states to be written.
     pub rollout_writes: Sender<RolloutWrite>,
+    /// Rows that other daemons hand on.
+    pub row_pushes: Sender<RowsPush>,
+    /// The other end of these.
+    pub pushed_rows: Receiver<RowsPush>,
     /// The process was told to stop.
     pub stopping: Cell<bool>,
     /// Requests that are being read or answered.
@@ -73,6 +80,7 @@
         log: LogQueue,
         rollout_writes: Sender<RolloutWrite>,
     ) -> Rc<Self> {
+        let (row_pushes, pushed_rows) = async_channel::bounded(MOST_PUSHES);
         Rc::new(Self {
             settings,
             dialect,
@@ -83,6 +91,8 @@
             log,
             executor: Rc::new(LocalExecutor::new()),
             rollout_writes,
+            row_pushes,
+            pushed_rows,
             stopping: Cell::new(false),
             busy: Cell::new(0),
             connections: Cell::new(0),
--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -6,6 +6,7 @@
     gateway::GatewayBounds,
     name::{HostLabel, ServiceLabel, UpstreamLabel},
     peer::PeerSummary,
+    reading::{SharedTable, TableKnowledge},
     rollout::{RolloutOrder, RolloutStatus},
     talk::PeerContact,
     upstream::UpstreamEntry,
@@ -141,6 +142,15 @@
         /// When they were.
         at: MonotonicTime,
     },
+    /// A table was read, or rows of it were handed on by a neighbour.
+    TableRead {
+        /// Which.
+        table: SharedTable,
+        /// What is known of it now.
+        knowledge: TableKnowledge,
+        /// When the store is proved to have said so; none for rows that were handed on.
+        proof_at: Option<MonotonicTime>,
+    },
     /// Bounds were read from changed settings.
     BoundsRead(GatewayBounds),
     /// The store failed to answer a call.
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -20,6 +20,7 @@
     name::{HostLabel, ServiceLabel, TeamLabel, ZoneLabel},
     peer::PeerTable,
     queue::WaitQueue,
+    reading::{ReadBook, ReadPlan, SharedTable},
     rollout::{RolloutBook, TrialOptions},
     talk::ContactBook,
     upstream::UpstreamFleet,
@@ -67,6 +68,10 @@
 const USUAL_PROOF_BOUND: Duration = Duration::from_secs(5);
 /// Part of the bound for which one call may wait for changes of what is declared.
 const WAIT_PART: f64 = 0.28;
+/// The same at a daemon that vouches for others.
+const VOUCHING_WAIT_PART: f64 = 0.14;
+/// Part of the bound after which a daemon no longer relies on vouches.
+const STALE_PART: f64 = 0.4;
 
 impl GatewayBounds {
     /// Age at which a proof of the configuration is worth nothing.
@@ -105,6 +110,7 @@
     parts: PartIndex,
     peers: PeerTable,
     contacts: ContactBook,
+    reads: ReadBook,
     meters: BTreeMap<TeamLabel, TeamMeter>,
     budgets: BTreeMap<ServiceLabel, RetryBudget>,
     rollouts: RolloutBook,
@@ -125,6 +131,7 @@
             draws: DrawSequence(options.seed),
             peers: PeerTable::new(options.zone.clone()),
             contacts: ContactBook::new(options.peer_address, options.zone.clone()),
+            reads: ReadBook::default(),
             options,
             config: None,
             fleet: UpstreamFleet::default(),
@@ -165,7 +172,15 @@
                 self.note_readiness(now, effects);
             }
             GatewayEvent::BoundsRead(bounds) => self.bounds_read(now, bounds, effects),
-            GatewayEvent::StoreFailed => self.fleet.store_failed(now),
+            GatewayEvent::TableRead {
+                table,
+                knowledge,
+                proof_at,
+            } => self.reads.read(table, knowledge, proof_at),
+            GatewayEvent::StoreFailed => {
+                self.fleet.store_failed(now);
+                self.reads.failed(now);
+            }
             GatewayEvent::RolloutOrdered(order) => self.rollout_ordered(now, order, effects),
             GatewayEvent::RolloutRead(status) => self.rollouts.read(&status),
             GatewayEvent::RolloutWritten { service, accepted } => {
@@ -205,10 +220,35 @@
     }
 
     /// Time for which one call may wait for changes of what is declared: two that fail in a row
-    /// must not leave the daemon unready.
+    /// must not leave the daemon unready. One that vouches for others asks more often, as its word
+    /// takes time to reach them.
     #[must_use]
     pub fn declared_wait(&self) -> Duration {
-        self.options.bounds.proof_bound().mul_f64(WAIT_PART)
+        let part = if self.contacts.is_zoned() {
+            VOUCHING_WAIT_PART
+        } else {
+            WAIT_PART
+        };
+        self.options.bounds.proof_bound().mul_f64(part)
+    }
+
+    /// There are so many daemons that zones tell each other.
+    #[must_use]
+    pub fn is_zoned(&self) -> bool {
+        self.contacts.is_zoned()
+    }
+
+    /// How to learn of a table now.
+    #[must_use]
+    pub fn read_plan(&self, now: MonotonicTime, table: SharedTable) -> ReadPlan {
+        // A neighbour that this daemon hears may not hear this daemon, and then echoes nothing.
+        let stale = self.options.bounds.proof_bound().mul_f64(STALE_PART);
+        let confirmed = self.proof_age(now) < stale;
+        if self.contacts.is_zoned() && !self.stopping && confirmed {
+            self.reads.plan(now, &self.options.host, table)
+        } else {
+            ReadPlan::Direct
+        }
     }
 
     /// Requests that wait or run.
@@ -238,6 +278,7 @@
     fn tick(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
         self.note_readiness(now, effects);
         self.peers.count_seats(now);
+        self.reads.sweep(now);
         self.expire_waiting(now, effects);
         self.pump_all(now, effects);
         self.fleet.sweep(now);
--- a/crates/savorywood-gateway/src/gateway/news.rs
+++ b/crates/savorywood-gateway/src/gateway/news.rs
@@ -7,6 +7,7 @@
     limit::{PeerReading, TeamMeter},
     name::{UpstreamLabel, ZoneLabel},
     peer::{PeerPhase, PeerSummary, TeamUse, name_digest},
+    reading::SharedTable,
     rollout::RolloutOrder,
     talk::PeerContact,
     upstream::{FleetChange, UpstreamEntry},
@@ -189,6 +190,9 @@
                 .with("phase", format_args!("{:?}", summary.phase));
             effects.push(GatewayEffect::Log(line));
         }
+        if summary.zone == self.options.zone.as_str() {
+            self.neighbour_heard(now, &summary, effects);
+        }
         // Of a zone that another daemon tells of, its word alone counts, or all would count twice.
         if self.peers.counts(now, &summary.zone) {
             let account = PeerAccount {
@@ -209,6 +213,27 @@
         self.pump_all(now, effects);
     }
 
+    /// A neighbour may vouch for what this daemon holds.
+    fn neighbour_heard(
+        &mut self,
+        now: MonotonicTime,
+        summary: &PeerSummary,
+        effects: &mut GatewayEffects,
+    ) {
+        self.reads.heard(now, summary);
+        let own = name_digest(self.options.host.as_str());
+        let proof = self.reads.proof(own, summary, SharedTable::Declared);
+        if let Some(at) = proof {
+            self.proof_at = Some(self.proof_at.map_or(at, |known| known.max(at)));
+            self.note_readiness(now, effects);
+        }
+        let failed = summary.vouch.and_then(|vouch| vouch.failed_ms);
+        if let Some(age) = failed {
+            let age = Duration::from_millis(u64::from(age));
+            self.fleet.store_failed(now - age);
+        }
+    }
+
     pub(super) fn zone_heard(
         &mut self,
         now: MonotonicTime,
--- a/crates/savorywood-gateway/src/gateway/telling.rs
+++ b/crates/savorywood-gateway/src/gateway/telling.rs
@@ -4,6 +4,7 @@
 use crate::{
     name::ZoneLabel,
     peer::{PeerPhase, PeerSummary, SeatUse, TeamUse, name_digest},
+    reading::StoreVouch,
     talk::TalkPlan,
     zone::{ZoneDigest, ZoneMember},
 };
@@ -103,6 +104,7 @@
     pub fn summary(&mut self, now: MonotonicTime) -> PeerSummary {
         self.sequence += 1;
         let age_ms = self.age_ms(now);
+        let vouch = self.vouch(now);
         for meter in self.meters.values_mut() {
             meter.told();
         }
@@ -124,7 +126,30 @@
             seats: self.own_seats(),
             usage: usage.filter(|used| used.total > 0).collect(),
             tallies: self.rollouts.tallies(),
+            sent_at: now,
+            echoes: if vouch.is_some() {
+                self.reads.echoes(now)
+            } else {
+                Vec::new()
+            },
+            vouch,
+        }
+    }
+
+    /// A daemon that stops leaves the reading to others.
+    fn vouch(&self, now: MonotonicTime) -> Option<StoreVouch> {
+        let vouches = self.contacts.is_zoned() && !self.stopping;
+        vouches.then(|| self.reads.vouch(now)).flatten()
+    }
+
+    /// Neighbours to whom changed rows are handed on at once.
+    #[must_use]
+    pub fn followers(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+        if self.vouch(now).is_none() {
+            return Vec::new();
         }
+        let neighbours = self.peers.neighbours(now);
+        neighbours.map(|peer| peer.summary.peer_address).collect()
     }
 
     fn own_seats(&self) -> Vec<SeatUse> {
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod peer;
 mod pick;
 mod queue;
+mod reading;
 mod refusal;
 mod rollout;
 mod talk;
@@ -39,6 +40,7 @@
 pub use outlier::OutlierState;
 pub use peer::{PeerPhase, PeerSummary, PeerTable, SeatUse, TeamUse, VersionTally, name_digest};
 pub use queue::RequestRank;
+pub use reading::{PeerEcho, ReadPlan, SharedTable, StoreVouch, TableKnowledge, TableVouch};
 pub use refusal::RefusalReason;
 pub use rollout::{RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite};
 pub use talk::{PeerContact, PeerMessage, TalkPlan};
--- a/crates/savorywood-gateway/src/peer.rs
+++ b/crates/savorywood-gateway/src/peer.rs
@@ -3,6 +3,7 @@
 use crate::{
     limit::MeterLevels,
     name::{HostLabel, UpstreamLabel, ZoneLabel},
+    reading::{PeerEcho, StoreVouch},
     zone::{KnownZone, ZoneDigest, ZoneNews},
 };
 use savorywood_protocol::MonotonicTime;
@@ -107,6 +108,12 @@
     pub usage: Vec<TeamUse>,
     /// What it has seen of roll-outs.
     pub tallies: Vec<VersionTally>,
+    /// Its clock when it said this.
+    pub sent_at: MonotonicTime,
+    /// What it vouches for, if it reads the store itself.
+    pub vouch: Option<StoreVouch>,
+    /// Echoes of its neighbours' last words, where it vouches.
+    pub echoes: Vec<PeerEcho>,
 }
 
 /// A peer and when it was heard.
--- /dev/null
+++ b/crates/savorywood-gateway/src/reading.rs
@@ -0,0 +1,256 @@
+//! Who reads the store in a zone, and what the others take from it.
+//!
+//! Read by every daemon, the store is asked as often as there are daemons, and told of each change
+//! as often. So where zones tell each other, the first daemon of a zone that can read the store
+//! does so and vouches for what the others hold; it hands on changed rows at once. Whoever hears no
+//! such daemon reads by itself.
+
+use crate::{
+    name::HostLabel,
+    peer::{PeerSummary, name_digest},
+};
+use savorywood_protocol::MonotonicTime;
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeMap, time::Duration};
+
+/// A vouch that was not renewed within this time ends; its daemon died, or is cut off.
+const HEARD_TIME: Duration = Duration::from_millis(900);
+/// A proof older than this is vouched for no more: its daemon can't reach the store itself.
+const LONGEST_PROOF: Duration = Duration::from_millis(1_900);
+/// Words older than this are not echoed.
+const ECHO_TIME: Duration = Duration::from_millis(900);
+/// Failures of the store that lie longer ago than this are not told.
+const FAILURE_TIME: Duration = Duration::from_secs(4);
+
+/// Tables whose contents all daemons hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SharedTable {
+    /// What operators declare.
+    Declared,
+    /// Registrations of upstreams.
+    Upstreams,
+}
+
+/// What a daemon says of a table in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableVouch {
+    /// Store version of its last change.
+    pub changed: u64,
+    /// Age in milliseconds of the proof that nothing changed since.
+    pub proof_age_ms: u32,
+}
+
+/// What a daemon that reads the store itself says of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreVouch {
+    /// What operators declare.
+    pub declared: TableVouch,
+    /// Registrations of upstreams.
+    pub upstreams: TableVouch,
+    /// Time in milliseconds since a call to the store failed, if that was lately.
+    pub failed_ms: Option<u32>,
+}
+
+/// When a peer's last word was sent, by that peer's clock, and for how long it has been held here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerEcho {
+    /// Digest of the peer's name.
+    pub peer: u64,
+    /// Its clock when it sent the word.
+    pub sent: MonotonicTime,
+    /// Microseconds between the word's coming and the echo.
+    pub held_micros: u32,
+}
+
+/// How a daemon learns of a table now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadPlan {
+    /// It reads the store.
+    Direct,
+    /// It reads once what it lacks.
+    CatchUp,
+    /// Another daemon vouches for what it holds.
+    Rest,
+}
+
+/// What is known of a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct TableKnowledge {
+    /// All changes up to this store version are known.
+    pub through: u64,
+    /// Store version of the last change, as far as it is known.
+    pub changed: u64,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct ReadState {
+    knowledge: TableKnowledge,
+    proof_at: Option<MonotonicTime>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct HeldWord {
+    sent: MonotonicTime,
+    heard_at: MonotonicTime,
+}
+
+#[derive(Debug, Clone)]
+struct HeardVouch {
+    vouch: StoreVouch,
+    heard_at: MonotonicTime,
+}
+
+/// Own reads, words to be echoed, and vouches of others.
+#[derive(Debug, Clone, Default)]
+pub struct ReadBook {
+    declared: ReadState,
+    upstreams: ReadState,
+    failed_at: Option<MonotonicTime>,
+    words: BTreeMap<u64, HeldWord>,
+    vouches: BTreeMap<HostLabel, HeardVouch>,
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+impl ReadBook {
+    fn state(&self, table: SharedTable) -> &ReadState {
+        match table {
+            SharedTable::Declared => &self.declared,
+            SharedTable::Upstreams => &self.upstreams,
+        }
+    }
+
+    /// A table was read, or rows of it were handed on; only a read proves anything.
+    pub fn read(
+        &mut self,
+        table: SharedTable,
+        knowledge: TableKnowledge,
+        proof_at: Option<MonotonicTime>,
+    ) {
+        let state = match table {
+            SharedTable::Declared => &mut self.declared,
+            SharedTable::Upstreams => &mut self.upstreams,
+        };
+        state.knowledge = knowledge;
+        state.proof_at = state.proof_at.max(proof_at);
+    }
+
+    /// A call to the store failed.
+    pub fn failed(&mut self, now: MonotonicTime) {
+        self.failed_at = Some(now);
+    }
+
+    /// A neighbour's word came.
+    pub fn heard(&mut self, now: MonotonicTime, summary: &PeerSummary) {
+        let word = HeldWord {
+            sent: summary.sent_at,
+            heard_at: now,
+        };
+        self.words.insert(name_digest(&summary.host), word);
+        let host = HostLabel::from(summary.host.as_str());
+        match summary.vouch {
+            Some(vouch) => {
+                let heard = HeardVouch {
+                    vouch,
+                    heard_at: now,
+                };
+                self.vouches.insert(host, heard);
+            }
+            None => {
+                self.vouches.remove(&host);
+            }
+        }
+    }
+
+    /// What this daemon vouches for: it has read both tables itself lately.
+    #[must_use]
+    pub fn vouch(&self, now: MonotonicTime) -> Option<StoreVouch> {
+        let of = |state: &ReadState, longest: Duration| {
+            let age = now.since(state.proof_at?);
+            (age < longest).then(|| TableVouch {
+                changed: state.knowledge.changed,
+                proof_age_ms: millis(age) + 1,
+            })
+        };
+        let failed = self.failed_at.map(|at| now.since(at));
+        Some(StoreVouch {
+            declared: of(&self.declared, LONGEST_PROOF)?,
+            upstreams: of(&self.upstreams, LONGEST_PROOF * 2)?,
+            failed_ms: failed.filter(|age| *age < FAILURE_TIME).map(millis),
+        })
+    }
+
+    /// Echoes of what neighbours said lately.
+    #[must_use]
+    pub fn echoes(&self, now: MonotonicTime) -> Vec<PeerEcho> {
+        let fresh = self.words.iter();
+        let fresh = fresh.filter(|(_, word)| now.since(word.heard_at) < ECHO_TIME);
+        let echoes = fresh.map(|(peer, word)| PeerEcho {
+            peer: *peer,
+            sent: word.sent,
+            held_micros: u32::try_from(now.since(word.heard_at).as_micros()).unwrap_or(u32::MAX),
+        });
+        echoes.collect()
+    }
+
+    /// Forgets words and vouches that are too old to matter.
+    pub fn sweep(&mut self, now: MonotonicTime) {
+        self.words
+            .retain(|_, word| now.since(word.heard_at) < ECHO_TIME);
+        self.vouches
+            .retain(|_, heard| now.since(heard.heard_at) < HEARD_TIME);
+    }
+
+    /// Vouch of the first neighbour that goes before this daemon.
+    fn followed(&self, now: MonotonicTime, own: &HostLabel) -> Option<&StoreVouch> {
+        let mut vouches = self.vouches.iter();
+        let found = vouches.find(|(_, heard)| now.since(heard.heard_at) < HEARD_TIME);
+        let (host, heard) = found?;
+        (host < own).then_some(&heard.vouch)
+    }
+
+    /// How to learn of a table now.
+    #[must_use]
+    pub fn plan(&self, now: MonotonicTime, own: &HostLabel, table: SharedTable) -> ReadPlan {
+        let Some(vouch) = self.followed(now, own) else {
+            return ReadPlan::Direct;
+        };
+        let told = match table {
+            SharedTable::Declared => vouch.declared,
+            SharedTable::Upstreams => vouch.upstreams,
+        };
+        if self.state(table).knowledge.through < told.changed {
+            ReadPlan::CatchUp
+        } else {
+            ReadPlan::Rest
+        }
+    }
+
+    /// Moment of this daemon's clock at which a vouch proves what this daemon holds of a table.
+    ///
+    /// The neighbour's clock tells nothing here, and its word may have been on its way for long. But
+    /// it echoes a word of this daemon: what it proved at a time after that word's coming was true
+    /// at a time after the word's sending.
+    #[must_use]
+    pub fn proof(
+        &self,
+        own: u64,
+        summary: &PeerSummary,
+        table: SharedTable,
+    ) -> Option<MonotonicTime> {
+        let vouch = summary.vouch?;
+        let told = match table {
+            SharedTable::Declared => vouch.declared,
+            SharedTable::Upstreams => vouch.upstreams,
+        };
+        if self.state(table).knowledge.through < told.changed {
+            return None;
+        }
+        let echo = summary.echoes.iter().find(|echo| echo.peer == own)?;
+        let held = Duration::from_micros(u64::from(echo.held_micros));
+        let age = Duration::from_millis(u64::from(told.proof_age_ms));
+        Some((echo.sent + held) - age)
+    }
+}
--- a/crates/savorywood-gateway/src/talk.rs
+++ b/crates/savorywood-gateway/src/talk.rs
@@ -110,6 +110,12 @@
         u32::try_from(self.contacts.len() + 1).unwrap_or(u32::MAX)
     }
 
+    /// There are so many daemons that zones tell each other.
+    #[must_use]
+    pub fn is_zoned(&self) -> bool {
+        self.daemons() > MOST_DIRECT
+    }
+
     /// Time until the next words.
     #[must_use]
     pub fn pause(&self) -> Duration {
@@ -130,7 +136,7 @@
         self.contacts
             .retain(|_, known| now.since(known.seen_at) < FORGET_TIME);
         let mut plan = TalkPlan::default();
-        if self.daemons() <= MOST_DIRECT {
+        if !self.is_zoned() {
             plan.summary_to = self.contacts.keys().copied().collect();
             return plan;
         }
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -146,7 +146,7 @@
 
     /// The store failed to answer.
     pub fn store_failed(&mut self, now: MonotonicTime) {
-        self.store_failed_at = Some(now);
+        self.store_failed_at = self.store_failed_at.max(Some(now));
     }
 
     fn is_settled(&self, now: MonotonicTime) -> bool {
--- a/crates/savorywood-gateway/tests/waiting.rs
+++ b/crates/savorywood-gateway/tests/waiting.rs
@@ -23,6 +23,9 @@
         seats,
         usage: Vec::new(),
         tallies: Vec::new(),
+        sent_at: savorywood_protocol::MonotonicTime(0),
+        vouch: None,
+        echoes: Vec::new(),
     })
 }
 
