Box messages between daemons

Cause: clippy refuses an enum of which one variant is 296 bytes larger than the other. Change: the message is boxed.

--- a/crates/savorywood-front/src/peers.rs
+++ b/crates/savorywood-front/src/peers.rs
@@ -26,7 +26,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 enum PeerDatagram {
     /// Of decisions to decisions.
-    Message(PeerMessage),
+    Message(Box<PeerMessage>),
     /// Rows of registrations.
     Rows(RowsPush),
 }
@@ -57,12 +57,12 @@
         let plan = shared.gateway.borrow_mut().plan_talk(now);
         if !plan.summary_to.is_empty() {
             let summary = shared.gateway.borrow_mut().summary(now);
-            let datagram = PeerDatagram::Message(PeerMessage::Summary(summary));
+            let datagram = PeerDatagram::Message(Box::new(PeerMessage::Summary(summary)));
             self.send(&datagram, &plan.summary_to).await;
         }
         if !plan.digest_to.is_empty() {
             let digest = shared.gateway.borrow_mut().digest(now);
-            let datagram = PeerDatagram::Message(PeerMessage::Digest(digest));
+            let datagram = PeerDatagram::Message(Box::new(PeerMessage::Digest(digest)));
             self.send(&datagram, &plan.digest_to).await;
         }
     }
@@ -95,12 +95,10 @@
         loop {
             match self.socket.recv_from(&mut buffer).await {
                 Ok((count, _)) => match postcard::from_bytes(&buffer[..count]) {
-                    Ok(PeerDatagram::Message(PeerMessage::Summary(summary))) => {
-                        shared.step(GatewayEvent::PeerHeard(Box::new(summary)));
-                    }
-                    Ok(PeerDatagram::Message(PeerMessage::Digest(digest))) => {
-                        shared.step(GatewayEvent::ZoneHeard(Box::new(digest)));
-                    }
+                    Ok(PeerDatagram::Message(message)) => shared.step(match *message {
+                        PeerMessage::Summary(summary) => GatewayEvent::PeerHeard(Box::new(summary)),
+                        PeerMessage::Digest(digest) => GatewayEvent::ZoneHeard(Box::new(digest)),
+                    }),
                     // The receiver lives as long as the daemon; a full queue drops the rows, which
                     // are then read.
                     Ok(PeerDatagram::Rows(push)) => drop(shared.row_pushes.try_send(push)),
