--- a/crates/savorywood-front/src/feeds.rs
+++ b/crates/savorywood-front/src/feeds.rs
@@ -45,6 +45,8 @@
 /// Status rows are read so often while a roll-out is under way.
 const STATUS_TIME: Duration = Duration::from_millis(1_000);
 
+/// Rows that can't be read that are remembered at most.
+const MOST_UNREADABLE: usize = 256;
 /// Time between two looks whether another daemon still vouches for a table.
 const REST_TIME: Duration = Duration::from_millis(40);
 
@@ -61,6 +63,10 @@
     changed: u64,
     /// Versions of the rows that are known.
     versions: BTreeMap<String, u64>,
+    /// Versions of rows that could not be read, so that each is told of once.
+    unreadable: BTreeMap<String, u64>,
+    /// How the table was learned of last.
+    plan: ReadPlan,
     read_at: MonotonicTime,
     pause: Duration,
     reachable: bool,
@@ -87,6 +93,8 @@
             revision: None,
             changed: 0,
             versions: BTreeMap::new(),
+            unreadable: BTreeMap::new(),
+            plan: ReadPlan::Direct,
             read_at: MonotonicTime::default(),
             pause: FIRST_PAUSE,
             reachable: true,
@@ -103,6 +111,7 @@
                 .gateway
                 .borrow()
                 .read_plan(now, self.shared_table());
+            self.note_plan(plan);
             let result = match (self.revision, plan) {
                 (Some(after), ReadPlan::Rest) => {
                     self.rest_on_vouch(after).await;
@@ -122,6 +131,35 @@
         }
     }
 
+    fn note_plan(&mut self, plan: ReadPlan) {
+        if self.plan != plan {
+            self.plan = plan;
+            let known = self.revision.unwrap_or_default();
+            log::info!(
+                "event=reading-changed table={} plan={plan} known={known}",
+                self.table
+            );
+        }
+    }
+
+    /// A row by another writer; it is told of once, however often it is read.
+    fn note_unreadable(&mut self, row: &StoreRow) {
+        let known = self.unreadable.get(&row.key);
+        if row.value.is_none() || known == Some(&row.version) {
+            return;
+        }
+        if self.unreadable.len() >= MOST_UNREADABLE {
+            self.unreadable.clear();
+        }
+        self.unreadable.insert(row.key.clone(), row.version);
+        log::warn!(
+            "event=row-unreadable table={} key={:?} version={}",
+            self.table,
+            row.key,
+            row.version
+        );
+    }
+
     fn shared_table(&self) -> SharedTable {
         match self.table {
             StoreTable::Upstreams => SharedTable::Upstreams,
@@ -303,11 +341,16 @@
         }
     }
 
-    fn apply_all(&self, rows: &[StoreRow]) {
+    fn apply_all(&mut self, rows: &[StoreRow]) {
         match self.table {
             StoreTable::Upstreams => {
-                let read = |row| self.shared.dialect.upstream(row);
-                let entries: Vec<UpstreamEntry> = rows.iter().filter_map(read).collect();
+                let mut entries: Vec<UpstreamEntry> = Vec::new();
+                for row in rows {
+                    match self.shared.dialect.upstream(row) {
+                        Some(entry) => entries.push(entry),
+                        None => self.note_unreadable(row),
+                    }
+                }
                 self.shared.step(GatewayEvent::UpstreamsRead(entries));
             }
             StoreTable::Declared | StoreTable::Members | StoreTable::Status => {
@@ -318,13 +361,16 @@
         }
     }
 
-    fn apply(&self, row: &StoreRow) {
+    fn apply(&mut self, row: &StoreRow) {
         match self.table {
             StoreTable::Declared => self.apply_declared(row),
             StoreTable::Upstreams => {
                 let event = match self.shared.dialect.upstream(row) {
                     Some(entry) => GatewayEvent::UpstreamWritten(entry),
-                    None => GatewayEvent::UpstreamRemoved(UpstreamLabel::from(row.key.as_str())),
+                    None => {
+                        self.note_unreadable(row);
+                        GatewayEvent::UpstreamRemoved(UpstreamLabel::from(row.key.as_str()))
+                    }
                 };
                 self.shared.step(event);
             }
@@ -332,7 +378,7 @@
         }
     }
 
-    fn apply_declared(&self, row: &StoreRow) {
+    fn apply_declared(&mut self, row: &StoreRow) {
         match self.shared.dialect.declared(row) {
             DeclaredNews::Config(config) => {
                 self.shared
@@ -341,15 +387,7 @@
             DeclaredNews::Rollout(order) => {
                 self.shared.step(GatewayEvent::RolloutOrdered(order));
             }
-            DeclaredNews::Unknown => {
-                if row.value.is_some() {
-                    log::warn!(
-                        "event=row-unreadable table={} key={:?}",
-                        self.table,
-                        row.key
-                    );
-                }
-            }
+            DeclaredNews::Unknown => self.note_unreadable(row),
         }
     }
 }
--- a/crates/savorywood-gateway/src/reading.rs
+++ b/crates/savorywood-gateway/src/reading.rs
@@ -12,6 +12,7 @@
 use savorywood_protocol::MonotonicTime;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
+use strum::Display;
 
 /// A vouch that was not renewed within this time ends; its daemon died, or is cut off.
 const HEARD_TIME: Duration = Duration::from_millis(900);
@@ -63,7 +64,8 @@
 }
 
 /// How a daemon learns of a table now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum ReadPlan {
     /// It reads the store.
     Direct,
