Hold back from upstreams that two peers have just left out

Change: daemons tell which upstreams they left out for a failure of the last second. Where two or more peers say so of one, it costs 1,000 ms more in the choice, unless it answered this daemon well within 0.4 s. It is never left out for peers' word alone.

Without the penalty the new test is red.

--- a/crates/savorywood-gateway/src/gateway/telling.rs
+++ b/crates/savorywood-gateway/src/gateway/telling.rs
@@ -124,6 +124,7 @@
             phase: self.phase(now),
             version: self.config_version(),
             seats: self.own_seats(),
+            suspects: self.own_suspects(now),
             usage: usage.filter(|used| used.total > 0).collect(),
             tallies: self.rollouts.tallies(),
             sent_at: now,
@@ -152,6 +153,14 @@
         neighbours.map(|peer| peer.summary.peer_address).collect()
     }
 
+    fn own_suspects(&self, now: MonotonicTime) -> Vec<u64> {
+        let states = self.fleet.iter();
+        let failed = states.filter(|state| state.outlier.failed_lately(now));
+        failed
+            .map(|state| name_digest(state.entry.name.as_str()))
+            .collect()
+    }
+
     fn own_seats(&self) -> Vec<SeatUse> {
         let states = self.fleet.iter().filter(|state| state.running > 0);
         let seats = states.map(|state| SeatUse {
--- a/crates/savorywood-gateway/src/peer.rs
+++ b/crates/savorywood-gateway/src/peer.rs
@@ -18,6 +18,8 @@
 const ALIVE_TIME: Duration = Duration::from_millis(1_300);
 /// Seats that a peer told of are counted for this long.
 const SEATS_TIME: Duration = Duration::from_millis(1_300);
+/// Peers that must leave an upstream out before others hold back.
+const ENOUGH_SUSPECTING: u32 = 2;
 /// A peer unheard for this long is forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(60);
 
@@ -104,6 +106,8 @@
     pub version: u64,
     /// Its requests at upstreams.
     pub seats: Vec<SeatUse>,
+    /// Digests of the names of upstreams that it leaves out for now.
+    pub suspects: Vec<u64>,
     /// What teams have used there.
     pub usage: Vec<TeamUse>,
     /// What it has seen of roll-outs.
@@ -147,6 +151,8 @@
     zones: BTreeMap<ZoneLabel, KnownZone>,
     /// Seats of all others by the digest of the upstream's name, as of the last change.
     seats: HashMap<u64, u32>,
+    /// Peers that leave an upstream out, by the digest of its name.
+    suspects: HashMap<u64, u32>,
 }
 
 impl PeerTable {
@@ -158,6 +164,7 @@
             peers: BTreeMap::new(),
             zones: BTreeMap::new(),
             seats: HashMap::new(),
+            suspects: HashMap::new(),
         }
     }
 
@@ -211,11 +218,15 @@
     /// Drops the seats of those that have been silent for too long.
     pub fn count_seats(&mut self, now: MonotonicTime) {
         self.seats.clear();
+        self.suspects.clear();
         let fresh = |at: MonotonicTime| now.since(at) < SEATS_TIME;
         let peers = self.peers.values().filter(|peer| fresh(peer.heard_at));
         for peer in peers {
             if counts_itself(&self.own_zone, &self.zones, now, &peer.summary.zone) {
                 add_seats(&mut self.seats, &peer.summary.seats);
+                for upstream in &peer.summary.suspects {
+                    *self.suspects.entry(*upstream).or_default() += 1;
+                }
             }
         }
         for zone in self.zones.values().filter(|zone| zone.is_fresh(now)) {
@@ -230,6 +241,14 @@
         self.seats.get(&digest).copied().unwrap_or_default()
     }
 
+    /// Several peers leave an upstream out. One alone may have lost its way there.
+    #[must_use]
+    pub fn suspect(&self, upstream: &UpstreamLabel) -> bool {
+        let digest = name_digest(upstream.as_str());
+        let peers = self.suspects.get(&digest).copied().unwrap_or_default();
+        peers >= ENOUGH_SUSPECTING
+    }
+
     /// Peers that count by their own word: those of a zone of which a digest is known do not.
     fn heard_themselves(&self, now: MonotonicTime) -> impl Iterator<Item = &KnownPeer> {
         let peers = self.peers.values();
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -8,6 +8,7 @@
     upstream::{UpstreamFleet, UpstreamState},
 };
 use savorywood_protocol::MonotonicTime;
+use std::time::Duration;
 
 /// What an upstream in another zone must be faster by, in milliseconds, to be worth the bytes.
 const ZONE_PENALTY_MS: f64 = 35.0;
@@ -19,6 +20,10 @@
 const HARMLESS_FAILURES: f64 = 0.05;
 /// Weight of the time after the first event: it holds a seat but is not waited for.
 const REST_WEIGHT: f64 = 0.25;
+/// What an upstream costs, in milliseconds, that several peers leave out.
+const SUSPECT_PENALTY_MS: f64 = 1_000.0;
+/// A good answer to this daemon counts for more than what peers say for this long.
+const OWN_WORD_TIME: Duration = Duration::from_millis(400);
 /// What an upstream on trial costs, in milliseconds, for what can't run elsewhere after it.
 const TRIAL_PENALTY_MS: f64 = 300.0;
 /// What a trial is worth, in milliseconds: while others have room an upstream that was left out
@@ -181,6 +186,10 @@
         if entry.zone != *self.zone {
             score += ZONE_PENALTY_MS;
         }
+        // What peers found out need not be found out once more, at the cost of a request each.
+        if self.peers.suspect(&entry.name) && !state.outlier.was_good(self.now, OWN_WORD_TIME) {
+            score += SUSPECT_PENALTY_MS;
+        }
         if state.outlier.is_suspect() {
             let trial = query.may_try && state.outlier.is_usable(self.now, true);
             score += if trial {
--- a/crates/savorywood-gateway/tests/waiting.rs
+++ b/crates/savorywood-gateway/tests/waiting.rs
@@ -21,6 +21,7 @@
         phase: PeerPhase::Ready,
         version: 1,
         seats,
+        suspects: Vec::new(),
         usage: Vec::new(),
         tallies: Vec::new(),
         sent_at: savorywood_protocol::MonotonicTime(0),
@@ -203,3 +204,55 @@
     }
     assert!(mended_runs >= 50, "{mended_runs} of 300 requests");
 }
+
+fn suspecting(host: &str, upstreams: &[&str]) -> Box<PeerSummary> {
+    let mut summary = peer(1, Vec::new());
+    summary.host = host.to_owned();
+    summary.suspects = upstreams.iter().map(|name| name_digest(name)).collect();
+    summary
+}
+
+fn tells(scene: &mut GatewayScene, host: &str, upstreams: &[&str]) {
+    scene.step(GatewayEvent::PeerHeard(suspecting(host, upstreams)));
+}
+
+/// Upstreams of the next requests, each served at once.
+fn next_upstreams(scene: &mut GatewayScene, count: usize) -> Vec<String> {
+    let mut names = Vec::new();
+    for _ in 0..count {
+        let request = scene.arrive(arrival("/safe/1"));
+        names.push(scene.orders(request)[0].upstream.as_str().to_owned());
+        scene.deliver(request);
+        scene.advance(Duration::from_millis(5));
+    }
+    names
+}
+
+/// An upstream went dark. Each of many daemons would find that out by itself, at the cost of a
+/// request or two; those that hear it of two others spare themselves that.
+#[test]
+fn an_upstream_that_two_peers_left_out_is_held_back_from() {
+    let mut scene = GatewayScene::ready(2);
+    tells(&mut scene, "host-b", &["upstream-1"]);
+    tells(&mut scene, "host-c", &["upstream-1"]);
+    let names = next_upstreams(&mut scene, 6);
+    assert!(names.iter().all(|name| name == "upstream-2"), "{names:?}");
+}
+
+/// A single daemon that lost its way to an upstream must not make it look ill to all.
+#[test]
+fn one_peer_alone_makes_no_upstream_look_ill() {
+    let mut scene = GatewayScene::ready(1);
+    tells(&mut scene, "host-b", &["upstream-1"]);
+    assert!(!scene.gateway.peers().suspect(&"upstream-1".into()));
+}
+
+/// Peers hold every upstream for ill. The fault is more likely on their way: requests are served.
+#[test]
+fn upstreams_that_all_look_ill_still_serve() {
+    let mut scene = GatewayScene::ready(2);
+    for host in ["host-b", "host-c", "host-d"] {
+        tells(&mut scene, host, &["upstream-1", "upstream-2"]);
+    }
+    assert_eq!(next_upstreams(&mut scene, 4).len(), 4);
+}
