--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -5,6 +5,7 @@
 use crate::{
     clock::within,
     edge::{AnswerFacts, DispatchFacts},
+    metrics,
     shared::FrontShared,
     sink::AnswerSink,
     wire::{
@@ -367,10 +368,7 @@
 
     fn report_begun(&self, facts: &AnswerFacts) {
         let elapsed = self.shared.clock.now().since(self.arrived_at);
-        self.shared
-            .metrics
-            .first_event
-            .observe(elapsed.as_secs_f64());
+        metrics::observe(&self.shared.metrics.first_event, self.order, elapsed);
         self.shared.step(GatewayEvent::AnswerBegan {
             request: self.order.request,
             marks: facts.marks,
--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -3,6 +3,7 @@
 use crate::{
     attempt::{KeptFailure, UpstreamAttempt, prepare},
     clock::within,
+    metrics,
     shared::{FrontShared, RequestDecision},
     sink::AnswerSink,
     wire::{BodyFault, BodyFraming, ByteReader, HeadFault, HeaderLine, RequestHead, read_body},
@@ -279,7 +280,7 @@
             match decision {
                 RequestDecision::Dispatch(order) => {
                     let outcome = self.attempt(reader, sink, &mut kept, &order).await;
-                    let end = self.after_attempt(&outcome, sink);
+                    let end = self.after_attempt(&order, &outcome, sink);
                     self.report(outcome);
                     if let Some(next) = end {
                         return next;
@@ -315,12 +316,7 @@
     ) -> AttemptOutcome {
         if order.number == 1 {
             let waited = self.shared.clock.now().since(self.arrived_at);
-            let metric = self
-                .shared
-                .metrics
-                .waiting_time
-                .with_label_values(&[kind_of(order.stream)]);
-            metric.observe(waited.as_secs_f64());
+            metrics::observe(&self.shared.metrics.waiting_time, order, waited);
         }
         let attempt = UpstreamAttempt {
             shared: self.shared,
@@ -339,14 +335,17 @@
     }
 
     /// The connection's next step, when the outcome ends the request.
-    fn after_attempt(&self, outcome: &AttemptOutcome, sink: &AnswerSink) -> Option<NextStep> {
+    fn after_attempt(
+        &self,
+        order: &DispatchOrder,
+        outcome: &AttemptOutcome,
+        sink: &AnswerSink,
+    ) -> Option<NextStep> {
         match outcome {
             AttemptOutcome::Delivered { .. } => {
                 self.count_end("served");
                 let elapsed = self.shared.clock.now().since(self.arrived_at);
-                let kind = kind_of(sink.events() > 0);
-                let metric = self.shared.metrics.whole_answer.with_label_values(&[kind]);
-                metric.observe(elapsed.as_secs_f64());
+                metrics::observe(&self.shared.metrics.whole_answer, order, elapsed);
                 Some(after(true, sink))
             }
             AttemptOutcome::CallerLeft => {
@@ -404,11 +403,6 @@
     }
 }
 
-/// Label of a kind of answer.
-fn kind_of(stream: bool) -> &'static str {
-    if stream { "stream" } else { "plain" }
-}
-
 fn refusal_status(reason: RefusalReason) -> u16 {
     match reason {
         RefusalReason::NotReady
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -5,7 +5,8 @@
     Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     Opts, Registry, TextEncoder,
 };
-use std::sync::atomic::Ordering;
+use savorywood_gateway::DispatchOrder;
+use std::{sync::atomic::Ordering, time::Duration};
 
 /// Bounds of latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -24,11 +25,11 @@
     pub attempts: IntCounterVec,
     /// Calls to the store by table and outcome.
     pub store_calls: IntCounterVec,
-    /// Time from arrival to the first send, by kind of answer.
+    /// Time from arrival to the first send, by service and priority.
     pub waiting_time: HistogramVec,
-    /// Time from arrival to the first event of a stream.
-    pub first_event: Histogram,
-    /// Time from arrival to the end of a whole answer, by kind.
+    /// Time from arrival to the first event of a stream, by service and priority.
+    pub first_event: HistogramVec,
+    /// Time from arrival to the end of a whole answer, by service and priority.
     pub whole_answer: HistogramVec,
     /// Time to connect to an upstream.
     pub connecting: Histogram,
@@ -68,16 +69,14 @@
             waiting_time: histograms(
                 "waiting_seconds",
                 "Time from a request's arrival to its first send",
-                "kind",
             ),
-            first_event: histogram(
+            first_event: histograms(
                 "first_event_seconds",
                 "Time from a request's arrival to the first event of its stream",
             ),
             whole_answer: histograms(
                 "whole_answer_seconds",
                 "Time from a request's arrival to the end of its whole answer",
-                "kind",
             ),
             connecting: histogram("connecting_seconds", "Time to connect to an upstream"),
             waiting: gauge("requests_waiting", "Requests that wait for a place"),
@@ -121,9 +120,18 @@
     Histogram::with_opts(opts).expect("the name is a constant and valid")
 }
 
-fn histograms(name: &str, help: &str, label: &str) -> HistogramVec {
+/// Histograms by service and priority.
+fn histograms(name: &str, help: &str) -> HistogramVec {
     let opts = HistogramOpts::new(name_of(name), help).buckets(LATENCY_BUCKETS.to_vec());
-    HistogramVec::new(opts, &[label]).expect("the name is a constant and valid")
+    HistogramVec::new(opts, &["service", "priority"]).expect("the name is a constant and valid")
+}
+
+/// Notes a time in the histogram of the order's service and priority.
+pub fn observe(histograms: &HistogramVec, order: &DispatchOrder, elapsed: Duration) {
+    let labels = [order.service.as_str(), &order.priority.to_string()];
+    histograms
+        .with_label_values(&labels)
+        .observe(elapsed.as_secs_f64());
 }
 
 impl FrontMetrics {
--- a/crates/savorywood-front/src/metrics/tests.rs
+++ b/crates/savorywood-front/src/metrics/tests.rs
@@ -21,8 +21,13 @@
     for family in [&metrics.ended, &metrics.attempts, &metrics.store_calls] {
         family.with_label_values(&["x"]).inc();
     }
-    for family in [&metrics.waiting_time, &metrics.whole_answer] {
-        family.with_label_values(&["x"]).observe(1.0);
+    let timed = [
+        &metrics.waiting_time,
+        &metrics.first_event,
+        &metrics.whole_answer,
+    ];
+    for family in timed {
+        family.with_label_values(&["x", "0"]).observe(1.0);
     }
     let text = metrics.text(&OmittedLines::default());
     let text = String::from_utf8(text).expect("text");
--- a/crates/savorywood-gateway/src/effect.rs
+++ b/crates/savorywood-gateway/src/effect.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     arrival::LocalRequest,
-    name::{TeamLabel, UpstreamLabel},
+    name::{ServiceLabel, TeamLabel, UpstreamLabel},
     refusal::RefusalReason,
     rollout::RolloutWrite,
 };
@@ -17,6 +17,10 @@
     pub request: LocalRequest,
     /// Which send this is, from 1.
     pub number: u32,
+    /// Service that it is for.
+    pub service: ServiceLabel,
+    /// Rank of its route, 0 is the most urgent.
+    pub priority: u32,
     /// To whom.
     pub upstream: UpstreamLabel,
     /// Where.
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -146,6 +146,8 @@
         let order = DispatchOrder {
             request,
             number: record.sends,
+            service: record.service.clone(),
+            priority: record.rank.route,
             upstream: picked.name.clone(),
             address: state.entry.address,
             team: record.team.clone(),
