Choose upstreams by a policy of the settings; measure ours against baselines

Change: settings.routing names the policy; random, round robin, least outstanding and worth without zones stand beside ours, all under the same limits, outlier rules and budgets.

--- a/crates/savorywood-front/src/run.rs
+++ b/crates/savorywood-front/src/run.rs
@@ -107,6 +107,7 @@
         first_start: settings.first_start,
         bounds: settings.gateway_bounds(),
         seed: fastrand::u64(..),
+        routing: settings.routing,
     }
 }
 
--- a/crates/savorywood-front/src/settings.rs
+++ b/crates/savorywood-front/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a front daemon: JSON with comments, checked at the start.
 
-use savorywood_gateway::{BudgetOptions, GatewayBounds, LimitTolerance};
+use savorywood_gateway::{BudgetOptions, GatewayBounds, LimitTolerance, RoutingPolicy};
 use savorywood_settings::{FaultReport, MemberPath, SourceText, decode, node::SourceNode};
 use serde::Deserialize;
 use std::{net::SocketAddr, path::Path, time::Duration};
@@ -29,6 +29,9 @@
     /// What the process may use.
     #[serde(default)]
     pub limits: LimitSettings,
+    /// What the choice of upstreams goes by; anything but `worth` is for comparisons.
+    #[serde(default)]
+    pub routing: RoutingPolicy,
     /// Level of the log: error, warn, info, debug or trace.
     #[serde(default = "default_log_level")]
     pub log_level: String,
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -19,6 +19,7 @@
     limit::{LimitTolerance, TeamMeter},
     name::{HostLabel, ServiceLabel, TeamLabel, ZoneLabel},
     peer::PeerTable,
+    pick::RoutingPolicy,
     queue::WaitQueue,
     reading::{ReadBook, ReadPlan, SharedTable},
     rollout::{RolloutBook, TrialOptions},
@@ -49,6 +50,8 @@
     pub bounds: GatewayBounds,
     /// Seed of all draws.
     pub seed: u64,
+    /// What the choice of upstreams goes by.
+    pub routing: RoutingPolicy,
 }
 
 /// Bounds that must hold.
@@ -117,6 +120,7 @@
     stopping: bool,
     ready_logged: bool,
     sequence: u64,
+    dispatches: u64,
     started_at: Option<MonotonicTime>,
 }
 
@@ -146,6 +150,7 @@
             stopping: false,
             ready_logged: false,
             sequence: 0,
+            dispatches: 0,
             started_at: None,
         }
     }
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -107,6 +107,7 @@
             peers: &self.peers,
             parts: &self.parts,
             zone: &self.options.zone,
+            policy: self.options.routing,
         };
         let mut draws = self.draws.clone();
         scene.pick(&query, || draws.next())
@@ -128,6 +129,8 @@
             return;
         };
         state.running += 1;
+        self.dispatches += 1;
+        state.chosen = self.dispatches;
         state.outlier.sent();
         if let RequestPlace::Waiting(place) = &record.place
             && let Some(queue) = self.queues.get_mut(&record.service)
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub use name::{HostLabel, ServiceLabel, TeamLabel, UpstreamLabel, VersionLabel, ZoneLabel};
 pub use outlier::OutlierState;
 pub use peer::{PeerPhase, PeerSummary, PeerTable, SeatUse, TeamUse, VersionTally, name_digest};
+pub use pick::RoutingPolicy;
 pub use queue::RequestRank;
 pub use reading::{PeerEcho, ReadPlan, SharedTable, StoreVouch, TableKnowledge, TableVouch};
 pub use refusal::RefusalReason;
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -8,7 +8,9 @@
     upstream::{UpstreamFleet, UpstreamState},
 };
 use savorywood_protocol::MonotonicTime;
+use serde::Deserialize;
 use std::time::Duration;
+use strum::{Display, EnumString};
 
 /// What an upstream in another zone must be faster by, in milliseconds, to be worth the bytes.
 const ZONE_PENALTY_MS: f64 = 35.0;
@@ -51,6 +53,24 @@
     }
 }
 
+/// What the choice of an upstream goes by. All but the first are there to be compared with it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display, EnumString, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum RoutingPolicy {
+    /// Expected time for this request, zones and failures in one unit.
+    #[default]
+    Worth,
+    /// The same, as if all upstreams were in one zone.
+    WorthWithoutZones,
+    /// Fewest requests there.
+    LeastOutstanding,
+    /// The one that was chosen longest ago.
+    RoundRobin,
+    /// Any with room.
+    Random,
+}
+
 /// What is asked for.
 #[derive(Debug, Clone)]
 pub struct PickQuery<'a> {
@@ -89,6 +109,8 @@
     pub parts: &'a PartIndex,
     /// Own zone.
     pub zone: &'a ZoneLabel,
+    /// What the choice goes by.
+    pub policy: RoutingPolicy,
 }
 
 /// Why none was chosen.
@@ -183,7 +205,7 @@
         score += (first + rest - query.left_ms).max(0.0);
         let failures = state.outlier.failure_share(self.now) - HARMLESS_FAILURES;
         score += failures.max(0.0) * FAILURE_PENALTY_MS;
-        if entry.zone != *self.zone {
+        if entry.zone != *self.zone && self.policy != RoutingPolicy::WorthWithoutZones {
             score += ZONE_PENALTY_MS;
         }
         // What peers found out need not be found out once more, at the cost of a request each.
@@ -198,11 +220,19 @@
                 TRIAL_PENALTY_MS
             };
         }
+        let score = match self.policy {
+            RoutingPolicy::Worth | RoutingPolicy::WorthWithoutZones => {
+                score + score.abs() * noise * 0.05
+            }
+            RoutingPolicy::LeastOutstanding => f64::from(occupied) + noise,
+            RoutingPolicy::RoundRobin => state.chosen as f64 + noise,
+            RoutingPolicy::Random => noise,
+        };
         Some(PickedUpstream {
             name: entry.name.clone(),
             expected_ms: first,
             occupied,
-            score: score + score.abs() * noise * 0.05,
+            score,
         })
     }
 }
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -42,6 +42,8 @@
     pub entry: UpstreamEntry,
     /// Requests of this daemon there.
     pub running: u32,
+    /// Number of this daemon's dispatch that came here last.
+    pub chosen: u64,
     /// Failures.
     pub outlier: OutlierState,
     /// Speed.
@@ -59,6 +61,7 @@
         Self {
             entry,
             running: 0,
+            chosen: 0,
             outlier: OutlierState::default(),
             pace: PaceEstimate::default(),
             load: None,
--- a/crates/savorywood-gateway/tests/common/scene.rs
+++ b/crates/savorywood-gateway/tests/common/scene.rs
@@ -4,9 +4,9 @@
 use savorywood_gateway::{
     AnswerMarks, AttemptOutcome, DeclaredConfig, DispatchOrder, Gateway, GatewayBounds,
     GatewayEffect, GatewayEvent, GatewayOptions, HostLabel, LocalRequest, PromptPart,
-    RefusalReason, RepeatKind, RequestArrival, RequestSize, RouteSpec, ServiceLabel, ServiceSpec,
-    TeamLabel, TeamLimit, TeamSpec, TrafficShare, UpstreamEntry, UpstreamLabel, VersionLabel,
-    ZoneLabel,
+    RefusalReason, RepeatKind, RequestArrival, RequestSize, RouteSpec, RoutingPolicy, ServiceLabel,
+    ServiceSpec, TeamLabel, TeamLimit, TeamSpec, TrafficShare, UpstreamEntry, UpstreamLabel,
+    VersionLabel, ZoneLabel,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{sync::Arc, time::Duration};
@@ -36,6 +36,7 @@
             ..GatewayBounds::default()
         },
         seed: 7,
+        routing: RoutingPolicy::Worth,
     }
 }
 
--- a/crates/savorywood-gateway/tests/waiting.rs
+++ b/crates/savorywood-gateway/tests/waiting.rs
@@ -4,10 +4,11 @@
 mod scene;
 
 use savorywood_gateway::{
-    AttemptOutcome, GatewayEvent, PeerPhase, PeerSummary, RefusalReason, SeatUse, name_digest,
+    AttemptOutcome, GatewayEvent, PeerPhase, PeerSummary, RefusalReason, RoutingPolicy, SeatUse,
+    name_digest,
 };
-use scene::{GatewayScene, arrival, upstream};
-use std::time::Duration;
+use scene::{GatewayScene, arrival, config, options, upstream};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 fn peer(sequence: u64, seats: Vec<SeatUse>) -> Box<PeerSummary> {
     Box::new(PeerSummary {
@@ -256,3 +257,30 @@
     }
     assert_eq!(next_upstreams(&mut scene, 4).len(), 4);
 }
+
+/// The simple policies that ours is measured against do what their names say.
+#[test]
+fn baselines_choose_by_their_names() {
+    let chosen = |routing: RoutingPolicy| {
+        let mut options = options("host-a");
+        options.routing = routing;
+        let mut scene = GatewayScene::empty(options);
+        scene.step(GatewayEvent::ConfigRead(Arc::new(config(1, None))));
+        let entries = (1..=3).map(|number| upstream(number, 8)).collect();
+        scene.step(GatewayEvent::UpstreamsRead(entries));
+        scene.confirm();
+        (0..6)
+            .map(|_| {
+                let request = scene.arrive(arrival("/safe/1"));
+                scene.orders(request)[0].upstream.clone()
+            })
+            .collect::<Vec<_>>()
+    };
+    let in_turn = chosen(RoutingPolicy::RoundRobin);
+    assert_eq!(in_turn[..3], in_turn[3..]);
+    for policy in [RoutingPolicy::RoundRobin, RoutingPolicy::LeastOutstanding] {
+        let each: BTreeSet<_> = chosen(policy)[..3].iter().cloned().collect();
+        assert_eq!(each.len(), 3, "{policy}");
+    }
+    assert_eq!(chosen(RoutingPolicy::Random).len(), 6);
+}
