Split feeds, meters and tests of zones by their jobs

Change: members and roll-outs beside the reader of tables, buckets beside meters, the field of daemons shared by zones.rs and reading.rs. One change of behaviour: where zones tell each other, the pause in which changes gather follows the daemons that read the store and not all of them, so that a leaving upstream is heard of sooner.

Ruled out: nothing else was tried.

--- a/crates/savorywood-front/src/feeds.rs
+++ b/crates/savorywood-front/src/feeds.rs
@@ -1,11 +1,16 @@
 //! What lies in the store reaches the decisions: a full read, then a feed, then a full read again
 //! after any gap.
 
+mod members;
+mod rollouts;
+
+pub use members::{keep_members, leave_members};
+pub use rollouts::keep_rollouts;
+
 use crate::{
     clock::BootClock,
-    edge::{DeclaredNews, StorePage, StoreRow, StoreTable, TableWrite},
+    edge::{DeclaredNews, StorePage, StoreRow, StoreTable},
     peers::{PeerSocket, RowsPush},
-    settings::FrontSettings,
     shared::FrontShared,
     store::{StoreAnswer, StoreFault, StoreLink},
 };
@@ -13,8 +18,8 @@
 use async_io::Timer;
 use futures_lite::future;
 use savorywood_gateway::{
-    FreshnessClock, GatewayEvent, PeerContact, ReadPlan, RolloutWrite, SharedTable, TableKnowledge,
-    UpstreamEntry, UpstreamLabel, ZoneLabel,
+    FreshnessClock, GatewayEvent, ReadPlan, SharedTable, TableKnowledge, UpstreamEntry,
+    UpstreamLabel,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
@@ -38,12 +43,6 @@
 const LONGEST_CHANGE_PAUSE: Duration = Duration::from_millis(400);
 /// The feed alone may miss a change: the whole table is read again so often.
 const REREAD_TIME: Duration = Duration::from_secs(10);
-/// Members are read so often.
-const MEMBERS_TIME: Duration = Duration::from_secs(8);
-/// The same where daemons hear of most others from their peers.
-const ZONED_MEMBERS_TIME: Duration = Duration::from_secs(30);
-/// Status rows are read so often while a roll-out is under way.
-const STATUS_TIME: Duration = Duration::from_millis(1_000);
 
 /// Rows that can't be read that are remembered at most.
 const MOST_UNREADABLE: usize = 256;
@@ -302,9 +301,8 @@
                 rows: page.rows,
             };
             self.sources.peers.push(&self.shared, push).await;
-            let daemons = self.shared.gateway.borrow().peers().known(BootClock.now()) + 1;
-            let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
-            let pause = CHANGE_PAUSE.saturating_mul(daemons);
+            let readers = self.shared.gateway.borrow().readers(BootClock.now());
+            let pause = CHANGE_PAUSE.saturating_mul(readers);
             Timer::after(pause.min(LONGEST_CHANGE_PAUSE)).await;
         }
         Ok(())
@@ -391,124 +389,3 @@
         }
     }
 }
-
-/// Keeps the list of members in the store and reads it.
-pub async fn keep_members(shared: Rc<FrontShared>) {
-    let mut link = StoreLink::new(shared.settings.store.address);
-    let mut registered = false;
-    loop {
-        if !registered {
-            let write = TableWrite {
-                table: StoreTable::Members,
-                key: shared.settings.host.clone(),
-                value: Some(member_text(&shared.settings).into_bytes()),
-                expected: None,
-            };
-            let call = shared.dialect.write_row(&write);
-            let answer = link.call(&call, CALL_TIME).await;
-            registered = matches!(&answer, Ok(answer) if answer.status == 200);
-            if let Err(fault) = answer {
-                log::warn!("event=member-unregistered cause={:?}", fault.to_string());
-            }
-        }
-        let call = shared.dialect.read_rows(StoreTable::Members, None);
-        let answer = link.call(&call, CALL_TIME).await;
-        let page = answer.ok().filter(|answer| answer.status == 200);
-        let page = page.and_then(|answer| shared.dialect.page(&answer.body));
-        let read = page.is_some();
-        let rows = page.into_iter().flat_map(|page| page.rows);
-        let contacts = rows.filter_map(|row| read_member(&row.value?));
-        shared.step(GatewayEvent::ContactsRead(contacts.collect()));
-        let zoned = shared.gateway.borrow().is_zoned();
-        let pause = match (read && registered, zoned) {
-            (false, _) => LONGEST_PAUSE,
-            (true, false) => MEMBERS_TIME,
-            (true, true) => ZONED_MEMBERS_TIME,
-        };
-        Timer::after(pause.mul_f64(0.8 + fastrand::f64() * 0.4)).await;
-    }
-}
-
-fn member_text(settings: &FrontSettings) -> String {
-    format!("{} {}", settings.listen.peers, settings.zone)
-}
-
-/// Reads a row of the members: an address and, after a space, a zone.
-fn read_member(value: &[u8]) -> Option<PeerContact> {
-    let text = std::str::from_utf8(value).ok()?;
-    let (address, zone) = text.split_once(' ').unwrap_or((text, ""));
-    Some(PeerContact {
-        address: address.parse().ok()?,
-        zone: (!zone.is_empty()).then(|| ZoneLabel::from(zone)),
-    })
-}
-
-/// Takes this daemon out of the list of members.
-pub async fn leave_members(shared: &FrontShared) {
-    let mut link = StoreLink::new(shared.settings.store.address);
-    let write = TableWrite {
-        table: StoreTable::Members,
-        key: shared.settings.host.clone(),
-        value: None,
-        expected: None,
-    };
-    let call = shared.dialect.write_row(&write);
-    if let Err(fault) = link.call(&call, CALL_TIME).await {
-        log::warn!("event=member-unremoved cause={:?}", fault.to_string());
-    }
-}
-
-/// Writes states of roll-outs, and reads what others wrote while one is under way.
-pub async fn keep_rollouts(shared: Rc<FrontShared>, writes: Receiver<RolloutWrite>) {
-    let mut link = StoreLink::new(shared.settings.store.address);
-    loop {
-        let next = async { writes.recv().await.ok() };
-        let pause = async {
-            Timer::after(STATUS_TIME).await;
-            None
-        };
-        if let Some(write) = future::or(next, pause).await {
-            write_status(&shared, &mut link, write).await;
-        }
-        if shared.gateway.borrow().follows_rollouts() {
-            read_statuses(&shared, &mut link).await;
-        }
-    }
-}
-
-async fn write_status(shared: &FrontShared, link: &mut StoreLink, write: RolloutWrite) {
-    let row = shared.dialect.rollout_row(&write);
-    let table_write = TableWrite {
-        table: StoreTable::Status,
-        key: row.key,
-        value: Some(row.value),
-        expected: Some(write.expected),
-    };
-    let call = shared.dialect.write_row(&table_write);
-    let answer = link.call(&call, CALL_TIME).await;
-    let accepted = matches!(&answer, Ok(answer) if answer.status == 200);
-    log::info!(
-        "event=rollout-status-written service={} state={} expected={} accepted={accepted}",
-        write.service,
-        write.phase,
-        write.expected
-    );
-    // Whatever became of it, the row is read back: an answer may be lost after the write.
-    read_statuses(shared, link).await;
-    shared.step(GatewayEvent::RolloutWritten {
-        service: write.service,
-        accepted,
-    });
-}
-
-async fn read_statuses(shared: &FrontShared, link: &mut StoreLink) {
-    let call = shared.dialect.read_rows(StoreTable::Status, None);
-    let answer = link.call(&call, CALL_TIME).await;
-    let page = answer.ok().filter(|answer| answer.status == 200);
-    let page = page.and_then(|answer| shared.dialect.page(&answer.body));
-    for row in page.into_iter().flat_map(|page| page.rows) {
-        if let Some(status) = shared.dialect.rollout_status(&row) {
-            shared.step(GatewayEvent::RolloutRead(status));
-        }
-    }
-}
--- /dev/null
+++ b/crates/savorywood-front/src/feeds/rollouts.rs
@@ -0,0 +1,71 @@
+//! States of roll-outs in the store.
+
+use super::CALL_TIME;
+use crate::{
+    edge::{StoreTable, TableWrite},
+    shared::FrontShared,
+    store::StoreLink,
+};
+use async_channel::Receiver;
+use async_io::Timer;
+use futures_lite::future;
+use savorywood_gateway::{GatewayEvent, RolloutWrite};
+use std::{rc::Rc, time::Duration};
+
+/// Status rows are read so often while a roll-out is under way.
+const STATUS_TIME: Duration = Duration::from_millis(1_000);
+
+/// Writes states of roll-outs, and reads what others wrote while one is under way.
+pub async fn keep_rollouts(shared: Rc<FrontShared>, writes: Receiver<RolloutWrite>) {
+    let mut link = StoreLink::new(shared.settings.store.address);
+    loop {
+        let next = async { writes.recv().await.ok() };
+        let pause = async {
+            Timer::after(STATUS_TIME).await;
+            None
+        };
+        if let Some(write) = future::or(next, pause).await {
+            write_status(&shared, &mut link, write).await;
+        }
+        if shared.gateway.borrow().follows_rollouts() {
+            read_statuses(&shared, &mut link).await;
+        }
+    }
+}
+
+async fn write_status(shared: &FrontShared, link: &mut StoreLink, write: RolloutWrite) {
+    let row = shared.dialect.rollout_row(&write);
+    let table_write = TableWrite {
+        table: StoreTable::Status,
+        key: row.key,
+        value: Some(row.value),
+        expected: Some(write.expected),
+    };
+    let call = shared.dialect.write_row(&table_write);
+    let answer = link.call(&call, CALL_TIME).await;
+    let accepted = matches!(&answer, Ok(answer) if answer.status == 200);
+    log::info!(
+        "event=rollout-status-written service={} state={} expected={} accepted={accepted}",
+        write.service,
+        write.phase,
+        write.expected
+    );
+    // Whatever became of it, the row is read back: an answer may be lost after the write.
+    read_statuses(shared, link).await;
+    shared.step(GatewayEvent::RolloutWritten {
+        service: write.service,
+        accepted,
+    });
+}
+
+async fn read_statuses(shared: &FrontShared, link: &mut StoreLink) {
+    let call = shared.dialect.read_rows(StoreTable::Status, None);
+    let answer = link.call(&call, CALL_TIME).await;
+    let page = answer.ok().filter(|answer| answer.status == 200);
+    let page = page.and_then(|answer| shared.dialect.page(&answer.body));
+    for row in page.into_iter().flat_map(|page| page.rows) {
+        if let Some(status) = shared.dialect.rollout_status(&row) {
+            shared.step(GatewayEvent::RolloutRead(status));
+        }
+    }
+}
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -243,6 +243,17 @@
         self.contacts.is_zoned()
     }
 
+    /// Daemons that read the store themselves: one a zone where zones tell each other.
+    #[must_use]
+    pub fn readers(&self, now: MonotonicTime) -> u32 {
+        let readers = if self.contacts.is_zoned() {
+            self.peers.zones(now).count()
+        } else {
+            self.peers.known(now)
+        };
+        u32::try_from(readers + 1).unwrap_or(u32::MAX)
+    }
+
     /// How to learn of a table now.
     #[must_use]
     pub fn read_plan(&self, now: MonotonicTime, table: SharedTable) -> ReadPlan {
--- a/crates/savorywood-gateway/src/limit.rs
+++ b/crates/savorywood-gateway/src/limit.rs
@@ -1,6 +1,11 @@
 //! What teams may use, over all daemons together.
 
+mod bucket;
+
+pub use bucket::LimitTolerance;
+
 use crate::{declared::TeamLimit, talk::MOST_DIRECT};
+use bucket::{KNOWING_PART, TokenBucket, ZONED_KNOWING_PART, strict_bucket, tolerated_bucket};
 use savorywood_protocol::MonotonicTime;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
@@ -71,33 +76,6 @@
     near_s: f64,
 }
 
-/// By how much the sum of what all daemons admit may exceed a limit, as operators allow it.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LimitTolerance {
-    /// Span over which use is summed up.
-    pub window: Duration,
-    /// Share of the limit that may come on top.
-    pub overage: f64,
-    /// Units that may come on top.
-    pub slack: f64,
-}
-
-impl Default for LimitTolerance {
-    fn default() -> Self {
-        Self {
-            window: Duration::from_secs(8),
-            overage: 0.0,
-            slack: 0.0,
-        }
-    }
-}
-
-/// Part of the tolerated use that is admitted knowingly; the rest covers what daemons admit
-/// before they hear of each other, and what those that ended had admitted.
-const KNOWING_PART: f64 = 0.65;
-/// The same where zones tell each other: use is then heard of by way of another daemon, later.
-const ZONED_KNOWING_PART: f64 = 0.45;
-
 /// Below this part of a full bucket a daemon spends between two of its words only its share of what
 /// is left: with all of it in reach of each, many daemons overdraw it before they hear of each other.
 const SHARED_PART: f64 = 0.75;
@@ -106,25 +84,6 @@
 /// Time in which old use loses most of its weight in the shares.
 const RECENT_TIME: Duration = Duration::from_secs(1);
 
-/// One token bucket.
-#[derive(Debug, Clone, Copy)]
-struct TokenBucket {
-    rate: f64,
-    capacity: f64,
-    level: f64,
-}
-
-impl TokenBucket {
-    fn fill(&mut self, units: f64) {
-        self.level = (self.level + units).min(self.capacity);
-    }
-
-    /// Holds no more than a part of what the bucket can hold.
-    fn keep_part(&mut self, part: f64) {
-        self.level = self.level.min(self.capacity * part);
-    }
-}
-
 /// What a meter says of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MeterVerdict {
@@ -171,27 +130,6 @@
     peers: BTreeMap<u64, PeerUse>,
 }
 
-fn strict_bucket(limit: TeamLimit) -> TokenBucket {
-    TokenBucket {
-        rate: limit.per_second,
-        capacity: limit.burst,
-        level: limit.burst,
-    }
-}
-
-/// A bucket that lets through the knowing part of the tolerated use within any window.
-fn tolerated_bucket(limit: TeamLimit, tolerance: LimitTolerance, knowing: f64) -> TokenBucket {
-    let window = tolerance.window.as_secs_f64().max(0.1);
-    let declared = limit.per_second * window + limit.burst;
-    let tolerated = declared * (1.0 + tolerance.overage) + tolerance.slack;
-    let most = declared + (tolerated - declared) * knowing;
-    TokenBucket {
-        rate: (most - limit.burst) / window,
-        capacity: limit.burst,
-        level: limit.burst,
-    }
-}
-
 impl TeamMeter {
     /// A meter of a daemon. `fresh` means that nothing can have been used before.
     ///
