--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -293,7 +293,7 @@
 
     fn tick(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
         self.note_readiness(now, effects);
-        self.peers.count_seats(now);
+        self.peers.refresh(now);
         self.reads.sweep(now);
         self.expire_waiting(now, effects);
         self.pump_all(now, effects);
--- a/crates/savorywood-gateway/src/peer.rs
+++ b/crates/savorywood-gateway/src/peer.rs
@@ -185,7 +185,7 @@
         self.peers.insert(host, peer);
         self.peers
             .retain(|_, peer| now.since(peer.heard_at) < FORGET_TIME);
-        self.count_seats(now);
+        self.refresh(now);
         true
     }
 
@@ -205,7 +205,7 @@
                 heard_at: now,
             };
             self.zones.insert(zone, known);
-            self.count_seats(now);
+            self.refresh(now);
         }
         news
     }
@@ -215,8 +215,8 @@
         self.peers.remove(host);
     }
 
-    /// Drops the seats of those that have been silent for too long.
-    pub fn count_seats(&mut self, now: MonotonicTime) {
+    /// Sums up seats and suspicions as others told them; those silent for too long drop out.
+    pub fn refresh(&mut self, now: MonotonicTime) {
         self.seats.clear();
         self.suspects.clear();
         let fresh = |at: MonotonicTime| now.since(at) < SEATS_TIME;
