Write the exchanges of the freshness tests in one place

Cause: seven exchanges with the store were spelled out member by member, the first of them twice alike. Ruled out: nothing. Conclusion: the numbers that a test turns on stand in one line.

--- a/crates/savorywood-gateway/tests/together.rs
+++ b/crates/savorywood-gateway/tests/together.rs
@@ -146,22 +146,23 @@
     assert!(f64::from(spent) >= most * 0.6, "{spent} of {most}");
 }
 
+/// A call to the store, with the store's clock in its answer; all in microseconds.
+fn exchange(sent: u64, received: u64, store: u64) -> StoreExchange {
+    StoreExchange {
+        sent: MonotonicTime(sent),
+        received: MonotonicTime(received),
+        store_micros: Some(store),
+    }
+}
+
 /// The machine was suspended while an answer was on its way. Taken as of its receiving, the answer
 /// would prove what may have changed meanwhile.
 #[test]
 fn an_answer_that_waited_out_a_freeze_is_old() {
     let mut clock = FreshnessClock::default();
-    let quick = StoreExchange {
-        sent: MonotonicTime(10_000_000),
-        received: MonotonicTime(10_004_000),
-        store_micros: Some(500_002_000),
-    };
+    let quick = exchange(10_000_000, 10_004_000, 500_002_000);
     clock.proof(quick);
-    let frozen = StoreExchange {
-        sent: MonotonicTime(11_000_000),
-        received: MonotonicTime(19_000_000),
-        store_micros: Some(501_002_000),
-    };
+    let frozen = exchange(11_000_000, 19_000_000, 501_002_000);
     let proof = clock.proof(frozen);
     assert!(proof < MonotonicTime(11_100_000), "{proof:?}");
 }
@@ -171,17 +172,9 @@
 #[test]
 fn a_long_poll_proves_its_end() {
     let mut clock = FreshnessClock::default();
-    let quick = StoreExchange {
-        sent: MonotonicTime(10_000_000),
-        received: MonotonicTime(10_004_000),
-        store_micros: Some(500_002_000),
-    };
+    let quick = exchange(10_000_000, 10_004_000, 500_002_000);
     clock.proof(quick);
-    let poll = StoreExchange {
-        sent: MonotonicTime(11_000_000),
-        received: MonotonicTime(12_404_000),
-        store_micros: Some(502_402_000),
-    };
+    let poll = exchange(11_000_000, 12_404_000, 502_402_000);
     let proof = clock.proof(poll);
     assert!(proof > MonotonicTime(12_390_000), "{proof:?}");
     assert!(proof <= MonotonicTime(12_404_000), "{proof:?}");
@@ -192,15 +185,10 @@
 #[test]
 fn another_clock_of_the_store_proves_no_more_than_the_sending() {
     let mut clock = FreshnessClock::default();
-    let exchange = |store: u64, sent: u64| StoreExchange {
-        sent: MonotonicTime(sent),
-        received: MonotonicTime(sent + 1_000_000),
-        store_micros: Some(store),
-    };
-    clock.proof(exchange(900_000_000, 10_000_000));
-    let proof = clock.proof(exchange(5_000_000_000, 20_000_000));
+    clock.proof(exchange(10_000_000, 11_000_000, 900_000_000));
+    let proof = clock.proof(exchange(20_000_000, 21_000_000, 5_000_000_000));
     assert_eq!(proof, MonotonicTime(20_000_000));
-    let proof = clock.proof(exchange(1_000, 30_000_000));
+    let proof = clock.proof(exchange(30_000_000, 31_000_000, 1_000));
     assert_eq!(proof, MonotonicTime(30_000_000));
 }
 
@@ -210,17 +198,9 @@
 #[test]
 fn a_clock_told_in_whole_milliseconds_is_no_other_clock() {
     let mut clock = FreshnessClock::default();
-    let quick = StoreExchange {
-        sent: MonotonicTime(10_000_900),
-        received: MonotonicTime(10_000_990),
-        store_micros: Some(500_000_000),
-    };
+    let quick = exchange(10_000_900, 10_000_990, 500_000_000);
     clock.proof(quick);
-    let poll = StoreExchange {
-        sent: MonotonicTime(10_001_000),
-        received: MonotonicTime(10_841_010),
-        store_micros: Some(500_841_000),
-    };
+    let poll = exchange(10_001_000, 10_841_010, 500_841_000);
     let proof = clock.proof(poll);
     assert!(proof > MonotonicTime(10_838_000), "{proof:?}");
     assert!(proof <= MonotonicTime(10_841_010), "{proof:?}");
