Say in the log when the first event of a stream came and how long its longest pause was

Change: the shell reports events that it passed on; the line at the end of a request names the upstream, the time of the first event, the longest pause, the events and the length that the caller guessed. One line a request as before.

--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -292,12 +292,15 @@
                 return (self.stream_broken(false), None);
             }
             match self.pass_events(&mut buffer, &head).await {
-                Ok(passed) => {
-                    if passed && !began {
-                        began = true;
-                        self.report_begun(facts);
-                    }
+                Ok(0) => {}
+                Ok(_) if !began => {
+                    began = true;
+                    self.report_begun(facts);
                 }
+                Ok(events) => self.shared.step(GatewayEvent::AnswerMoved {
+                    request: self.order.request,
+                    events,
+                }),
                 Err(_) => return (AttemptOutcome::CallerLeft, None),
             }
             if decoder.is_done() {
@@ -328,22 +331,24 @@
         (outcome, Some(head))
     }
 
-    /// Passes on the whole events of the buffer; says whether there were any.
+    /// Passes on the whole events of the buffer; says how many there were.
     async fn pass_events(
         &mut self,
         buffer: &mut EventBuffer,
         head: &AnswerHead,
-    ) -> io::Result<bool> {
+    ) -> io::Result<u32> {
         let mut bytes = Vec::new();
+        let mut events = 0;
         while let Some(event) = buffer.take_event() {
             if self.is_repeated(&event) {
                 continue;
             }
             bytes.extend_from_slice(&event.bytes);
             self.sink.note_event(event.identity);
+            events += 1;
         }
         if bytes.is_empty() {
-            return Ok(false);
+            return Ok(0);
         }
         if self.sink.has_begun() {
             self.sink.write_events(&bytes).await?;
@@ -353,7 +358,7 @@
                 .begin_stream(head.status, &head.reason, &lines, &bytes)
                 .await?;
         }
-        Ok(true)
+        Ok(events)
     }
 
     /// An upstream that reads a stream on may begin with an event that the caller has.
--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -122,6 +122,13 @@
         /// Marks of its head.
         marks: AnswerMarks,
     },
+    /// More events of a stream have reached its caller.
+    AnswerMoved {
+        /// Which request.
+        request: LocalRequest,
+        /// Events passed on together.
+        events: u32,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// Which request.
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -165,6 +165,9 @@
             GatewayEvent::AnswerBegan { request, marks } => {
                 self.answer_began(now, request, marks);
             }
+            GatewayEvent::AnswerMoved { request, events } => {
+                self.answer_moved(now, request, events);
+            }
             GatewayEvent::AttemptEnded { request, outcome } => {
                 self.attempt_ended(now, request, &outcome, effects);
             }
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -143,6 +143,9 @@
             sent_at: now,
             began_at: None,
             expected_ms: picked.expected_ms,
+            moved_at: None,
+            longest_pause: Duration::ZERO,
+            events: 0,
         });
         self.parts.read(now, &record.parts, &picked.name);
         self.rollouts.sent(&record.service, &state.entry.version);
--- a/crates/savorywood-gateway/src/gateway/ending.rs
+++ b/crates/savorywood-gateway/src/gateway/ending.rs
@@ -71,6 +71,7 @@
             return;
         };
         attempt.began_at.get_or_insert(now);
+        attempt.moved(now, 1);
         record.has_begun |= record.route.repeat.is_stream();
         let elapsed = now.since(attempt.sent_at);
         let upstream = attempt.upstream.clone();
@@ -86,6 +87,16 @@
         self.mark(now, &upstream, marks);
     }
 
+    /// More events of a stream came.
+    pub(super) fn answer_moved(&mut self, now: MonotonicTime, request: LocalRequest, events: u32) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        if let RequestPlace::Running(attempt) = &mut record.place {
+            attempt.moved(now, events);
+        }
+    }
+
     fn mark(&mut self, now: MonotonicTime, upstream: &UpstreamLabel, marks: AnswerMarks) {
         if let Some(state) = self.fleet.get_mut(upstream)
             && marks.load.is_some()
@@ -407,6 +418,16 @@
             .with("took_ms", now.since(record.arrived_at).as_millis())
             .with("sends", record.sends)
             .with("runs", record.runs);
+        if let RequestPlace::Running(attempt) = &record.place {
+            line = line.with("upstream", &attempt.upstream);
+            if let Some(began_at) = attempt.began_at {
+                line = line
+                    .with("first_ms", began_at.since(record.arrived_at).as_millis())
+                    .with("pause_ms", attempt.longest_pause.as_millis())
+                    .with("events", attempt.events)
+                    .with("guess", record.output);
+            }
+        }
         effects.push(GatewayEffect::Log(line));
     }
 
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -7,7 +7,7 @@
     queue::{QueuePlace, RequestRank},
 };
 use savorywood_protocol::MonotonicTime;
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 /// An attempt under way.
 #[derive(Debug, Clone)]
@@ -20,6 +20,23 @@
     pub began_at: Option<MonotonicTime>,
     /// Milliseconds that were expected until then.
     pub expected_ms: f64,
+    /// When its newest event came.
+    pub moved_at: Option<MonotonicTime>,
+    /// Longest pause between its events.
+    pub longest_pause: Duration,
+    /// Events that came.
+    pub events: u32,
+}
+
+impl RunningAttempt {
+    /// Events came.
+    pub fn moved(&mut self, now: MonotonicTime, events: u32) {
+        if let Some(before) = self.moved_at {
+            self.longest_pause = self.longest_pause.max(now.since(before));
+        }
+        self.moved_at = Some(now);
+        self.events += events;
+    }
 }
 
 /// Where a request is.
