--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -60,11 +60,8 @@
     pub kept: &'a mut Option<KeptFailure>,
 }
 
-/// Why the answer could not be had.
-enum ReadFailure {
-    Silent,
-    Broken,
-}
+/// The answer could not be had.
+struct ReadFailure;
 
 impl UpstreamAttempt<'_> {
     /// Makes the attempt, until the request is given up.
@@ -166,7 +163,7 @@
     ) -> (AttemptOutcome, Option<AnswerHead>) {
         let (head, facts) = match self.read_own_head(reader).await {
             Ok(read) => read,
-            Err(failure) => return (broken(&failure), None),
+            Err(ReadFailure) => return (AttemptOutcome::Broken { silent: false }, None),
         };
         if facts.not_run || facts.misdirected {
             let body = read_body(reader, head.framing, MAX_ANSWER_BYTES).await;
@@ -187,7 +184,7 @@
         }
         if self.sink.has_begun() {
             // A stream is read on only by another stream.
-            return (self.stream_broken(false), None);
+            return (self.stream_broken(), None);
         }
         self.relay_whole(reader, head, &facts).await
     }
@@ -200,9 +197,8 @@
     ) -> Result<(AnswerHead, AnswerFacts), ReadFailure> {
         let mut strays = 0;
         loop {
-            let head = self
-                .read_in_time(read_answer_head(reader), self.order.first_silence)
-                .await?;
+            let head = read_answer_head(reader).await;
+            let head = head.map_err(|_| ReadFailure)?;
             if head.status < 200 {
                 continue;
             }
@@ -214,30 +210,18 @@
                     strays += 1;
                     let framed = head.framing != BodyFraming::UntilClose;
                     if strays > MAX_STRAY_ANSWERS || !framed {
-                        return Err(ReadFailure::Broken);
+                        return Err(ReadFailure);
                     }
                     let skipped = read_body(reader, head.framing, MAX_ANSWER_BYTES).await;
-                    skipped.map_err(|_| ReadFailure::Broken)?;
+                    skipped.map_err(|_| ReadFailure)?;
                 }
                 Some(_) => return Ok((head, facts)),
                 None if facts.not_run || facts.misdirected => return Ok((head, facts)),
-                None => return Err(ReadFailure::Broken),
+                None => return Err(ReadFailure),
             }
         }
     }
 
-    async fn read_in_time<T>(
-        &self,
-        read: impl Future<Output = io::Result<T>>,
-        silence: Option<Duration>,
-    ) -> Result<T, ReadFailure> {
-        let read = match silence {
-            Some(silence) => within(silence, read).await.ok_or(ReadFailure::Silent)?,
-            None => read.await,
-        };
-        read.map_err(|_| ReadFailure::Broken)
-    }
-
     /// A plain answer reaches the caller only once it is whole.
     async fn relay_whole(
         &mut self,
@@ -289,7 +273,7 @@
         let mut began = false;
         loop {
             if decoder.decode(reader, buffer.space()).is_err() {
-                return (self.stream_broken(false), None);
+                return (self.stream_broken(), None);
             }
             match self.pass_events(&mut buffer, &head).await {
                 Ok(0) => {}
@@ -306,20 +290,14 @@
             if decoder.is_done() {
                 break;
             }
-            let silence = if began {
-                self.order.gap_silence
-            } else {
-                self.order.first_silence
-            };
-            match self.read_in_time(reader.fill(), silence).await {
+            match reader.fill().await {
                 Ok(0) if decoder.ended().is_ok() && buffer.is_empty() => break,
-                Ok(0) | Err(ReadFailure::Broken) => return (self.stream_broken(false), None),
+                Ok(0) | Err(_) => return (self.stream_broken(), None),
                 Ok(_) => {}
-                Err(ReadFailure::Silent) => return (self.stream_broken(true), None),
             }
         }
         if !buffer.is_empty() || !self.sink.has_begun() {
-            return (self.stream_broken(false), None);
+            return (self.stream_broken(), None);
         }
         if self.sink.end_stream().await.is_err() {
             return (AttemptOutcome::CallerLeft, None);
@@ -380,15 +358,8 @@
         });
     }
 
-    fn stream_broken(&self, silent: bool) -> AttemptOutcome {
-        if self.sink.has_begun() {
-            AttemptOutcome::StreamBroken(StreamEnd {
-                events: self.sink.events(),
-                silent,
-            })
-        } else {
-            AttemptOutcome::Broken { silent }
-        }
+    fn stream_broken(&self) -> AttemptOutcome {
+        broken_outcome(self.sink, false)
     }
 
     fn passing_lines(&self, head: &AnswerHead) -> Vec<HeaderLine> {
@@ -398,9 +369,15 @@
     }
 }
 
-fn broken(failure: &ReadFailure) -> AttemptOutcome {
-    AttemptOutcome::Broken {
-        silent: matches!(failure, ReadFailure::Silent),
+/// How an attempt ended without a whole answer.
+pub fn broken_outcome(sink: &AnswerSink, silent: bool) -> AttemptOutcome {
+    if sink.has_begun() {
+        AttemptOutcome::StreamBroken(StreamEnd {
+            events: sink.events(),
+            silent,
+        })
+    } else {
+        AttemptOutcome::Broken { silent }
     }
 }
 
--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -1,7 +1,7 @@
 //! One caller's connection: heads in, answers out.
 
 use crate::{
-    attempt::{KeptFailure, UpstreamAttempt, prepare},
+    attempt::{KeptFailure, UpstreamAttempt, broken_outcome, prepare},
     clock::within,
     metrics,
     shared::{FrontShared, RequestDecision},
@@ -15,7 +15,7 @@
     AttemptOutcome, CallerLimits, DispatchOrder, GatewayEvent, LocalRequest, RefusalReason,
 };
 use savorywood_protocol::MonotonicTime;
-use std::{net::Shutdown, rc::Rc, time::Duration};
+use std::{cell::Cell, net::Shutdown, rc::Rc, time::Duration};
 
 /// Interim answer that lets a caller send its body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -279,7 +279,7 @@
             sink.closes |= self.shared.stopping.get();
             match decision {
                 RequestDecision::Dispatch(order) => {
-                    let outcome = self.attempt(reader, sink, &mut kept, &order).await;
+                    let outcome = self.attempt(reader, sink, &mut kept, &order, decisions).await;
                     let end = self.after_attempt(&order, &outcome, sink);
                     self.report(outcome);
                     if let Some(next) = end {
@@ -299,6 +299,8 @@
                     let written = self.pass_failure(sink, kept).await;
                     return after(written, sink);
                 }
+                // The attempt that it was meant for has ended by itself.
+                RequestDecision::Abandon => {}
                 RequestDecision::BreakOff => {
                     self.count_end("broken-off");
                     return NextStep::Abort;
@@ -313,25 +315,33 @@
         sink: &mut AnswerSink,
         kept: &mut Option<KeptFailure>,
         order: &DispatchOrder,
+        decisions: &Receiver<RequestDecision>,
     ) -> AttemptOutcome {
         if order.number == 1 {
             let waited = self.shared.clock.now().since(self.arrived_at);
             metrics::observe(&self.shared.metrics.waiting_time, order, waited);
         }
+        let writing = sink.writing();
         let attempt = UpstreamAttempt {
             shared: self.shared,
             arrived_at: self.arrived_at,
             order,
             head: &self.request.head,
             body: &self.request.body,
-            sink,
+            sink: &mut *sink,
             kept,
         };
         let gone = async {
             caller_gone(reader).await;
-            AttemptOutcome::CallerLeft
+            Some(AttemptOutcome::CallerLeft)
+        };
+        let ended = async {
+            abandoned(decisions, &writing).await;
+            None
         };
-        future::or(attempt.run(), gone).await
+        let ran = async { Some(attempt.run().await) };
+        let outcome = future::or(ran, future::or(gone, ended)).await;
+        outcome.unwrap_or_else(|| broken_outcome(sink, true))
     }
 
     /// The connection's next step, when the outcome ends the request.
@@ -403,6 +413,17 @@
     }
 }
 
+/// Waits until the attempt under way is to be ended. Not while bytes are written: the rest of a
+/// piece that the caller has half of would be missing from its answer.
+async fn abandoned(decisions: &Receiver<RequestDecision>, writing: &Cell<bool>) {
+    while let Ok(decision) = decisions.recv().await {
+        if matches!(decision, RequestDecision::Abandon) && !writing.get() {
+            return;
+        }
+    }
+    future::pending().await
+}
+
 fn refusal_status(reason: RefusalReason) -> u16 {
     match reason {
         RefusalReason::NotReady
--- a/crates/savorywood-front/src/shared.rs
+++ b/crates/savorywood-front/src/shared.rs
@@ -33,6 +33,8 @@
     },
     /// Give it the failure that the upstream gave.
     PassFailure,
+    /// End the attempt under way.
+    Abandon,
     /// Break its answer off.
     BreakOff,
 }
@@ -150,6 +152,7 @@
             GatewayEffect::PassFailure { request } => {
                 self.tell(request, RequestDecision::PassFailure);
             }
+            GatewayEffect::Abandon { request } => self.tell(request, RequestDecision::Abandon),
             GatewayEffect::BreakOff { request } => self.tell(request, RequestDecision::BreakOff),
             GatewayEffect::WriteRollout(write) => {
                 // The receiver lives as long as the daemon.
--- a/crates/savorywood-front/src/sink.rs
+++ b/crates/savorywood-front/src/sink.rs
@@ -3,7 +3,7 @@
 use crate::wire::HeaderLine;
 use async_net::TcpStream;
 use futures_lite::AsyncWriteExt;
-use std::{fmt::Write, io};
+use std::{cell::Cell, fmt::Write, io, rc::Rc};
 
 /// What reaches one caller for one request.
 #[derive(Debug)]
@@ -14,6 +14,8 @@
     begun: bool,
     last_event: Option<String>,
     events: u32,
+    /// Bytes are on their way: an attempt that ended now would leave half a piece behind.
+    writing: Rc<Cell<bool>>,
 }
 
 impl AnswerSink {
@@ -26,9 +28,23 @@
             begun: false,
             last_event: None,
             events: 0,
+            writing: Rc::default(),
         }
     }
 
+    /// Says at any time whether bytes are just being written.
+    #[must_use]
+    pub fn writing(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.writing)
+    }
+
+    async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.writing.set(true);
+        let written = self.stream.write_all(bytes).await;
+        self.writing.set(false);
+        written
+    }
+
     /// Something of the answer has reached the caller.
     #[must_use]
     pub fn has_begun(&self) -> bool {
@@ -80,7 +96,7 @@
         let mut bytes = head.into_bytes();
         bytes.extend_from_slice(body);
         self.begun = true;
-        self.stream.write_all(&bytes).await
+        self.write(&bytes).await
     }
 
     /// Writes the head of a stream together with its first events.
@@ -100,7 +116,7 @@
         let mut bytes = head.into_bytes();
         push_chunk(&mut bytes, events);
         self.begun = true;
-        self.stream.write_all(&bytes).await
+        self.write(&bytes).await
     }
 
     /// Writes more events.
@@ -111,7 +127,7 @@
     pub async fn write_events(&mut self, events: &[u8]) -> io::Result<()> {
         let mut bytes = Vec::with_capacity(events.len() + 16);
         push_chunk(&mut bytes, events);
-        self.stream.write_all(&bytes).await
+        self.write(&bytes).await
     }
 
     /// Ends a stream as whole.
@@ -120,7 +136,7 @@
     ///
     /// When the caller's connection is broken.
     pub async fn end_stream(&mut self) -> io::Result<()> {
-        self.stream.write_all(b"0\r\n\r\n").await
+        self.write(b"0\r\n\r\n").await
     }
 
     /// Notes an event that was passed on.
--- a/crates/savorywood-gateway/src/declared.rs
+++ b/crates/savorywood-gateway/src/declared.rs
@@ -64,6 +64,9 @@
     pub objective: Duration,
     /// Longest pause between events of a stream that is in time.
     pub gap_objective: Option<Duration>,
+    /// Silence after which callers leave, also before the first event; `None` where they wait
+    /// for as long as they said.
+    pub patience: Option<Duration>,
     /// Rank, 0 is the most urgent.
     pub priority: u32,
     /// Where its traffic goes.
--- a/crates/savorywood-gateway/src/effect.rs
+++ b/crates/savorywood-gateway/src/effect.rs
@@ -29,10 +29,6 @@
     pub team: Option<TeamLabel>,
     /// When it is given up.
     pub give_up_at: MonotonicTime,
-    /// Time without the first event after which the upstream counts as silent.
-    pub first_silence: Option<Duration>,
-    /// The same between events.
-    pub gap_silence: Option<Duration>,
     /// The answer is a stream of events.
     pub stream: bool,
     /// The request may run again after it may have run.
@@ -58,6 +54,11 @@
         /// Which request.
         request: LocalRequest,
     },
+    /// End the attempt under way: its upstream is silent, and another one has a place.
+    Abandon {
+        /// Which request.
+        request: LocalRequest,
+    },
     /// Break off the answer that has begun.
     BreakOff {
         /// Which request.
--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -82,6 +82,15 @@
 }
 
 impl AttemptOutcome {
+    /// The upstream said something.
+    #[must_use]
+    pub fn was_heard(&self) -> bool {
+        matches!(
+            self,
+            Self::NotRun { .. } | Self::Failed { .. } | Self::Delivered { .. }
+        )
+    }
+
     /// Its name in logs and metrics.
     #[must_use]
     pub fn name(&self) -> &'static str {
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 mod news;
 mod record;
 mod telling;
+mod watching;
 
 pub use telling::GatewayView;
 
@@ -14,6 +15,7 @@
     arrival::LocalRequest,
     budget::{BudgetOptions, RetryBudget},
     declared::DeclaredConfig,
+    demand::DemandBook,
     effect::GatewayEffect,
     event::GatewayEvent,
     limit::{LimitTolerance, TeamMeter},
@@ -110,6 +112,7 @@
     proof_at: Option<MonotonicTime>,
     requests: BTreeMap<LocalRequest, RequestRecord>,
     queues: BTreeMap<ServiceLabel, WaitQueue>,
+    demands: BTreeMap<ServiceLabel, DemandBook>,
     parts: PartIndex,
     peers: PeerTable,
     contacts: ContactBook,
@@ -122,6 +125,10 @@
     sequence: u64,
     dispatches: u64,
     started_at: Option<MonotonicTime>,
+    /// When running attempts were looked at last.
+    watched_at: Option<MonotonicTime>,
+    /// When this process was last seen to wake up.
+    awake_at: MonotonicTime,
 }
 
 /// Effects of one step, in order.
@@ -143,6 +150,7 @@
             proof_at: None,
             requests: BTreeMap::new(),
             queues: BTreeMap::new(),
+            demands: BTreeMap::new(),
             parts: PartIndex::default(),
             meters: BTreeMap::new(),
             budgets: BTreeMap::new(),
@@ -152,6 +160,8 @@
             sequence: 0,
             dispatches: 0,
             started_at: None,
+            watched_at: None,
+            awake_at: MonotonicTime::default(),
         }
     }
 
@@ -299,6 +309,7 @@
         self.peers.refresh(now);
         self.reads.sweep(now);
         self.expire_waiting(now, effects);
+        self.watch_silence(now, effects);
         self.pump_all(now, effects);
         self.fleet.sweep(now);
         let leads = self.leads(now);
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -27,6 +27,8 @@
 const STALE_RETRY: Duration = Duration::from_millis(200);
 /// Time kept for the final answer's way to the caller.
 const ANSWER_MARGIN: Duration = Duration::from_millis(25);
+/// Time kept for a refusal's way to a caller that is about to leave.
+const LEAVING_MARGIN: Duration = Duration::from_millis(100);
 /// Longest time for a request that names no deadline on a route without a time limit.
 const LONGEST_TIME: Duration = Duration::from_secs(600);
 
@@ -81,6 +83,8 @@
                 effects.push(GatewayEffect::Log(line));
                 let service = record.service.clone();
                 self.budgets.entry(service.clone()).or_default().earn(now);
+                let demand = self.demands.entry(service.clone()).or_default();
+                demand.arrived(now, record.rank);
                 self.enqueue(request, record);
                 self.pump(now, &service, effects);
             }
@@ -148,6 +152,9 @@
             route: route.priority,
         };
         let expected = Duration::from_secs_f64(nominal_first_ms(size.prompt) / 1e3);
+        let give_up_at = now + longest.saturating_sub(ANSWER_MARGIN);
+        let patience = route.patience.unwrap_or(longest);
+        let leave_at = give_up_at.min(now + patience.saturating_sub(LEAVING_MARGIN));
         let begin_by = now + route.objective.saturating_sub(expected);
         Ok(RequestRecord {
             identity: arrival.identity.clone(),
@@ -159,7 +166,8 @@
             output: arrival.output_guess.unwrap_or(size.output),
             parts: arrival.parts.clone(),
             arrived_at: now,
-            give_up_at: now + longest.saturating_sub(ANSWER_MARGIN),
+            give_up_at,
+            leave_at,
             place: RequestPlace::Waiting(QueuePlace {
                 rank,
                 begin_by,
@@ -169,6 +177,7 @@
             sends: 0,
             runs: 0,
             has_failure: false,
+            has_try: false,
             has_begun: false,
             route,
         })
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -7,7 +7,7 @@
 use crate::{
     arrival::LocalRequest,
     effect::{DispatchOrder, GatewayEffect},
-    name::ServiceLabel,
+    name::{ServiceLabel, UpstreamLabel},
     pick::{PickFailure, PickQuery, PickScene, PickedUpstream},
     queue::QueuePlace,
     refusal::RefusalReason,
@@ -23,16 +23,10 @@
 const OVERCOMMIT_PART: f64 = 0.25;
 /// Part of the objective for which a request waits for a service that has no upstream.
 const EMPTY_PART: f64 = 0.12;
+/// Time for which daemons do not know of each other's newest dispatches.
+const UNHEARD_TIME: Duration = Duration::from_millis(250);
 /// Part of the expected time that must be left when an attempt begins.
 const NEEDED_PART: f64 = 0.6;
-/// First silence of a stream that may be begun elsewhere, against what was expected.
-const SILENCE_FACTOR: f64 = 4.0;
-/// Least first silence.
-const LEAST_SILENCE: Duration = Duration::from_millis(400);
-/// Silence between events after which a stream is read on elsewhere, against its objective.
-const GAP_PART: f64 = 0.75;
-/// Least silence between events.
-const LEAST_GAP: Duration = Duration::from_millis(400);
 
 impl Gateway {
     pub(super) fn pump_all(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
@@ -52,18 +46,20 @@
     ) {
         let places = self.places_in_order(now, service);
         let mut full = 0;
+        let mut rank = None;
         for place in places {
+            if rank.replace(place.rank) != Some(place.rank) {
+                full = 0;
+            }
+            if full >= MAX_FULL {
+                continue;
+            }
             let Some(record) = self.requests.get(&place.request) else {
                 continue;
             };
             match self.pick(now, record) {
                 Ok(picked) => self.dispatch(now, place.request, &picked, effects),
-                Err(PickFailure::Full) => {
-                    full += 1;
-                    if full >= MAX_FULL {
-                        return;
-                    }
-                }
+                Err(PickFailure::Full) => full += 1,
                 Err(PickFailure::None) => self.without_upstream(now, place.request, effects),
             }
         }
@@ -84,6 +80,16 @@
         &self,
         now: MonotonicTime,
         record: &RequestRecord,
+    ) -> Result<PickedUpstream, PickFailure> {
+        self.pick_beside(now, record, &record.tried)
+    }
+
+    /// Chooses an upstream that is none of those that have had the request.
+    pub(super) fn pick_beside(
+        &self,
+        now: MonotonicTime,
+        record: &RequestRecord,
+        tried: &[UpstreamLabel],
     ) -> Result<PickedUpstream, PickFailure> {
         let waited = now.since(record.arrived_at);
         let patient = waited < record.route.objective.mul_f64(OVERCOMMIT_PART);
@@ -95,8 +101,9 @@
             left_ms: record.give_up_at.since(now).as_secs_f64() * 1e3,
             stream: record.route.repeat.is_stream(),
             parts: &record.parts,
-            tried: &record.tried,
+            tried,
             versions: rollouts.choose(now, &record.service, self.trial()),
+            urgent: self.urgent_arrivals(now, record),
             overcommit: u32::from(!patient),
             may_try: record.route.repeat.is_idempotent()
                 && record.runs + 1 < record.route.max_attempts,
@@ -113,6 +120,14 @@
         scene.pick(&query, || draws.next())
     }
 
+    /// Arrivals of more urgent work at all daemons within the time in which none hears of them.
+    fn urgent_arrivals(&self, now: MonotonicTime, record: &RequestRecord) -> f64 {
+        let demand = self.demands.get(&record.service);
+        let own = demand.map_or(0.0, |demand| demand.more_urgent(now, record.rank));
+        let daemons = self.peers.known(now) + 1;
+        own * daemons as f64 * UNHEARD_TIME.as_secs_f64()
+    }
+
     fn dispatch(
         &mut self,
         now: MonotonicTime,
@@ -121,7 +136,6 @@
         effects: &mut GatewayEffects,
     ) {
         self.draws.next();
-        let others = self.has_others(now, request, picked);
         let Some(record) = self.requests.get_mut(&request) else {
             return;
         };
@@ -146,6 +160,7 @@
             moved_at: None,
             longest_pause: Duration::ZERO,
             events: 0,
+            abandoned: false,
         });
         self.parts.read(now, &record.parts, &picked.name);
         self.rollouts.sent(&record.service, &state.entry.version);
@@ -158,8 +173,6 @@
             address: state.entry.address,
             team: record.team.clone(),
             give_up_at: record.give_up_at,
-            first_silence: first_silence(record, picked).filter(|_| others),
-            gap_silence: gap_silence(record),
             stream: record.route.repeat.is_stream(),
             idempotent: record.route.repeat.is_idempotent(),
         };
@@ -176,24 +189,6 @@
         effects.push(GatewayEffect::Dispatch(order));
     }
 
-    /// There is another upstream to which the request could go.
-    fn has_others(
-        &self,
-        now: MonotonicTime,
-        request: LocalRequest,
-        picked: &PickedUpstream,
-    ) -> bool {
-        let Some(record) = self.requests.get(&request) else {
-            return false;
-        };
-        let mut members = self.fleet.members(&record.service);
-        members.any(|state| {
-            let name = &state.entry.name;
-            let usable = state.is_open(now) && state.outlier.is_usable(now, true);
-            usable && *name != picked.name && !record.tried.contains(name)
-        })
-    }
-
     /// All upstreams of the service are gone, or have had the request.
     fn without_upstream(
         &mut self,
@@ -217,12 +212,19 @@
     /// Gives up requests that could not be answered in time any more.
     pub(super) fn expire_waiting(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
         let mut expired = Vec::new();
+        let mut hopeless = Vec::new();
         for (service, queue) in &self.queues {
             let usual = self.fleet.usual(service);
             for place in queue.iter() {
                 let Some(record) = self.requests.get(&place.request) else {
                     continue;
                 };
+                let first = usual.first_ms(&usual, record.size.prompt) * NEEDED_PART / 1e3;
+                let stream = record.route.repeat.is_stream();
+                if stream && now + Duration::from_secs_f64(first) >= record.leave_at {
+                    hopeless.push(place.request);
+                    continue;
+                }
                 let needed = if record.route.repeat.is_stream() {
                     usual.first_ms(&usual, record.size.prompt)
                         + usual.rest_ms(&usual, record.output)
@@ -235,6 +237,9 @@
                 }
             }
         }
+        for request in hopeless {
+            self.finish(now, request, RefusalReason::Overloaded, effects);
+        }
         for request in expired {
             self.finish(now, request, RefusalReason::ExpiredUnsent, effects);
         }
@@ -243,20 +248,3 @@
 
 /// Times that a request is sent at most, those included that upstreams did not run.
 pub(super) const MAX_SENDS: u32 = 4;
-
-fn first_silence(record: &RequestRecord, picked: &PickedUpstream) -> Option<Duration> {
-    if !record.route.repeat.is_idempotent() || record.runs + 1 >= record.route.max_attempts {
-        return None;
-    }
-    let expected = Duration::from_secs_f64(picked.expected_ms * SILENCE_FACTOR / 1e3);
-    let half = record.route.objective.mul_f64(0.6);
-    Some(expected.max(half).max(LEAST_SILENCE))
-}
-
-fn gap_silence(record: &RequestRecord) -> Option<Duration> {
-    if !record.route.repeat.is_idempotent() || record.runs + 1 >= record.route.max_attempts {
-        return None;
-    }
-    let gap = record.route.gap_objective?;
-    Some(gap.mul_f64(GAP_PART).max(LEAST_GAP))
-}
--- a/crates/savorywood-gateway/src/gateway/ending.rs
+++ b/crates/savorywood-gateway/src/gateway/ending.rs
@@ -35,6 +35,8 @@
     events: Option<u32>,
     /// Tokens that the caller expected.
     output: u32,
+    /// Longest pause between its events.
+    longest_pause: Duration,
     /// Time from its first event to its last.
     after_first: Duration,
     /// Time from the sending to its end.
@@ -44,7 +46,10 @@
 impl SeenAnswer {
     fn teach(&self, pace: &mut PaceEstimate) {
         match self.events {
-            Some(events) => pace.saw_stream(events, self.output, self.after_first, self.whole),
+            Some(events) => {
+                pace.saw_stream(events, self.output, self.after_first, self.whole);
+                pace.saw_pause(self.longest_pause);
+            }
             None => pace.saw_answer(self.whole),
         }
     }
@@ -75,6 +80,7 @@
         record.has_begun |= record.route.repeat.is_stream();
         let elapsed = now.since(attempt.sent_at);
         let upstream = attempt.upstream.clone();
+        self.fleet.heard(now, &upstream);
         if record.route.repeat.is_stream() {
             let prompt = record.size.prompt;
             self.fleet
@@ -94,6 +100,7 @@
         };
         if let RequestPlace::Running(attempt) = &mut record.place {
             attempt.moved(now, events);
+            self.fleet.heard(now, &attempt.upstream);
         }
     }
 
@@ -160,10 +167,14 @@
         let service = record.service.clone();
         let stream = record.route.repeat.is_stream();
         let output = record.output;
+        if outcome.was_heard() {
+            self.fleet.heard(now, &attempt.upstream);
+        }
         if let AttemptOutcome::Delivered { events, .. } = outcome {
             let seen = SeenAnswer {
                 events: stream.then_some(*events),
                 output,
+                longest_pause: attempt.longest_pause,
                 after_first: now.since(attempt.began_at.unwrap_or(now)),
                 whole: now.since(attempt.sent_at),
             };
@@ -201,13 +212,15 @@
             return;
         };
         state.running = state.running.saturating_sub(1);
+        // One answer may be lost where others go on; an upstream that says nothing is out at once.
+        let dark = state.heard_at <= attempt.moved_at.unwrap_or(attempt.sent_at);
         let outlier = &mut state.outlier;
         let mut is_back = false;
         let taken_out = match outcome {
             AttemptOutcome::NotSent => outlier.broke(now, false),
             AttemptOutcome::Failed { .. } => outlier.failed(now, usual),
-            AttemptOutcome::Broken { silent } => outlier.broke(now, *silent),
-            AttemptOutcome::StreamBroken(end) => outlier.broke(now, end.silent),
+            AttemptOutcome::Broken { silent } => outlier.broke(now, *silent && dark),
+            AttemptOutcome::StreamBroken(end) => outlier.broke(now, end.silent && dark),
             AttemptOutcome::Expired if overdue => outlier.broke(now, false),
             AttemptOutcome::Delivered { .. } => {
                 is_back = outlier.succeeded(now);
@@ -314,10 +327,13 @@
         self.finish(now, request, RefusalReason::BrokenAnswer, effects);
     }
 
-    fn spend_try(&mut self, now: MonotonicTime, request: LocalRequest) -> bool {
-        let Some(record) = self.requests.get(&request) else {
+    pub(super) fn spend_try(&mut self, now: MonotonicTime, request: LocalRequest) -> bool {
+        let Some(record) = self.requests.get_mut(&request) else {
             return false;
         };
+        if std::mem::take(&mut record.has_try) {
+            return true;
+        }
         let daemons = self.peers.known(now) + 1;
         let budget = self.budgets.entry(record.service.clone()).or_default();
         budget.spend(now, &self.options.bounds.budget, daemons)
@@ -376,6 +392,11 @@
             _ => reason,
         };
         let retry_after = reason.promises_not_run().then_some(BUSY_RETRY);
+        let retry_after = if reason == RefusalReason::Overloaded {
+            Some(Duration::from_secs_f64(1.5 + 1.5 * self.draws.next()))
+        } else {
+            retry_after
+        };
         if reason.promises_not_run() {
             self.give_units_back(request);
         }
@@ -412,7 +433,7 @@
         if let RequestPlace::Waiting(place) = &record.place {
             self.unqueue(&record.service, place);
         }
-        let line = LogLine::new(LogLevel::Info, "request-ended")
+        let mut line = LogLine::new(LogLevel::Info, "request-ended")
             .with("request", &record.identity)
             .with("end", end)
             .with("took_ms", now.since(record.arrived_at).as_millis())
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -26,6 +26,8 @@
     pub longest_pause: Duration,
     /// Events that came.
     pub events: u32,
+    /// It is being ended, as its upstream is silent.
+    pub abandoned: bool,
 }
 
 impl RunningAttempt {
@@ -73,6 +75,8 @@
     pub arrived_at: MonotonicTime,
     /// When it must have its final answer.
     pub give_up_at: MonotonicTime,
+    /// When its caller leaves if nothing has come.
+    pub leave_at: MonotonicTime,
     /// Where it is.
     pub place: RequestPlace,
     /// Upstreams that have had it.
@@ -83,11 +87,18 @@
     pub runs: u32,
     /// An upstream's own failure is kept for the caller.
     pub has_failure: bool,
+    /// A try of the budget is already spent for its next send.
+    pub has_try: bool,
     /// Events or bytes have reached the caller.
     pub has_begun: bool,
 }
 
 impl RequestRecord {
+    /// The route allows one more run beside the one under way.
+    pub fn may_run_once_more(&self) -> bool {
+        self.route.repeat.is_idempotent() && self.runs + 1 < self.route.max_attempts
+    }
+
     /// A second run is allowed by the route.
     pub fn may_run_again(&self) -> bool {
         self.route.repeat.is_idempotent() && self.runs < self.route.max_attempts.max(1)
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod arrival;
 mod budget;
 mod declared;
+mod demand;
 mod effect;
 mod event;
 mod freshness;
--- a/crates/savorywood-gateway/src/pace.rs
+++ b/crates/savorywood-gateway/src/pace.rs
@@ -4,6 +4,13 @@
 
 /// Weight of the newest observation.
 const NEWEST_WEIGHT: f64 = 0.2;
+/// Weight of a pause that is longer than the usual longest ones: these come beside long prompts,
+/// rarely and at any moment.
+const LONGER_PAUSE_WEIGHT: f64 = 0.5;
+/// Weight of a shorter one.
+const SHORTER_PAUSE_WEIGHT: f64 = 0.05;
+/// Longest pause, before anything was seen.
+const PAUSE_MS: f64 = 400.0;
 /// Time of a request without prompt, before anything was seen.
 const BASE_MS: f64 = 20.0;
 /// Time of one prompt token, before anything was seen.
@@ -27,6 +34,8 @@
     first: Option<f64>,
     /// Milliseconds between events.
     gap_ms: Option<f64>,
+    /// Milliseconds of the longest pauses between events.
+    pause_ms: Option<f64>,
     /// Milliseconds of a whole answer.
     whole_ms: Option<f64>,
     /// Events of an answer.
@@ -70,6 +79,24 @@
         blend(&mut self.whole_ms, whole.as_secs_f64() * 1e3);
     }
 
+    /// The longest pause of a stream that ended well.
+    pub fn saw_pause(&mut self, longest: Duration) {
+        let millis = longest.as_secs_f64() * 1e3;
+        let known = self.pause_ms.get_or_insert(millis);
+        let weight = if millis > *known {
+            LONGER_PAUSE_WEIGHT
+        } else {
+            SHORTER_PAUSE_WEIGHT
+        };
+        *known += (millis - *known) * weight;
+    }
+
+    /// Milliseconds of the longest pauses that are usual there.
+    #[must_use]
+    pub fn pause_ms(&self, usual: &Self) -> f64 {
+        self.pause_ms.or(usual.pause_ms).unwrap_or(PAUSE_MS)
+    }
+
     /// A plain answer ended well.
     pub fn saw_answer(&mut self, whole: Duration) {
         blend(&mut self.whole_ms, whole.as_secs_f64() * 1e3);
@@ -100,6 +127,13 @@
         self.whole_ms.or(usual.whole_ms).unwrap_or(100.0)
     }
 
+    /// Answers a second of one seat, up to a factor that is the same for a whole service.
+    #[must_use]
+    pub fn speed(&self, usual: &Self) -> f64 {
+        let gap = self.gap_ms.or(usual.gap_ms);
+        1.0 / gap.unwrap_or_else(|| self.whole_ms(usual)).max(0.1)
+    }
+
     /// Mean gap between events in milliseconds, where some were seen.
     #[must_use]
     pub fn gap_ms(&self) -> Option<f64> {
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -32,6 +32,14 @@
 /// would never get the one request that shows that it is sound again.
 const TRIAL_WORTH_MS: f64 = 60_000.0;
 
+/// How many times as long as guessed an answer may become and still end in time: an answer that
+/// is cut at its deadline has held a seat all that time for nothing.
+const LENGTH_MARGIN: f64 = 1.8;
+/// Urgent arrivals at one upstream for which no seat is kept.
+const LEAST_URGENT: f64 = 0.25;
+/// At most one in so many seats of an upstream is kept.
+const MOST_KEPT: u32 = 3;
+
 /// Which versions may get a request while a roll-out is under way.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum VersionChoice {
@@ -90,6 +98,8 @@
     pub tried: &'a [UpstreamLabel],
     /// Versions that may get it.
     pub versions: VersionChoice,
+    /// Arrivals of more urgent work that no daemon knows of yet.
+    pub urgent: f64,
     /// Requests that may wait in an upstream beyond its slots.
     pub overcommit: u32,
     /// It may run again elsewhere: upstreams on trial may have it.
@@ -135,6 +145,20 @@
     pub score: f64,
 }
 
+/// Seats of an upstream that are kept for more urgent work, by the number of such requests that
+/// come to it before its seats are known anew.
+///
+/// Less urgent work that takes the last seat holds it for the whole of an answer; an urgent request
+/// that comes a moment later waits for as long, or queues inside the upstream, where its rank
+/// counts nothing. Seats that are kept everywhere are also there for requests that other daemons
+/// take on at the same moment, of which nobody has heard.
+fn kept_seats(urgent: f64) -> u32 {
+    if urgent < LEAST_URGENT {
+        return 0;
+    }
+    urgent.ceil() as u32
+}
+
 impl PickScene<'_> {
     /// Chooses the upstream with the least expected cost among those with room.
     ///
@@ -147,14 +171,19 @@
         mut draw: impl FnMut() -> f64,
     ) -> Result<PickedUpstream, PickFailure> {
         let mut best: Option<PickedUpstream> = None;
+        let speeds = self.speeds(query);
         let mut failure = PickFailure::None;
         let all_suspect = self.all_suspect(query);
+        let must_fit = self.fits_somewhere(query, all_suspect);
         for state in self.fleet.members(query.service) {
             if !self.may_have(state, query, all_suspect) {
                 continue;
             }
             failure = PickFailure::Full;
-            let picked = self.appraise(state, query, draw());
+            if must_fit && !self.fits(state, query) {
+                continue;
+            }
+            let picked = self.appraise(state, query, speeds, draw());
             let Some(picked) = picked else { continue };
             if best.as_ref().is_none_or(|best| picked.score < best.score) {
                 best = Some(picked);
@@ -163,6 +192,32 @@
         best.ok_or(failure)
     }
 
+    /// An answer that begins at this upstream now probably ends in time.
+    fn fits(&self, state: &UpstreamState, query: &PickQuery<'_>) -> bool {
+        if !query.stream {
+            return true;
+        }
+        let usual = self.fleet.usual(query.service);
+        let first = state.pace.first_ms(&usual, query.prompt);
+        let rest = state.pace.rest_ms(&usual, query.output);
+        first + rest * LENGTH_MARGIN <= query.left_ms
+    }
+
+    /// There is an upstream, full or not, at which the answer would end in time.
+    fn fits_somewhere(&self, query: &PickQuery<'_>, all_suspect: bool) -> bool {
+        let mut members = self.fleet.members(query.service);
+        members.any(|state| self.may_have(state, query, all_suspect) && self.fits(state, query))
+    }
+
+    /// Sum of the speeds of upstreams that may get work.
+    fn speeds(&self, query: &PickQuery<'_>) -> f64 {
+        let usual = self.fleet.usual(query.service);
+        let members = self.fleet.members(query.service);
+        let open = members.filter(|state| state.is_open(self.now));
+        let sum: f64 = open.map(|state| state.pace.speed(&usual)).sum();
+        sum.max(f64::MIN_POSITIVE)
+    }
+
     /// When every upstream looks ill, the fault is more likely in the requests or on the way:
     /// leaving all of them out would turn a partial failure into a whole one.
     fn all_suspect(&self, query: &PickQuery<'_>) -> bool {
@@ -183,20 +238,24 @@
         &self,
         state: &UpstreamState,
         query: &PickQuery<'_>,
+        speeds: f64,
         noise: f64,
     ) -> Option<PickedUpstream> {
         let entry = &state.entry;
+        let usual = self.fleet.usual(query.service);
         let occupied = state.running + self.peers.seats_at(&entry.name);
-        if occupied >= entry.slots + query.overcommit {
+        let kept = kept_seats(query.urgent * state.pace.speed(&usual) / speeds);
+        let kept = kept.min(entry.slots / MOST_KEPT);
+        let overcommit = if kept > 0 { 0 } else { query.overcommit };
+        if occupied + kept >= entry.slots + overcommit {
             return None;
         }
-        let usual = self.fleet.usual(query.service);
         let held = self.parts.held(self.now, query.parts, &entry.name);
         let crowd = 1.0 + f64::from(occupied) * CROWD_SLOWDOWN;
         let (first, rest) = if query.stream {
             let prompt = query.prompt.saturating_sub(held);
             let first = state.pace.first_ms(&usual, prompt) * crowd;
-            (first, state.pace.rest_ms(&usual, query.output) * crowd)
+            (first, state.pace.rest_ms(&usual, query.output))
         } else {
             (state.pace.whole_ms(&usual) * crowd, 0.0)
         };
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -48,6 +48,8 @@
     pub outlier: OutlierState,
     /// Speed.
     pub pace: PaceEstimate,
+    /// When something of an answer came from it last.
+    pub heard_at: MonotonicTime,
     /// Load that its newest answer told.
     pub load: Option<LoadFigures>,
     /// When that was.
@@ -64,6 +66,7 @@
             chosen: 0,
             outlier: OutlierState::default(),
             pace: PaceEstimate::default(),
+            heard_at: MonotonicTime::default(),
             load: None,
             load_at: MonotonicTime::default(),
             gone_at: None,
@@ -111,6 +114,13 @@
         self.states.get_mut(name)
     }
 
+    /// Something of an answer came from an upstream.
+    pub fn heard(&mut self, now: MonotonicTime, name: &UpstreamLabel) {
+        if let Some(state) = self.states.get_mut(name) {
+            state.heard_at = now;
+        }
+    }
+
     /// Upstreams of a service.
     pub fn members<'a>(
         &'a self,
