Keep as many seats as urgent requests are expected while a request holds its own

Cause: rounding up kept a seat where a quarter of a request was expected, and a request that holds a seat for less time than news need keeps nobody waiting for as long.

--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -23,8 +23,6 @@
 const OVERCOMMIT_PART: f64 = 0.25;
 /// Part of the objective for which a request waits for a service that has no upstream.
 const EMPTY_PART: f64 = 0.12;
-/// Time for which daemons do not know of each other's newest dispatches.
-const UNHEARD_TIME: Duration = Duration::from_millis(250);
 /// Part of the expected time that must be left when an attempt begins.
 const NEEDED_PART: f64 = 0.6;
 
@@ -120,12 +118,12 @@
         scene.pick(&query, || draws.next())
     }
 
-    /// Arrivals of more urgent work at all daemons within the time in which none hears of them.
+    /// Arrivals a second of more urgent work at all daemons.
     fn urgent_arrivals(&self, now: MonotonicTime, record: &RequestRecord) -> f64 {
         let demand = self.demands.get(&record.service);
         let own = demand.map_or(0.0, |demand| demand.more_urgent(now, record.rank));
         let daemons = self.peers.known(now) + 1;
-        own * daemons as f64 * UNHEARD_TIME.as_secs_f64()
+        own * daemons as f64
     }
 
     fn dispatch(
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -35,6 +35,8 @@
 /// How many times as long as guessed an answer may become and still end in time: an answer that
 /// is cut at its deadline has held a seat all that time for nothing.
 const LENGTH_MARGIN: f64 = 1.8;
+/// Milliseconds for which daemons do not know of each other's newest dispatches.
+const UNHEARD_MS: f64 = 250.0;
 /// Urgent arrivals at one upstream for which no seat is kept.
 const LEAST_URGENT: f64 = 0.25;
 /// At most one in so many seats of an upstream is kept.
@@ -156,7 +158,7 @@
     if urgent < LEAST_URGENT {
         return 0;
     }
-    urgent.ceil() as u32
+    urgent.round() as u32
 }
 
 impl PickScene<'_> {
@@ -244,7 +246,13 @@
         let entry = &state.entry;
         let usual = self.fleet.usual(query.service);
         let occupied = state.running + self.peers.seats_at(&entry.name);
-        let kept = kept_seats(query.urgent * state.pace.speed(&usual) / speeds);
+        let seat_ms = if query.stream {
+            state.pace.first_ms(&usual, query.prompt) + state.pace.rest_ms(&usual, query.output)
+        } else {
+            state.pace.whole_ms(&usual)
+        };
+        let horizon_s = seat_ms.min(UNHEARD_MS) / 1e3;
+        let kept = kept_seats(query.urgent * horizon_s * state.pace.speed(&usual) / speeds);
         let kept = kept.min(entry.slots / MOST_KEPT);
         let overcommit = if kept > 0 { 0 } else { query.overcommit };
         if occupied + kept >= entry.slots + overcommit {
