--- a/crates/savorywood-gateway/src/demand.rs
+++ b/crates/savorywood-gateway/src/demand.rs
@@ -47,4 +47,12 @@
         let recent: f64 = urgent.map(|(_, demand)| demand.recent_at(now)).sum();
         recent / RECENT_TIME.as_secs_f64()
     }
+
+    /// Arrivals a second at this daemon of the most urgent rank, if that is not this one.
+    #[must_use]
+    pub fn most_urgent(&self, now: MonotonicTime, rank: RequestRank) -> f64 {
+        let mut urgent = self.ranks.range(..rank);
+        let recent = urgent.next().map(|(_, demand)| demand.recent_at(now));
+        recent.unwrap_or_default() / RECENT_TIME.as_secs_f64()
+    }
 }
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -102,6 +102,9 @@
             tried,
             versions: rollouts.choose(now, &record.service, self.trial()),
             urgent: self.urgent_arrivals(now, record),
+            most_urgent: self.demands.get(&record.service).map_or(0.0, |demand| {
+                demand.most_urgent(now, record.rank) * (self.peers.known(now) + 1) as f64
+            }),
             overcommit: u32::from(!patient),
             may_try: record.route.repeat.is_idempotent()
                 && record.runs + 1 < record.route.max_attempts,
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -35,6 +35,8 @@
 /// How many times as long as guessed an answer may become and still end in time: an answer that
 /// is cut at its deadline has held a seat all that time for nothing.
 const LENGTH_MARGIN: f64 = 1.8;
+/// Arrivals of the most urgent work while a kept seat is lent.
+const MOST_LENT: f64 = 0.4;
 /// Milliseconds for which daemons do not know of each other's newest dispatches.
 const UNHEARD_MS: f64 = 250.0;
 /// Urgent arrivals at one upstream for which no seat is kept.
@@ -102,6 +104,8 @@
     pub versions: VersionChoice,
     /// Arrivals of more urgent work that no daemon knows of yet.
     pub urgent: f64,
+    /// Arrivals a second of the most urgent work at all daemons.
+    pub most_urgent: f64,
     /// Requests that may wait in an upstream beyond its slots.
     pub overcommit: u32,
     /// It may run again elsewhere: upstreams on trial may have it.
@@ -255,6 +259,9 @@
         let kept = kept_seats(query.urgent * horizon_s * state.pace.speed(&usual) / speeds);
         let kept = kept.min(entry.slots / MOST_KEPT);
         let overcommit = if kept > 0 { 0 } else { query.overcommit };
+        let share = state.pace.speed(&usual) / speeds;
+        let lent = kept > 0 && query.most_urgent * share * seat_ms / 1e3 < MOST_LENT;
+        let kept = if lent { 0 } else { kept };
         if occupied + kept >= entry.slots + overcommit {
             return None;
         }
