--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -96,6 +96,7 @@
             service: &record.service,
             prompt: record.size.prompt,
             output: record.output,
+            slack_ms: record.route.objective.as_secs_f64() * 1e3 - waited.as_secs_f64() * 1e3,
             left_ms: record.give_up_at.since(now).as_secs_f64() * 1e3,
             stream: record.route.repeat.is_stream(),
             parts: &record.parts,
@@ -144,6 +145,7 @@
             return;
         };
         state.running += 1;
+        state.unread += record.size.prompt;
         self.dispatches += 1;
         state.chosen = self.dispatches;
         state.outlier.sent();
--- a/crates/savorywood-gateway/src/gateway/ending.rs
+++ b/crates/savorywood-gateway/src/gateway/ending.rs
@@ -75,12 +75,16 @@
         let RequestPlace::Running(attempt) = &mut record.place else {
             return;
         };
+        let is_first = attempt.began_at.is_none();
         attempt.began_at.get_or_insert(now);
         attempt.moved(now, 1);
         record.has_begun |= record.route.repeat.is_stream();
         let elapsed = now.since(attempt.sent_at);
         let upstream = attempt.upstream.clone();
         self.fleet.heard(now, &upstream);
+        if is_first && let Some(state) = self.fleet.get_mut(&upstream) {
+            state.unread = state.unread.saturating_sub(record.size.prompt);
+        }
         if record.route.repeat.is_stream() {
             let prompt = record.size.prompt;
             self.fleet
@@ -166,6 +170,11 @@
         };
         let service = record.service.clone();
         let stream = record.route.repeat.is_stream();
+        if attempt.began_at.is_none()
+            && let Some(state) = self.fleet.get_mut(&attempt.upstream)
+        {
+            state.unread = state.unread.saturating_sub(record.size.prompt);
+        }
         let output = record.output;
         if outcome.was_heard() {
             self.fleet.heard(now, &attempt.upstream);
--- a/crates/savorywood-gateway/src/pace.rs
+++ b/crates/savorywood-gateway/src/pace.rs
@@ -15,6 +15,10 @@
 const BASE_MS: f64 = 20.0;
 /// Time of one prompt token, before anything was seen.
 const TOKEN_MS: f64 = 0.025;
+/// Time of a pair of prompt tokens: each token attends to all before it.
+const PAIR_MS: f64 = 0.000_000_29;
+/// By how much the usual time to the first event moves with each observation, as a part of it.
+const FIRST_STEP: f64 = 0.12;
 /// Weight of a caller's guess of its answer's length against the usual length: guesses are right
 /// at the median and often far off.
 const GUESS_WEIGHT: f64 = 0.7;
@@ -24,7 +28,8 @@
 /// Time to the first event that an upstream of ordinary speed needs for a prompt.
 #[must_use]
 pub fn nominal_first_ms(prompt: u32) -> f64 {
-    BASE_MS + f64::from(prompt) * TOKEN_MS
+    let tokens = f64::from(prompt);
+    BASE_MS + tokens * TOKEN_MS + tokens * tokens * PAIR_MS
 }
 
 /// Moving means of one upstream, or of all upstreams of a service.
@@ -55,8 +60,14 @@
     /// The first event came.
     pub fn saw_first(&mut self, prompt: u32, elapsed: Duration) {
         let ratio = elapsed.as_secs_f64() * 1e3 / nominal_first_ms(prompt);
-        // A long wait in the upstream's queue says little of its speed.
-        blend(&mut self.first, ratio.min(50.0));
+        // The median: a wait in the upstream's queue, or behind another's long prompt, says little
+        // of its speed, and a mean would take such an upstream for a slow one.
+        let known = self.first.get_or_insert(ratio);
+        *known *= if ratio > *known {
+            1.0 + FIRST_STEP
+        } else {
+            1.0 / (1.0 + FIRST_STEP)
+        };
     }
 
     /// A stream ended well.
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -92,6 +92,8 @@
     pub prompt: u32,
     /// Tokens of the answer as the caller expects; zero if it says nothing.
     pub output: u32,
+    /// Milliseconds within which the first event is in time.
+    pub slack_ms: f64,
     /// Milliseconds until the answer must be whole.
     pub left_ms: f64,
     /// The answer is a stream.
@@ -181,6 +183,7 @@
         let mut failure = PickFailure::None;
         let all_suspect = self.all_suspect(query);
         let must_fit = self.fits_somewhere(query, all_suspect);
+        let in_time = self.is_in_time_somewhere(query, all_suspect);
         for state in self.fleet.members(query.service) {
             if !self.may_have(state, query, all_suspect) {
                 continue;
@@ -191,6 +194,9 @@
             }
             let picked = self.appraise(state, query, speeds, draw());
             let Some(picked) = picked else { continue };
+            if in_time && picked.expected_ms > query.slack_ms {
+                continue;
+            }
             if best.as_ref().is_none_or(|best| picked.score < best.score) {
                 best = Some(picked);
             }
@@ -215,6 +221,22 @@
         members.any(|state| self.may_have(state, query, all_suspect) && self.fits(state, query))
     }
 
+    /// There is an upstream, full or not, whose first event would be in time.
+    ///
+    /// A seat of a slow upstream that is free is no good to a request that would be late there,
+    /// while faster ones give back several seats within the time that it has.
+    fn is_in_time_somewhere(&self, query: &PickQuery<'_>, all_suspect: bool) -> bool {
+        if !query.stream {
+            return false;
+        }
+        let usual = self.fleet.usual(query.service);
+        let mut members = self.fleet.members(query.service);
+        members.any(|state| {
+            let first = state.pace.first_ms(&usual, query.prompt);
+            self.may_have(state, query, all_suspect) && first <= query.slack_ms
+        })
+    }
+
     /// Sum of the speeds of upstreams that may get work.
     fn speeds(&self, query: &PickQuery<'_>) -> f64 {
         let usual = self.fleet.usual(query.service);
@@ -266,12 +288,14 @@
             return None;
         }
         let held = self.parts.held(self.now, query.parts, &entry.name);
-        let crowd = 1.0 + f64::from(occupied) * CROWD_SLOWDOWN;
+        let beyond = (occupied + 1).saturating_sub(entry.slots);
+        let queued = f64::from(beyond) * state.pace.whole_ms(&usual) / f64::from(entry.slots.max(1));
         let (first, rest) = if query.stream {
-            let prompt = query.prompt.saturating_sub(held);
-            let first = state.pace.first_ms(&usual, prompt) * crowd;
-            (first, state.pace.rest_ms(&usual, query.output))
+            let prompt = query.prompt.saturating_sub(held) + state.unread;
+            let first = state.pace.first_ms(&usual, prompt);
+            (first + queued, state.pace.rest_ms(&usual, query.output))
         } else {
+            let crowd = 1.0 + f64::from(occupied) * CROWD_SLOWDOWN;
             (state.pace.whole_ms(&usual) * crowd, 0.0)
         };
         let mut score = first + rest * REST_WEIGHT;
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -42,6 +42,8 @@
     pub entry: UpstreamEntry,
     /// Requests of this daemon there.
     pub running: u32,
+    /// Prompt tokens of these of which no event has come yet.
+    pub unread: u32,
     /// Number of this daemon's dispatch that came here last.
     pub chosen: u64,
     /// Failures.
@@ -63,6 +65,7 @@
         Self {
             entry,
             running: 0,
+            unread: 0,
             chosen: 0,
             outlier: OutlierState::default(),
             pace: PaceEstimate::default(),
@@ -181,9 +184,9 @@
         };
         state.gone_at = None;
         if state.entry.born != entry.born && entry.born != 0 {
-            let running = state.running;
+            let (running, unread) = (state.running, state.unread);
             *state = UpstreamState::new(entry);
-            state.running = running;
+            (state.running, state.unread) = (running, unread);
             return Some(FleetChange::Reborn);
         }
         let drains = entry.draining && !state.entry.draining;
