--- a/crates/savorywood-gateway/src/gateway/watching.rs
+++ b/crates/savorywood-gateway/src/gateway/watching.rs
@@ -88,7 +88,12 @@
         if attempt.began_at.is_none() {
             let expected = Duration::from_secs_f64(attempt.expected_ms * FIRST_FACTOR / 1e3);
             let objective = record.route.objective.mul_f64(OBJECTIVE_PART);
-            let most = expected.max(objective).max(LEAST_SILENCE);
+            let mut most = expected.max(objective).max(LEAST_SILENCE);
+            let others_go_on = state.heard_at > heard_at;
+            if record.route.repeat.is_stream() && others_go_on {
+                // It reads the prompts that came before this one.
+                most = most.max(record.route.objective);
+            }
             return (own > most).then_some(SilenceKind::First);
         }
         let usual = self.fleet.usual(&record.service);
