Tell seats alone every 80 ms while they are scarce, with prompts unread

Cause: a seat turns over in 60 ms, full words come every 250 ms; a daemon keeps its urgent callers waiting beside a free seat of which it has not heard.

--- a/crates/savorywood-front/src/peers.rs
+++ b/crates/savorywood-front/src/peers.rs
@@ -6,7 +6,12 @@
 use futures_lite::future;
 use savorywood_gateway::{GatewayEvent, PeerMessage};
 use serde::{Deserialize, Serialize};
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 /// Largest datagram that passes usual links in one piece.
 const MAX_DATAGRAM: usize = 1_400;
@@ -98,6 +103,7 @@
                     Ok(PeerDatagram::Message(message)) => shared.step(match *message {
                         PeerMessage::Summary(summary) => GatewayEvent::PeerHeard(Box::new(summary)),
                         PeerMessage::Digest(digest) => GatewayEvent::ZoneHeard(Box::new(digest)),
+                        PeerMessage::Seats(news) => GatewayEvent::SeatsHeard(news),
                     }),
                     // The receiver lives as long as the daemon; a full queue drops the rows, which
                     // are then read.
@@ -118,7 +124,32 @@
         loop {
             self.tell(&shared).await;
             let pause = shared.gateway.borrow().talk_pause();
-            Timer::after(pause.mul_f64(0.9 + fastrand::f64() * 0.2)).await;
+            let next = Instant::now() + pause.mul_f64(0.9 + fastrand::f64() * 0.2);
+            loop {
+                let pause = shared.gateway.borrow().seat_pause();
+                let pause = pause.mul_f64(0.9 + fastrand::f64() * 0.2);
+                if Instant::now() + pause >= next {
+                    break;
+                }
+                Timer::after(pause).await;
+                self.tell_seats(&shared).await;
+            }
+            Timer::at(next).await;
+        }
+    }
+
+    /// Tells others of this daemon's seats alone, while these are scarce.
+    async fn tell_seats(&self, shared: &FrontShared) {
+        let now = self.clock.now();
+        let news = shared.gateway.borrow_mut().seat_news(now);
+        let Some(news) = news else { return };
+        let plan = shared.gateway.borrow_mut().plan_talk(now);
+        let datagram = PeerDatagram::Message(Box::new(PeerMessage::Seats(news)));
+        self.send(&datagram, &plan.summary_to).await;
+        if !plan.digest_to.is_empty() {
+            let news = shared.gateway.borrow_mut().zone_seat_news(now);
+            let datagram = PeerDatagram::Message(Box::new(PeerMessage::Seats(news)));
+            self.send(&datagram, &plan.digest_to).await;
         }
     }
 }
--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -5,7 +5,7 @@
     declared::DeclaredConfig,
     gateway::GatewayBounds,
     name::{HostLabel, ServiceLabel, UpstreamLabel},
-    peer::PeerSummary,
+    peer::{PeerSummary, SeatNews},
     reading::{SharedTable, TableKnowledge},
     rollout::{RolloutOrder, RolloutStatus},
     talk::PeerContact,
@@ -186,6 +186,8 @@
     PeerHeard(Box<PeerSummary>),
     /// A daemon of another zone told of its zone.
     ZoneHeard(Box<ZoneDigest>),
+    /// Another daemon told of its seats, or of its zone's.
+    SeatsHeard(SeatNews),
     /// Where other daemons may be was read.
     ContactsRead(Vec<PeerContact>),
     /// Another daemon is known to have ended.
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -20,7 +20,7 @@
     event::GatewayEvent,
     limit::{LimitTolerance, TeamMeter},
     name::{HostLabel, ServiceLabel, TeamLabel, ZoneLabel},
-    peer::PeerTable,
+    peer::{PeerTable, SeatUse},
     pick::RoutingPolicy,
     queue::WaitQueue,
     reading::{ReadBook, ReadPlan, SharedTable},
@@ -123,6 +123,8 @@
     stopping: bool,
     ready_logged: bool,
     sequence: u64,
+    /// Seats as they were told last.
+    told_seats: Vec<SeatUse>,
     dispatches: u64,
     started_at: Option<MonotonicTime>,
     /// When running attempts were looked at last.
@@ -158,6 +160,7 @@
             stopping: false,
             ready_logged: false,
             sequence: 0,
+            told_seats: Vec::new(),
             dispatches: 0,
             started_at: None,
             watched_at: None,
@@ -206,6 +209,11 @@
             }
             GatewayEvent::PeerHeard(summary) => self.peer_heard(now, *summary, effects),
             GatewayEvent::ZoneHeard(digest) => self.zone_heard(now, *digest, effects),
+            GatewayEvent::SeatsHeard(news) => {
+                if self.peers.hear_seats(now, news) {
+                    self.pump_all(now, effects);
+                }
+            }
             GatewayEvent::ContactsRead(contacts) => self.contacts_read(now, contacts),
             GatewayEvent::PeerEnded(host) => self.peers.remove(&host),
             GatewayEvent::Tick => self.tick(now, effects),
--- a/crates/savorywood-gateway/src/gateway/telling.rs
+++ b/crates/savorywood-gateway/src/gateway/telling.rs
@@ -2,8 +2,8 @@
 
 use super::{Gateway, record::RequestPlace};
 use crate::{
-    name::ZoneLabel,
-    peer::{PeerPhase, PeerSummary, SeatUse, TeamUse, name_digest},
+    name::{ServiceLabel, ZoneLabel},
+    peer::{PeerPhase, PeerSummary, SeatNews, SeatScope, SeatUse, TeamUse, name_digest},
     reading::StoreVouch,
     talk::TalkPlan,
     zone::{ZoneDigest, ZoneMember},
@@ -14,9 +14,18 @@
 /// Part of the bound after which a daemon without a newer proof is not ready: callers are better
 /// off elsewhere.
 const READY_PART: f64 = 0.54;
+/// Part of a service's seats that is taken when they are scarce.
+const SCARCE_PART: f64 = 0.7;
 /// Addresses of a caller's own zone that are enough.
 const ENOUGH_NEAR: usize = 1;
 
+/// Seats of a service.
+#[derive(Default)]
+struct SeatCount {
+    taken: u32,
+    all: u32,
+}
+
 /// State of a gateway at a moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GatewayView {
@@ -166,10 +175,85 @@
         let seats = states.map(|state| SeatUse {
             upstream: name_digest(state.entry.name.as_str()),
             running: u16::try_from(state.running).unwrap_or(u16::MAX),
+            unread: state.unread,
         });
         seats.collect()
     }
 
+    /// Requests of all daemons of this zone at upstreams.
+    fn zone_seats(&self, now: MonotonicTime) -> Vec<SeatUse> {
+        let mut sums: BTreeMap<u64, SeatUse> = BTreeMap::new();
+        let mut add = |of: &[SeatUse]| {
+            for seat in of {
+                let sum = sums.entry(seat.upstream).or_insert(SeatUse {
+                    upstream: seat.upstream,
+                    running: 0,
+                    unread: 0,
+                });
+                sum.running = sum.running.saturating_add(seat.running);
+                sum.unread = sum.unread.saturating_add(seat.unread);
+            }
+        };
+        add(&self.own_seats());
+        for peer in self.peers.neighbours(now) {
+            add(&peer.summary.seats);
+        }
+        sums.into_values().collect()
+    }
+
+    /// What this daemon tells of its seats alone between two full words: nothing while seats are
+    /// plenty, or where none has changed.
+    pub fn seat_news(&mut self, now: MonotonicTime) -> Option<SeatNews> {
+        if !self.are_seats_scarce() {
+            return None;
+        }
+        let seats = self.own_seats();
+        if seats == self.told_seats {
+            return None;
+        }
+        self.told_seats.clone_from(&seats);
+        self.sequence += 1;
+        Some(self.news_of(SeatScope::Daemon, seats))
+    }
+
+    /// The same of its whole zone.
+    pub fn zone_seat_news(&mut self, now: MonotonicTime) -> SeatNews {
+        self.sequence += 1;
+        self.news_of(SeatScope::Zone, self.zone_seats(now))
+    }
+
+    fn news_of(&self, scope: SeatScope, seats: Vec<SeatUse>) -> SeatNews {
+        SeatNews {
+            teller: name_digest(self.options.host.as_str()),
+            incarnation: self.options.incarnation,
+            sequence: self.sequence,
+            scope,
+            seats,
+        }
+    }
+
+    /// Requests wait, or most seats of a service are taken.
+    fn are_seats_scarce(&self) -> bool {
+        if self.waiting_requests() > 0 {
+            return true;
+        }
+        let mut services: BTreeMap<&ServiceLabel, SeatCount> = BTreeMap::new();
+        for state in self.fleet.iter().filter(|state| !state.entry.draining) {
+            let count = services.entry(&state.entry.service).or_default();
+            let others = self.peers.seats_at(&state.entry.name).running;
+            count.taken += state.running + others;
+            count.all += state.entry.slots;
+        }
+        let mut counts = services.values();
+        counts.any(|count| f64::from(count.taken) > f64::from(count.all) * SCARCE_PART)
+    }
+
+    /// Time until the next word on seats alone.
+    #[must_use]
+    pub fn seat_pause(&self) -> Duration {
+        self.contacts.seat_pause()
+    }
+
     /// What this daemon tells of its zone.
     pub fn digest(&mut self, now: MonotonicTime) -> ZoneDigest {
         self.sequence += 1;
@@ -180,17 +264,8 @@
             phase: self.phase(now),
         };
         let mut members = vec![own];
-        let mut seats: BTreeMap<u64, u16> = BTreeMap::new();
-        let mut add = |of: &[SeatUse]| {
-            for seat in of {
-                let sum = seats.entry(seat.upstream).or_default();
-                *sum = sum.saturating_add(seat.running);
-            }
-        };
-        add(&self.own_seats());
         let mut near = Vec::new();
         for peer in self.peers.neighbours(now) {
-            add(&peer.summary.seats);
             near.push(name_digest(&peer.summary.host));
             members.push(ZoneMember {
                 peer_address: peer.summary.peer_address,
@@ -203,9 +278,6 @@
             total: meter.zone_total(),
             levels: meter.levels(),
         });
-        let seats = seats
-            .into_iter()
-            .map(|(upstream, running)| SeatUse { upstream, running });
         ZoneDigest {
             zone: self.options.zone.as_str().to_owned(),
             teller: name_digest(self.options.host.as_str()),
@@ -214,7 +286,7 @@
             sequence: self.sequence,
             members,
             daemons: u32::try_from(self.peers.daemons_here()).unwrap_or(u32::MAX),
-            seats: seats.collect(),
+            seats: self.zone_seats(now),
             usage: usage.filter(|used| used.total > 0).collect(),
             tallies: self.rollouts.tallies_with(&near),
         }
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -39,7 +39,10 @@
 pub use limit::{LimitTolerance, MeterLevels, MeterVerdict, PeerReading, TeamMeter};
 pub use name::{HostLabel, ServiceLabel, TeamLabel, UpstreamLabel, VersionLabel, ZoneLabel};
 pub use outlier::OutlierState;
-pub use peer::{PeerPhase, PeerSummary, PeerTable, SeatUse, TeamUse, VersionTally, name_digest};
+pub use peer::{
+    PeerPhase, PeerSummary, PeerTable, SeatNews, SeatScope, SeatSum, SeatUse, TeamUse, VersionTally,
+    name_digest,
+};
 pub use pick::RoutingPolicy;
 pub use queue::RequestRank;
 pub use reading::{PeerEcho, ReadPlan, SharedTable, StoreVouch, TableKnowledge, TableVouch};
--- a/crates/savorywood-gateway/src/peer.rs
+++ b/crates/savorywood-gateway/src/peer.rs
@@ -49,6 +49,45 @@
     pub upstream: u64,
     /// Requests there.
     pub running: u16,
+    /// Prompt tokens of those of which no event has come yet.
+    pub unread: u32,
+}
+
+/// Requests at one upstream as the sum of what was told.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SeatSum {
+    /// Requests there.
+    pub running: u32,
+    /// Prompt tokens of those of which no event has come yet.
+    pub unread: u32,
+}
+
+/// Whose seats are told of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SeatScope {
+    /// Those of the daemon that tells.
+    Daemon,
+    /// Those of its whole zone.
+    Zone,
+}
+
+/// Seats alone, told between two full words while they are scarce.
+///
+/// A seat turns over in less time than passes between two full words. A daemon that hears late
+/// that one is free keeps its callers waiting beside it; one that hears late that it is taken
+/// sends there, and the request waits inside the upstream, where ranks count nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeatNews {
+    /// Digest of the host that tells.
+    pub teller: u64,
+    /// Its life.
+    pub incarnation: u64,
+    /// Counts on from its full words.
+    pub sequence: u64,
+    /// Whose seats they are.
+    pub scope: SeatScope,
+    /// Its requests at upstreams, all of them.
+    pub seats: Vec<SeatUse>,
 }
 
 /// What a team has used at a daemon in that daemon's life.
@@ -127,6 +166,8 @@
     pub summary: PeerSummary,
     /// When that came.
     pub heard_at: MonotonicTime,
+    /// Digest of its host's name.
+    digest: u64,
 }
 
 impl KnownPeer {
@@ -150,7 +191,7 @@
     peers: BTreeMap<HostLabel, KnownPeer>,
     zones: BTreeMap<ZoneLabel, KnownZone>,
     /// Seats of all others by the digest of the upstream's name, as of the last change.
-    seats: HashMap<u64, u32>,
+    seats: HashMap<u64, SeatSum>,
     /// Peers that leave an upstream out, by the digest of its name.
     suspects: HashMap<u64, u32>,
 }
@@ -179,6 +220,7 @@
             return false;
         }
         let peer = KnownPeer {
+            digest: name_digest(&summary.host),
             summary,
             heard_at: now,
         };
@@ -210,6 +252,39 @@
         news
     }
 
+    /// Takes newer seats of a peer, or of a zone, that is known. Returns whether they were taken.
+    pub fn hear_seats(&mut self, now: MonotonicTime, news: SeatNews) -> bool {
+        let (incarnation, sequence, seats) = match news.scope {
+            SeatScope::Daemon => {
+                let mut peers = self.peers.values_mut();
+                let Some(peer) = peers.find(|peer| peer.digest == news.teller) else {
+                    return false;
+                };
+                let summary = &mut peer.summary;
+                (
+                    summary.incarnation,
+                    &mut summary.sequence,
+                    &mut summary.seats,
+                )
+            }
+            SeatScope::Zone => {
+                let mut zones = self.zones.values_mut();
+                let Some(zone) = zones.find(|zone| zone.digest.teller == news.teller) else {
+                    return false;
+                };
+                let digest = &mut zone.digest;
+                (digest.incarnation, &mut digest.sequence, &mut digest.seats)
+            }
+        };
+        if incarnation != news.incarnation || *sequence >= news.sequence {
+            return false;
+        }
+        *sequence = news.sequence;
+        *seats = news.seats;
+        self.refresh(now);
+        true
+    }
+
     /// Forgets a peer that ended.
     pub fn remove(&mut self, host: &HostLabel) {
         self.peers.remove(host);
@@ -236,7 +311,7 @@
 
     /// Requests of all others at an upstream, as they last told.
     #[must_use]
-    pub fn seats_at(&self, upstream: &UpstreamLabel) -> u32 {
+    pub fn seats_at(&self, upstream: &UpstreamLabel) -> SeatSum {
         let digest = name_digest(upstream.as_str());
         self.seats.get(&digest).copied().unwrap_or_default()
     }
@@ -313,8 +388,10 @@
     zone == own_zone.as_str() || zones.get(zone).is_none_or(|known| !known.is_fresh(now))
 }
 
-fn add_seats(sums: &mut HashMap<u64, u32>, seats: &[SeatUse]) {
+fn add_seats(sums: &mut HashMap<u64, SeatSum>, seats: &[SeatUse]) {
     for seat in seats {
-        *sums.entry(seat.upstream).or_default() += u32::from(seat.running);
+        let sum = sums.entry(seat.upstream).or_default();
+        sum.running += u32::from(seat.running);
+        sum.unread = sum.unread.saturating_add(seat.unread);
     }
 }
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -271,7 +271,8 @@
     ) -> Option<PickedUpstream> {
         let entry = &state.entry;
         let usual = self.fleet.usual(query.service);
-        let occupied = state.running + self.peers.seats_at(&entry.name);
+        let others = self.peers.seats_at(&entry.name);
+        let occupied = state.running + others.running;
         let seat_ms = if query.stream {
             state.pace.first_ms(&usual, query.prompt) + state.pace.rest_ms(&usual, query.output)
         } else {
@@ -291,7 +292,7 @@
         let beyond = (occupied + 1).saturating_sub(entry.slots);
         let queued = f64::from(beyond) * state.pace.whole_ms(&usual) / f64::from(entry.slots.max(1));
         let (first, rest) = if query.stream {
-            let prompt = query.prompt.saturating_sub(held) + state.unread;
+            let prompt = query.prompt.saturating_sub(held) + state.unread + others.unread;
             let first = state.pace.first_ms(&usual, prompt);
             (first + queued, state.pace.rest_ms(&usual, query.output))
         } else {
--- a/crates/savorywood-gateway/src/talk.rs
+++ b/crates/savorywood-gateway/src/talk.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     name::ZoneLabel,
-    peer::{PeerSummary, PeerTable, name_digest},
+    peer::{PeerSummary, PeerTable, SeatNews, name_digest},
     zone::ZoneDigest,
 };
 use savorywood_protocol::MonotonicTime;
@@ -15,6 +15,8 @@
 const FORGET_TIME: Duration = Duration::from_secs(20);
 /// Time between two words to the same daemon.
 const TELL_TIME: Duration = Duration::from_millis(250);
+/// Time between two words on seats alone.
+const SEAT_TELL_TIME: Duration = Duration::from_millis(80);
 /// Daemons of the own zone that are told so often; with more, each is told more rarely, so that
 /// the cost of a daemon does not grow with its zone.
 const OFTEN_TOLD: usize = 16;
@@ -26,6 +28,8 @@
     Summary(PeerSummary),
     /// A daemon on its zone.
     Digest(ZoneDigest),
+    /// Newer seats of a daemon or of its zone.
+    Seats(SeatNews),
 }
 
 /// A daemon that may be reached at an address.
@@ -119,9 +123,19 @@
     /// Time until the next words.
     #[must_use]
     pub fn pause(&self) -> Duration {
+        TELL_TIME.saturating_mul(self.rounds())
+    }
+
+    /// Time until the next words on seats alone, while these are scarce.
+    #[must_use]
+    pub fn seat_pause(&self) -> Duration {
+        SEAT_TELL_TIME.saturating_mul(self.rounds())
+    }
+
+    fn rounds(&self) -> u32 {
         let near = self.contacts.values().filter(|known| self.is_near(known));
         let rounds = near.count().div_ceil(OFTEN_TOLD).max(1);
-        TELL_TIME.saturating_mul(u32::try_from(rounds).unwrap_or(u32::MAX))
+        u32::try_from(rounds).unwrap_or(u32::MAX)
     }
 
     fn is_near(&self, contact: &KnownContact) -> bool {
