--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -36,7 +36,7 @@
 /// is cut at its deadline has held a seat all that time for nothing.
 const LENGTH_MARGIN: f64 = 1.8;
 /// Arrivals of the most urgent work while a kept seat is lent.
-const MOST_LENT: f64 = 0.4;
+const MOST_LENT: f64 = 0.8;
 /// Milliseconds for which daemons do not know of each other's newest dispatches.
 const UNHEARD_MS: f64 = 250.0;
 /// Urgent arrivals at one upstream for which no seat is kept.
