Let nothing queue inside upstreams; weigh the whole answer in placing

Cause: a request sent to a full upstream waits there behind all others whatever its rank; news of seats now come sooner than the wait that this was to spare.

--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -106,7 +106,7 @@
             most_urgent: self.demands.get(&record.service).map_or(0.0, |demand| {
                 demand.most_urgent(now, record.rank) * (self.peers.known(now) + 1) as f64
             }),
-            overcommit: u32::from(!patient),
+            overcommit: 0,
             may_try: record.route.repeat.is_idempotent()
                 && record.runs + 1 < record.route.max_attempts,
         };
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -21,7 +21,7 @@
 /// Share of failures that counts as none.
 const HARMLESS_FAILURES: f64 = 0.05;
 /// Weight of the time after the first event: it holds a seat but is not waited for.
-const REST_WEIGHT: f64 = 0.25;
+const REST_WEIGHT: f64 = 0.6;
 /// What an upstream costs, in milliseconds, that several peers leave out.
 const SUSPECT_PENALTY_MS: f64 = 1_000.0;
 /// A good answer to this daemon counts for more than what peers say for this long.
