Say in the log what a request takes from its team's limit, and the meter at a refusal

Cause: a refusal over a limit named neither limit nor level; whether teams were refused too early could not be told.

--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -6,9 +6,9 @@
 };
 use crate::{
     arrival::{LocalRequest, RequestArrival},
-    declared::{DeclaredConfig, RouteSpec, TeamSpec},
+    declared::{DeclaredConfig, RouteSpec, TeamLimit, TeamSpec},
     effect::GatewayEffect,
-    limit::{MeterVerdict, TeamMeter},
+    limit::{MeterLevels, MeterVerdict, TeamMeter},
     name::{ServiceLabel, TeamLabel},
     pace::nominal_first_ms,
     queue::{QueuePlace, RequestRank},
@@ -40,6 +40,15 @@
     pub retry_after: Option<Duration>,
     /// Team of the key, where it was known.
     pub team: Option<TeamLabel>,
+    /// What decided, where the team is over its limit.
+    pub meter: Option<MeterFigures>,
+}
+
+/// A team's meter at a refusal.
+#[derive(Debug, Clone, Copy)]
+pub struct MeterFigures {
+    limit: TeamLimit,
+    levels: MeterLevels,
 }
 
 impl Denial {
@@ -48,6 +57,7 @@
             reason,
             retry_after: None,
             team: None,
+            meter: None,
         }
     }
 
@@ -56,6 +66,7 @@
             reason: RefusalReason::NotReady,
             retry_after: Some(STALE_RETRY),
             team: None,
+            meter: None,
         }
     }
 }
@@ -77,6 +88,7 @@
                     .with("team", record.team.as_ref().map_or("-", TeamLabel::as_str))
                     .with("rank", record.rank.route)
                     .with("prompt", record.size.prompt)
+                    .with("units", record.units)
                     .with("give_up_ms", record.give_up_at.since(now).as_millis())
                     .with("config", self.config_version())
                     .with("proof_age_ms", self.proof_age(now).as_millis());
@@ -89,7 +101,7 @@
                 self.pump(now, &service, effects);
             }
             Err(denial) => {
-                let line = LogLine::new(LogLevel::Info, "request-refused")
+                let mut line = LogLine::new(LogLevel::Info, "request-refused")
                     .with("request", &arrival.identity)
                     .with("reason", denial.reason)
                     .with("team", denial.team.as_ref().map_or("-", TeamLabel::as_str))
@@ -100,6 +112,13 @@
                     )
                     .with("config", self.config_version())
                     .with("proof_age_ms", self.proof_age(now).as_millis());
+                if let Some(meter) = denial.meter {
+                    line = line
+                        .with("level", meter.levels.strict)
+                        .with("tolerated", meter.levels.tolerated)
+                        .with("per_second", meter.limit.per_second)
+                        .with("burst", meter.limit.burst);
+                }
                 effects.push(GatewayEffect::Log(line));
                 effects.push(GatewayEffect::Refuse {
                     request,
@@ -261,6 +280,10 @@
                 reason: RefusalReason::OverLimit,
                 retry_after: Some(meter.wait()),
                 team: Some(team.name.clone()),
+                meter: Some(MeterFigures {
+                    limit,
+                    levels: meter.levels(),
+                }),
             });
         }
         meter.take(units, verdict);
