Give estimates, demand and returns modules of their own; play loads without a network

Cause: placing had grown by trials; who keeps a seat for whom, what an answer takes and when a refused caller comes back are decisions of their own. The model of the load showed two faults: a stream that was requeued after a break was judged by its caller's patience from its arrival on, and 30 answers of 400 were taken from slow upstreams that read long prompts.

Changes: `demand` (arrivals, kept and lent seats), `estimate`, `gateway/returning` (time to come back: the work ahead at the rate of the last moments, spread, within a third of what is left); patience begins anew with each event; prompts that are unread excuse a silence for the time in which they are expected to be read, a second at most. The choice of versions no longer copies the book of roll-outs for each look.

`tests/deciding.rs` plays eight gateways, unlike engines that read prompts in pieces, late words, callers with patience and returns, on one clock (13 s in a debug build). Bounds come from the aims: most urgent in time 0.85, left without a word 0.01, answers cut 0.02.

--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -63,10 +63,10 @@
 }
 
 /// Counts a connection or a request while it lives.
-struct CountGuard<'a>(&'a std::cell::Cell<usize>);
+struct CountGuard<'a>(&'a Cell<usize>);
 
 impl<'a> CountGuard<'a> {
-    fn new(cell: &'a std::cell::Cell<usize>) -> Self {
+    fn new(cell: &'a Cell<usize>) -> Self {
         cell.set(cell.get() + 1);
         Self(cell)
     }
--- a/crates/savorywood-front/src/peers.rs
+++ b/crates/savorywood-front/src/peers.rs
@@ -141,7 +141,7 @@
     /// Tells others of this daemon's seats alone, while these are scarce.
     async fn tell_seats(&self, shared: &FrontShared) {
         let now = self.clock.now();
-        let news = shared.gateway.borrow_mut().seat_news(now);
+        let news = shared.gateway.borrow_mut().seat_news();
         let Some(news) = news else { return };
         let plan = shared.gateway.borrow_mut().plan_talk(now);
         let datagram = PeerDatagram::Message(Box::new(PeerMessage::Seats(news)));
--- a/crates/savorywood-gateway/src/demand.rs
+++ b/crates/savorywood-gateway/src/demand.rs
@@ -1,4 +1,4 @@
-//! How much work of each rank comes to a service.
+//! How much work of each rank comes to a service, and what is kept free for it.
 
 use crate::queue::RequestRank;
 use savorywood_protocol::MonotonicTime;
@@ -6,53 +6,101 @@
 
 /// Time in which old arrivals lose most of their weight: bursts last for some seconds.
 const RECENT_TIME: Duration = Duration::from_millis(1_500);
+/// Time for which daemons do not know of each other's newest dispatches.
+const UNHEARD_TIME: Duration = Duration::from_millis(250);
+/// Arrivals of the most urgent work while a kept seat is lent.
+const MOST_LENT: f64 = 0.8;
+/// At most one in so many seats of an upstream is kept.
+const MOST_KEPT: u32 = 3;
 
+/// A count in which old events lose their weight.
 #[derive(Debug, Clone, Copy, Default)]
-struct RankDemand {
-    /// Arrivals lately, fading.
-    recent: f64,
+struct FadingCount {
+    count: f64,
     faded_at: MonotonicTime,
 }
 
-impl RankDemand {
-    fn fade(&mut self, now: MonotonicTime) {
-        self.recent = self.recent_at(now);
+impl FadingCount {
+    fn add(&mut self, now: MonotonicTime) {
+        self.count = self.at(now) + 1.0;
         self.faded_at = now;
     }
 
-    fn recent_at(&self, now: MonotonicTime) -> f64 {
+    fn at(&self, now: MonotonicTime) -> f64 {
         let elapsed = now.since(self.faded_at).as_secs_f64();
-        self.recent * (-elapsed / RECENT_TIME.as_secs_f64()).exp()
+        self.count * (-elapsed / RECENT_TIME.as_secs_f64()).exp()
+    }
+
+    fn per_second(&self, now: MonotonicTime) -> f64 {
+        self.at(now) / RECENT_TIME.as_secs_f64()
     }
 }
 
-/// Arrivals at one service by rank, as this daemon sees them.
+/// Arrivals and dispatches at one service by rank, as this daemon sees them.
 #[derive(Debug, Clone, Default)]
 pub struct DemandBook {
-    ranks: BTreeMap<RequestRank, RankDemand>,
+    arrivals: BTreeMap<RequestRank, FadingCount>,
+    dispatches: BTreeMap<RequestRank, FadingCount>,
 }
 
 impl DemandBook {
     /// A request came.
     pub fn arrived(&mut self, now: MonotonicTime, rank: RequestRank) {
-        let demand = self.ranks.entry(rank).or_default();
-        demand.fade(now);
-        demand.recent += 1.0;
+        self.arrivals.entry(rank).or_default().add(now);
+    }
+
+    /// A request got a seat.
+    pub fn dispatched(&mut self, now: MonotonicTime, rank: RequestRank) {
+        self.dispatches.entry(rank).or_default().add(now);
+    }
+
+    /// Requests of a rank that got a seat in the last second.
+    #[must_use]
+    pub fn dispatch_rate(&self, now: MonotonicTime, rank: RequestRank) -> f64 {
+        let count = self.dispatches.get(&rank);
+        count.map_or(0.0, |count| count.per_second(now))
     }
 
-    /// Arrivals a second at this daemon of ranks more urgent than this one.
+    /// Arrivals more urgent than a rank, at `daemons` daemons that see as many as this one.
     #[must_use]
-    pub fn more_urgent(&self, now: MonotonicTime, rank: RequestRank) -> f64 {
-        let urgent = self.ranks.range(..rank);
-        let recent: f64 = urgent.map(|(_, demand)| demand.recent_at(now)).sum();
-        recent / RECENT_TIME.as_secs_f64()
+    pub fn urgent(&self, now: MonotonicTime, rank: RequestRank, daemons: usize) -> UrgentArrivals {
+        let urgent = self.arrivals.range(..rank);
+        let mut rates = urgent.map(|(_, count)| count.per_second(now) * daemons as f64);
+        let most_urgent = rates.next().unwrap_or_default();
+        UrgentArrivals {
+            most_urgent,
+            all: most_urgent + rates.sum::<f64>(),
+        }
     }
+}
+
+/// Arrivals a second at all daemons that are more urgent than one rank.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct UrgentArrivals {
+    /// Of all those ranks.
+    pub all: f64,
+    /// Of the most urgent one.
+    pub most_urgent: f64,
+}
 
-    /// Arrivals a second at this daemon of the most urgent rank, if that is not this one.
+impl UrgentArrivals {
+    /// Seats of an upstream that work of this rank leaves free. `share` is the part of the
+    /// service's work that the upstream does, `seat` the time for which the work would hold one.
+    ///
+    /// The load that this answers: nearly all seats are taken, and work of several ranks comes to
+    /// several daemons. Less urgent work that takes the last seat holds it for the whole of an
+    /// answer; an urgent request that comes to any daemon a moment later waits for as long. So as
+    /// many seats are kept as urgent requests are expected before daemons hear of each other, and
+    /// none while little urgent work comes. What gives its seat back before the most urgent work
+    /// is likely to ask for it may borrow a kept one: refused, short work would get nothing from
+    /// seats that stand empty most of the time.
     #[must_use]
-    pub fn most_urgent(&self, now: MonotonicTime, rank: RequestRank) -> f64 {
-        let mut urgent = self.ranks.range(..rank);
-        let recent = urgent.next().map(|(_, demand)| demand.recent_at(now));
-        recent.unwrap_or_default() / RECENT_TIME.as_secs_f64()
+    pub fn kept_seats(&self, share: f64, seat: Duration, slots: u32) -> u32 {
+        let horizon = seat.min(UNHEARD_TIME);
+        let kept = (self.all * share * horizon.as_secs_f64()).round() as u32;
+        if self.most_urgent * share * seat.as_secs_f64() < MOST_LENT {
+            return 0;
+        }
+        kept.min(slots / MOST_KEPT)
     }
 }
--- /dev/null
+++ b/crates/savorywood-gateway/src/estimate.rs
@@ -0,0 +1,44 @@
+//! What an answer is expected to take at one upstream.
+
+/// How many times as long as guessed an answer may become and still end in time: callers' guesses
+/// are right at the median only, and an answer that is cut off at its end has held a seat all that
+/// time for nothing.
+const LENGTH_MARGIN: f64 = 1.8;
+
+/// Expected milliseconds of one answer at one upstream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AnswerEstimate {
+    /// To the first event, or to the whole plain answer, were nothing else to be read there.
+    pub idle_first_ms: f64,
+    /// The same behind the prompts that are still to be read there.
+    pub first_ms: f64,
+    /// From the first event to the last.
+    pub rest_ms: f64,
+    /// The answer is a stream.
+    pub stream: bool,
+}
+
+impl AnswerEstimate {
+    /// A plain answer.
+    #[must_use]
+    pub fn plain(whole_ms: f64) -> Self {
+        Self {
+            idle_first_ms: whole_ms,
+            first_ms: whole_ms,
+            rest_ms: 0.0,
+            stream: false,
+        }
+    }
+
+    /// Time for which it holds a seat.
+    #[must_use]
+    pub fn seat_ms(&self) -> f64 {
+        self.idle_first_ms + self.rest_ms
+    }
+
+    /// Begun now, it ends within so many milliseconds, also where it is longer than guessed.
+    #[must_use]
+    pub fn fits(&self, left_ms: f64) -> bool {
+        !self.stream || self.idle_first_ms + self.rest_ms * LENGTH_MARGIN <= left_ms
+    }
+}
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 mod ending;
 mod news;
 mod record;
+mod returning;
 mod telling;
 mod watching;
 
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -27,8 +27,6 @@
 const STALE_RETRY: Duration = Duration::from_millis(200);
 /// Time kept for the final answer's way to the caller.
 const ANSWER_MARGIN: Duration = Duration::from_millis(25);
-/// Time kept for a refusal's way to a caller that is about to leave.
-const LEAVING_MARGIN: Duration = Duration::from_millis(100);
 /// Longest time for a request that names no deadline on a route without a time limit.
 const LONGEST_TIME: Duration = Duration::from_secs(600);
 
@@ -80,7 +78,8 @@
         effects: &mut GatewayEffects,
     ) {
         match self.admit(now, request, arrival) {
-            Ok(record) => {
+            Ok(mut record) => {
+                record.leave_at = record.leave_time(now);
                 let line = LogLine::new(LogLevel::Info, "request-admitted")
                     .with("request", &record.identity)
                     .with("route", &record.route.name)
@@ -172,8 +171,6 @@
         };
         let expected = Duration::from_secs_f64(nominal_first_ms(size.prompt) / 1e3);
         let give_up_at = now + longest.saturating_sub(ANSWER_MARGIN);
-        let patience = route.patience.unwrap_or(longest);
-        let leave_at = give_up_at.min(now + patience.saturating_sub(LEAVING_MARGIN));
         let begin_by = now + route.objective.saturating_sub(expected);
         Ok(RequestRecord {
             identity: arrival.identity.clone(),
@@ -186,7 +183,7 @@
             parts: arrival.parts.clone(),
             arrived_at: now,
             give_up_at,
-            leave_at,
+            leave_at: give_up_at,
             place: RequestPlace::Waiting(QueuePlace {
                 rank,
                 begin_by,
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -6,6 +6,7 @@
 };
 use crate::{
     arrival::LocalRequest,
+    demand::UrgentArrivals,
     effect::{DispatchOrder, GatewayEffect},
     name::{ServiceLabel, UpstreamLabel},
     pick::{PickFailure, PickQuery, PickScene, PickedUpstream},
@@ -18,9 +19,6 @@
 
 /// Requests without a place that are looked at before a service counts as full.
 const MAX_FULL: usize = 3;
-/// Part of the objective after which a request may queue inside an upstream: peers' seats are
-/// known late, and one that waits here for a seat that is free already is late for nothing.
-const OVERCOMMIT_PART: f64 = 0.25;
 /// Part of the objective for which a request waits for a service that has no upstream.
 const EMPTY_PART: f64 = 0.12;
 /// Part of the expected time that must be left when an attempt begins.
@@ -90,8 +88,6 @@
         tried: &[UpstreamLabel],
     ) -> Result<PickedUpstream, PickFailure> {
         let waited = now.since(record.arrived_at);
-        let patient = waited < record.route.objective.mul_f64(OVERCOMMIT_PART);
-        let mut rollouts = self.rollouts.clone();
         let query = PickQuery {
             service: &record.service,
             prompt: record.size.prompt,
@@ -101,14 +97,9 @@
             stream: record.route.repeat.is_stream(),
             parts: &record.parts,
             tried,
-            versions: rollouts.choose(now, &record.service, self.trial()),
+            versions: self.rollouts.choose(now, &record.service, self.trial()),
             urgent: self.urgent_arrivals(now, record),
-            most_urgent: self.demands.get(&record.service).map_or(0.0, |demand| {
-                demand.most_urgent(now, record.rank) * (self.peers.known(now) + 1) as f64
-            }),
-            overcommit: 0,
-            may_try: record.route.repeat.is_idempotent()
-                && record.runs + 1 < record.route.max_attempts,
+            may_try: record.may_run_once_more(),
         };
         let scene = PickScene {
             now,
@@ -122,12 +113,12 @@
         scene.pick(&query, || draws.next())
     }
 
-    /// Arrivals a second of more urgent work at all daemons.
-    fn urgent_arrivals(&self, now: MonotonicTime, record: &RequestRecord) -> f64 {
+    fn urgent_arrivals(&self, now: MonotonicTime, record: &RequestRecord) -> UrgentArrivals {
         let demand = self.demands.get(&record.service);
-        let own = demand.map_or(0.0, |demand| demand.more_urgent(now, record.rank));
         let daemons = self.peers.known(now) + 1;
-        own * daemons as f64
+        demand
+            .map(|demand| demand.urgent(now, record.rank, daemons))
+            .unwrap_or_default()
     }
 
     fn dispatch(
@@ -154,6 +145,8 @@
         {
             queue.remove(place);
         }
+        let demand = self.demands.entry(record.service.clone()).or_default();
+        demand.dispatched(now, record.rank);
         record.sends += 1;
         record.place = RequestPlace::Running(RunningAttempt {
             upstream: picked.name.clone(),
@@ -187,7 +180,8 @@
             .with("expected_ms", format_args!("{:.0}", picked.expected_ms))
             .with("score", format_args!("{:.0}", picked.score))
             .with("occupied", picked.occupied)
-            .with("slots", state.entry.slots);
+            .with("slots", state.entry.slots)
+            .with("unread", state.unread);
         effects.push(GatewayEffect::Log(line));
         effects.push(GatewayEffect::Dispatch(order));
     }
--- a/crates/savorywood-gateway/src/gateway/ending.rs
+++ b/crates/savorywood-gateway/src/gateway/ending.rs
@@ -26,8 +26,6 @@
 const OVERDUE_FACTOR: f64 = 4.0;
 /// And in so many milliseconds more.
 const OVERDUE_MARGIN_MS: f64 = 500.0;
-/// When to come back where nothing better is known.
-const BUSY_RETRY: Duration = Duration::from_millis(400);
 
 /// A whole answer, as far as speed can be learned from it.
 struct SeenAnswer {
@@ -359,6 +357,12 @@
         let Some(record) = self.requests.get_mut(&request) else {
             return;
         };
+        if let RequestPlace::Running(attempt) = &record.place
+            && let Some(moved_at) = attempt.moved_at
+        {
+            // Its caller's patience begins anew with each event.
+            record.leave_at = record.leave_time(moved_at);
+        }
         let place = QueuePlace {
             rank: record.rank,
             begin_by: now,
@@ -400,12 +404,9 @@
             (true, true) => RefusalReason::BrokenAnswer,
             _ => reason,
         };
-        let retry_after = reason.promises_not_run().then_some(BUSY_RETRY);
-        let retry_after = if reason == RefusalReason::Overloaded {
-            Some(Duration::from_secs_f64(1.5 + 1.5 * self.draws.next()))
-        } else {
-            retry_after
-        };
+        let retry_after = reason
+            .promises_not_run()
+            .then(|| self.return_time(now, request, reason));
         if reason.promises_not_run() {
             self.give_units_back(request);
         }
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -93,7 +93,17 @@
     pub has_begun: bool,
 }
 
+/// Time kept for a refusal's way to a caller that is about to leave.
+const LEAVING_MARGIN: Duration = Duration::from_millis(100);
+
 impl RequestRecord {
+    /// When its caller leaves if nothing comes after this moment.
+    pub fn leave_time(&self, heard_at: MonotonicTime) -> MonotonicTime {
+        let patience = self.route.patience;
+        let leave_at = patience.map(|patience| heard_at + patience.saturating_sub(LEAVING_MARGIN));
+        leave_at.map_or(self.give_up_at, |at| at.min(self.give_up_at))
+    }
+
     /// The route allows one more run beside the one under way.
     pub fn may_run_once_more(&self) -> bool {
         self.route.repeat.is_idempotent() && self.runs + 1 < self.route.max_attempts
--- a/crates/savorywood-gateway/src/gateway/telling.rs
+++ b/crates/savorywood-gateway/src/gateway/telling.rs
@@ -203,7 +203,7 @@
 
     /// What this daemon tells of its seats alone between two full words: nothing while seats are
     /// plenty, or where none has changed.
-    pub fn seat_news(&mut self, now: MonotonicTime) -> Option<SeatNews> {
+    pub fn seat_news(&mut self) -> Option<SeatNews> {
         if !self.are_seats_scarce() {
             return None;
         }
--- a/crates/savorywood-gateway/src/gateway/watching.rs
+++ b/crates/savorywood-gateway/src/gateway/watching.rs
@@ -19,6 +19,10 @@
 const PAUSE_FACTOR: f64 = 2.0;
 /// The same for one stream while others there go on: its connection may be dead.
 const LONE_FACTOR: f64 = 4.0;
+/// The same against the time in which its unread prompts are expected to be read.
+const READING_FACTOR: f64 = 2.0;
+/// Longest time by which unread prompts excuse a silence: callers leave a little later.
+const MOST_READING: Duration = Duration::from_secs(1);
 /// Least silence that says anything.
 const LEAST_SILENCE: Duration = Duration::from_millis(400);
 /// Least silence of one stream while others there go on.
@@ -98,16 +102,29 @@
         }
         let usual = self.fleet.usual(&record.service);
         let pause = Duration::from_secs_f64(state.pace.pause_ms(&usual) / 1e3);
+        let reading = self.reading_time(record, state);
         let whole = now.since(state.heard_at.max(heard_at).max(self.awake_at));
-        if whole > pause.mul_f64(PAUSE_FACTOR).max(LEAST_SILENCE)
+        if whole > pause.mul_f64(PAUSE_FACTOR).max(LEAST_SILENCE) + reading
             && self.hears_others(now, record, state)
         {
             return Some(SilenceKind::Upstream);
         }
-        let most = pause.mul_f64(LONE_FACTOR).max(LEAST_LONE_SILENCE);
+        let most = pause.mul_f64(LONE_FACTOR).max(LEAST_LONE_SILENCE) + reading;
         (own > most).then_some(SilenceKind::Stream)
     }
 
+    /// Time for which an upstream may be silent because it reads the prompts that are still to be
+    /// read there.
+    fn reading_time(&self, record: &RequestRecord, state: &UpstreamState) -> Duration {
+        let unread = state.unread + self.peers.seats_at(&state.entry.name).unread;
+        if unread == 0 {
+            return Duration::ZERO;
+        }
+        let usual = self.fleet.usual(&record.service);
+        let millis = state.pace.first_ms(&usual, unread) * READING_FACTOR;
+        Duration::from_secs_f64(millis / 1e3).min(MOST_READING)
+    }
+
     /// A daemon that has lost its own way hears nobody: that is no evidence against an upstream.
     fn hears_others(
         &self,
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod declared;
 mod demand;
 mod effect;
+mod estimate;
 mod event;
 mod freshness;
 mod gateway;
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -3,7 +3,10 @@
 use crate::{
     affinity::PartIndex,
     arrival::PromptPart,
+    demand::UrgentArrivals,
+    estimate::AnswerEstimate,
     name::{ServiceLabel, UpstreamLabel, VersionLabel, ZoneLabel},
+    pace::PaceEstimate,
     peer::PeerTable,
     upstream::{UpstreamFleet, UpstreamState},
 };
@@ -14,7 +17,7 @@
 
 /// What an upstream in another zone must be faster by, in milliseconds, to be worth the bytes.
 const ZONE_PENALTY_MS: f64 = 35.0;
-/// Slowdown of the first event by each request that runs beside it.
+/// Slowdown of a plain answer by each request that runs beside it.
 const CROWD_SLOWDOWN: f64 = 0.3;
 /// What a certain failure costs, in milliseconds.
 const FAILURE_PENALTY_MS: f64 = 2_500.0;
@@ -32,18 +35,6 @@
 /// would never get the one request that shows that it is sound again.
 const TRIAL_WORTH_MS: f64 = 60_000.0;
 
-/// How many times as long as guessed an answer may become and still end in time: an answer that
-/// is cut at its deadline has held a seat all that time for nothing.
-const LENGTH_MARGIN: f64 = 1.8;
-/// Arrivals of the most urgent work while a kept seat is lent.
-const MOST_LENT: f64 = 0.8;
-/// Milliseconds for which daemons do not know of each other's newest dispatches.
-const UNHEARD_MS: f64 = 250.0;
-/// Urgent arrivals at one upstream for which no seat is kept.
-const LEAST_URGENT: f64 = 0.25;
-/// At most one in so many seats of an upstream is kept.
-const MOST_KEPT: u32 = 3;
-
 /// Which versions may get a request while a roll-out is under way.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum VersionChoice {
@@ -104,12 +95,8 @@
     pub tried: &'a [UpstreamLabel],
     /// Versions that may get it.
     pub versions: VersionChoice,
-    /// Arrivals of more urgent work that no daemon knows of yet.
-    pub urgent: f64,
-    /// Arrivals a second of the most urgent work at all daemons.
-    pub most_urgent: f64,
-    /// Requests that may wait in an upstream beyond its slots.
-    pub overcommit: u32,
+    /// More urgent work that comes to all daemons.
+    pub urgent: UrgentArrivals,
     /// It may run again elsewhere: upstreams on trial may have it.
     pub may_try: bool,
 }
@@ -153,23 +140,24 @@
     pub score: f64,
 }
 
-/// Seats of an upstream that are kept for more urgent work, by the number of such requests that
-/// come to it before its seats are known anew.
-///
-/// Less urgent work that takes the last seat holds it for the whole of an answer; an urgent request
-/// that comes a moment later waits for as long, or queues inside the upstream, where its rank
-/// counts nothing. Seats that are kept everywhere are also there for requests that other daemons
-/// take on at the same moment, of which nobody has heard.
-fn kept_seats(urgent: f64) -> u32 {
-    if urgent < LEAST_URGENT {
-        return 0;
-    }
-    urgent.round() as u32
+/// An upstream that may have the request.
+struct PickCandidate<'a> {
+    state: &'a UpstreamState,
+    /// Requests there, of all daemons.
+    occupied: u32,
+    /// Answers a second of one seat, up to a common factor.
+    speed: f64,
+    estimate: AnswerEstimate,
 }
 
 impl PickScene<'_> {
     /// Chooses the upstream with the least expected cost among those with room.
     ///
+    /// Where some upstream, be it full, would begin the answer in time and end it before it is
+    /// given up, only such ones are chosen from. The free seat of a slow one is no good to a
+    /// request that would be late or cut off there, while faster ones give back several seats
+    /// within the time that it has.
+    ///
     /// # Errors
     ///
     /// Why there is none.
@@ -178,72 +166,80 @@
         query: &PickQuery<'_>,
         mut draw: impl FnMut() -> f64,
     ) -> Result<PickedUpstream, PickFailure> {
+        let candidates = self.candidates(query);
+        if candidates.is_empty() {
+            return Err(PickFailure::None);
+        }
+        let must_fit = candidates
+            .iter()
+            .any(|candidate| candidate.estimate.fits(query.left_ms));
+        let must_be_in_time = candidates
+            .iter()
+            .any(|candidate| candidate.estimate.idle_first_ms <= query.slack_ms);
+        let speeds: f64 = candidates.iter().map(|candidate| candidate.speed).sum();
         let mut best: Option<PickedUpstream> = None;
-        let speeds = self.speeds(query);
-        let mut failure = PickFailure::None;
-        let all_suspect = self.all_suspect(query);
-        let must_fit = self.fits_somewhere(query, all_suspect);
-        let in_time = self.is_in_time_somewhere(query, all_suspect);
-        for state in self.fleet.members(query.service) {
-            if !self.may_have(state, query, all_suspect) {
-                continue;
-            }
-            failure = PickFailure::Full;
-            if must_fit && !self.fits(state, query) {
-                continue;
-            }
-            let picked = self.appraise(state, query, speeds, draw());
-            let Some(picked) = picked else { continue };
-            if in_time && picked.expected_ms > query.slack_ms {
+        for candidate in &candidates {
+            let noise = draw();
+            let estimate = &candidate.estimate;
+            let share = candidate.speed / speeds;
+            let suits = !must_fit || estimate.fits(query.left_ms);
+            let prompt = !must_be_in_time || estimate.first_ms <= query.slack_ms;
+            if !suits || !prompt || !self.has_seat(candidate, query, share) {
                 continue;
             }
+            let picked = self.appraise(candidate, query, noise);
             if best.as_ref().is_none_or(|best| picked.score < best.score) {
                 best = Some(picked);
             }
         }
-        best.ok_or(failure)
+        best.ok_or(PickFailure::Full)
     }
 
-    /// An answer that begins at this upstream now probably ends in time.
-    fn fits(&self, state: &UpstreamState, query: &PickQuery<'_>) -> bool {
-        if !query.stream {
-            return true;
-        }
+    /// Upstreams that may have the request, full or not.
+    fn candidates<'q>(&'q self, query: &'q PickQuery<'q>) -> Vec<PickCandidate<'q>> {
         let usual = self.fleet.usual(query.service);
-        let first = state.pace.first_ms(&usual, query.prompt);
-        let rest = state.pace.rest_ms(&usual, query.output);
-        first + rest * LENGTH_MARGIN <= query.left_ms
-    }
-
-    /// There is an upstream, full or not, at which the answer would end in time.
-    fn fits_somewhere(&self, query: &PickQuery<'_>, all_suspect: bool) -> bool {
-        let mut members = self.fleet.members(query.service);
-        members.any(|state| self.may_have(state, query, all_suspect) && self.fits(state, query))
+        let all_suspect = self.all_suspect(query);
+        let members = self.fleet.members(query.service);
+        let usable = members.filter(|state| self.may_have(state, query, all_suspect));
+        usable
+            .map(|state| {
+                let others = self.peers.seats_at(&state.entry.name);
+                PickCandidate {
+                    state,
+                    occupied: state.running + others.running,
+                    speed: state.pace.speed(&usual),
+                    estimate: self.estimate(state, query, &usual, others.unread),
+                }
+            })
+            .collect()
     }
 
-    /// There is an upstream, full or not, whose first event would be in time.
-    ///
-    /// A seat of a slow upstream that is free is no good to a request that would be late there,
-    /// while faster ones give back several seats within the time that it has.
-    fn is_in_time_somewhere(&self, query: &PickQuery<'_>, all_suspect: bool) -> bool {
+    fn estimate(
+        &self,
+        state: &UpstreamState,
+        query: &PickQuery<'_>,
+        usual: &PaceEstimate,
+        others_unread: u32,
+    ) -> AnswerEstimate {
         if !query.stream {
-            return false;
+            return AnswerEstimate::plain(state.pace.whole_ms(usual));
+        }
+        let held = self.parts.held(self.now, query.parts, &state.entry.name);
+        let own = query.prompt.saturating_sub(held);
+        let unread = own + state.unread + others_unread;
+        AnswerEstimate {
+            idle_first_ms: state.pace.first_ms(usual, query.prompt),
+            first_ms: state.pace.first_ms(usual, unread),
+            rest_ms: state.pace.rest_ms(usual, query.output),
+            stream: true,
         }
-        let usual = self.fleet.usual(query.service);
-        let mut members = self.fleet.members(query.service);
-        members.any(|state| {
-            let first = state.pace.first_ms(&usual, query.prompt);
-            self.may_have(state, query, all_suspect) && first <= query.slack_ms
-        })
     }
 
-    /// Sum of the speeds of upstreams that may get work.
-    fn speeds(&self, query: &PickQuery<'_>) -> f64 {
-        let usual = self.fleet.usual(query.service);
-        let members = self.fleet.members(query.service);
-        let open = members.filter(|state| state.is_open(self.now));
-        let sum: f64 = open.map(|state| state.pace.speed(&usual)).sum();
-        sum.max(f64::MIN_POSITIVE)
+    fn has_seat(&self, candidate: &PickCandidate<'_>, query: &PickQuery<'_>, share: f64) -> bool {
+        let slots = candidate.state.entry.slots;
+        let seat = Duration::from_secs_f64(candidate.estimate.seat_ms() / 1e3);
+        let kept = query.urgent.kept_seats(share, seat, slots);
+        candidate.occupied + kept < slots
     }
 
     /// When every upstream looks ill, the fault is more likely in the requests or on the way:
@@ -264,44 +260,25 @@
 
     fn appraise(
         &self,
-        state: &UpstreamState,
+        candidate: &PickCandidate<'_>,
         query: &PickQuery<'_>,
-        speeds: f64,
         noise: f64,
-    ) -> Option<PickedUpstream> {
+    ) -> PickedUpstream {
+        let PickCandidate {
+            state,
+            occupied,
+            estimate,
+            ..
+        } = candidate;
         let entry = &state.entry;
-        let usual = self.fleet.usual(query.service);
-        let others = self.peers.seats_at(&entry.name);
-        let occupied = state.running + others.running;
-        let seat_ms = if query.stream {
-            state.pace.first_ms(&usual, query.prompt) + state.pace.rest_ms(&usual, query.output)
-        } else {
-            state.pace.whole_ms(&usual)
-        };
-        let horizon_s = seat_ms.min(UNHEARD_MS) / 1e3;
-        let kept = kept_seats(query.urgent * horizon_s * state.pace.speed(&usual) / speeds);
-        let kept = kept.min(entry.slots / MOST_KEPT);
-        let overcommit = if kept > 0 { 0 } else { query.overcommit };
-        let share = state.pace.speed(&usual) / speeds;
-        let lent = kept > 0 && query.most_urgent * share * seat_ms / 1e3 < MOST_LENT;
-        let kept = if lent { 0 } else { kept };
-        if occupied + kept >= entry.slots + overcommit {
-            return None;
-        }
-        let held = self.parts.held(self.now, query.parts, &entry.name);
-        let beyond = (occupied + 1).saturating_sub(entry.slots);
-        let queued = f64::from(beyond) * state.pace.whole_ms(&usual) / f64::from(entry.slots.max(1));
-        let (first, rest) = if query.stream {
-            let prompt = query.prompt.saturating_sub(held) + state.unread + others.unread;
-            let first = state.pace.first_ms(&usual, prompt);
-            (first + queued, state.pace.rest_ms(&usual, query.output))
+        let first = if query.stream {
+            estimate.first_ms
         } else {
-            let crowd = 1.0 + f64::from(occupied) * CROWD_SLOWDOWN;
-            (state.pace.whole_ms(&usual) * crowd, 0.0)
+            estimate.first_ms * (1.0 + f64::from(*occupied) * CROWD_SLOWDOWN)
         };
-        let mut score = first + rest * REST_WEIGHT;
-        // Begun where it would not end in time, it holds a place for nothing.
-        score += (first + rest - query.left_ms).max(0.0);
+        let mut score = first + estimate.rest_ms * REST_WEIGHT;
+        // Begun where it would not end in time, it holds a seat for nothing.
+        score += (first + estimate.rest_ms - query.left_ms).max(0.0);
         let failures = state.outlier.failure_share(self.now) - HARMLESS_FAILURES;
         score += failures.max(0.0) * FAILURE_PENALTY_MS;
         if entry.zone != *self.zone && self.policy != RoutingPolicy::WorthWithoutZones {
@@ -323,15 +300,15 @@
             RoutingPolicy::Worth | RoutingPolicy::WorthWithoutZones => {
                 score + score.abs() * noise * 0.05
             }
-            RoutingPolicy::LeastOutstanding => f64::from(occupied) + noise,
+            RoutingPolicy::LeastOutstanding => f64::from(*occupied) + noise,
             RoutingPolicy::RoundRobin => state.chosen as f64 + noise,
             RoutingPolicy::Random => noise,
         };
-        Some(PickedUpstream {
+        PickedUpstream {
             name: entry.name.clone(),
             expected_ms: first,
-            occupied,
+            occupied: *occupied,
             score,
-        })
+        }
     }
 }
--- a/crates/savorywood-gateway/src/queue.rs
+++ b/crates/savorywood-gateway/src/queue.rs
@@ -46,6 +46,13 @@
         self.places.iter()
     }
 
+    /// Requests that wait and are at least as urgent as a rank.
+    #[must_use]
+    pub fn as_urgent_as(&self, rank: RequestRank) -> usize {
+        let urgent = self.places.iter();
+        urgent.take_while(|place| place.rank <= rank).count()
+    }
+
     /// Requests that wait.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/savorywood-gateway/src/rollout.rs
+++ b/crates/savorywood-gateway/src/rollout.rs
@@ -205,7 +205,7 @@
 
     /// Which versions may get the next request of a service.
     pub fn choose(
-        &mut self,
+        &self,
         now: MonotonicTime,
         service: &ServiceLabel,
         options: TrialOptions,
--- /dev/null
+++ b/crates/savorywood-gateway/tests/common/load/calls.rs
@@ -0,0 +1,130 @@
+//! What callers ask and what they get.
+
+use savorywood_gateway::UpstreamLabel;
+use savorywood_protocol::MonotonicTime;
+use std::time::Duration;
+
+/// Evenly drawn numbers (SplitMix64).
+pub struct DrawSource(pub u64);
+
+impl DrawSource {
+    pub fn next(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^= mixed >> 31;
+        (mixed >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Lognormally drawn around a median.
+    fn around(&mut self, median: f64, spread: f64) -> f64 {
+        let radius = (-2.0 * (1.0 - self.next()).ln()).sqrt();
+        let normal = radius * (std::f64::consts::TAU * self.next()).cos();
+        median * (spread * normal).exp()
+    }
+}
+
+/// One kind of request.
+#[derive(Debug, Clone)]
+pub struct CallKind {
+    pub path: &'static str,
+    pub rank: u32,
+    pub per_second: f64,
+    pub resumable: bool,
+    /// Median prompt tokens, their spread and the most.
+    pub prompt: (f64, f64, f64),
+    /// The same of the tokens of the answer.
+    pub tokens: (f64, f64, f64),
+    pub objective: Duration,
+    pub pause: Duration,
+    pub patience: Duration,
+    pub deadline: Duration,
+}
+
+/// Spread of callers' guesses of the length of their answers.
+const GUESS_SPREAD: f64 = 0.5;
+
+impl CallKind {
+    /// A request of this kind.
+    pub fn draw(&self, kind: usize, now: MonotonicTime, draws: &mut DrawSource) -> OpenCall {
+        let mut size = |(median, spread, most): (f64, f64, f64)| {
+            draws.around(median, spread).clamp(1.0, most) as u32
+        };
+        let prompt = size(self.prompt);
+        let tokens = size(self.tokens);
+        OpenCall {
+            kind,
+            prompt,
+            guess: draws.around(f64::from(tokens), GUESS_SPREAD).max(1.0) as u32,
+            tokens_left: tokens,
+            began_at: now,
+            deadline_at: now + self.deadline,
+            heard_at: now,
+            give_up_at: now + self.deadline,
+            engine: None,
+            events: 0,
+            first: None,
+            longest_pause: Duration::ZERO,
+            late: false,
+            came_back: false,
+            moves: 0,
+        }
+    }
+}
+
+/// A request that has no final answer yet.
+#[derive(Debug, Clone)]
+pub struct OpenCall {
+    pub kind: usize,
+    pub prompt: u32,
+    pub guess: u32,
+    pub tokens_left: u32,
+    pub began_at: MonotonicTime,
+    pub deadline_at: MonotonicTime,
+    pub heard_at: MonotonicTime,
+    pub give_up_at: MonotonicTime,
+    pub engine: Option<UpstreamLabel>,
+    pub events: u32,
+    pub first: Option<Duration>,
+    pub longest_pause: Duration,
+    pub late: bool,
+    pub came_back: bool,
+    pub moves: u32,
+}
+
+/// What callers of one kind got.
+#[derive(Debug, Clone, Default)]
+pub struct CallTally {
+    pub asked: u32,
+    pub in_time: u32,
+    pub late: u32,
+    /// Refused for good.
+    pub refused: u32,
+    /// Told to come back.
+    pub sent_back: u32,
+    /// Left without a whole answer.
+    pub left: u32,
+    /// Answers that were broken off.
+    pub cut: u32,
+    /// Served after a move from one upstream to another.
+    pub moved: u32,
+    pub longest_return: Duration,
+    pub longest_pause: Duration,
+}
+
+impl CallTally {
+    pub fn served(&mut self, call: &OpenCall) {
+        if call.late {
+            self.late += 1;
+        } else {
+            self.in_time += 1;
+        }
+        self.moved += u32::from(call.moves > 0);
+        self.longest_pause = self.longest_pause.max(call.longest_pause);
+    }
+
+    pub fn share(&self, count: u32) -> f64 {
+        f64::from(count) / f64::from(self.asked.max(1))
+    }
+}
--- /dev/null
+++ b/crates/savorywood-gateway/tests/common/load/engine.rs
@@ -0,0 +1,136 @@
+//! A model engine: a batch that makes a token a step, and prompts that are read in pieces between.
+
+use savorywood_gateway::{LocalRequest, UpstreamLabel};
+use savorywood_protocol::MonotonicTime;
+use std::{collections::VecDeque, time::Duration};
+
+/// Milliseconds of a step.
+const STEP_MS: f64 = 2.8;
+/// More milliseconds of a step for each request in the batch.
+const SEAT_MS: f64 = 0.015;
+/// Prompt tokens read in a millisecond.
+const READ_PER_MS: f64 = 85.0;
+/// Prompt tokens read in one step at most.
+const PIECE: u32 = 2_048;
+/// Tokens of one event.
+const EVENT_TOKENS: u32 = 7;
+
+/// One request at an engine.
+#[derive(Debug, Clone)]
+pub struct EngineRun {
+    pub daemon: usize,
+    pub request: LocalRequest,
+    pub unread: u32,
+    pub tokens_left: u32,
+    pub tokens: u32,
+}
+
+/// An event of a stream.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineOutput {
+    pub daemon: usize,
+    pub request: LocalRequest,
+    pub is_first: bool,
+    pub tokens_left: u32,
+}
+
+/// An engine.
+pub struct EngineModel {
+    pub name: UpstreamLabel,
+    pub slowness: f64,
+    /// It says nothing any more.
+    pub dark: bool,
+    slots: usize,
+    queue: VecDeque<EngineRun>,
+    batch: Vec<EngineRun>,
+    step_ends_at: Option<MonotonicTime>,
+}
+
+impl EngineModel {
+    pub fn new(name: &str, slowness: f64, slots: u32) -> Self {
+        Self {
+            name: UpstreamLabel::from(name),
+            slowness,
+            dark: false,
+            slots: slots as usize,
+            queue: VecDeque::new(),
+            batch: Vec::new(),
+            step_ends_at: None,
+        }
+    }
+
+    pub fn is_full(&self) -> bool {
+        self.batch.len() + self.queue.len() >= self.slots
+    }
+
+    pub fn send(&mut self, run: EngineRun) {
+        self.queue.push_back(run);
+    }
+
+    pub fn drop_run(&mut self, daemon: usize, request: LocalRequest) {
+        let is_other = |run: &EngineRun| run.daemon != daemon || run.request != request;
+        self.batch.retain(is_other);
+        self.queue.retain(is_other);
+    }
+
+    /// Runs the steps that end until now.
+    pub fn advance(&mut self, now: MonotonicTime, outputs: &mut Vec<EngineOutput>) {
+        if self.dark {
+            return;
+        }
+        while let Some(end) = self.step_end(now) {
+            if end > now {
+                return;
+            }
+            self.finish_step(outputs);
+            self.step_ends_at = None;
+            self.begin_step(end);
+        }
+    }
+
+    fn step_end(&mut self, now: MonotonicTime) -> Option<MonotonicTime> {
+        if self.step_ends_at.is_none() {
+            self.begin_step(now);
+        }
+        self.step_ends_at
+    }
+
+    fn begin_step(&mut self, at: MonotonicTime) {
+        while self.batch.len() < self.slots
+            && let Some(run) = self.queue.pop_front()
+        {
+            self.batch.push(run);
+        }
+        if self.batch.is_empty() {
+            return;
+        }
+        let unread: u32 = self.batch.iter().map(|run| run.unread.min(PIECE)).sum();
+        let read = f64::from(unread.min(PIECE)) / READ_PER_MS;
+        let millis = self.slowness * (STEP_MS + SEAT_MS * self.batch.len() as f64 + read);
+        self.step_ends_at = Some(at + Duration::from_secs_f64(millis / 1e3));
+    }
+
+    fn finish_step(&mut self, outputs: &mut Vec<EngineOutput>) {
+        let mut piece = PIECE;
+        for run in &mut self.batch {
+            let read = run.unread.min(piece);
+            piece -= read;
+            run.unread -= read;
+            if run.unread > 0 {
+                continue;
+            }
+            run.tokens += 1;
+            run.tokens_left -= 1;
+            let whole = run.tokens % EVENT_TOKENS == 1 || run.tokens_left == 0;
+            if whole {
+                outputs.push(EngineOutput {
+                    daemon: run.daemon,
+                    request: run.request,
+                    is_first: run.tokens == 1,
+                    tokens_left: run.tokens_left,
+                });
+            }
+        }
+        self.batch.retain(|run| run.tokens_left > 0);
+    }
+}
--- a/crates/savorywood-gateway/tests/common/scene.rs
+++ b/crates/savorywood-gateway/tests/common/scene.rs
@@ -151,9 +151,13 @@
         self.step(GatewayEvent::Tick);
     }
 
-    pub fn arrive(&mut self, arrival: RequestArrival) -> LocalRequest {
-        let request = LocalRequest(self.next);
+    pub fn next_request(&mut self) -> LocalRequest {
         self.next += 1;
+        LocalRequest(self.next - 1)
+    }
+
+    pub fn arrive(&mut self, arrival: RequestArrival) -> LocalRequest {
+        let request = self.next_request();
         let arrival = Box::new(arrival);
         self.step(GatewayEvent::Arrived { request, arrival });
         request
--- /dev/null
+++ b/crates/savorywood-gateway/tests/deciding.rs
@@ -0,0 +1,214 @@
+//! Loads on several daemons and unlike engines: what callers of each rank get.
+
+#[path = "common/load.rs"]
+mod load;
+#[path = "common/scene.rs"]
+mod scene;
+
+use load::{
+    LoadWorld,
+    calls::{CallKind, CallTally},
+};
+use std::time::Duration;
+
+const DAEMONS: usize = 8;
+const SLOTS: u32 = 12;
+/// Fast, ordinary and slow engines.
+const SLOWNESS: [f64; 6] = [0.55, 0.55, 1.0, 1.0, 2.8, 2.8];
+
+fn plans(per_second: f64) -> CallKind {
+    CallKind {
+        path: "/plan/",
+        rank: 0,
+        per_second,
+        resumable: true,
+        prompt: (2_500.0, 1.4, 54_000.0),
+        tokens: (125.0, 1.5, 3_850.0),
+        objective: Duration::from_millis(600),
+        pause: Duration::from_millis(300),
+        patience: Duration::from_millis(2_400),
+        deadline: Duration::from_secs(12),
+    }
+}
+
+fn chats(per_second: f64) -> CallKind {
+    CallKind {
+        path: "/chat/",
+        rank: 1,
+        per_second,
+        resumable: false,
+        prompt: (380.0, 1.0, 3_300.0),
+        tokens: (95.0, 1.5, 2_950.0),
+        deadline: Duration::from_secs(10),
+        ..plans(0.0)
+    }
+}
+
+fn digests(per_second: f64) -> CallKind {
+    CallKind {
+        path: "/digest/",
+        rank: 2,
+        per_second,
+        resumable: true,
+        prompt: (770.0, 1.3, 6_900.0),
+        tokens: (7.0, 1.5, 220.0),
+        objective: Duration::from_secs(1),
+        deadline: Duration::from_millis(2_500),
+        ..plans(0.0)
+    }
+}
+
+fn world(slowness: &[f64], kinds: Vec<CallKind>) -> LoadWorld {
+    LoadWorld::new(DAEMONS, slowness, SLOTS, kinds)
+}
+
+/// Half as much again as all seats can serve.
+fn overload() -> LoadWorld {
+    let kinds = vec![plans(20.0), chats(100.0), digests(60.0)];
+    let mut world = world(&SLOWNESS, kinds);
+    world.play(Duration::from_secs(20));
+    world
+}
+
+fn total(world: &LoadWorld, count: impl Fn(&CallTally) -> u32) -> f64 {
+    let asked: u32 = world.tallies.iter().map(|tally| tally.asked).sum();
+    let counted: u32 = world.tallies.iter().map(count).sum();
+    f64::from(counted) / f64::from(asked)
+}
+
+/// Callers of the lower ranks ask for half as much again as all seats can serve, at eight daemons
+/// that hear of each other late. Were each free seat given away at once, the most urgent callers
+/// would find all of them taken for the length of an answer, and wait behind work that could wait.
+#[test]
+fn the_most_urgent_callers_are_answered_in_time_under_overload() {
+    let world = overload();
+    let plans = world.tally("/plan/");
+    let in_time = plans.share(plans.in_time);
+    assert!(in_time >= 0.85, "{in_time:.3}: {plans:?}");
+}
+
+/// Under the same load no answer can begin for many callers before they leave. They hear so before
+/// that, with a time to come back that leaves them time for the answer; left without a word they
+/// would have waited for nothing.
+#[test]
+fn callers_that_can_not_be_served_hear_so_before_they_leave() {
+    let world = overload();
+    let left = total(&world, |tally| tally.left);
+    assert!(left <= 0.01, "{left:.4} left: {:?}", world.tallies);
+    let sent_back = total(&world, |tally| tally.sent_back);
+    assert!(sent_back >= 0.1, "only {sent_back:.3} were sent back");
+    for (kind, tally) in world.kinds.iter().zip(&world.tallies) {
+        assert!(tally.longest_return <= kind.deadline / 3, "{tally:?}");
+    }
+}
+
+/// Under the same load the lowest rank asks for short answers. More urgent work that can't use a
+/// seat must not keep them from it, and a seat that is kept for the most urgent work is given back
+/// by a short answer in time; otherwise most of these callers get nothing beside seats that stand
+/// empty.
+#[test]
+fn short_work_of_the_lowest_rank_is_not_starved() {
+    let world = overload();
+    let digests = world.tally("/digest/");
+    let served = digests.share(digests.in_time + digests.late);
+    assert!(served >= 0.75, "{served:.3}: {digests:?}");
+}
+
+/// Answers differ a hundredfold in length and engines five times in speed. A long answer on a slow
+/// engine is cut off at its deadline, after it held a seat for all that time; short ones end there.
+#[test]
+fn answers_begin_where_they_can_end() {
+    let mut long = chats(40.0);
+    long.tokens = (300.0, 1.2, 2_950.0);
+    let mut world = world(&[0.55, 0.55, 2.8, 2.8], vec![long]);
+    world.play(Duration::from_secs(30));
+    let cut = total(&world, |tally| tally.cut);
+    assert!(cut <= 0.02, "{cut:.4} cut: {:?}", world.tallies);
+}
+
+/// Slow engines have free seats while the fast ones give back several a second. A long prompt that
+/// goes to a slow one is late before its first event, and makes all that runs beside it late.
+#[test]
+fn long_prompts_wait_for_an_upstream_that_reads_them_in_time() {
+    let mut world = world(&[0.55, 0.55, 4.5, 4.5], vec![plans(9.0), chats(28.0)]);
+    world.play(Duration::from_secs(30));
+    let plans = world.tally("/plan/");
+    let in_time = plans.share(plans.in_time);
+    assert!(in_time >= 0.85, "{in_time:.3}: {plans:?}");
+}
+
+/// An engine reads a prompt of tens of thousands of tokens, and all that runs there pauses for
+/// most of a second. That is no silence: taken away, the answers would be read from the start
+/// elsewhere, or broken off where nobody has room for them.
+#[test]
+fn a_pause_beside_long_prompts_ends_no_answer() {
+    let mut long = plans(2.0);
+    long.prompt = (20_000.0, 0.3, 54_000.0);
+    let mut short = plans(12.0);
+    short.path = "/short/";
+    short.prompt = (400.0, 0.5, 2_000.0);
+    let mut world = world(&[2.8, 2.8, 2.8, 2.8], vec![long, short]);
+    world.play(Duration::from_secs(30));
+    let longest = world.tallies.iter().map(|tally| tally.longest_pause).max();
+    assert!(longest > Some(Duration::from_millis(500)), "{longest:?}");
+    assert_eq!(world.taken_away, 0, "{:?}", world.tallies);
+}
+
+/// One of six engines loses its power while a dozen answers run there. All of them fall silent at
+/// once, long before any caller leaves. What may run again is read on elsewhere, and new work goes
+/// there no more.
+#[test]
+fn a_dark_upstream_is_found_by_the_silence_of_all_that_runs_there() {
+    let mut world = world(&SLOWNESS, vec![plans(16.0)]);
+    world.advance(Duration::from_secs(5), true);
+    world.engines[0].dark = true;
+    world.advance(Duration::from_secs(5), true);
+    world.play(Duration::from_secs(2));
+    let plans = world.tally("/plan/");
+    assert!(plans.moved > 0, "{plans:?}");
+    let lost = plans.share(plans.left + plans.cut + plans.refused);
+    assert!(lost <= 0.02, "{lost:.4}: {plans:?}");
+}
+
+/// Most urgent callers that were not answered in time, and the share of sends to full engines.
+struct NewsEffect {
+    not_in_time: u32,
+    to_full: f64,
+}
+
+/// Several loads under which nearly all seats are taken.
+fn scarce_loads(tells_seats: bool) -> NewsEffect {
+    let mut effect = NewsEffect {
+        not_in_time: 0,
+        to_full: 0.0,
+    };
+    for (urgent, other) in [(12.0, 55.0), (14.0, 70.0), (18.0, 60.0), (24.0, 40.0)] {
+        let mut world = world(&SLOWNESS, vec![plans(urgent), chats(other)]);
+        world.tells_seats = tells_seats;
+        world.play(Duration::from_secs(30));
+        let plans = world.tally("/plan/");
+        effect.not_in_time += plans.asked - plans.in_time;
+        effect.to_full += f64::from(world.sent_to_full) / f64::from(world.sent);
+    }
+    effect
+}
+
+/// Seats turn over in less time than passes between two full words of a daemon. A daemon that
+/// hears late sends the most urgent request to an engine that is full, where it waits behind all
+/// others, or keeps it waiting beside a free one. Told of seats alone while these are scarce,
+/// fewer of these callers wait too long.
+#[test]
+fn news_of_scarce_seats_spare_urgent_callers_a_wait() {
+    let told = scarce_loads(true);
+    let untold = scarce_loads(false);
+    let (late, late_before) = (told.not_in_time, untold.not_in_time);
+    assert!(
+        f64::from(late) < f64::from(late_before) * 0.9,
+        "{late} with news, {late_before} without"
+    );
+    let (full, full_before) = (told.to_full, untold.to_full);
+    assert!(
+        full < full_before * 0.9,
+        "{full:.3} with news, {full_before:.3} without"
+    );
+}
--- a/crates/savorywood-gateway/tests/waiting.rs
+++ b/crates/savorywood-gateway/tests/waiting.rs
@@ -53,6 +53,7 @@
     let seat = SeatUse {
         upstream: name_digest("upstream-1"),
         running: 1,
+        unread: 0,
     };
     scene.step(GatewayEvent::PeerHeard(peer(1, vec![seat])));
     let request = scene.arrive(arrival("/safe/1"));
@@ -69,6 +70,7 @@
     let seat = SeatUse {
         upstream: name_digest("upstream-1"),
         running: 1,
+        unread: 0,
     };
     scene.step(GatewayEvent::PeerHeard(peer(1, vec![seat])));
     let request = scene.arrive(arrival("/safe/1"));
--- a/crates/savorywood-gateway/tests/zones.rs
+++ b/crates/savorywood-gateway/tests/zones.rs
@@ -54,7 +54,7 @@
     }
     for daemon in &field.daemons {
         let state = daemon.gateway.fleet().get(&upstream).expect("an upstream");
-        let seen = state.running + daemon.gateway.peers().seats_at(&upstream);
+        let seen = state.running + daemon.gateway.peers().seats_at(&upstream).running;
         assert_eq!(seen, running);
     }
 }
