--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -279,7 +279,9 @@
             sink.closes |= self.shared.stopping.get();
             match decision {
                 RequestDecision::Dispatch(order) => {
-                    let outcome = self.attempt(reader, sink, &mut kept, &order, decisions).await;
+                    let outcome = self
+                        .attempt(reader, sink, &mut kept, &order, decisions)
+                        .await;
                     let end = self.after_attempt(&order, &outcome, sink);
                     self.report(outcome);
                     if let Some(next) = end {
@@ -421,7 +423,7 @@
             return;
         }
     }
-    future::pending().await
+    future::pending::<()>().await;
 }
 
 fn refusal_status(reason: RefusalReason) -> u16 {
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -41,8 +41,8 @@
 pub use name::{HostLabel, ServiceLabel, TeamLabel, UpstreamLabel, VersionLabel, ZoneLabel};
 pub use outlier::OutlierState;
 pub use peer::{
-    PeerPhase, PeerSummary, PeerTable, SeatNews, SeatScope, SeatSum, SeatUse, TeamUse, VersionTally,
-    name_digest,
+    PeerPhase, PeerSummary, PeerTable, SeatNews, SeatScope, SeatSum, SeatUse, TeamUse,
+    VersionTally, name_digest,
 };
 pub use pick::RoutingPolicy;
 pub use queue::RequestRank;
--- a/crates/savorywood-gateway/tests/common/load.rs
+++ b/crates/savorywood-gateway/tests/common/load.rs
@@ -89,7 +89,9 @@
         };
         for (number, slowness) in slowness.iter().enumerate() {
             let name = format!("upstream-{}", number + 1);
-            world.engines.push(EngineModel::new(&name, *slowness, slots));
+            world
+                .engines
+                .push(EngineModel::new(&name, *slowness, slots));
         }
         for number in 0..daemons {
             let daemon = world.daemon(number, daemons, slots);
@@ -352,7 +354,10 @@
             self.tallies[call.kind].served(&call);
             let events = call.events;
             let outcome = AttemptOutcome::Delivered { marks, events };
-            self.step(output.daemon, GatewayEvent::AttemptEnded { request, outcome });
+            self.step(
+                output.daemon,
+                GatewayEvent::AttemptEnded { request, outcome },
+            );
         }
     }
 
--- a/crates/savorywood-gateway/tests/truth.rs
+++ b/crates/savorywood-gateway/tests/truth.rs
@@ -177,7 +177,9 @@
             known.ended = true;
         }
         GatewayEffect::Abandon { request } => {
-            let known = seen.get_mut(&request.0).ok_or("unknown request abandoned")?;
+            let known = seen
+                .get_mut(&request.0)
+                .ok_or("unknown request abandoned")?;
             let may_run_again = !known.once && known.may_have_run == 0;
             if known.ended || !known.running || !may_run_again {
                 return Err(format!("abandoned without a next run: {effect:?}"));
