Spread the choices of many daemons over upstreams of like cost

Eighty daemons choose by news a quarter to half a second old, in which each upstream gets one request on average; all of them hold the same upstreams for the best and meet there. Ruled out: news alone (told every 160 ms while seats are scarce already). Change: where zones tell each other an upstream may look dearer by up to six tenths of its cost at random, in place of a twentieth. Small sites do not use it.

--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -19,6 +19,11 @@
 
 /// Requests without a place that are looked at before a service counts as full.
 const MAX_FULL: usize = 3;
+/// Part of an upstream's cost by which daemons see it differently.
+const SPREAD: f64 = 0.05;
+/// The same where zones tell each other: news are older there and read by more, and daemons that
+/// all hold the same upstream for the best would meet at it.
+const ZONED_SPREAD: f64 = 0.6;
 /// Part of the objective for which a request waits for a service that has no upstream.
 const EMPTY_PART: f64 = 0.12;
 /// Part of the expected time that must be left when an attempt begins.
@@ -108,6 +113,11 @@
             parts: &self.parts,
             zone: &self.options.zone,
             policy: self.options.routing,
+            spread: if self.contacts.is_zoned() {
+                ZONED_SPREAD
+            } else {
+                SPREAD
+            },
         };
         let mut draws = self.draws.clone();
         scene.pick(&query, || draws.next())
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -116,6 +116,8 @@
     pub zone: &'a ZoneLabel,
     /// What the choice goes by.
     pub policy: RoutingPolicy,
+    /// Part of an upstream's cost by which it may look dearer at random.
+    pub spread: f64,
 }
 
 /// Why none was chosen.
@@ -298,7 +300,7 @@
         }
         let score = match self.policy {
             RoutingPolicy::Worth | RoutingPolicy::WorthWithoutZones => {
-                score + score.abs() * noise * 0.05
+                score + score.abs() * noise * self.spread
             }
             RoutingPolicy::LeastOutstanding => f64::from(*occupied) + noise,
             RoutingPolicy::RoundRobin => state.chosen as f64 + noise,
