--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod dispatch;
 mod ending;
+mod learning;
 mod news;
 mod record;
 mod returning;
--- /dev/null
+++ b/crates/savorywood-gateway/src/gateway/learning.rs
@@ -0,0 +1,249 @@
+//! What answers and attempts that ended say of upstreams and versions.
+
+use super::{
+    Gateway, GatewayEffects,
+    record::{RequestPlace, RunningAttempt},
+};
+use crate::{
+    arrival::LocalRequest,
+    effect::GatewayEffect,
+    event::{AnswerMarks, AttemptOutcome},
+    name::{ServiceLabel, UpstreamLabel},
+    pace::PaceEstimate,
+};
+use savorywood_core::{LogLevel, LogLine};
+use savorywood_protocol::MonotonicTime;
+use std::time::Duration;
+
+/// A plain answer that took this many times what was expected speaks against a version.
+const SLOW_FACTOR: f64 = 3.0;
+/// And so many milliseconds more.
+const SLOW_MARGIN_MS: f64 = 200.0;
+/// An upstream from which nothing came in this many times what was expected is at fault.
+const OVERDUE_FACTOR: f64 = 4.0;
+/// And in so many milliseconds more.
+const OVERDUE_MARGIN_MS: f64 = 500.0;
+
+/// A whole answer, as far as speed can be learned from it.
+struct SeenAnswer {
+    /// Events, if it was a stream.
+    events: Option<u32>,
+    /// Tokens that the caller expected.
+    output: u32,
+    /// Longest pause between its events.
+    longest_pause: Duration,
+    /// Time from its first event to its last.
+    after_first: Duration,
+    /// Time from the sending to its end.
+    whole: Duration,
+}
+
+impl SeenAnswer {
+    fn teach(&self, pace: &mut PaceEstimate) {
+        match self.events {
+            Some(events) => {
+                pace.saw_stream(events, self.output, self.after_first, self.whole);
+                pace.saw_pause(self.longest_pause);
+            }
+            None => pace.saw_answer(self.whole),
+        }
+    }
+}
+
+/// Nothing came for so long that the upstream is at fault, not the size of the request.
+fn is_overdue(now: MonotonicTime, attempt: &RunningAttempt) -> bool {
+    let millis = now.since(attempt.sent_at).as_secs_f64() * 1e3;
+    let late = millis > attempt.expected_ms * OVERDUE_FACTOR + OVERDUE_MARGIN_MS;
+    attempt.began_at.is_none() && late
+}
+
+impl Gateway {
+    pub(super) fn answer_began(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        marks: AnswerMarks,
+    ) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let RequestPlace::Running(attempt) = &mut record.place else {
+            return;
+        };
+        let is_first = attempt.began_at.is_none();
+        attempt.began_at.get_or_insert(now);
+        attempt.moved(now, 1);
+        record.has_begun |= record.route.repeat.is_stream();
+        let elapsed = now.since(attempt.sent_at);
+        let upstream = attempt.upstream.clone();
+        self.fleet.heard(now, &upstream);
+        if is_first && let Some(state) = self.fleet.get_mut(&upstream) {
+            state.unread = state.unread.saturating_sub(record.size.prompt);
+        }
+        if record.route.repeat.is_stream() {
+            let prompt = record.size.prompt;
+            self.fleet
+                .usual_mut(&record.service)
+                .saw_first(prompt, elapsed);
+            if let Some(state) = self.fleet.get_mut(&upstream) {
+                state.pace.saw_first(prompt, elapsed);
+            }
+        }
+        self.mark(now, &upstream, marks);
+    }
+
+    /// More events of a stream came.
+    pub(super) fn answer_moved(&mut self, now: MonotonicTime, request: LocalRequest, events: u32) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        if let RequestPlace::Running(attempt) = &mut record.place {
+            attempt.moved(now, events);
+            self.fleet.heard(now, &attempt.upstream);
+        }
+    }
+
+    fn mark(&mut self, now: MonotonicTime, upstream: &UpstreamLabel, marks: AnswerMarks) {
+        if let Some(state) = self.fleet.get_mut(upstream)
+            && marks.load.is_some()
+        {
+            state.load = marks.load;
+            state.load_at = now;
+        }
+    }
+
+    /// Frees the place and learns from the outcome.
+    pub(super) fn release(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        attempt: &RunningAttempt,
+        outcome: &AttemptOutcome,
+        effects: &mut GatewayEffects,
+    ) {
+        let Some(record) = self.requests.get(&request) else {
+            return;
+        };
+        let service = record.service.clone();
+        let stream = record.route.repeat.is_stream();
+        if attempt.began_at.is_none()
+            && let Some(state) = self.fleet.get_mut(&attempt.upstream)
+        {
+            state.unread = state.unread.saturating_sub(record.size.prompt);
+        }
+        let output = record.output;
+        if outcome.was_heard() {
+            self.fleet.heard(now, &attempt.upstream);
+        }
+        if let AttemptOutcome::Delivered { events, .. } = outcome {
+            let seen = SeenAnswer {
+                events: stream.then_some(*events),
+                output,
+                longest_pause: attempt.longest_pause,
+                after_first: now.since(attempt.began_at.unwrap_or(now)),
+                whole: now.since(attempt.sent_at),
+            };
+            self.learn_pace(&service, &attempt.upstream, &seen);
+        }
+        self.judge_upstream(now, &service, attempt, outcome, effects);
+        self.judge_version(now, &service, attempt, outcome, stream);
+        match outcome {
+            AttemptOutcome::NotRun { marks, .. }
+            | AttemptOutcome::Failed { marks }
+            | AttemptOutcome::Delivered { marks, .. } => self.mark(now, &attempt.upstream, *marks),
+            _ => {}
+        }
+    }
+
+    fn learn_pace(&mut self, service: &ServiceLabel, upstream: &UpstreamLabel, seen: &SeenAnswer) {
+        seen.teach(self.fleet.usual_mut(service));
+        if let Some(state) = self.fleet.get_mut(upstream) {
+            seen.teach(&mut state.pace);
+        }
+    }
+
+    /// Whether the upstream is left out, or in again.
+    fn judge_upstream(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceLabel,
+        attempt: &RunningAttempt,
+        outcome: &AttemptOutcome,
+        effects: &mut GatewayEffects,
+    ) {
+        let usual = self.fleet.usual_failures(now, service);
+        let overdue = is_overdue(now, attempt);
+        let Some(state) = self.fleet.get_mut(&attempt.upstream) else {
+            return;
+        };
+        state.running = state.running.saturating_sub(1);
+        // One answer may be lost where others go on; an upstream that says nothing is out at once.
+        let dark = state.heard_at <= attempt.moved_at.unwrap_or(attempt.sent_at);
+        let outlier = &mut state.outlier;
+        let mut is_back = false;
+        let taken_out = match outcome {
+            AttemptOutcome::NotSent => outlier.broke(now, false),
+            AttemptOutcome::Failed { .. } => outlier.failed(now, usual),
+            AttemptOutcome::Broken { silent } => outlier.broke(now, *silent && dark),
+            AttemptOutcome::StreamBroken(end) => outlier.broke(now, end.silent && dark),
+            AttemptOutcome::Expired if overdue => outlier.broke(now, false),
+            AttemptOutcome::Delivered { .. } => {
+                is_back = outlier.succeeded(now);
+                false
+            }
+            AttemptOutcome::NotRun { .. }
+            | AttemptOutcome::Expired
+            | AttemptOutcome::CallerLeft => {
+                outlier.unknown();
+                false
+            }
+        };
+        if let AttemptOutcome::NotRun {
+            misdirected: true, ..
+        } = outcome
+        {
+            state.gone_at = Some(now);
+        }
+        if is_back {
+            let line =
+                LogLine::new(LogLevel::Info, "upstream-back").with("upstream", &attempt.upstream);
+            effects.push(GatewayEffect::Log(line));
+        }
+        if taken_out {
+            let line = LogLine::new(LogLevel::Warn, "upstream-suspected")
+                .with("upstream", &attempt.upstream)
+                .with("service", service)
+                .with("cause", outcome.name())
+                .with("usual_failures", format_args!("{usual:.2}"));
+            effects.push(GatewayEffect::Log(line));
+        }
+    }
+
+    /// What the outcome says of the version that the upstream runs, while a roll-out is under way.
+    fn judge_version(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceLabel,
+        attempt: &RunningAttempt,
+        outcome: &AttemptOutcome,
+        stream: bool,
+    ) {
+        let bad = match outcome {
+            AttemptOutcome::Failed { .. }
+            | AttemptOutcome::Broken { .. }
+            | AttemptOutcome::StreamBroken(_) => true,
+            AttemptOutcome::Expired if is_overdue(now, attempt) => true,
+            AttemptOutcome::Delivered { .. } => {
+                let millis = now.since(attempt.sent_at).as_secs_f64() * 1e3;
+                !stream && millis > attempt.expected_ms * SLOW_FACTOR + SLOW_MARGIN_MS
+            }
+            AttemptOutcome::NotSent
+            | AttemptOutcome::NotRun { .. }
+            | AttemptOutcome::Expired
+            | AttemptOutcome::CallerLeft => return,
+        };
+        if let Some(state) = self.fleet.get(&attempt.upstream) {
+            self.rollouts.answered(service, &state.entry.version, bad);
+        }
+    }
+}
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -184,9 +184,9 @@
             let noise = draw();
             let estimate = &candidate.estimate;
             let share = candidate.speed / speeds;
-            let suits = !must_fit || estimate.fits(query.left_ms);
-            let prompt = !must_be_in_time || estimate.first_ms <= query.slack_ms;
-            if !suits || !prompt || !self.has_seat(candidate, query, share) {
+            let fits = !must_fit || estimate.fits(query.left_ms);
+            let in_time = !must_be_in_time || estimate.first_ms <= query.slack_ms;
+            if !fits || !in_time || !self.has_seat(candidate, query, share) {
                 continue;
             }
             let picked = self.appraise(candidate, query, noise);
