Sum up the silence of peers without walking them

Ruled out: looking only every 50 ms (the trial of the issue), which settles silent peers a little wrongly.

Change: peers are kept in three ordered stages of silence with sums of daemons and of times; a report moves one peer.

--- a/crates/savorywood-gateway/src/limit.rs
+++ b/crates/savorywood-gateway/src/limit.rs
@@ -1,6 +1,7 @@
 //! What teams may use, over all daemons together.
 
 mod bucket;
+mod silence;
 
 pub use bucket::LimitTolerance;
 
@@ -8,13 +9,9 @@
 use bucket::{KNOWING_PART, TokenBucket, ZONED_KNOWING_PART, strict_bucket, tolerated_bucket};
 use savorywood_protocol::MonotonicTime;
 use serde::{Deserialize, Serialize};
+use silence::{SilenceIndex, SilentPeer};
 use std::{collections::BTreeMap, time::Duration};
 
-/// From so long after a peer's last message on it is taken to use its even share; what it reports next
-/// settles that, so that a lost message costs nothing.
-const ASSUMED_TIME: Duration = Duration::from_millis(300);
-/// A peer that sent nothing for this long counts as out of reach.
-const OVERDUE_TIME: Duration = Duration::from_millis(450);
 /// A peer that sent nothing for this long is taken to be gone, if most others are seen.
 const GONE_TIME: Duration = Duration::from_secs(20);
 /// A daemon that is out of reach of nearly all is cut off, and the others live: they are not taken to be
@@ -64,16 +61,7 @@
 struct PeerUse {
     incarnation: u64,
     total: u64,
-    received_at: MonotonicTime,
-    daemons: u32,
-    near: bool,
-}
-
-/// What silent peers are taken to have used, in seconds of the whole limit's rate.
-#[derive(Debug, Clone, Copy, Default)]
-struct SilentUse {
-    all_s: f64,
-    near_s: f64,
+    silence: SilentPeer,
 }
 
 /// Below this part of a full bucket a daemon spends between two of its messages only its share of what
@@ -128,6 +116,7 @@
     /// Daemons that there are, as far as they are known by other means than their messages.
     expected: u32,
     peers: BTreeMap<u64, PeerUse>,
+    silences: SilenceIndex,
 }
 
 impl TeamMeter {
@@ -165,6 +154,7 @@
             others_recent: 0.0,
             expected: 1,
             peers: BTreeMap::new(),
+            silences: SilenceIndex::default(),
         }
     }
 
@@ -222,8 +212,7 @@
         if bucket.level >= bucket.capacity * SHARED_PART {
             return true;
         }
-        let others: u32 = self.peers.values().map(|peer| peer.daemons).sum();
-        let even = 1.0 / f64::from(others + 1);
+        let even = 1.0 / f64::from(self.daemons());
         let used = self.own_recent + self.others_recent;
         let share = if used > 0.0 {
             self.own_recent / used
@@ -280,7 +269,7 @@
         };
         // What was assumed while it was silent is settled against what it reports.
         let same_life = known.filter(|known| known.incarnation == reading.incarnation);
-        let assumed_s = same_life.map_or(0.0, |known| self.assumed_s(known, now));
+        let assumed_s = same_life.map_or(0.0, |known| self.assumed_s(known.silence, now));
         if reading.near {
             self.zone_total += used - assumed_s * self.strict.rate;
         }
@@ -290,16 +279,28 @@
         self.adopt(now, reading);
         let least = -self.strict.capacity.max(self.limit.per_second);
         self.strict.level = self.strict.level.max(least);
-        let received = PeerUse {
-            incarnation: reading.incarnation,
-            total: reading.total,
+        self.remove_peer(reading.peer);
+        let silence = SilentPeer {
+            peer: reading.peer,
             received_at: now,
             daemons: reading.daemons,
             near: reading.near,
         };
+        self.silences.insert(silence);
+        let received = PeerUse {
+            incarnation: reading.incarnation,
+            total: reading.total,
+            silence,
+        };
         self.peers.insert(reading.peer, received);
     }
 
+    fn remove_peer(&mut self, peer: u64) {
+        if let Some(known) = self.peers.remove(&peer) {
+            self.silences.remove(known.silence);
+        }
+    }
+
     /// A daemon that starts beside others takes over what they know of the team.
     ///
     /// Each copy of the buckets is meant to be the same. Begun with a level of its own, every
@@ -327,7 +328,7 @@
     /// A peer is known to have ended.
     pub fn ended(&mut self, now: MonotonicTime, peer: u64) {
         self.fill(now);
-        self.peers.remove(&peer);
+        self.remove_peer(peer);
     }
 
     /// There are so many daemons, seen or not.
@@ -345,15 +346,23 @@
         }
     }
 
+    /// Daemons that the meter counts, this one included.
+    fn daemons(&self) -> u32 {
+        self.silences.daemons() + 1
+    }
+
     /// What a silent peer is taken to have used: its even share, in seconds of the whole rate.
-    fn assumed_s(&self, peer: PeerUse, now: MonotonicTime) -> f64 {
-        let others: u32 = self.peers.values().map(|peer| peer.daemons).sum();
-        let share = f64::from(peer.daemons) / f64::from(others + 1);
-        let silent = now.since(peer.received_at);
-        silent.saturating_sub(ASSUMED_TIME).as_secs_f64() * share
+    fn assumed_s(&self, peer: SilentPeer, now: MonotonicTime) -> f64 {
+        let share = f64::from(peer.daemons) / f64::from(self.daemons());
+        SilenceIndex::silence_of(peer, now).as_secs_f64() * share
     }
 
     fn fill(&mut self, now: MonotonicTime) {
+        let before = self.silences.silent_time(self.filled_at);
+        let peers = &self.peers;
+        let find = |peer| peers.get(&peer).map(|known| known.silence);
+        self.silences.advance(now, find);
+        let after = self.silences.silent_time(now);
         let part = self.reachable_part(now);
         let mut elapsed_s = now.since(self.filled_at).as_secs_f64();
         if now < self.slow_until {
@@ -362,18 +371,18 @@
         let fading = (-now.since(self.filled_at).as_secs_f64() / RECENT_TIME.as_secs_f64()).exp();
         self.own_recent *= fading;
         self.others_recent *= fading;
-        let before = self.silent_use(self.filled_at);
-        let after = self.silent_use(now);
-        self.zone_total += (after.near_s - before.near_s) * self.strict.rate;
-        let left_s = elapsed_s - (after.all_s - before.all_s);
+        let share = 1.0 / f64::from(self.daemons());
+        self.zone_total += (after.near_s - before.near_s) * share * self.strict.rate;
+        let left_s = elapsed_s - (after.all_s - before.all_s) * share;
         for bucket in [&mut self.strict, &mut self.tolerated] {
             bucket.fill(left_s * bucket.rate);
             bucket.keep_part(part);
         }
         self.filled_at = now;
         let gone = if part > 0.5 { GONE_TIME } else { CUT_OFF_TIME };
-        self.peers
-            .retain(|_, peer| now.since(peer.received_at) < gone);
+        while let Some(peer) = self.silences.silent_for(now, gone) {
+            self.remove_peer(peer);
+        }
     }
 
     /// Part of the burst that this daemon and those that it sees may hold.
@@ -382,30 +391,12 @@
     /// one that is cut off would, they let through many bursts; so each group of daemons that see
     /// each other keeps to its part. One that has just started knows only how many there are.
     fn reachable_part(&self, now: MonotonicTime) -> f64 {
-        let mut seen = 1;
-        let mut all = 1;
-        for peer in self.peers.values() {
-            all += peer.daemons;
-            if now.since(peer.received_at) < OVERDUE_TIME {
-                seen += peer.daemons;
-            }
-        }
+        let seen = self.silences.daemons_in_reach() + 1;
+        let all = self.daemons();
         if now < self.slow_until && self.expected > all {
             let part = f64::from(seen) / f64::from(self.expected);
             return (part * UNKNOWN_FACTOR).min(1.0);
         }
         f64::from(seen) / f64::from(all)
     }
-
-    fn silent_use(&self, now: MonotonicTime) -> SilentUse {
-        let mut silent = SilentUse::default();
-        for peer in self.peers.values() {
-            let used_s = self.assumed_s(*peer, now);
-            silent.all_s += used_s;
-            if peer.near {
-                silent.near_s += used_s;
-            }
-        }
-        silent
-    }
 }
