--- a/crates/savorywood-front/src/admin.rs
+++ b/crates/savorywood-front/src/admin.rs
@@ -8,6 +8,7 @@
     wire::{ByteReader, HeaderLine, RequestHead},
 };
 use async_net::{TcpListener, TcpStream};
+use savorywood_gateway::CallerPlace;
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 /// Longest time that a connection may be idle.
@@ -100,7 +101,12 @@
         };
     }
     if let Some(query) = shared.dialect.directory_query(head) {
-        let addresses = gateway.addresses(now, query.zone.as_deref(), MOST_ADDRESSES);
+        let caller = CallerPlace {
+            zone: query.zone.as_deref(),
+            region: query.region.as_deref(),
+            host: query.host.as_deref(),
+        };
+        let addresses = gateway.addresses(now, caller, MOST_ADDRESSES);
         if addresses.is_empty() {
             return AdminAnswer::plain(503, "Service Unavailable");
         }
@@ -123,6 +129,12 @@
         metrics.connections.set(count(shared.connections.get()));
         metrics.entry_member.set(i64::from(gateway.is_member()));
         metrics.entry_members.set(count(gateway.member_count()));
+        metrics
+            .evacuated_zones
+            .set(count(gateway.evacuated_zones().count()));
+        let upstreams = gateway.fleet().iter();
+        let cold = upstreams.filter(|upstream| upstream.is_cold(now));
+        metrics.cold_upstreams.set(count(cold.count()));
         return AdminAnswer {
             status: 200,
             reason: "OK",
--- a/crates/savorywood-front/src/edge.rs
+++ b/crates/savorywood-front/src/edge.rs
@@ -3,7 +3,7 @@
 use crate::wire::{AnswerHead, HeaderLine, RequestHead, StoreCall};
 use savorywood_gateway::{
     AnswerMarks, DeclaredConfig, RequestArrival, RolloutOrder, RolloutStatus, RolloutWrite,
-    TeamLabel, UpstreamEntry, UpstreamLabel,
+    TeamLabel, UpstreamEntry, UpstreamLabel, ZoneLabel,
 };
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -122,6 +122,10 @@
 pub struct DirectoryQuery {
     /// Zone of the caller.
     pub zone: Option<String>,
+    /// Region of the caller.
+    pub region: Option<String>,
+    /// Host that it wants to call, in lower case.
+    pub host: Option<String>,
 }
 
 /// The platform's way of speaking.
@@ -169,6 +173,9 @@
     /// Reads a declared row.
     fn declared(&self, row: &StoreRow) -> DeclaredNews;
 
+    /// Zone whose evacuation a declared row orders while it exists; `None` for any other row.
+    fn evacuated_zone(&self, row: &StoreRow) -> Option<ZoneLabel>;
+
     /// Reads a registration; `None` when it names no upstream to use.
     fn upstream(&self, row: &StoreRow) -> Option<UpstreamEntry>;
 
--- a/crates/savorywood-front/src/feeds.rs
+++ b/crates/savorywood-front/src/feeds.rs
@@ -18,8 +18,8 @@
 use async_io::Timer;
 use futures_lite::future;
 use savorywood_gateway::{
-    FreshnessClock, GatewayEvent, ReadPlan, SharedTable, TableKnowledge, UpstreamEntry,
-    UpstreamLabel,
+    EvacuationOrder, FreshnessClock, GatewayEvent, ReadPlan, SharedTable, TableKnowledge,
+    UpstreamEntry, UpstreamLabel,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{
@@ -295,7 +295,7 @@
             return Err("no page was read".to_owned());
         };
         self.read_at = BootClock.now();
-        self.apply_all(&rows);
+        self.apply_all(&rows, page.revision);
         let versions = rows.iter().map(|row| (row.key.clone(), row.version));
         let versions: BTreeMap<String, u64> = versions.collect();
         let changed = self.changed;
@@ -405,7 +405,7 @@
         }
     }
 
-    fn apply_all(&mut self, rows: &[StoreRow]) {
+    fn apply_all(&mut self, rows: &[StoreRow], revision: u64) {
         match self.table {
             StoreTable::Upstreams => {
                 let mut entries: Vec<UpstreamEntry> = Vec::new();
@@ -417,14 +417,30 @@
                 }
                 self.shared.step(GatewayEvent::UpstreamsRead(entries));
             }
-            StoreTable::Declared | StoreTable::Members | StoreTable::Status => {
+            StoreTable::Declared => {
+                self.read_evacuations(rows, revision);
                 for row in rows {
-                    self.apply(row);
+                    self.apply_declared(row);
                 }
             }
+            StoreTable::Members | StoreTable::Status => {}
         }
     }
 
+    /// Orders that are missing from a full read were withdrawn.
+    fn read_evacuations(&self, rows: &[StoreRow], revision: u64) {
+        let orders = rows.iter().filter_map(|row| {
+            let zone = self.shared.dialect.evacuated_zone(row)?;
+            Some(EvacuationOrder {
+                zone,
+                row_version: row.version,
+            })
+        });
+        let orders = orders.collect();
+        let event = GatewayEvent::EvacuationsRead { orders, revision };
+        self.shared.step(event);
+    }
+
     fn apply(&mut self, row: &StoreRow) {
         match self.table {
             StoreTable::Declared => self.apply_declared(row),
@@ -443,6 +459,18 @@
     }
 
     fn apply_declared(&mut self, row: &StoreRow) {
+        if let Some(zone) = self.shared.dialect.evacuated_zone(row) {
+            let order = EvacuationOrder {
+                zone,
+                row_version: row.version,
+            };
+            self.shared.step(if row.value.is_some() {
+                GatewayEvent::EvacuationOrdered(order)
+            } else {
+                GatewayEvent::EvacuationWithdrawn(order)
+            });
+            return;
+        }
         match self.shared.dialect.declared(row) {
             DeclaredNews::Config(config) => {
                 self.shared
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -51,6 +51,10 @@
     pub entry_member: IntGauge,
     /// Members of the own zone.
     pub entry_members: IntGauge,
+    /// Zones under evacuation.
+    pub evacuated_zones: IntGauge,
+    /// Upstreams that are cold.
+    pub cold_upstreams: IntGauge,
     log_omitted: IntCounterVec,
 }
 
@@ -91,6 +95,14 @@
             ready: gauge("ready", "1 when ready for callers"),
             connections: gauge("caller_connections", "Open connections of callers"),
             entry_member: gauge("entry_member", "1 when the directory names this daemon"),
+            evacuated_zones: gauge(
+                "evacuated_zones",
+                "Zones whose upstreams get nothing new by order of operators",
+            ),
+            cold_upstreams: gauge(
+                "cold_upstreams",
+                "Upstreams that are cold and get work at the pace of their start",
+            ),
             entry_members: gauge(
                 "entry_members",
                 "Daemons of this zone that the directory names",
@@ -145,7 +157,7 @@
 
 impl FrontMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 18] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 20] = [
             Box::new(self.arrived.clone()),
             Box::new(self.ended.clone()),
             Box::new(self.attempts.clone()),
@@ -163,6 +175,8 @@
             Box::new(self.connections.clone()),
             Box::new(self.entry_member.clone()),
             Box::new(self.entry_members.clone()),
+            Box::new(self.evacuated_zones.clone()),
+            Box::new(self.cold_upstreams.clone()),
             Box::new(self.log_omitted.clone()),
         ];
         for collector in collectors {
--- a/crates/savorywood-front/src/peers.rs
+++ b/crates/savorywood-front/src/peers.rs
@@ -156,7 +156,7 @@
     /// Sends this daemon's slots alone, while these are scarce.
     async fn send_slots(&self, shared: &FrontShared) {
         let now = self.clock.now();
-        let news = shared.gateway.borrow_mut().slot_update();
+        let news = shared.gateway.borrow_mut().slot_update(now);
         let Some(news) = news else { return };
         let plan = shared.gateway.borrow().plan_slots(now);
         let datagram = PeerDatagram::Message(Box::new(PeerMessage::Seats(news)));
--- a/crates/savorywood-front/src/run.rs
+++ b/crates/savorywood-front/src/run.rs
@@ -110,6 +110,7 @@
         seed: fastrand::u64(..),
         routing: settings.routing,
         capacity: settings.limits.capacity(),
+        regions: settings.regions(),
     }
 }
 
--- a/crates/savorywood-front/src/settings.rs
+++ b/crates/savorywood-front/src/settings.rs
@@ -1,11 +1,12 @@
 //! Settings of a front daemon: JSON with comments, checked at the start.
 
 use savorywood_gateway::{
-    BudgetOptions, GatewayBounds, HostResources, LimitTolerance, RoutingPolicy,
+    BudgetOptions, GatewayBounds, HostResources, LimitTolerance, RegionLabel, RegionMap,
+    RoutingPolicy, WarmupTolerance, ZoneLabel,
 };
 use savorywood_settings::{FaultReport, MemberPath, SourceText, decode, node::SourceNode};
 use serde::Deserialize;
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, path::Path, time::Duration};
 
 /// Everything in a settings file of a front daemon.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -15,6 +16,9 @@
     pub host: String,
     /// Own availability zone.
     pub zone: String,
+    /// Region of each availability zone; needed where routes or teams have home regions.
+    #[serde(default)]
+    pub zone_regions: BTreeMap<String, String>,
     /// The whole system starts for the first time.
     #[serde(default)]
     pub first_start: bool,
@@ -83,6 +87,11 @@
     pub limit_slack: f64,
     /// Share of traffic that an unproved version may get.
     pub exposure_share: f64,
+    /// Factor by which the declared rate of a cold upstream may be exceeded within a second; none
+    /// without such a bound.
+    pub warmup_overage: Option<f64>,
+    /// Requests that may come on top of it.
+    pub warmup_slack: f64,
     /// Time between the order to stop and the kill, in seconds.
     pub grace_s: f64,
     /// Longest time in seconds for which callers keep addresses.
@@ -100,6 +109,8 @@
             limit_overage: 0.0,
             limit_slack: 0.0,
             exposure_share: 0.1,
+            warmup_overage: None,
+            warmup_slack: 0.0,
             grace_s: 8.0,
             address_ttl_s: 5.0,
         }
@@ -194,9 +205,23 @@
                 slack: bounds.limit_slack.max(0.0),
             },
             exposure_share: bounds.exposure_share,
+            warmup: bounds.warmup_overage.map(|overage| WarmupTolerance {
+                overage: overage.max(0.0),
+                slack: bounds.warmup_slack.max(0.0),
+            }),
         }
     }
 
+    /// Regions of the zones as the decisions take them.
+    #[must_use]
+    pub fn regions(&self) -> RegionMap {
+        let regions = self.zone_regions.iter().map(|(zone, region)| {
+            let zone = ZoneLabel::from(zone.as_str());
+            (zone, RegionLabel::from(region.as_str()))
+        });
+        RegionMap::new(regions.collect())
+    }
+
     /// Time between the order to stop and the kill.
     #[must_use]
     pub fn grace(&self) -> Duration {
--- a/crates/savorywood-gateway/src/declared.rs
+++ b/crates/savorywood-gateway/src/declared.rs
@@ -1,8 +1,11 @@
 //! What operators declared: routes, services, teams and limits of one configuration version.
 
-use crate::name::{ServiceLabel, TeamLabel};
+use crate::{
+    name::{RegionLabel, ServiceLabel, TeamLabel},
+    warmup::WarmupSpec,
+};
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -77,6 +80,8 @@
     pub public: bool,
     /// Requests with the same prompt parts are better kept together.
     pub affinity: bool,
+    /// Regions whose upstreams may get its requests; any if empty.
+    pub homes: Vec<RegionLabel>,
 }
 
 impl RouteSpec {
@@ -115,6 +120,8 @@
     pub max_connections: u32,
     /// Set for services of model engines.
     pub engine: Option<EngineSpec>,
+    /// How its upstreams start; `None` where they bear full load at once.
+    pub warmup: Option<WarmupSpec>,
 }
 
 /// Tokens or requests that a team may use.
@@ -139,6 +146,8 @@
     pub priority: Option<u32>,
     /// What it may use; `None` is unlimited.
     pub limit: Option<TeamLimit>,
+    /// Regions whose upstreams may get its requests; any if empty. They bind beside its routes'.
+    pub homes: Vec<RegionLabel>,
 }
 
 /// What callers may send and how long they may take.
@@ -220,6 +229,20 @@
         None
     }
 
+    /// Home regions of the routes of a host; none where one of them has none.
+    #[must_use]
+    pub fn homes_of(&self, host: &str) -> BTreeSet<&RegionLabel> {
+        let routes = self.hosts.get(host).into_iter().flat_map(HashMap::values);
+        let mut homes = BTreeSet::new();
+        for route in routes {
+            if route.homes.is_empty() {
+                return BTreeSet::new();
+            }
+            homes.extend(&route.homes);
+        }
+        homes
+    }
+
     /// Team that holds a key.
     #[must_use]
     pub fn team_of(&self, key: &str) -> Option<&Arc<TeamSpec>> {
--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -4,6 +4,7 @@
     arrival::{LocalRequest, RequestArrival},
     declared::DeclaredConfig,
     entry::HostResources,
+    evacuation::EvacuationOrder,
     gateway::GatewayBounds,
     gossip::PeerContact,
     message::{PeerHeartbeat, PeerSummary, SlotUpdate},
@@ -34,6 +35,8 @@
     pub load: Option<LoadFigures>,
     /// The upstream ends its connections: it is leaving, or just tidies up.
     pub closing: bool,
+    /// Time for which it is still cold, where it says so.
+    pub cold: Option<Duration>,
 }
 
 /// How a stream stopped before its end.
@@ -168,6 +171,17 @@
         /// When the store is proved to have said so; none for rows that were handed on.
         proof_at: Option<MonotonicTime>,
     },
+    /// An operator evacuates a zone.
+    EvacuationOrdered(EvacuationOrder),
+    /// An operator took an evacuation back, at the order's version.
+    EvacuationWithdrawn(EvacuationOrder),
+    /// All orders of evacuations were read.
+    EvacuationsRead {
+        /// Those in force.
+        orders: Vec<EvacuationOrder>,
+        /// Version of the store that was read.
+        revision: u64,
+    },
     /// Bounds were read from changed settings.
     BoundsRead(GatewayBounds),
     /// The store failed to answer a call.
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 mod dispatch;
 mod ending;
 mod entry;
+mod evacuation;
 mod gossip;
 mod learning;
 mod record;
@@ -30,8 +31,10 @@
     pick::RoutingPolicy,
     queue::WaitQueue,
     reading::{ReadBook, ReadPlan, SharedTable},
+    region::RegionMap,
     rollout::{RolloutBook, TrialOptions},
     upstream::UpstreamFleet,
+    warmup::{WarmupLeases, WarmupTolerance},
 };
 use record::RequestRecord;
 use savorywood_core::{LogLevel, LogLine};
@@ -61,6 +64,8 @@
     pub routing: RoutingPolicy,
     /// What the host has for this process.
     pub capacity: HostResources,
+    /// Regions of the zones.
+    pub regions: RegionMap,
 }
 
 /// Bounds that must hold.
@@ -74,6 +79,8 @@
     pub tolerance: LimitTolerance,
     /// Share of traffic that an unproved version may get.
     pub exposure_share: f64,
+    /// By how much cold upstreams' rates may be exceeded; `None`: no such bound is declared.
+    pub warmup: Option<WarmupTolerance>,
 }
 
 /// Bound of proofs where keys have none.
@@ -136,6 +143,8 @@
     /// Daemons of all zones that the directory names.
     entry_daemons: usize,
     entry_at: MonotonicTime,
+    /// Which cold upstreams are this daemon's to start.
+    leases: WarmupLeases,
     /// When this process went on after it was frozen.
     resumed_at: Option<MonotonicTime>,
     reads: ReadBook,
@@ -172,6 +181,7 @@
             entry: EntrySet::default(),
             entry_daemons: 1,
             entry_at: MonotonicTime::default(),
+            leases: WarmupLeases::default(),
             resumed_at: None,
             reads: ReadBook::default(),
             options,
@@ -221,6 +231,13 @@
                 self.proof_at = Some(self.proof_at.map_or(at, |proof| proof.max(at)));
                 self.note_readiness(now, effects);
             }
+            GatewayEvent::EvacuationOrdered(order) => self.evacuation_ordered(order, effects),
+            GatewayEvent::EvacuationWithdrawn(order) => {
+                self.evacuation_withdrawn(now, order, effects);
+            }
+            GatewayEvent::EvacuationsRead { orders, revision } => {
+                self.evacuations_read(now, orders, revision, effects);
+            }
             GatewayEvent::BoundsRead(bounds) => self.bounds_read(now, bounds, effects),
             GatewayEvent::TableRead {
                 table,
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -84,7 +84,10 @@
                     .with("request", &record.identity)
                     .with("route", &record.route.name)
                     .with("service", &record.service)
-                    .with("team", record.team.as_ref().map_or("-", TeamLabel::as_str))
+                    .with(
+                        "team",
+                        record.team.as_ref().map_or("-", |team| team.name.as_str()),
+                    )
                     .with("rank", record.rank.route)
                     .with("prompt", record.size.prompt)
                     .with("units", record.units)
@@ -176,7 +179,7 @@
         Ok(RequestRecord {
             identity: arrival.identity.clone(),
             service,
-            team: team.map(|team| team.name.clone()),
+            team,
             units,
             rank,
             size,
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -102,6 +102,10 @@
             stream: record.route.repeat.is_stream(),
             parts: &record.parts,
             tried,
+            homes: [
+                &record.route.homes,
+                record.team.as_ref().map_or(&[], |team| &team.homes),
+            ],
             versions: self.rollouts.choose(now, &record.service, self.trial()),
             urgent: self.urgent_arrivals(now, record),
             may_try: record.may_run_once_more(),
@@ -113,6 +117,9 @@
             parts: &self.parts,
             zone: &self.options.zone,
             policy: self.options.routing,
+            regions: &self.options.regions,
+            leases: &self.leases,
+            warmup: self.options.bounds.warmup,
             spread: if self.contacts.is_zoned() {
                 ZONED_SPREAD
             } else {
@@ -149,6 +156,7 @@
         self.dispatches += 1;
         state.chosen = self.dispatches;
         state.outlier.sent();
+        state.sent_at = now;
         if let RequestPlace::Waiting(place) = &record.place
             && let Some(queue) = self.queues.get_mut(&record.service)
         {
@@ -176,7 +184,7 @@
             priority: record.rank.route,
             upstream: picked.name.clone(),
             address: state.entry.address,
-            team: record.team.clone(),
+            team: record.team.as_ref().map(|team| team.name.clone()),
             give_up_at: record.give_up_at,
             stream: record.route.repeat.is_stream(),
             idempotent: record.route.repeat.is_idempotent(),
@@ -190,7 +198,8 @@
             .with("score", format_args!("{:.0}", picked.score))
             .with("occupied", picked.occupied)
             .with("slots", state.entry.slots)
-            .with("unread", state.unread);
+            .with("unread", state.unread)
+            .with("cold_ms", state.cold_until.since(now).as_millis());
         effects.push(GatewayEffect::Log(line));
         effects.push(GatewayEffect::Dispatch(order));
     }
--- a/crates/savorywood-gateway/src/gateway/ending.rs
+++ b/crates/savorywood-gateway/src/gateway/ending.rs
@@ -187,7 +187,7 @@
         };
         if let Some(team) = &record.team
             && record.runs == 0
-            && let Some(meter) = self.meters.get_mut(team)
+            && let Some(meter) = self.meters.get_mut(&team.name)
         {
             meter.give_back(record.units);
         }
--- a/crates/savorywood-gateway/src/gateway/entry.rs
+++ b/crates/savorywood-gateway/src/gateway/entry.rs
@@ -5,7 +5,10 @@
     effect::GatewayEffect,
     entry::{EntryCandidate, HostResources, select_members},
     message::{DaemonRole, PeerPhase},
+    name::{RegionLabel, ZoneLabel},
     peer::{KnownPeer, name_digest},
+    region::CallerPlace,
+    rendezvous::address_number,
 };
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
@@ -17,6 +20,9 @@
 const FROZEN_TIME: Duration = Duration::from_millis(1_300);
 /// A daemon whose summary is late by this factor may be gone.
 const OVERDUE_FACTOR: f64 = 1.4;
+/// A daemon that has been running for less does not know what its last life sent to cold upstreams
+/// within the second that their bound counts.
+const LEASE_PAUSE: Duration = Duration::from_millis(1_100);
 /// A daemon that has been running for less, and has not seen most of its zone, does not know
 /// the set.
 pub(super) const DISCOVERY_TIME: Duration = Duration::from_millis(700);
@@ -31,24 +37,27 @@
             self.resumed_at = Some(now);
         }
         self.entry_at = now;
+        self.started_at.get_or_insert(now);
         let zone = self.options.zone.as_str();
         let peers = self.peers.alive(now);
         let near: Vec<&KnownPeer> = peers.filter(|peer| peer.summary.zone == zone).collect();
         let load = near
             .iter()
             .fold(self.load, |sum, peer| sum.plus(&peer.summary.load));
+        let daemons = near.len() + 1;
         let peaks = near.iter().map(|peer| peer.summary.peak);
         self.peak.update(now, load, peaks);
         let members = self.select_members(now, zone);
         let was_member = self.is_member();
         let count = members.len();
         self.entry_daemons = self.count_entry_daemons(now, count);
+        self.refresh_leases(now, &members);
         if !self.entry.replace(members) {
             return;
         }
         let line = LogLine::new(LogLevel::Info, "entry-set-changed")
             .with("members", count)
-            .with("daemons", near.len() + 1)
+            .with("daemons", daemons)
             .with("member", self.is_member())
             .with("was_member", was_member)
             .with("descriptors", self.peak.load().descriptors)
@@ -58,6 +67,47 @@
         effects.push(GatewayEffect::Log(line));
     }
 
+    /// Leases of cold upstreams among the members of all zones.
+    ///
+    /// Daemons that see few others each take themselves for the only holder of every lease, so
+    /// those that do not see most daemons hold none.
+    fn refresh_leases(&mut self, now: MonotonicTime, own_members: &[u64]) {
+        if self.age(now) < LEASE_PAUSE || !self.peers.sees_most(now) {
+            return self.leases.release();
+        }
+        let own_zone = self.options.zone.clone();
+        let mut members: BTreeMap<ZoneLabel, Vec<u64>> = BTreeMap::new();
+        let near = self.member_numbers(now, own_zone.as_str(), own_members);
+        members.insert(own_zone.clone(), near);
+        let direct = self.peers.direct_zones(now).into_iter();
+        for zone in direct.filter(|zone| *zone != own_zone.as_str()) {
+            let selected = self.select_members(now, zone);
+            let numbers = self.member_numbers(now, zone, &selected);
+            members.insert(ZoneLabel::from(zone), numbers);
+        }
+        for digest in self.peers.zones(now) {
+            let entry = digest.members.iter().filter(|member| {
+                member.phase == PeerPhase::Ready && member.role == DaemonRole::Entry
+            });
+            let numbers = entry.map(|member| address_number(member.peer_address));
+            members.insert(ZoneLabel::from(digest.zone.as_str()), numbers.collect());
+        }
+        let own = address_number(self.options.peer_address);
+        self.leases.update(now, own, members);
+    }
+
+    /// Numbers, by address, of members of a zone whose daemons send summaries here.
+    fn member_numbers(&self, now: MonotonicTime, zone: &str, members: &[u64]) -> Vec<u64> {
+        let mut numbers = Vec::new();
+        if members.contains(&name_digest(self.options.host.as_str())) {
+            numbers.push(address_number(self.options.peer_address));
+        }
+        let peers = self.peers.candidates(now, zone, false);
+        let named = peers.filter(|peer| members.contains(&peer.digest));
+        numbers.extend(named.map(|peer| address_number(peer.summary.peer_address)));
+        numbers
+    }
+
     /// This daemon is a member of the entry set of its zone.
     #[must_use]
     pub fn is_member(&self) -> bool {
@@ -155,11 +205,14 @@
     ///
     /// None while this daemon does not know its zone yet: named too soon, it would take the
     /// callers of the whole zone without knowing where slots are free.
+    ///
+    /// A caller whose zone has no members gets those of its region, then those of the home regions
+    /// of the host that it calls: its requests must not pass through any other.
     #[must_use]
     pub fn addresses(
         &self,
         now: MonotonicTime,
-        zone: Option<&str>,
+        caller: CallerPlace<'_>,
         most: usize,
     ) -> Vec<SocketAddr> {
         if !self.knows_own_zone(now) {
@@ -181,15 +234,44 @@
             let addresses = members.map(|member| member.caller_address);
             by_zone.insert(&digest.zone, addresses.collect());
         }
-        let near = zone.and_then(|zone| by_zone.remove(zone));
+        let near = caller.zone.and_then(|zone| by_zone.remove(zone));
         let mut addresses = near.unwrap_or_default();
         if addresses.is_empty() {
-            addresses = by_zone.into_values().flatten().collect();
+            addresses = self.far_addresses(caller, &by_zone);
         }
         addresses.truncate(most);
         addresses
     }
 
+    /// Addresses for a caller whose own zone has none.
+    fn far_addresses(
+        &self,
+        caller: CallerPlace<'_>,
+        by_zone: &BTreeMap<&str, Vec<SocketAddr>>,
+    ) -> Vec<SocketAddr> {
+        let within = |is_within: &dyn Fn(&RegionLabel) -> bool| -> Vec<SocketAddr> {
+            let zones = by_zone.iter().filter(|(zone, _)| {
+                let region = self.options.regions.region(zone);
+                region.is_some_and(is_within)
+            });
+            zones
+                .flat_map(|(_, addresses)| addresses)
+                .copied()
+                .collect()
+        };
+        let own = within(&|region| caller.region == Some(region.as_str()));
+        if !own.is_empty() {
+            return own;
+        }
+        let config = self.config.as_ref();
+        let homes = caller.host.zip(config);
+        let homes = homes.map(|(host, config)| config.homes_of(host));
+        match homes.filter(|homes| !homes.is_empty()) {
+            Some(homes) => within(&|region| homes.contains(region)),
+            None => by_zone.values().flatten().copied().collect(),
+        }
+    }
+
     /// Addresses of the members of a zone whose daemons send summaries here.
     fn member_addresses(&self, now: MonotonicTime, zone: &str) -> Vec<SocketAddr> {
         let members = self.select_members(now, zone);
--- /dev/null
+++ b/crates/savorywood-gateway/src/gateway/evacuation.rs
@@ -0,0 +1,71 @@
+//! Orders of operators to evacuate availability zones.
+
+use super::{Gateway, GatewayEffects};
+use crate::{effect::GatewayEffect, evacuation::EvacuationOrder, name::ZoneLabel};
+use savorywood_core::{LogLevel, LogLine};
+use savorywood_protocol::MonotonicTime;
+
+impl Gateway {
+    /// From now on nothing new goes to the zone's upstreams; what runs there goes on.
+    pub(super) fn evacuation_ordered(
+        &mut self,
+        order: EvacuationOrder,
+        effects: &mut GatewayEffects,
+    ) {
+        let line = self.evacuation_line("zone-evacuated", &order);
+        if self.fleet.evacuate(order) {
+            effects.push(GatewayEffect::Log(line));
+        }
+    }
+
+    /// The zone's upstreams get work again, at the pace of cold ones.
+    pub(super) fn evacuation_withdrawn(
+        &mut self,
+        now: MonotonicTime,
+        order: EvacuationOrder,
+        effects: &mut GatewayEffects,
+    ) {
+        let line = self.evacuation_line("zone-taken-back", &order);
+        if self.fleet.end_evacuation(now, order) {
+            effects.push(GatewayEffect::Log(line));
+            self.pump_all(now, effects);
+        }
+    }
+
+    /// Orders that a full read lacks were withdrawn while nobody followed the changes.
+    pub(super) fn evacuations_read(
+        &mut self,
+        now: MonotonicTime,
+        orders: Vec<EvacuationOrder>,
+        revision: u64,
+        effects: &mut GatewayEffects,
+    ) {
+        let missing = self.fleet.evacuations().missing_from(&orders, revision);
+        for order in missing {
+            self.evacuation_withdrawn(now, order, effects);
+        }
+        for order in orders {
+            self.evacuation_ordered(order, effects);
+        }
+    }
+
+    /// Zones under evacuation.
+    pub fn evacuated_zones(&self) -> impl Iterator<Item = &ZoneLabel> {
+        self.fleet.evacuations().zones()
+    }
+
+    fn evacuation_line(&self, event: &'static str, order: &EvacuationOrder) -> LogLine {
+        let upstreams = self.fleet.iter();
+        let here = upstreams.filter(|state| state.entry.zone == order.zone);
+        let (mut count, mut running) = (0, 0);
+        for state in here {
+            count += 1;
+            running += state.running;
+        }
+        LogLine::new(LogLevel::Info, event)
+            .with("zone", &order.zone)
+            .with("order", order.row_version)
+            .with("upstreams", count)
+            .with("running", running)
+    }
+}
--- a/crates/savorywood-gateway/src/gateway/gossip.rs
+++ b/crates/savorywood-gateway/src/gateway/gossip.rs
@@ -143,15 +143,13 @@
     fn own_suspects(&self, now: MonotonicTime) -> Vec<u64> {
         let states = self.fleet.iter();
         let failed = states.filter(|state| state.outlier.failed_lately(now));
-        failed
-            .map(|state| name_digest(state.entry.name.as_str()))
-            .collect()
+        failed.map(|state| state.digest).collect()
     }
 
     fn own_slots(&self) -> Vec<SlotUse> {
         let states = self.fleet.iter().filter(|state| state.running > 0);
         let slots = states.map(|state| SlotUse {
-            upstream: name_digest(state.entry.name.as_str()),
+            upstream: state.digest,
             running: u16::try_from(state.running).unwrap_or(u16::MAX),
             unread: state.unread,
         });
@@ -181,8 +179,9 @@
 
     /// Slots of this daemon alone, sent between two full summaries: nothing while slots are
     /// plenty, or where none has changed.
-    pub fn slot_update(&mut self) -> Option<SlotUpdate> {
-        if !self.are_slots_scarce() {
+    pub fn slot_update(&mut self, now: MonotonicTime) -> Option<SlotUpdate> {
+        let is_idle = self.requests.is_empty() && self.sent_slots.is_empty();
+        if is_idle || !self.are_slots_scarce(now) {
             return None;
         }
         let slots = self.own_slots();
@@ -239,14 +238,14 @@
     }
 
     /// Requests wait, or most slots of a service are taken.
-    fn are_slots_scarce(&self) -> bool {
+    fn are_slots_scarce(&self, now: MonotonicTime) -> bool {
         if self.waiting_requests() > 0 {
             return true;
         }
         let mut services: BTreeMap<&ServiceLabel, SlotCount> = BTreeMap::new();
-        for state in self.fleet.iter().filter(|state| !state.entry.draining) {
+        for state in self.fleet.iter().filter(|state| state.is_open(now)) {
             let count = services.entry(&state.entry.service).or_default();
-            let others = self.peers.slots_at(&state.entry.name).running;
+            let others = self.peers.slots_of(state.digest).running;
             count.taken += state.running + others;
             count.all += state.entry.slots;
         }
--- a/crates/savorywood-gateway/src/gateway/learning.rs
+++ b/crates/savorywood-gateway/src/gateway/learning.rs
@@ -104,12 +104,16 @@
     }
 
     fn mark(&mut self, now: MonotonicTime, upstream: &UpstreamLabel, marks: AnswerMarks) {
-        if let Some(state) = self.fleet.get_mut(upstream)
-            && marks.load.is_some()
-        {
+        let Some(state) = self.fleet.get_mut(upstream) else {
+            return;
+        };
+        if marks.load.is_some() {
             state.load = marks.load;
             state.load_at = now;
         }
+        if let Some(cold) = marks.cold {
+            state.stay_cold(now + cold);
+        }
     }
 
     /// Frees the place and learns from the outcome.
@@ -171,7 +175,9 @@
         outcome: &AttemptOutcome,
         effects: &mut GatewayEffects,
     ) {
-        let usual = self.fleet.usual_failures(now, service);
+        // Only failures of its own are compared with those of the whole service.
+        let is_failure = matches!(outcome, AttemptOutcome::Failed { .. });
+        let usual = is_failure.then(|| self.fleet.usual_failures(now, service));
         let overdue = is_overdue(now, attempt);
         let Some(state) = self.fleet.get_mut(&attempt.upstream) else {
             return;
@@ -183,7 +189,7 @@
         let mut is_back = false;
         let taken_out = match outcome {
             AttemptOutcome::NotSent => outlier.broke(now, false),
-            AttemptOutcome::Failed { .. } => outlier.failed(now, usual),
+            AttemptOutcome::Failed { .. } => outlier.failed(now, usual.unwrap_or_default()),
             AttemptOutcome::Broken { silent } => outlier.broke(now, *silent && dark),
             AttemptOutcome::StreamBroken(end) => outlier.broke(now, end.silent && dark),
             AttemptOutcome::Expired if overdue => outlier.broke(now, false),
@@ -204,17 +210,27 @@
         {
             state.gone_at = Some(now);
         }
+        let loses = match outcome {
+            AttemptOutcome::NotSent => true,
+            AttemptOutcome::Broken { silent } => *silent && dark,
+            AttemptOutcome::StreamBroken(end) => end.silent && dark,
+            _ => false,
+        };
+        state.lost |= taken_out && loses;
         if is_back {
+            self.fleet.found_again(now, &attempt.upstream);
             let line =
                 LogLine::new(LogLevel::Info, "upstream-back").with("upstream", &attempt.upstream);
             effects.push(GatewayEffect::Log(line));
         }
         if taken_out {
-            let line = LogLine::new(LogLevel::Warn, "upstream-suspected")
+            let mut line = LogLine::new(LogLevel::Warn, "upstream-suspected")
                 .with("upstream", &attempt.upstream)
                 .with("service", service)
-                .with("cause", outcome.name())
-                .with("usual_failures", format_args!("{usual:.2}"));
+                .with("cause", outcome.name());
+            if let Some(usual) = usual {
+                line = line.with("usual_failures", format_args!("{usual:.2}"));
+            }
             effects.push(GatewayEffect::Log(line));
         }
     }
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     arrival::{PromptPart, RequestSize},
-    declared::RouteSpec,
-    name::{ServiceLabel, TeamLabel, UpstreamLabel},
+    declared::{RouteSpec, TeamSpec},
+    name::{ServiceLabel, UpstreamLabel},
     queue::{QueuePlace, RequestRank},
 };
 use savorywood_protocol::MonotonicTime;
@@ -60,7 +60,7 @@
     /// Service drawn from the route's split.
     pub service: ServiceLabel,
     /// Team of its key.
-    pub team: Option<TeamLabel>,
+    pub team: Option<Arc<TeamSpec>>,
     /// Units taken from the team's limit.
     pub units: f64,
     /// Its rank.
--- a/crates/savorywood-gateway/src/gateway/updates.rs
+++ b/crates/savorywood-gateway/src/gateway/updates.rs
@@ -16,7 +16,7 @@
 };
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 /// Whose use of teams is accounted.
 #[derive(Debug, Clone, Copy)]
@@ -52,6 +52,9 @@
             .with("teams", config.teams().count());
         effects.push(GatewayEffect::Log(line));
         self.set_limits(now, &config);
+        let services = config.services.iter();
+        let warmups = services.filter_map(|(name, service)| Some((name.clone(), service.warmup?)));
+        self.fleet.set_warmups(warmups.collect());
         self.config = Some(config);
         self.note_readiness(now, effects);
     }
@@ -129,7 +132,7 @@
         effects: &mut GatewayEffects,
     ) {
         let name = entry.name.clone();
-        if let Some(change) = self.fleet.write(entry) {
+        if let Some(change) = self.fleet.write(now, entry) {
             log_change(&name, change, effects);
             self.pump_all(now, effects);
         }
@@ -171,10 +174,7 @@
         if peer == name_digest(self.options.host.as_str()) {
             return;
         }
-        let was_alive = self
-            .peers
-            .alive(now)
-            .any(|known| known.summary.host == summary.host);
+        let was_alive = self.peers.is_alive(now, &summary.host);
         if !self.peers.receive(now, summary.clone()) {
             return;
         }
@@ -314,9 +314,9 @@
 
     /// A team that is not reported has used nothing there.
     fn usage_received(&mut self, now: MonotonicTime, account: PeerAccount, usage: &[TeamUse]) {
+        let usage: HashMap<u64, &TeamUse> = usage.iter().map(|used| (used.team, used)).collect();
         for (team, meter) in &mut self.meters {
-            let digest = name_digest(team.as_str());
-            let used = usage.iter().find(|used| used.team == digest);
+            let used = usage.get(&name_digest(team.as_str()));
             let reading = PeerReading {
                 peer: account.peer,
                 incarnation: account.incarnation,
--- a/crates/savorywood-gateway/src/gossip.rs
+++ b/crates/savorywood-gateway/src/gossip.rs
@@ -3,7 +3,8 @@
 use crate::{
     message::{DaemonRole, PeerHeartbeat, PeerSummary, SlotUpdate},
     name::ZoneLabel,
-    peer::{KnownPeer, PeerTable, name_digest},
+    peer::{KnownPeer, PeerTable},
+    rendezvous::{address_number, pair_weight},
     zone::ZoneDigest,
 };
 use savorywood_protocol::MonotonicTime;
@@ -83,23 +84,10 @@
     contacts: BTreeMap<SocketAddr, KnownContact>,
 }
 
-/// A number for an address, the same at all daemons.
-fn address_number(address: SocketAddr) -> u64 {
-    name_digest(&address.to_string())
-}
-
 fn peer_number(peer: &KnownPeer) -> u64 {
     address_number(peer.summary.peer_address)
 }
 
-/// Evenly spread weight of a pair of addresses, the same at all daemons (SplitMix64's mixing).
-fn pair_weight(sender: u64, receiver: u64) -> u64 {
-    let mut mixed = sender ^ receiver.rotate_left(32);
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^ (mixed >> 31)
-}
-
 impl ContactBook {
     /// A book without contacts.
     #[must_use]
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod effect;
 mod entry;
 mod estimate;
+mod evacuation;
 mod event;
 mod freshness;
 mod gateway;
@@ -25,8 +26,11 @@
 mod queue;
 mod reading;
 mod refusal;
+mod region;
+mod rendezvous;
 mod rollout;
 mod upstream;
+mod warmup;
 mod zone;
 
 pub use arrival::{LocalRequest, PromptPart, RequestArrival, RequestSize};
@@ -37,6 +41,7 @@
 };
 pub use effect::{DispatchOrder, GatewayEffect};
 pub use entry::{EntryCandidate, EntrySet, HostResources, LoadPeak, select_members};
+pub use evacuation::{EvacuationBook, EvacuationOrder};
 pub use event::{AnswerMarks, AttemptOutcome, GatewayEvent, LoadFigures, StreamEnd};
 pub use freshness::{FreshnessClock, StoreExchange};
 pub use gateway::{Gateway, GatewayBounds, GatewayOptions, GatewayView};
@@ -46,7 +51,9 @@
     DaemonRole, PeerHeartbeat, PeerPhase, PeerSummary, SlotScope, SlotUpdate, SlotUse, TeamUse,
     VersionTally,
 };
-pub use name::{HostLabel, ServiceLabel, TeamLabel, UpstreamLabel, VersionLabel, ZoneLabel};
+pub use name::{
+    HostLabel, RegionLabel, ServiceLabel, TeamLabel, UpstreamLabel, VersionLabel, ZoneLabel,
+};
 pub use outlier::OutlierState;
 pub use peer::{PeerTable, SlotSum, name_digest};
 pub use pick::RoutingPolicy;
@@ -55,6 +62,8 @@
     PeerEcho, ReadPlan, SharedTable, StoreAttestation, TableAttestation, TableKnowledge,
 };
 pub use refusal::RefusalReason;
+pub use region::{CallerPlace, RegionMap};
 pub use rollout::{RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite};
 pub use upstream::{UpstreamEntry, UpstreamFleet};
+pub use warmup::{WarmupLeases, WarmupSpec, WarmupTolerance};
 pub use zone::{ZoneDigest, ZoneMember};
--- a/crates/savorywood-gateway/src/name.rs
+++ b/crates/savorywood-gateway/src/name.rs
@@ -60,3 +60,8 @@
     /// Names a version of an upstream's software.
     VersionLabel
 );
+
+shared_label!(
+    /// Names a region of several availability zones.
+    RegionLabel
+);
--- a/crates/savorywood-gateway/src/peer.rs
+++ b/crates/savorywood-gateway/src/peer.rs
@@ -7,6 +7,7 @@
 };
 use savorywood_protocol::MonotonicTime;
 use std::{
+    cell::OnceCell,
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::Duration,
@@ -101,9 +102,19 @@
     own_zone: ZoneLabel,
     peers: BTreeMap<HostLabel, KnownPeer>,
     zones: BTreeMap<ZoneLabel, KnownZone>,
-    /// Slots of all others by the digest of the upstream's name, as of the last change.
+    /// When something changed last.
+    changed_at: MonotonicTime,
+    /// Sums as of then, once somebody asks for them: messages are many more than picks at a
+    /// daemon that stands by.
+    sums: OnceCell<PeerSums>,
+}
+
+/// What all others reported, by the digest of an upstream's name.
+#[derive(Debug, Clone, Default)]
+struct PeerSums {
+    /// Slots in use.
     slots: HashMap<u64, SlotSum>,
-    /// Peers that leave an upstream out, by the digest of its name.
+    /// Peers that leave the upstream out.
     suspects: HashMap<u64, u32>,
 }
 
@@ -115,8 +126,8 @@
             own_zone,
             peers: BTreeMap::new(),
             zones: BTreeMap::new(),
-            slots: HashMap::new(),
-            suspects: HashMap::new(),
+            changed_at: MonotonicTime::default(),
+            sums: OnceCell::new(),
         }
     }
 
@@ -145,9 +156,7 @@
                 self.peers.insert(host, peer);
             }
         }
-        self.peers
-            .retain(|_, peer| now.since(peer.received_at) < FORGET_TIME);
-        self.refresh(now);
+        self.note_change(now);
         true
     }
 
@@ -168,7 +177,7 @@
                     self.zones.insert(zone, KnownZone::new(now, digest));
                 }
             }
-            self.refresh(now);
+            self.note_change(now);
         }
         news
     }
@@ -194,7 +203,7 @@
             }
         };
         if taken {
-            self.refresh(now);
+            self.note_change(now);
         }
         taken
     }
@@ -221,38 +230,64 @@
         self.peers.remove(host);
     }
 
-    /// Sums up slots and suspicions as others reported them; those silent for too long drop out.
+    /// Time passes: what others reported drops out of the sums once they are silent for too long.
     pub fn refresh(&mut self, now: MonotonicTime) {
-        self.slots.clear();
-        self.suspects.clear();
+        self.peers
+            .retain(|_, peer| now.since(peer.received_at) < FORGET_TIME);
+        self.note_change(now);
+    }
+
+    fn note_change(&mut self, now: MonotonicTime) {
+        self.changed_at = now;
+        self.sums.take();
+    }
+
+    fn sums(&self) -> &PeerSums {
+        self.sums.get_or_init(|| self.sum_up(self.changed_at))
+    }
+
+    fn sum_up(&self, now: MonotonicTime) -> PeerSums {
+        let mut sums = PeerSums::default();
         let fresh = |at: MonotonicTime| now.since(at) < SLOTS_TIMEOUT;
         let peers = self.peers.values().filter(|peer| fresh(peer.received_at));
         for peer in peers {
             if counts_itself(&self.own_zone, &self.zones, now, &peer.summary.zone) {
-                add_slots(&mut self.slots, &peer.summary.slots);
+                add_slots(&mut sums.slots, &peer.summary.slots);
                 for upstream in &peer.summary.suspects {
-                    *self.suspects.entry(*upstream).or_default() += 1;
+                    *sums.suspects.entry(*upstream).or_default() += 1;
                 }
             }
         }
         for zone in self.zones.values().filter(|zone| zone.is_fresh(now)) {
-            add_slots(&mut self.slots, zone.slots());
+            add_slots(&mut sums.slots, zone.slots());
         }
+        sums
     }
 
     /// Requests of all others at an upstream, as they last reported.
     #[must_use]
     pub fn slots_at(&self, upstream: &UpstreamLabel) -> SlotSum {
-        let digest = name_digest(upstream.as_str());
-        self.slots.get(&digest).copied().unwrap_or_default()
+        self.slots_of(name_digest(upstream.as_str()))
+    }
+
+    /// The same for an upstream by the digest of its name.
+    #[must_use]
+    pub fn slots_of(&self, digest: u64) -> SlotSum {
+        self.sums().slots.get(&digest).copied().unwrap_or_default()
     }
 
     /// Several peers leave an upstream out. One alone may have lost its way there.
     #[must_use]
     pub fn suspect(&self, upstream: &UpstreamLabel) -> bool {
         let digest = name_digest(upstream.as_str());
-        let peers = self.suspects.get(&digest).copied().unwrap_or_default();
-        peers >= ENOUGH_SUSPECTING
+        let peers = self.sums().suspects.get(&digest).copied();
+        peers.unwrap_or_default() >= ENOUGH_SUSPECTING
+    }
+
+    /// A peer was seen lately.
+    #[must_use]
+    pub fn is_alive(&self, now: MonotonicTime, host: &str) -> bool {
+        self.peers.get(host).is_some_and(|peer| peer.is_alive(now))
     }
 
     /// Peers that count by their own message: those of a zone of which a digest is known do not.
@@ -321,6 +356,32 @@
         here.count() + 1
     }
 
+    /// More than half of the daemons that are known were seen or reported lately, this one
+    /// included.
+    #[must_use]
+    pub fn sees_most(&self, now: MonotonicTime) -> bool {
+        let mut seen = 1;
+        let mut known = 1;
+        for peer in self.direct_peers(now) {
+            known += 1;
+            seen += u64::from(peer.is_alive(now));
+        }
+        for zone in self.zones.values() {
+            // A zone of which no digest comes may be reported by its daemons themselves.
+            if zone.is_fresh(now) {
+                known += u64::from(zone.digest.daemons);
+                seen += u64::from(zone.digest.daemons);
+            } else if !self.sees_zone(now, &zone.digest.zone) {
+                known += u64::from(zone.digest.daemons);
+            }
+        }
+        seen * 2 > known
+    }
+
+    fn sees_zone(&self, now: MonotonicTime, zone: &str) -> bool {
+        self.alive(now).any(|peer| peer.summary.zone == zone)
+    }
+
     /// Peers seen lately.
     pub fn alive(&self, now: MonotonicTime) -> impl Iterator<Item = &KnownPeer> {
         self.peers.values().filter(move |peer| peer.is_alive(now))
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -5,10 +5,12 @@
     arrival::PromptPart,
     demand::UrgentArrivals,
     estimate::AnswerEstimate,
-    name::{ServiceLabel, UpstreamLabel, VersionLabel, ZoneLabel},
+    name::{RegionLabel, ServiceLabel, UpstreamLabel, VersionLabel, ZoneLabel},
     pace::PaceEstimate,
     peer::PeerTable,
+    region::RegionMap,
     upstream::{UpstreamFleet, UpstreamState},
+    warmup::{WarmupLeases, WarmupTolerance},
 };
 use savorywood_protocol::MonotonicTime;
 use serde::Deserialize;
@@ -93,6 +95,8 @@
     pub parts: &'a [PromptPart],
     /// Upstreams that have had it.
     pub tried: &'a [UpstreamLabel],
+    /// Home regions of its route and of its team; both bind.
+    pub homes: [&'a [RegionLabel]; 2],
     /// Versions that may get it.
     pub versions: VersionChoice,
     /// More urgent work that comes to all daemons.
@@ -116,6 +120,12 @@
     pub zone: &'a ZoneLabel,
     /// What the choice goes by.
     pub policy: RoutingPolicy,
+    /// Regions of the zones.
+    pub regions: &'a RegionMap,
+    /// Which cold upstreams this daemon may start.
+    pub leases: &'a WarmupLeases,
+    /// By how much rates of cold upstreams may be exceeded.
+    pub warmup: Option<WarmupTolerance>,
     /// Part of an upstream's cost by which it may look dearer at random.
     pub spread: f64,
 }
@@ -205,7 +215,7 @@
         let usable = members.filter(|state| self.may_have(state, query, all_suspect));
         usable
             .map(|state| {
-                let others = self.peers.slots_at(&state.entry.name);
+                let others = self.peers.slots_of(state.digest);
                 PickCandidate {
                     state,
                     occupied: state.running + others.running,
@@ -241,7 +251,21 @@
         let slots = candidate.state.entry.slots;
         let slot = Duration::from_secs_f64(candidate.estimate.slot_ms() / 1e3);
         let kept = query.urgent.reserved_slots(share, slot, slots);
-        candidate.occupied + kept < slots
+        candidate.occupied + kept < slots && self.is_paced(candidate.state)
+    }
+
+    /// It is warm, or its next request of this daemon is due.
+    fn is_paced(&self, state: &UpstreamState) -> bool {
+        if !state.is_cold(self.now) {
+            return true;
+        }
+        let entry = &state.entry;
+        let Some(warmup) = self.fleet.warmup(&entry.service) else {
+            return true;
+        };
+        let pause = self.now.since(state.sent_at);
+        pause >= warmup.interval(self.warmup)
+            && self.leases.holds(self.now, &entry.name, &entry.zone)
     }
 
     /// When every upstream looks ill, the fault is more likely in the requests or on the way:
@@ -256,10 +280,17 @@
         let usable = all_suspect || state.outlier.is_usable(self.now, query.may_try);
         usable
             && state.is_open(self.now)
+            && self.is_home(state, query)
             && query.versions.allows(&state.entry.version)
             && !query.tried.contains(&state.entry.name)
     }
 
+    fn is_home(&self, state: &UpstreamState, query: &PickQuery<'_>) -> bool {
+        let zone = state.entry.zone.as_str();
+        let mut homes = query.homes.iter();
+        homes.all(|homes| self.regions.is_home(zone, homes))
+    }
+
     fn appraise(
         &self,
         candidate: &PickCandidate<'_>,
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -1,13 +1,20 @@
 //! Upstreams as they registered themselves, and what this daemon has seen of each.
 
 use crate::{
+    evacuation::{EvacuationBook, EvacuationOrder},
     event::LoadFigures,
     name::{ServiceLabel, UpstreamLabel, VersionLabel, ZoneLabel},
     outlier::OutlierState,
     pace::PaceEstimate,
+    peer::name_digest,
+    warmup::WarmupSpec,
 };
 use savorywood_protocol::MonotonicTime;
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 /// A registration that vanished while the store was failing may come back within this time.
 const RETURN_TIME: Duration = Duration::from_millis(1_700);
@@ -33,6 +40,8 @@
     pub draining: bool,
     /// Its start, to distinguish a second life under the same name.
     pub born: u64,
+    /// Time for which it was still cold when it wrote this.
+    pub cold: Duration,
 }
 
 /// An upstream and what was seen of it.
@@ -40,6 +49,8 @@
 pub struct UpstreamState {
     /// Its newest registration.
     pub entry: UpstreamEntry,
+    /// Digest of its name, by which messages between daemons speak of it.
+    pub digest: u64,
     /// Requests of this daemon there.
     pub running: u32,
     /// Prompt tokens of these of which no event has come yet.
@@ -58,11 +69,20 @@
     pub load_at: MonotonicTime,
     /// The registration vanished; until then it may come back.
     pub gone_at: Option<MonotonicTime>,
+    /// Its zone is under evacuation.
+    pub evacuated: bool,
+    /// Until then it is cold.
+    pub cold_until: MonotonicTime,
+    /// When this daemon sent something there last.
+    pub sent_at: MonotonicTime,
+    /// Connections to it failed, or it fell silent, and no good answer has come since.
+    pub lost: bool,
 }
 
 impl UpstreamState {
     fn new(entry: UpstreamEntry) -> Self {
         Self {
+            digest: name_digest(entry.name.as_str()),
             entry,
             running: 0,
             unread: 0,
@@ -73,13 +93,37 @@
             load: None,
             load_at: MonotonicTime::default(),
             gone_at: None,
+            evacuated: false,
+            cold_until: MonotonicTime::default(),
+            sent_at: MonotonicTime::default(),
+            lost: false,
         }
     }
 
     /// It takes new work.
     #[must_use]
     pub fn is_open(&self, now: MonotonicTime) -> bool {
-        !self.entry.draining && self.gone_at.is_none_or(|at| now < at)
+        !self.entry.draining && !self.evacuated && self.gone_at.is_none_or(|at| now < at)
+    }
+
+    /// It has started lately and bears only a part of its load.
+    #[must_use]
+    pub fn is_cold(&self, now: MonotonicTime) -> bool {
+        now < self.cold_until
+    }
+
+    /// It is cold at least until then.
+    pub fn stay_cold(&mut self, until: MonotonicTime) {
+        self.cold_until = self.cold_until.max(until);
+    }
+
+    /// Puts a newer registration in force. A row that is read once more says nothing new of how
+    /// long the upstream stays cold.
+    fn renew(&mut self, now: MonotonicTime, entry: UpstreamEntry) {
+        if entry != self.entry {
+            self.stay_cold(now + entry.cold);
+        }
+        self.entry = entry;
     }
 }
 
@@ -95,6 +139,8 @@
     Left,
     /// It came back under the same name, knowing nothing.
     Reborn,
+    /// It became cold.
+    Cold,
 }
 
 /// All upstreams.
@@ -102,6 +148,8 @@
 pub struct UpstreamFleet {
     states: BTreeMap<UpstreamLabel, UpstreamState>,
     usual: BTreeMap<ServiceLabel, PaceEstimate>,
+    warmups: BTreeMap<ServiceLabel, WarmupSpec>,
+    evacuations: EvacuationBook,
     store_failed_at: Option<MonotonicTime>,
 }
 
@@ -171,27 +219,109 @@
     }
 
     /// A registration was written.
-    pub fn write(&mut self, entry: UpstreamEntry) -> Option<FleetChange> {
+    pub fn write(&mut self, now: MonotonicTime, entry: UpstreamEntry) -> Option<FleetChange> {
         let Some(state) = self.states.get_mut(&entry.name) else {
             let change = if entry.draining {
                 FleetChange::Draining
             } else {
                 FleetChange::Joined
             };
-            self.states
-                .insert(entry.name.clone(), UpstreamState::new(entry));
+            let state = self.begin(now, entry);
+            self.states.insert(state.entry.name.clone(), state);
             return Some(change);
         };
         state.gone_at = None;
         if state.entry.born != entry.born && entry.born != 0 {
-            let (running, unread) = (state.running, state.unread);
-            *state = UpstreamState::new(entry);
-            (state.running, state.unread) = (running, unread);
+            let (running, unread, sent_at) = (state.running, state.unread, state.sent_at);
+            let reborn = UpstreamState {
+                running,
+                unread,
+                sent_at,
+                ..self.begin(now, entry)
+            };
+            self.states.insert(reborn.entry.name.clone(), reborn);
             return Some(FleetChange::Reborn);
         }
         let drains = entry.draining && !state.entry.draining;
-        state.entry = entry;
-        drains.then_some(FleetChange::Draining)
+        let cools = !state.is_cold(now);
+        state.renew(now, entry);
+        if drains {
+            return Some(FleetChange::Draining);
+        }
+        (cools && state.is_cold(now)).then_some(FleetChange::Cold)
+    }
+
+    /// State of an upstream of which nothing is known but its registration.
+    fn begin(&self, now: MonotonicTime, entry: UpstreamEntry) -> UpstreamState {
+        let mut state = UpstreamState::new(entry);
+        state.evacuated = self.evacuations.contains(&state.entry.zone);
+        state.stay_cold(now + state.entry.cold);
+        state
+    }
+
+    /// How upstreams of services start.
+    pub fn set_warmups(&mut self, warmups: BTreeMap<ServiceLabel, WarmupSpec>) {
+        self.warmups = warmups;
+    }
+
+    /// How upstreams of a service start.
+    #[must_use]
+    pub fn warmup(&self, service: &ServiceLabel) -> Option<&WarmupSpec> {
+        self.warmups.get(service)
+    }
+
+    /// Zones under evacuation.
+    #[must_use]
+    pub fn evacuations(&self) -> &EvacuationBook {
+        &self.evacuations
+    }
+
+    /// An operator evacuates a zone; whether that is new.
+    pub fn evacuate(&mut self, order: EvacuationOrder) -> bool {
+        let zone = order.zone.clone();
+        let is_new = self.evacuations.order(order);
+        if is_new {
+            for state in self.states_in(&zone) {
+                state.evacuated = true;
+            }
+        }
+        is_new
+    }
+
+    /// An operator takes an evacuation back; whether there was one. Upstreams of the zone may have
+    /// become cold meanwhile, and their registrations say so later than the operator.
+    pub fn end_evacuation(&mut self, now: MonotonicTime, order: EvacuationOrder) -> bool {
+        let zone = order.zone.clone();
+        let is_end = self.evacuations.withdraw(order);
+        if is_end {
+            let warmups = self.warmups.clone();
+            for state in self.states_in(&zone) {
+                state.evacuated = false;
+                if let Some(warmup) = warmups.get(&state.entry.service) {
+                    state.stay_cold(now + warmup.time);
+                }
+            }
+        }
+        is_end
+    }
+
+    fn states_in<'a>(
+        &'a mut self,
+        zone: &'a ZoneLabel,
+    ) -> impl Iterator<Item = &'a mut UpstreamState> {
+        let states = self.states.values_mut();
+        states.filter(move |state| state.entry.zone == *zone)
+    }
+
+    /// An upstream that was lost answers again: it may have started anew, and its registration says
+    /// so later than its answer.
+    pub fn found_again(&mut self, now: MonotonicTime, name: &UpstreamLabel) {
+        if let Some(state) = self.states.get_mut(name)
+            && std::mem::take(&mut state.lost)
+            && let Some(warmup) = self.warmups.get(&state.entry.service)
+        {
+            state.stay_cold(now + warmup.time);
+        }
     }
 
     /// A registration was removed.
@@ -221,18 +351,16 @@
         entries: Vec<UpstreamEntry>,
     ) -> Vec<(UpstreamLabel, FleetChange)> {
         let mut changes = Vec::new();
-        let missing: Vec<UpstreamLabel> = self
-            .states
-            .keys()
-            .filter(|name| !entries.iter().any(|entry| entry.name == **name))
-            .cloned()
-            .collect();
+        let names: BTreeSet<&UpstreamLabel> = entries.iter().map(|entry| &entry.name).collect();
+        let known = self.states.keys();
+        let missing = known.filter(|name| !names.contains(name));
+        let missing: Vec<UpstreamLabel> = missing.cloned().collect();
         for name in missing {
             changes.extend(self.remove(now, &name).map(|change| (name, change)));
         }
         for entry in entries {
             let name = entry.name.clone();
-            changes.extend(self.write(entry).map(|change| (name, change)));
+            changes.extend(self.write(now, entry).map(|change| (name, change)));
         }
         changes
     }
--- a/crates/savorywood-gateway/tests/common/callers.rs
+++ b/crates/savorywood-gateway/tests/common/callers.rs
@@ -5,6 +5,7 @@
     field::{DaemonField, ZONES},
     scene::arrival,
 };
+use savorywood_gateway::CallerPlace;
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
@@ -129,7 +130,8 @@
             let daemon = known[self.draw(known.len())];
             let gateway = &field.daemons[daemon].gateway;
             let name = format!("zone-{zone}");
-            let addresses = gateway.addresses(field.now, Some(&name), MOST_ADDRESSES);
+            let addresses =
+                gateway.addresses(field.now, CallerPlace::in_zone(&name), MOST_ADDRESSES);
             if !addresses.is_empty() {
                 let numbers = addresses
                     .iter()
--- a/crates/savorywood-gateway/tests/common/load.rs
+++ b/crates/savorywood-gateway/tests/common/load.rs
@@ -420,7 +420,7 @@
                 GatewayEvent::SummaryReceived(Box::new(gateway.summary(self.now)))
             } else if self.sends_slots
                 && steps.is_multiple_of(SLOT_UPDATE_STEPS)
-                && let Some(news) = gateway.slot_update()
+                && let Some(news) = gateway.slot_update(self.now)
             {
                 GatewayEvent::SlotsReceived(news)
             } else {
--- a/crates/savorywood-gateway/tests/common/scene.rs
+++ b/crates/savorywood-gateway/tests/common/scene.rs
@@ -4,9 +4,9 @@
 use savorywood_gateway::{
     AnswerMarks, AttemptOutcome, DeclaredConfig, DispatchOrder, Gateway, GatewayBounds,
     GatewayEffect, GatewayEvent, GatewayOptions, HostLabel, HostResources, LocalRequest,
-    PromptPart, RefusalReason, RepeatKind, RequestArrival, RequestSize, RouteSpec, RoutingPolicy,
-    ServiceLabel, ServiceSpec, TeamLabel, TeamLimit, TeamSpec, TrafficShare, UpstreamEntry,
-    UpstreamLabel, VersionLabel, ZoneLabel,
+    PromptPart, RefusalReason, RegionMap, RepeatKind, RequestArrival, RequestSize, RouteSpec,
+    RoutingPolicy, ServiceLabel, ServiceSpec, TeamLabel, TeamLimit, TeamSpec, TrafficShare,
+    UpstreamEntry, UpstreamLabel, VersionLabel, ZoneLabel,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{sync::Arc, time::Duration};
@@ -38,6 +38,7 @@
         seed: 7,
         routing: RoutingPolicy::Worth,
         capacity: HostResources::default(),
+        regions: RegionMap::default(),
     }
 }
 
@@ -59,6 +60,7 @@
         max_attempts: 2,
         public: false,
         affinity: true,
+        homes: Vec::new(),
     }
 }
 
@@ -75,6 +77,7 @@
     let service = ServiceSpec {
         max_connections: 100,
         engine: None,
+        warmup: None,
     };
     config
         .services
@@ -83,6 +86,7 @@
         name: TeamLabel::from("team"),
         priority: None,
         limit,
+        homes: Vec::new(),
     };
     config.add_team(team, vec!["key".to_owned()]);
     config
@@ -98,6 +102,7 @@
         slots,
         draining: false,
         born: 1,
+        cold: Duration::ZERO,
     }
 }
 
--- a/crates/savorywood-gateway/tests/waiting.rs
+++ b/crates/savorywood-gateway/tests/waiting.rs
@@ -4,8 +4,8 @@
 mod scene;
 
 use savorywood_gateway::{
-    AttemptOutcome, DaemonRole, GatewayEvent, HostResources, PeerPhase, PeerSummary, RefusalReason,
-    RoutingPolicy, SlotUse, name_digest,
+    AttemptOutcome, CallerPlace, DaemonRole, GatewayEvent, HostResources, PeerPhase, PeerSummary,
+    RefusalReason, RoutingPolicy, SlotUse, name_digest,
 };
 use scene::{GatewayScene, arrival, config, options, upstream};
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
@@ -182,10 +182,18 @@
 fn a_stopping_daemon_is_in_no_directory() {
     let mut scene = GatewayScene::ready(1);
     scene.step(GatewayEvent::SummaryReceived(peer(1, Vec::new())));
-    assert_eq!(scene.gateway.addresses(scene.now, None, 64).len(), 2);
+    assert_eq!(
+        scene
+            .gateway
+            .addresses(scene.now, CallerPlace::default(), 64)
+            .len(),
+        2
+    );
     let grace = Duration::from_secs(8);
     scene.step(GatewayEvent::StopRequested { grace });
-    let addresses = scene.gateway.addresses(scene.now, Some("zone-a"), 64);
+    let addresses = scene
+        .gateway
+        .addresses(scene.now, CallerPlace::in_zone("zone-a"), 64);
     assert_eq!(addresses, vec!["10.0.0.2:80".parse().expect("an address")]);
     assert!(!scene.gateway.is_ready(scene.now));
 }
