Hosts that stand by add nothing to the load that sizes the entry set

Cause: the load of a zone was the sum over all its daemons. Reading the tables at a start, and gossip, cost every host more the larger its zone and the fleet are: after a kill of all 101 daemons beside 1,000 upstreams each zone measured 177 Mbit/s of table reads and named all 26 daemons for 20 s; every one of them then placed requests, with its own part of each team's limit.

Ruled out: slow reads of the store (all daemons were ready 0.1 s after their start).

Change: only daemons that place requests count; bytes read from the store are no load, and neither is processor time before the daemon is ready. Beside it: slots name upstreams by half a digest, and a zone with many slots sends them more rarely (175 in a message of usual size), so that bytes between two daemons do not grow with upstreams.

The test fails before with 20 members.

--- a/crates/savorywood-front/src/load.rs
+++ b/crates/savorywood-front/src/load.rs
@@ -21,6 +21,8 @@
 #[derive(Debug, Clone, Copy)]
 struct UsageSample {
     at: MonotonicTime,
+    /// The daemon takes callers; before, it is busy with reading the store.
+    is_ready: bool,
     processor: Duration,
     bytes: u64,
 }
@@ -48,7 +50,7 @@
         let used = used_part(last, newest);
         baseline.counts_processor |= used < IMPLAUSIBLE_PART;
         let load = HostResources {
-            processor_millis: if baseline.counts_processor {
+            processor_millis: if baseline.counts_processor && last.is_ready {
                 (used * 1e3) as u32
             } else {
                 0
@@ -63,8 +65,10 @@
 }
 
 fn sample(shared: &FrontShared) -> UsageSample {
+    let now = shared.clock.now();
     UsageSample {
-        at: shared.clock.now(),
+        at: now,
+        is_ready: shared.gateway.borrow().is_ready(now),
         processor: processor_time(),
         bytes: bytes_read(),
     }
--- a/crates/savorywood-front/src/store.rs
+++ b/crates/savorywood-front/src/store.rs
@@ -152,7 +152,7 @@
         let step = "connecting";
         let stream = connected.context(BrokenSnafu { step, address })?;
         prepare(&stream);
-        Ok(ByteReader::new(stream))
+        Ok(ByteReader::beside_load(stream))
     }
 
     fn call_bytes(&self, call: &StoreCall) -> Vec<u8> {
--- a/crates/savorywood-front/src/wire/reader.rs
+++ b/crates/savorywood-front/src/wire/reader.rs
@@ -13,10 +13,10 @@
 /// Largest head of an answer.
 const MAX_ANSWER_HEAD: usize = 65_536;
 
-/// Bytes that this process has read from connections.
+/// Bytes that this process has read from connections of callers and upstreams.
 static BYTES_READ: AtomicU64 = AtomicU64::new(0);
 
-/// Bytes that this process has read from connections.
+/// Bytes that this process has read from connections of callers and upstreams.
 #[must_use]
 pub fn bytes_read() -> u64 {
     BYTES_READ.load(Ordering::Relaxed)
@@ -31,6 +31,8 @@
     buffer: Vec<u8>,
     start: usize,
     scratch: Box<[u8]>,
+    /// What is read is work for callers.
+    is_load: bool,
 }
 
 impl ByteReader {
@@ -42,6 +44,16 @@
             buffer: Vec::new(),
             start: 0,
             scratch: vec![0; READ_BYTES].into_boxed_slice(),
+            is_load: true,
+        }
+    }
+
+    /// Wraps a connection whose bytes are no work for callers.
+    #[must_use]
+    pub fn beside_load(stream: TcpStream) -> Self {
+        Self {
+            is_load: false,
+            ..Self::new(stream)
         }
     }
 
@@ -78,7 +90,9 @@
         }
         let count = self.stream.read(&mut self.scratch).await?;
         self.buffer.extend_from_slice(&self.scratch[..count]);
-        BYTES_READ.fetch_add(count as u64, Ordering::Relaxed);
+        if self.is_load {
+            BYTES_READ.fetch_add(count as u64, Ordering::Relaxed);
+        }
         Ok(count)
     }
 
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -23,7 +23,7 @@
     effect::GatewayEffect,
     entry::{EntrySet, HostResources, LoadPeak},
     event::GatewayEvent,
-    gossip::ContactBook,
+    gossip::{ContactBook, SentSlots},
     limit::{LimitTolerance, TeamMeter},
     message::SlotUse,
     name::{HostLabel, ServiceLabel, TeamLabel, ZoneLabel},
@@ -156,6 +156,8 @@
     sequence: u64,
     /// Slots as they were reported last.
     sent_slots: Vec<SlotUse>,
+    /// Slots of the own zone as they were sent to other zones last.
+    sent_zone_slots: SentSlots,
     dispatches: u64,
     started_at: Option<MonotonicTime>,
     /// When running attempts were looked at last.
@@ -200,6 +202,7 @@
             ready_logged: false,
             sequence: 0,
             sent_slots: Vec::new(),
+            sent_zone_slots: SentSlots::default(),
             dispatches: 0,
             started_at: None,
             watched_at: None,
--- a/crates/savorywood-gateway/src/gateway/entry.rs
+++ b/crates/savorywood-gateway/src/gateway/entry.rs
@@ -41,9 +41,16 @@
         let zone = self.options.zone.as_str();
         let peers = self.peers.alive(now);
         let near: Vec<&KnownPeer> = peers.filter(|peer| peer.summary.zone == zone).collect();
-        let load = near
+        // What hosts that stand by use goes into gossip and tables, not into callers.
+        let placing = near
             .iter()
-            .fold(self.load, |sum, peer| sum.plus(&peer.summary.load));
+            .filter(|peer| peer.summary.role != DaemonRole::Standby);
+        let own = if self.role() == DaemonRole::Standby {
+            HostResources::default()
+        } else {
+            self.load
+        };
+        let load = placing.fold(own, |sum, peer| sum.plus(&peer.summary.load));
         let daemons = near.len() + 1;
         let peaks = near.iter().map(|peer| peer.summary.peak);
         self.peak.update(now, load, peaks);
--- a/crates/savorywood-gateway/src/gateway/gossip.rs
+++ b/crates/savorywood-gateway/src/gateway/gossip.rs
@@ -2,12 +2,12 @@
 
 use super::{Gateway, entry::DISCOVERY_TIME, record::RequestPlace};
 use crate::{
-    gossip::{GossipPlan, SlotPlan},
+    gossip::{GossipPlan, SentSlots, SlotPlan},
     message::{
         DaemonRole, PeerHeartbeat, PeerPhase, PeerSummary, SlotScope, SlotUpdate, SlotUse, TeamUse,
     },
     name::{ServiceLabel, ZoneLabel},
-    peer::name_digest,
+    peer::{name_digest, slot_key},
     reading::StoreAttestation,
     zone::{ZoneDigest, ZoneMember},
 };
@@ -149,7 +149,7 @@
     fn own_slots(&self) -> Vec<SlotUse> {
         let states = self.fleet.iter().filter(|state| state.running > 0);
         let slots = states.map(|state| SlotUse {
-            upstream: state.digest,
+            upstream: u64::from(slot_key(state.digest)),
             running: u16::try_from(state.running).unwrap_or(u16::MAX),
             unread: state.unread,
         });
@@ -197,13 +197,19 @@
     pub fn zone_slot_update(&mut self, now: MonotonicTime) -> SlotUpdate {
         self.sequence += 1;
         let zone = name_digest(self.options.zone.as_str());
-        self.news_of(SlotScope::Zone(zone), self.zone_slots(now))
+        let slots = self.zone_slots(now);
+        self.sent_zone_slots = SentSlots {
+            sent_at: now,
+            count: slots.len(),
+        };
+        self.news_of(SlotScope::Zone(zone), slots)
     }
 
     /// Who gets newer slots now.
     #[must_use]
     pub fn plan_slots(&self, now: MonotonicTime) -> SlotPlan {
-        self.contacts.plan_slots(now, &self.peers, self.is_member())
+        let sent = self.is_member().then_some(self.sent_zone_slots);
+        self.contacts.plan_slots(now, &self.peers, sent)
     }
 
     /// Heartbeat of a member of the entry set, and who gets it: daemons of its zone, so that they
--- a/crates/savorywood-gateway/src/gossip.rs
+++ b/crates/savorywood-gateway/src/gossip.rs
@@ -20,6 +20,12 @@
 const SUMMARY_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two messages on slots alone.
 const SLOT_UPDATE_INTERVAL: Duration = Duration::from_millis(80);
+/// Slots of a zone in one message of its usual size. A zone with more sends them more rarely, so
+/// that the bytes between two daemons do not grow with the upstreams.
+const USUAL_SLOTS: usize = 175;
+/// Part of the time between two messages on a zone's slots that must have passed: the messages of
+/// a daemon come in rounds that are spread a little.
+const SLOT_ROUND_PART: f64 = 0.6;
 /// Time between two heartbeats of a member of the entry set.
 const HEARTBEAT_TIME: Duration = Duration::from_millis(160);
 /// Daemons of the own zone that get summaries so often; with more, each gets them more rarely, so that
@@ -68,6 +74,29 @@
     pub zone_to: Vec<SocketAddr>,
 }
 
+/// Usual messages that so many slots are worth.
+#[must_use]
+pub fn slot_rounds(slots: usize) -> u32 {
+    u32::try_from(slots.div_ceil(USUAL_SLOTS).max(1)).unwrap_or(u32::MAX)
+}
+
+/// Slots of a zone that were sent last.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SentSlots {
+    /// When.
+    pub sent_at: MonotonicTime,
+    /// How many.
+    pub count: usize,
+}
+
+impl SentSlots {
+    /// The next message is due.
+    fn is_next_due(&self, now: MonotonicTime) -> bool {
+        let rounds = f64::from(slot_rounds(self.count)) - 1.0 + SLOT_ROUND_PART;
+        now.since(self.sent_at) >= SLOT_UPDATE_INTERVAL.mul_f64(rounds)
+    }
+}
+
 #[derive(Debug, Clone)]
 struct KnownContact {
     number: u64,
@@ -193,10 +222,15 @@
         plan
     }
 
-    /// Who gets newer slots now. Only daemons that place requests need them; `sends_zone`: this
-    /// daemon is one of those that send its zone's slots to other zones.
+    /// Who gets newer slots now. Only daemons that place requests need them; `sent`: the zone's
+    /// slots as this daemon sent them last, if it is one of those that send these to other zones.
     #[must_use]
-    pub fn plan_slots(&self, now: MonotonicTime, peers: &PeerTable, sends_zone: bool) -> SlotPlan {
+    pub fn plan_slots(
+        &self,
+        now: MonotonicTime,
+        peers: &PeerTable,
+        sent: Option<SentSlots>,
+    ) -> SlotPlan {
         let mut plan = SlotPlan::default();
         if !self.is_zoned() {
             plan.own_to = self.contacts.keys().copied().collect();
@@ -213,7 +247,7 @@
                 DaemonRole::Standby => {}
             }
         }
-        if sends_zone {
+        if sent.is_some_and(|sent| sent.is_next_due(now)) {
             let far = peers.placing_far(now).into_iter();
             plan.zone_to = far
                 .filter(|address| self.sends_to(address_number(*address), &senders))
--- a/crates/savorywood-gateway/src/message.rs
+++ b/crates/savorywood-gateway/src/message.rs
@@ -35,7 +35,7 @@
 /// Requests of a daemon at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlotUse {
-    /// Digest of the upstream's name.
+    /// Digest of the upstream's name; only its lower half counts.
     pub upstream: u64,
     /// Requests there.
     pub running: u16,
--- a/crates/savorywood-gateway/src/peer.rs
+++ b/crates/savorywood-gateway/src/peer.rs
@@ -32,6 +32,13 @@
     })
 }
 
+/// Part of an upstream's digest by which slots are counted: messages on slots are most of what
+/// daemons exchange, and half of a digest is enough for some thousand upstreams.
+#[must_use]
+pub fn slot_key(digest: u64) -> u32 {
+    digest as u32
+}
+
 /// Requests at one upstream as the sum of what was reported.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct SlotSum {
@@ -113,7 +120,7 @@
 #[derive(Debug, Clone, Default)]
 struct PeerSums {
     /// Slots in use.
-    slots: HashMap<u64, SlotSum>,
+    slots: HashMap<u32, SlotSum>,
     /// Peers that leave the upstream out.
     suspects: HashMap<u64, u32>,
 }
@@ -273,7 +280,8 @@
     /// The same for an upstream by the digest of its name.
     #[must_use]
     pub fn slots_of(&self, digest: u64) -> SlotSum {
-        self.sums().slots.get(&digest).copied().unwrap_or_default()
+        let sum = self.sums().slots.get(&slot_key(digest));
+        sum.copied().unwrap_or_default()
     }
 
     /// Several peers leave an upstream out. One alone may have lost its way there.
@@ -404,9 +412,9 @@
     zone == own_zone.as_str() || zones.get(zone).is_none_or(|known| !known.is_fresh(now))
 }
 
-fn add_slots(sums: &mut HashMap<u64, SlotSum>, slots: &[SlotUse]) {
+fn add_slots(sums: &mut HashMap<u32, SlotSum>, slots: &[SlotUse]) {
     for slot in slots {
-        let sum = sums.entry(slot.upstream).or_default();
+        let sum = sums.entry(slot_key(slot.upstream)).or_default();
         sum.running += u32::from(slot.running);
         sum.unread = sum.unread.saturating_add(slot.unread);
     }
--- a/crates/savorywood-gateway/src/zone.rs
+++ b/crates/savorywood-gateway/src/zone.rs
@@ -4,14 +4,18 @@
 //! number of daemons, and links between zones carry most of it. So daemons of a zone exchange
 //! summaries, and every daemon of another zone learns of them from one of them.
 
-use crate::message::{DaemonRole, PeerPhase, SlotUpdate, SlotUse, TeamUse, VersionTally};
+use crate::{
+    gossip::slot_rounds,
+    message::{DaemonRole, PeerPhase, SlotUpdate, SlotUse, TeamUse, VersionTally},
+};
 use savorywood_protocol::MonotonicTime;
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
 
 /// A zone that was not reported for this long counts as silent; its daemons' own summaries count then.
 const FRESH_TIME: Duration = Duration::from_millis(1_300);
-/// Slots sent between two digests go before those of the digests for this long.
+/// Slots sent between two digests go before those of the digests for this long; large ones, which
+/// are sent more rarely, for as many times.
 const SLOTS_TIME: Duration = Duration::from_millis(300);
 /// A second daemon that reports a zone is ignored while the first was received within this
 /// time: each keeps its own account of what teams used, and accounts of two must not be mixed.
@@ -128,7 +132,10 @@
 
     fn has_fresh_slots(&self, now: MonotonicTime) -> bool {
         let slots = self.slots.as_ref();
-        slots.is_some_and(|slots| now.since(slots.received_at) < SLOTS_TIME)
+        slots.is_some_and(|slots| {
+            let rounds = slot_rounds(slots.news.slots.len());
+            now.since(slots.received_at) < SLOTS_TIME.saturating_mul(rounds)
+        })
     }
 
     /// Requests of the zone at upstreams.
--- a/crates/savorywood-gateway/tests/entry.rs
+++ b/crates/savorywood-gateway/tests/entry.rs
@@ -9,7 +9,9 @@
 
 use callers::CallerGroup;
 use field::{DaemonField, TeamLoad, ZONES};
-use savorywood_gateway::{CallerPlace, EntryCandidate, HostResources, LoadPeak, select_members};
+use savorywood_gateway::{
+    CallerPlace, EntryCandidate, GatewayEvent, HostResources, LoadPeak, select_members,
+};
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeSet, time::Duration};
 
@@ -335,3 +337,30 @@
     field.advance(seconds(5), &mut callers);
     assert_served_again(&callers, lost_at, REPLACED + KEEP);
 }
+
+/// Guards against a set that takes in the whole zone since its hosts are busy with each other:
+/// reading the tables at a start, and gossip, cost a standby host more the larger its zone is.
+#[test]
+fn work_of_standby_hosts_calls_no_members_in() {
+    let mut field = DaemonField::with_load(DAEMONS, TeamLoad::unlimited(DAEMONS));
+    field.capacities = vec![small(); DAEMONS];
+    field.restart_all();
+    let mut callers = CallerGroup::new(CALLERS, KEEP);
+    field.advance(seconds(4), &mut callers);
+    for _ in 0..4 {
+        for daemon in &mut field.daemons {
+            let mut load = descriptors(20);
+            load.processor_millis = 40;
+            load.link_kbps = 7_000;
+            if daemon.gateway.is_member() {
+                load.processor_millis = 20;
+                load.link_kbps = 300;
+            }
+            daemon.step(GatewayEvent::LoadMeasured(load));
+        }
+        field.advance(seconds(1), &mut callers);
+    }
+    for zone in assert_agreement(&field) {
+        assert!(zone.len() <= 3, "{} members", zone.len());
+    }
+}
