Limits: silence by the pace of gossip, shares among members, urgent work first

Cause: with 14 to 18 daemons in a zone summaries come every 500 ms, but a peer counted as silent after 300 ms and as out of reach after 450: in every round the buckets of all teams were cut to the part of one daemon, and credit was lost for good. The share of a daemon between two of its messages was one of all daemons (71), not of those that place requests (12). And the share was taken of the strict bucket, which is full again while the debt of the tolerance is all but paid: at the end of a debt all daemons let everything through at once (1.4 M units in a second against a limit of 0.32 M a second, in the test of 128 daemons).

Change: times of silence follow the pause of gossip; members of the entry set share among themselves, all others among all daemons; what is left of the tolerance is looked at first; own use that was not reported yet counts nothing in the shares; a share of less than a request lets one pass as often as it is worth, large ones as often as usual ones. Less urgent requests of a team leave 0.12 of the bucket to each rank before theirs, small ones less. Of the tolerance 0.6 are used knowingly in place of 0.45.

--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -27,7 +27,7 @@
     limit::{LimitTolerance, TeamMeter},
     message::SlotUse,
     name::{HostLabel, ServiceLabel, TeamLabel, ZoneLabel},
-    peer::PeerTable,
+    peer::{PeerTable, name_digest},
     pick::RoutingPolicy,
     queue::WaitQueue,
     reading::{ReadBook, ReadPlan, SharedTable},
@@ -124,6 +124,8 @@
 pub struct Gateway {
     options: GatewayOptions,
     draws: DrawSequence,
+    /// Draws for requests near a team's limit.
+    limit_draws: DrawSequence,
     config: Option<Arc<DeclaredConfig>>,
     fleet: UpstreamFleet,
     upstreams_read: bool,
@@ -175,6 +177,7 @@
     pub fn new(options: GatewayOptions) -> Self {
         Self {
             draws: DrawSequence(options.seed),
+            limit_draws: DrawSequence(options.seed ^ name_digest(options.host.as_str())),
             peers: PeerTable::new(options.zone.clone()),
             contacts: ContactBook::new(options.peer_address, options.zone.clone()),
             contacts_read: false,
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -8,7 +8,7 @@
     arrival::{LocalRequest, RequestArrival},
     declared::{DeclaredConfig, RouteSpec, TeamLimit, TeamSpec},
     effect::GatewayEffect,
-    limit::{MeterLevels, MeterVerdict, TeamMeter},
+    limit::{MeterLevels, MeterQuery, MeterVerdict, TeamMeter},
     name::{ServiceLabel, TeamLabel},
     pace::nominal_first_ms,
     queue::{QueuePlace, RequestRank},
@@ -164,7 +164,7 @@
         let service = service.ok_or_else(|| Denial::of(RefusalReason::NoUpstream))?;
         let mut units = 0.0;
         if let Some(team) = &team {
-            units = self.take_units(now, team, arrival, &service)?;
+            units = self.take_units(now, team, &route, arrival, &service)?;
         }
         let deadline = arrival.deadline.unwrap_or(LONGEST_TIME);
         let longest = deadline.min(route.timeout.unwrap_or(LONGEST_TIME));
@@ -247,6 +247,7 @@
         &mut self,
         now: MonotonicTime,
         team: &TeamSpec,
+        route: &RouteSpec,
         arrival: &RequestArrival,
         service: &ServiceLabel,
     ) -> Result<f64, Denial> {
@@ -270,7 +271,12 @@
             .meters
             .entry(team.name.clone())
             .or_insert_with(|| TeamMeter::new(now, limit, tolerance, fresh));
-        let verdict = meter.look(now);
+        let query = MeterQuery {
+            units,
+            rank: route.priority,
+            draw: self.limit_draws.next(),
+        };
+        let verdict = meter.look(now, &query);
         let refused = match verdict {
             MeterVerdict::Within => false,
             MeterVerdict::Tolerated => !idle,
--- a/crates/savorywood-gateway/src/gateway/entry.rs
+++ b/crates/savorywood-gateway/src/gateway/entry.rs
@@ -57,9 +57,14 @@
         let members = self.select_members(now, zone);
         let was_member = self.is_member();
         let count = members.len();
-        self.entry_daemons = self.count_entry_daemons(now, count);
         self.refresh_leases(now, &members);
-        if !self.entry.replace(members) {
+        let entry_daemons = self.count_entry_daemons(now, count);
+        let was_counted = std::mem::replace(&mut self.entry_daemons, entry_daemons);
+        let is_other_set = self.entry.replace(members);
+        if is_other_set || was_counted != entry_daemons {
+            self.members_changed();
+        }
+        if !is_other_set {
             return;
         }
         let line = LogLine::new(LogLevel::Info, "entry-set-changed")
--- a/crates/savorywood-gateway/src/gateway/updates.rs
+++ b/crates/savorywood-gateway/src/gateway/updates.rs
@@ -62,6 +62,7 @@
     fn set_limits(&mut self, now: MonotonicTime, config: &DeclaredConfig) {
         self.meters.retain(|team, _| config.team(team).is_some());
         let first = self.config.is_none();
+        let members = self.limit_members();
         for team in config.teams() {
             let Some(limit) = team.limit else {
                 self.meters.remove(&team.name);
@@ -74,7 +75,8 @@
                     let fresh = !first || self.options.first_start;
                     let tolerance = self.options.bounds.tolerance;
                     let mut meter = TeamMeter::new(now, limit, tolerance, fresh);
-                    meter.expect(self.contacts.daemons());
+                    meter.expect(now, self.contacts.daemons(), self.contacts.pause());
+                    meter.set_members(members);
                     self.meters.insert(team.name.clone(), meter);
                 }
             }
@@ -292,10 +294,24 @@
             self.contacts.learn(now, contact);
         }
         for meter in self.meters.values_mut() {
-            meter.expect(self.contacts.daemons());
+            meter.expect(now, self.contacts.daemons(), self.contacts.pause());
         }
     }
 
+    /// The entry set of a zone changed.
+    pub(super) fn members_changed(&mut self) {
+        let members = self.limit_members();
+        for meter in self.meters.values_mut() {
+            meter.set_members(members);
+        }
+    }
+
+    /// Daemons among which teams' limits are shared, if this one is among them.
+    fn limit_members(&self) -> Option<u32> {
+        let members = u32::try_from(self.entry_daemons).unwrap_or(u32::MAX);
+        self.is_member().then_some(members)
+    }
+
     /// Another daemon reports a zone now: what it says includes what was received before of that
     /// zone's daemons, from themselves or from the one that reported.
     fn drop_accounts(&mut self, now: MonotonicTime, zone: &ZoneLabel, before: Option<u64>) {
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -46,7 +46,7 @@
 pub use freshness::{FreshnessClock, StoreExchange};
 pub use gateway::{Gateway, GatewayBounds, GatewayOptions, GatewayView};
 pub use gossip::{GossipPlan, PeerContact, PeerMessage, SlotPlan};
-pub use limit::{LimitTolerance, MeterLevels, MeterVerdict, PeerReading, TeamMeter};
+pub use limit::{LimitTolerance, MeterLevels, MeterQuery, MeterVerdict, PeerReading, TeamMeter};
 pub use message::{
     DaemonRole, PeerHeartbeat, PeerPhase, PeerSummary, SlotScope, SlotUpdate, SlotUse, TeamUse,
     VersionTally,
--- a/crates/savorywood-gateway/src/limit.rs
+++ b/crates/savorywood-gateway/src/limit.rs
@@ -9,9 +9,11 @@
 use bucket::{KNOWING_PART, TokenBucket, ZONED_KNOWING_PART, strict_bucket, tolerated_bucket};
 use savorywood_protocol::MonotonicTime;
 use serde::{Deserialize, Serialize};
-use silence::{SilenceIndex, SilentPeer};
+use silence::{SilenceIndex, SilenceTimes, SilentPeer};
 use std::{collections::BTreeMap, time::Duration};
 
+/// Time between two messages of a peer where nothing else is known.
+const USUAL_PAUSE: Duration = Duration::from_millis(250);
 /// A peer that sent nothing for this long is taken to be gone, if most others are seen.
 const GONE_TIME: Duration = Duration::from_secs(20);
 /// A daemon that is out of reach of nearly all is cut off, and the others live: they are not taken to be
@@ -64,14 +66,34 @@
     silence: SilentPeer,
 }
 
-/// Below this part of a full bucket a daemon spends between two of its messages only its share of what
-/// is left: with all of it in reach of each, many daemons overdraw it before they learn of each other.
-const SHARED_PART: f64 = 0.75;
+/// Weight of the newest request in the usual size.
+const NEWEST_WEIGHT: f64 = 0.05;
+/// Part of a bucket that requests of a rank leave to those of the rank before it.
+const RESERVED_PART: f64 = 0.12;
+/// A request of a smaller part of the bucket leaves less of it.
+const SMALL_PART: f64 = 0.01;
+/// Ranks for which this is done.
+const MOST_RESERVED_RANKS: u32 = 3;
+/// Part of a bucket that daemons spend without regard to their shares.
+const FREE_PART: f64 = 0.25;
+/// With more daemons than this it is smaller.
+const FREE_DAEMONS: f64 = 16.0;
 /// How many times its share a daemon may spend: use moves between daemons.
 const SHARE_FACTOR: f64 = 1.2;
 /// Time in which old use loses most of its weight in the shares.
 const RECENT_TIME: Duration = Duration::from_secs(1);
 
+/// A request that a team's meter is asked about.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct MeterQuery {
+    /// Units that it would take.
+    pub units: f64,
+    /// Rank of its route, 0 is the most urgent.
+    pub rank: u32,
+    /// A number drawn evenly from 0 to 1.
+    pub draw: f64,
+}
+
 /// What a meter says of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MeterVerdict {
@@ -109,12 +131,16 @@
     zone_total: f64,
     /// Own use that no message reported yet.
     untold: f64,
+    /// Units of a request, on the average of the newest.
+    usual_units: f64,
     /// Own use lately, fading.
     own_recent: f64,
     /// Use of all others lately, fading.
     others_recent: f64,
     /// Daemons that there are, as far as they are known by other means than their messages.
     expected: u32,
+    /// Daemons that the directory names to callers, if this one is among them.
+    members: Option<u32>,
     peers: BTreeMap<u64, PeerUse>,
     silences: SilenceIndex,
 }
@@ -150,11 +176,13 @@
             adopt_until: if fresh { now } else { now + ADOPT_TIME },
             zone_total: 0.0,
             untold: 0.0,
+            usual_units: 0.0,
             own_recent: 0.0,
             others_recent: 0.0,
             expected: 1,
+            members: None,
             peers: BTreeMap::new(),
-            silences: SilenceIndex::default(),
+            silences: SilenceIndex::new(SilenceTimes::of(USUAL_PAUSE)),
         }
     }
 
@@ -189,38 +217,48 @@
     }
 
     /// Says whether a request may pass now; nothing is taken yet.
-    pub fn look(&mut self, now: MonotonicTime) -> MeterVerdict {
+    pub fn look(&mut self, now: MonotonicTime, query: &MeterQuery) -> MeterVerdict {
         self.fill(now);
-        if self.tolerated.level < 0.0 {
-            // The debt of the strict bucket is cut off, that of the tolerance never is.
+        self.usual_units += (query.units - self.usual_units) * NEWEST_WEIGHT;
+        // The debt of the strict bucket is cut off, that of the tolerance never is: the strict one
+        // may be full again while the tolerance is all but spent.
+        if !self.is_open(&self.tolerated, query) {
             return MeterVerdict::Beyond { wait: self.wait() };
         }
-        if self.is_open(&self.strict) {
-            return MeterVerdict::Within;
-        }
-        if self.is_open(&self.tolerated) {
-            return MeterVerdict::Tolerated;
+        if self.is_open(&self.strict, query) {
+            MeterVerdict::Within
+        } else {
+            MeterVerdict::Tolerated
         }
-        MeterVerdict::Beyond { wait: self.wait() }
     }
 
     /// A bucket has room for this daemon.
-    fn is_open(&self, bucket: &TokenBucket) -> bool {
-        if bucket.level < 0.0 {
+    ///
+    /// Between two of its messages a daemon spends its share of what is left: with all of it in
+    /// reach of each, many daemons overdraw it before they learn of each other. A share that is
+    /// less than a request lets one pass as often as it is worth, large ones as often as usual
+    /// ones. Less urgent requests leave a
+    /// part of the bucket to more urgent ones of their team, small ones less of it.
+    fn is_open(&self, bucket: &TokenBucket, query: &MeterQuery) -> bool {
+        let steps = f64::from(query.rank.min(MOST_RESERVED_RANKS));
+        let size = query.units / (bucket.capacity * SMALL_PART).max(f64::MIN_POSITIVE);
+        let level = bucket.level - bucket.capacity * RESERVED_PART * steps * size.min(1.0);
+        if level < 0.0 {
             return false;
         }
-        if bucket.level >= bucket.capacity * SHARED_PART {
+        let even = self.own_share();
+        let free = FREE_PART * (FREE_DAEMONS * even).min(1.0);
+        if bucket.level >= bucket.capacity * (1.0 - free) {
             return true;
         }
-        let even = 1.0 / f64::from(self.daemons());
-        let used = self.own_recent + self.others_recent;
-        let share = if used > 0.0 {
-            self.own_recent / used
-        } else {
-            even
-        };
-        let left = (bucket.level + self.untold) * (share.max(even) * SHARE_FACTOR).min(1.0);
-        self.untold <= left
+        // What was not reported yet is left out: others' use of the same time is not known either,
+        // and a daemon that saw its own alone would take the whole bucket.
+        let reported = (self.own_recent - self.untold).max(0.0);
+        let used = reported + self.others_recent;
+        let share = if used > 0.0 { reported / used } else { even };
+        let left = (level + self.untold) * (share.max(even) * SHARE_FACTOR).min(1.0);
+        let room = left - self.untold;
+        query.draw * self.usual_units.min(query.units) < room
     }
 
     /// A message reports all that was used so far.
@@ -325,14 +363,30 @@
         }
     }
 
+    /// The directory names so many daemons to callers; `None` where this one is not among them.
+    pub fn set_members(&mut self, members: Option<u32>) {
+        self.members = members;
+    }
+
     /// A peer is known to have ended.
     pub fn ended(&mut self, now: MonotonicTime, peer: u64) {
         self.fill(now);
         self.remove_peer(peer);
     }
 
-    /// There are so many daemons, seen or not.
-    pub fn expect(&mut self, daemons: u32) {
+    /// There are so many daemons, seen or not, and each sends a message after each pause.
+    pub fn expect(&mut self, now: MonotonicTime, daemons: u32, pause: Duration) {
+        let times = SilenceTimes::of(pause);
+        if self.silences.times() != times {
+            self.fill(now);
+            self.silences = SilenceIndex::new(times);
+            for peer in self.peers.values() {
+                self.silences.insert(peer.silence);
+            }
+            let peers = &self.peers;
+            let find = |peer| peers.get(&peer).map(|known| known.silence);
+            self.silences.advance(now, find);
+        }
         self.expected = daemons;
         let bucket = tolerated_bucket(self.limit, self.tolerance, self.knowing_part());
         self.tolerated.rate = bucket.rate;
@@ -354,7 +408,14 @@
     /// What a silent peer is taken to have used: its even share, in seconds of the whole rate.
     fn assumed_s(&self, peer: SilentPeer, now: MonotonicTime) -> f64 {
         let share = f64::from(peer.daemons) / f64::from(self.daemons());
-        SilenceIndex::silence_of(peer, now).as_secs_f64() * share
+        self.silences.silence_of(peer, now).as_secs_f64() * share
+    }
+
+    /// Share that this daemon may take without having seen callers before. One that the directory
+    /// does not name may be one of many to which callers come all at once.
+    fn own_share(&self) -> f64 {
+        let daemons = self.daemons().max(self.expected);
+        1.0 / f64::from(self.members.unwrap_or(daemons).clamp(1, daemons))
     }
 
     fn fill(&mut self, now: MonotonicTime) {
--- a/crates/savorywood-gateway/src/limit/bucket.rs
+++ b/crates/savorywood-gateway/src/limit/bucket.rs
@@ -28,7 +28,7 @@
 /// before they learn of each other, and what those that ended had admitted.
 pub const KNOWING_PART: f64 = 0.65;
 /// The same where zones exchange digests: use is then learned of by way of another daemon, later.
-pub const ZONED_KNOWING_PART: f64 = 0.45;
+pub const ZONED_KNOWING_PART: f64 = 0.6;
 
 /// One token bucket.
 #[derive(Debug, Clone, Copy)]
--- a/crates/savorywood-gateway/src/limit/silence.rs
+++ b/crates/savorywood-gateway/src/limit/silence.rs
@@ -9,16 +9,36 @@
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeSet, time::Duration};
 
-/// From so long after its last message a peer is taken to use its even share; what it reports next
-/// settles that, so that a lost message costs nothing.
-const ASSUMED_TIME: Duration = Duration::from_millis(300);
-/// A peer that sent nothing for this long counts as out of reach.
-const OVERDUE_TIME: Duration = Duration::from_millis(450);
+/// Time beyond a usual pause after which a message counts as missing.
+const LATE_TIME: Duration = Duration::from_millis(50);
+/// Usual pauses without a message after which a peer counts as out of reach.
+const OVERDUE_PAUSES: f64 = 1.8;
+
+/// How long a peer may be silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SilenceTimes {
+    /// From then on it is taken to use its even share; what it reports next settles that, so that a
+    /// lost message costs nothing.
+    pub assumed: Duration,
+    /// From then on it counts as out of reach.
+    pub overdue: Duration,
+}
+
+impl SilenceTimes {
+    /// Times for peers that send a message after each pause.
+    #[must_use]
+    pub fn of(pause: Duration) -> Self {
+        Self {
+            assumed: pause + LATE_TIME,
+            overdue: pause.mul_f64(OVERDUE_PAUSES),
+        }
+    }
+}
 
 /// A peer in the index: when it was received last, and its number.
 type SilenceKey = (MonotonicTime, u64);
 
-/// Daemons and their silences, as sums over a set of peers.
+/// Silences of a set of peers, summed over their daemons.
 #[derive(Debug, Clone, Copy, Default)]
 struct SilenceSum {
     /// Daemons of these peers.
@@ -28,18 +48,18 @@
 }
 
 impl SilenceSum {
-    fn add(&mut self, received_at: MonotonicTime, daemons: u32) {
+    fn add(&mut self, since: MonotonicTime, daemons: u32) {
         self.daemons += u64::from(daemons);
-        self.weighted_since += Self::weight(received_at, daemons);
+        self.weighted_since += Self::weight(since, daemons);
     }
 
-    fn remove(&mut self, received_at: MonotonicTime, daemons: u32) {
+    fn remove(&mut self, since: MonotonicTime, daemons: u32) {
         self.daemons -= u64::from(daemons);
-        self.weighted_since -= Self::weight(received_at, daemons);
+        self.weighted_since -= Self::weight(since, daemons);
     }
 
-    fn weight(received_at: MonotonicTime, daemons: u32) -> u128 {
-        u128::from((received_at + ASSUMED_TIME).0) * u128::from(daemons)
+    fn weight(since: MonotonicTime, daemons: u32) -> u128 {
+        u128::from(since.0) * u128::from(daemons)
     }
 
     /// Seconds of silence beyond the assumed time, summed over daemons.
@@ -72,8 +92,9 @@
 }
 
 /// Peers by the time of their last message, in three stages.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct SilenceIndex {
+    times: SilenceTimes,
     /// Received lately.
     fresh: BTreeSet<SilenceKey>,
     /// Silent for the assumed time, and not yet out of reach.
@@ -87,6 +108,27 @@
 }
 
 impl SilenceIndex {
+    /// An index without peers.
+    #[must_use]
+    pub fn new(times: SilenceTimes) -> Self {
+        Self {
+            times,
+            fresh: BTreeSet::new(),
+            assumed: BTreeSet::new(),
+            overdue: BTreeSet::new(),
+            daemons: 0,
+            overdue_daemons: 0,
+            silent: SilenceSum::default(),
+            silent_near: SilenceSum::default(),
+        }
+    }
+
+    /// How long peers may be silent.
+    #[must_use]
+    pub fn times(&self) -> SilenceTimes {
+        self.times
+    }
+
     /// Daemons of all peers.
     #[must_use]
     pub fn daemons(&self) -> u32 {
@@ -110,8 +152,9 @@
 
     /// Time for which one peer has been silent beyond the assumed time.
     #[must_use]
-    pub fn silence_of(peer: SilentPeer, now: MonotonicTime) -> Duration {
-        now.since(peer.received_at).saturating_sub(ASSUMED_TIME)
+    pub fn silence_of(&self, peer: SilentPeer, now: MonotonicTime) -> Duration {
+        now.since(peer.received_at)
+            .saturating_sub(self.times.assumed)
     }
 
     /// Adds a peer whose message came just now.
@@ -127,9 +170,10 @@
         if self.fresh.remove(&key) {
             return;
         }
-        self.silent.remove(peer.received_at, peer.daemons);
+        let since = peer.received_at + self.times.assumed;
+        self.silent.remove(since, peer.daemons);
         if peer.near {
-            self.silent_near.remove(peer.received_at, peer.daemons);
+            self.silent_near.remove(since, peer.daemons);
         }
         if !self.assumed.remove(&key) {
             self.overdue.remove(&key);
@@ -139,16 +183,17 @@
 
     /// Moves peers to the stages that they have reached by now. `find` looks a peer up.
     pub fn advance(&mut self, now: MonotonicTime, find: impl Fn(u64) -> Option<SilentPeer>) {
-        while let Some(key) = pop_silent(&mut self.fresh, now, ASSUMED_TIME) {
+        while let Some(key) = pop_silent(&mut self.fresh, now, self.times.assumed) {
             self.assumed.insert(key);
             if let Some(peer) = find(key.1) {
-                self.silent.add(key.0, peer.daemons);
+                let since = key.0 + self.times.assumed;
+                self.silent.add(since, peer.daemons);
                 if peer.near {
-                    self.silent_near.add(key.0, peer.daemons);
+                    self.silent_near.add(since, peer.daemons);
                 }
             }
         }
-        while let Some(key) = pop_silent(&mut self.assumed, now, OVERDUE_TIME) {
+        while let Some(key) = pop_silent(&mut self.assumed, now, self.times.overdue) {
             self.overdue.insert(key);
             self.overdue_daemons += find(key.1).map_or(0, |peer| peer.daemons);
         }
--- a/crates/savorywood-gateway/src/limit/silence/tests.rs
+++ b/crates/savorywood-gateway/src/limit/silence/tests.rs
@@ -1,17 +1,19 @@
 //! The sums of the index against a walk over all peers.
 
-use super::{ASSUMED_TIME, OVERDUE_TIME, SilenceIndex, SilentPeer};
+use super::{SilenceIndex, SilenceTimes, SilentPeer};
 use quickcheck::quickcheck;
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, time::Duration};
 
 const PEERS: u8 = 9;
+const PAUSE: Duration = Duration::from_millis(250);
 
 /// Silence of all peers, in seconds of one daemon, by a walk over them.
 fn walked_s(peers: &BTreeMap<u64, SilentPeer>, now: MonotonicTime, near: bool) -> f64 {
     let peers = peers.values().filter(|peer| peer.near || !near);
     let silent = peers.map(|peer| {
-        let silence = now.since(peer.received_at).saturating_sub(ASSUMED_TIME);
+        let assumed = SilenceTimes::of(PAUSE).assumed;
+        let silence = now.since(peer.received_at).saturating_sub(assumed);
         silence.as_secs_f64() * f64::from(peer.daemons)
     });
     silent.sum()
@@ -19,14 +21,14 @@
 
 fn walked_in_reach(peers: &BTreeMap<u64, SilentPeer>, now: MonotonicTime) -> u32 {
     let peers = peers.values();
-    let seen = peers.filter(|peer| now.since(peer.received_at) < OVERDUE_TIME);
+    let seen = peers.filter(|peer| now.since(peer.received_at) < SilenceTimes::of(PAUSE).overdue);
     seen.map(|peer| peer.daemons).sum()
 }
 
 quickcheck! {
     /// Guards against a team that is refused or let through for a sum that drifted from its peers.
     fn sums_match_a_walk_over_all_peers(steps: Vec<(u8, u16, bool)>) -> bool {
-        let mut index = SilenceIndex::default();
+        let mut index = SilenceIndex::new(SilenceTimes::of(PAUSE));
         let mut peers: BTreeMap<u64, SilentPeer> = BTreeMap::new();
         let mut now = MonotonicTime(1_000_000);
         for (number, pause_ms, ends) in steps {
--- a/crates/savorywood-gateway/tests/common/field.rs
+++ b/crates/savorywood-gateway/tests/common/field.rs
@@ -376,21 +376,28 @@
     }
 
     pub fn ask(&mut self, number: usize) {
+        self.passes(number, "/safe/1");
+    }
+
+    /// The pressing team sends a request to a daemon; whether it is let in.
+    pub fn passes(&mut self, number: usize, path: &str) -> bool {
         let daemon = &mut self.daemons[number];
         daemon.now = self.now;
         daemon.confirm();
-        let mut hot = arrival("/safe/1");
+        let mut hot = arrival(path);
         hot.size = Some(RequestSize {
             prompt: self.units as u32 - OUTPUT,
             output: OUTPUT,
         });
         let request = daemon.arrive(hot);
-        if daemon.refusal(request).is_none() {
+        let passes = daemon.refusal(request).is_none();
+        if passes {
             self.admitted.push(self.now);
             self.admitted_by_joined += usize::from(number >= DAEMONS);
             daemon.deliver(request);
         }
         daemon.effects.clear();
+        passes
     }
 
     pub fn most_in_a_window(&self) -> f64 {
--- a/crates/savorywood-gateway/tests/zones.rs
+++ b/crates/savorywood-gateway/tests/zones.rs
@@ -236,3 +236,25 @@
     field.press(Duration::from_secs(10));
     field.assert_limit_kept();
 }
+
+/// Guards against a team whose urgent work is refused at its limit while its other work passes.
+#[test]
+fn within_a_limit_urgent_work_goes_first() {
+    let mut field = DaemonField::new(DAEMONS);
+    field.press(Duration::from_secs(6));
+    let mut passed = [0; 2];
+    for step in 0..400 {
+        field.now = field.now + Duration::from_millis(10);
+        for number in 0..DAEMONS {
+            field.ask(number);
+            let urgent = step % 2 == 0;
+            let path = if urgent { "/urgent/1" } else { "/safe/1" };
+            passed[usize::from(!urgent)] += usize::from(field.passes(number, path));
+        }
+        if step % 25 == 0 {
+            field.talk();
+        }
+    }
+    let [urgent, other] = passed;
+    assert!(urgent > other * 2, "{urgent} urgent, {other} others");
+}
