--- a/crates/savorywood-gateway/src/limit.rs
+++ b/crates/savorywood-gateway/src/limit.rs
@@ -238,11 +238,10 @@
     /// A bucket has room for this daemon.
     ///
     /// Between two of its messages a daemon spends its share of what is left and of what comes in
-    /// meanwhile: with all of it in
-    /// reach of each, many daemons overdraw it before they learn of each other. A share that is
-    /// less than a request lets one pass as often as it is worth, large ones as often as usual
-    /// ones. Less urgent requests leave a
-    /// part of the bucket to more urgent ones of their team, small ones less of it.
+    /// meanwhile: with all of it in reach of each, many daemons overdraw it before they learn of
+    /// each other. A share that is less than a request lets one pass as often as it is worth, large
+    /// ones as often as usual ones. Less urgent requests leave a part of the bucket to more urgent
+    /// ones of their team, small ones less of it.
     fn is_open(&self, bucket: &TokenBucket, query: &MeterQuery) -> bool {
         let steps = f64::from(query.rank.min(MOST_RESERVED_RANKS));
         let size = query.units / (bucket.capacity * SMALL_PART).max(f64::MIN_POSITIVE);
