--- a/crates/savorywood-front/src/feeds.rs
+++ b/crates/savorywood-front/src/feeds.rs
@@ -420,7 +420,9 @@
             StoreTable::Declared => {
                 self.read_evacuations(rows, revision);
                 for row in rows {
-                    self.apply_declared(row);
+                    if self.shared.dialect.evacuated_zone(row).is_none() {
+                        self.apply_declared(row);
+                    }
                 }
             }
             StoreTable::Members | StoreTable::Status => {}
--- a/crates/savorywood-front/src/peers.rs
+++ b/crates/savorywood-front/src/peers.rs
@@ -65,7 +65,7 @@
         }))
     }
 
-    /// Tells others of this daemon and its zone now.
+    /// Sends state of this daemon and its zone to others now.
     pub async fn gossip(&self, shared: &FrontShared) {
         let now = self.clock.now();
         let plan = shared.gateway.borrow_mut().plan_gossip(now);
@@ -117,7 +117,7 @@
                         PeerMessage::Digest(digest) => {
                             GatewayEvent::DigestReceived(Box::new(digest))
                         }
-                        PeerMessage::Slots(news) => GatewayEvent::SlotsReceived(news),
+                        PeerMessage::Slots(update) => GatewayEvent::SlotsReceived(update),
                         PeerMessage::Heartbeat(beat) => GatewayEvent::HeartbeatReceived(beat),
                     }),
                     // The receiver lives as long as the daemon; a full queue drops the rows, which
@@ -134,7 +134,7 @@
         }
     }
 
-    /// Tells peers for as long as the process lives.
+    /// Gossips for as long as the process lives.
     pub async fn keep_gossiping(self: Rc<Self>, shared: Rc<FrontShared>) {
         loop {
             self.gossip(&shared).await;
@@ -156,14 +156,14 @@
     /// Sends this daemon's slots alone, while these are scarce.
     async fn send_slots(&self, shared: &FrontShared) {
         let now = self.clock.now();
-        let news = shared.gateway.borrow_mut().slot_update(now);
-        let Some(news) = news else { return };
+        let update = shared.gateway.borrow_mut().slot_update(now);
+        let Some(update) = update else { return };
         let plan = shared.gateway.borrow().plan_slots(now);
-        let datagram = PeerDatagram::Message(Box::new(PeerMessage::Slots(news)));
+        let datagram = PeerDatagram::Message(Box::new(PeerMessage::Slots(update)));
         self.send(&datagram, &plan.own_to).await;
         if !plan.zone_to.is_empty() {
-            let news = shared.gateway.borrow_mut().zone_slot_update(now);
-            let datagram = PeerDatagram::Message(Box::new(PeerMessage::Slots(news)));
+            let update = shared.gateway.borrow_mut().zone_slot_update(now);
+            let datagram = PeerDatagram::Message(Box::new(PeerMessage::Slots(update)));
             self.send(&datagram, &plan.zone_to).await;
         }
     }
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -261,8 +261,8 @@
             }
             GatewayEvent::SummaryReceived(summary) => self.summary_received(now, *summary, effects),
             GatewayEvent::DigestReceived(digest) => self.digest_received(now, *digest, effects),
-            GatewayEvent::SlotsReceived(news) => {
-                if self.peers.take_slots(now, news) {
+            GatewayEvent::SlotsReceived(update) => {
+                if self.peers.take_slots(now, update) {
                     self.pump_all(now, effects);
                 }
             }
--- a/crates/savorywood-gateway/src/gateway/entry.rs
+++ b/crates/savorywood-gateway/src/gateway/entry.rs
@@ -84,7 +84,9 @@
     /// Daemons that see few others each take themselves for the only holder of every lease, so
     /// those that do not see most daemons hold none.
     fn refresh_leases(&mut self, now: MonotonicTime, own_members: &[u64]) {
-        if self.age(now) < LEASE_PAUSE || !self.peers.sees_most(now) {
+        let is_member = own_members.contains(&name_digest(self.options.host.as_str()));
+        let may_hold = is_member && self.fleet.has_warmups();
+        if !may_hold || self.age(now) < LEASE_PAUSE || !self.peers.sees_most(now) {
             return self.leases.release();
         }
         let own_zone = self.options.zone.clone();
--- a/crates/savorywood-gateway/src/gateway/gossip.rs
+++ b/crates/savorywood-gateway/src/gateway/gossip.rs
@@ -190,7 +190,7 @@
         }
         self.sent_slots.clone_from(&slots);
         self.sequence += 1;
-        Some(self.news_of(SlotScope::Daemon, slots))
+        Some(self.update_of(SlotScope::Daemon, slots))
     }
 
     /// The same of its whole zone.
@@ -202,7 +202,7 @@
             sent_at: now,
             count: slots.len(),
         };
-        self.news_of(SlotScope::Zone(zone), slots)
+        self.update_of(SlotScope::Zone(zone), slots)
     }
 
     /// Who gets newer slots now.
@@ -233,7 +233,7 @@
         self.contacts.heartbeat_pause()
     }
 
-    fn news_of(&self, scope: SlotScope, slots: Vec<SlotUse>) -> SlotUpdate {
+    fn update_of(&self, scope: SlotScope, slots: Vec<SlotUse>) -> SlotUpdate {
         SlotUpdate {
             sender: name_digest(self.options.host.as_str()),
             incarnation: self.options.incarnation,
--- a/crates/savorywood-gateway/src/peer.rs
+++ b/crates/savorywood-gateway/src/peer.rs
@@ -174,10 +174,10 @@
             return DigestOutcome::Ignored;
         }
         let known = self.zones.get(&zone);
-        let news = known.map_or(DigestOutcome::NewSender { before: None }, |known| {
+        let outcome = known.map_or(DigestOutcome::NewSender { before: None }, |known| {
             known.compare(now, &digest)
         });
-        if news != DigestOutcome::Ignored {
+        if outcome != DigestOutcome::Ignored {
             match self.zones.get_mut(&zone) {
                 Some(known) => known.replace(now, digest),
                 None => {
@@ -186,7 +186,7 @@
             }
             self.note_change(now);
         }
-        news
+        outcome
     }
 
     /// Takes newer slots of a peer, or of a zone, that is known. Returns whether they were taken.
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -264,6 +264,12 @@
         self.warmups = warmups;
     }
 
+    /// Upstreams of some service start slowly.
+    #[must_use]
+    pub fn has_warmups(&self) -> bool {
+        !self.warmups.is_empty()
+    }
+
     /// How upstreams of a service start.
     #[must_use]
     pub fn warmup(&self, service: &ServiceLabel) -> Option<&WarmupSpec> {
--- a/crates/savorywood-gateway/src/zone.rs
+++ b/crates/savorywood-gateway/src/zone.rs
@@ -72,7 +72,7 @@
 /// Slots of a zone as a member of its entry set sent them last.
 #[derive(Debug, Clone)]
 struct ZoneSlotUpdate {
-    news: SlotUpdate,
+    update: SlotUpdate,
     received_at: MonotonicTime,
 }
 
@@ -111,19 +111,19 @@
     }
 
     /// Takes slots of the zone, unless newer ones are known or another member sends them.
-    pub fn take_slots(&mut self, now: MonotonicTime, news: SlotUpdate) -> bool {
+    pub fn take_slots(&mut self, now: MonotonicTime, update: SlotUpdate) -> bool {
         let fresh = self.has_fresh_slots(now);
-        let known = self.slots.as_ref().map(|slots| &slots.news);
+        let known = self.slots.as_ref().map(|slots| &slots.update);
         let is_newer = known.is_none_or(|known| {
-            if known.sender == news.sender {
-                (known.incarnation, known.sequence) < (news.incarnation, news.sequence)
+            if known.sender == update.sender {
+                (known.incarnation, known.sequence) < (update.incarnation, update.sequence)
             } else {
                 !fresh
             }
         });
         if is_newer {
             self.slots = Some(ZoneSlotUpdate {
-                news,
+                update,
                 received_at: now,
             });
         }
@@ -133,7 +133,7 @@
     fn has_fresh_slots(&self, now: MonotonicTime) -> bool {
         let slots = self.slots.as_ref();
         slots.is_some_and(|slots| {
-            let rounds = slot_rounds(slots.news.slots.len());
+            let rounds = slot_rounds(slots.update.slots.len());
             now.since(slots.received_at) < SLOTS_TIME.saturating_mul(rounds)
         })
     }
@@ -142,7 +142,7 @@
     #[must_use]
     pub fn slots(&self) -> &[SlotUse] {
         let slots = self.slots.as_ref();
-        slots.map_or(&self.digest.slots, |slots| &slots.news.slots)
+        slots.map_or(&self.digest.slots, |slots| &slots.update.slots)
     }
 
     /// It was reported lately.
--- a/crates/savorywood-gateway/tests/common/callers.rs
+++ b/crates/savorywood-gateway/tests/common/callers.rs
@@ -13,6 +13,21 @@
 const DIRECTORY_TRIES: usize = 3;
 const MOST_ADDRESSES: usize = 64;
 
+/// Numbers that follow from a seed.
+#[derive(Debug, Clone)]
+pub struct SeededDraws(pub u64);
+
+impl SeededDraws {
+    /// A number below a bound.
+    pub fn below(&mut self, bound: usize) -> usize {
+        let Self(state) = self;
+        *state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(99);
+        (*state >> 33) as usize % bound
+    }
+}
+
 /// What became of requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CallerTally {
@@ -37,7 +52,7 @@
     callers: Vec<ZoneCaller>,
     /// Time for which they keep an answer.
     keep: Duration,
-    draws: u64,
+    draws: SeededDraws,
     pub tally: CallerTally,
     /// When a request last went wrong.
     pub last_trouble: Option<MonotonicTime>,
@@ -52,20 +67,12 @@
         Self {
             callers: callers.collect(),
             keep,
-            draws: 1,
+            draws: SeededDraws(1),
             tally: CallerTally::default(),
             last_trouble: None,
         }
     }
 
-    fn draw(&mut self, below: usize) -> usize {
-        self.draws = self
-            .draws
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(99);
-        (self.draws >> 33) as usize % below
-    }
-
     /// Every caller sends one request.
     pub fn ask_all(&mut self, field: &mut DaemonField) {
         for number in 0..self.callers.len() {
@@ -86,7 +93,7 @@
             self.last_trouble = Some(now);
             return;
         }
-        let chosen = self.draw(count);
+        let chosen = self.draws.below(count);
         let daemon = self.callers[number].addresses[chosen];
         if field.down.contains(&daemon) {
             self.tally.failed += 1;
@@ -127,7 +134,7 @@
             return;
         }
         for _ in 0..DIRECTORY_TRIES {
-            let daemon = known[self.draw(known.len())];
+            let daemon = known[self.draws.below(known.len())];
             let gateway = &field.daemons[daemon].gateway;
             let name = format!("zone-{zone}");
             let addresses =
--- a/crates/savorywood-gateway/tests/common/field.rs
+++ b/crates/savorywood-gateway/tests/common/field.rs
@@ -231,7 +231,7 @@
     /// All gossip once; those that are cut off neither send nor receive.
     pub fn talk(&mut self) -> RoundCount {
         let mut count = RoundCount::default();
-        let mut words: Vec<(usize, usize, GatewayEvent)> = Vec::new();
+        let mut messages: Vec<(usize, usize, GatewayEvent)> = Vec::new();
         for (number, daemon) in self.daemons.iter_mut().enumerate() {
             let plan = daemon.gateway.plan_gossip(self.now);
             count
@@ -241,7 +241,7 @@
             let received = |address| self.addresses.get(address).copied();
             for receiver in plan.summary_to.iter().filter_map(received) {
                 let event = GatewayEvent::SummaryReceived(Box::new(summary.clone()));
-                words.push((number, receiver, event));
+                messages.push((number, receiver, event));
             }
             for (slots, receivers) in [(true, &plan.digest_to), (false, &plan.brief_to)] {
                 if receivers.is_empty() {
@@ -250,11 +250,11 @@
                 let digest = daemon.gateway.digest(self.now, slots);
                 for receiver in receivers.iter().filter_map(received) {
                     let event = GatewayEvent::DigestReceived(Box::new(digest.clone()));
-                    words.push((number, receiver, event));
+                    messages.push((number, receiver, event));
                 }
             }
         }
-        for (sender, receiver, event) in words {
+        for (sender, receiver, event) in messages {
             if self.is_apart(sender) || self.is_apart(receiver) {
                 continue;
             }
--- a/crates/savorywood-gateway/tests/common/load.rs
+++ b/crates/savorywood-gateway/tests/common/load.rs
@@ -64,7 +64,7 @@
     steps: u64,
     draws: DrawSource,
     calls: BTreeMap<(usize, LocalRequest), OpenCall>,
-    words: VecDeque<MessageOnWay>,
+    messages: VecDeque<MessageOnWay>,
     returns: Vec<CallerReturn>,
 }
 
@@ -84,7 +84,7 @@
             steps: 0,
             draws: DrawSource(42),
             calls: BTreeMap::new(),
-            words: VecDeque::new(),
+            messages: VecDeque::new(),
             returns: Vec::new(),
         };
         for (number, slowness) in slowness.iter().enumerate() {
@@ -404,9 +404,13 @@
     }
 
     fn receive_messages(&mut self) {
-        while self.words.front().is_some_and(|word| word.at <= self.now) {
-            if let Some(word) = self.words.pop_front() {
-                self.step(word.receiver, word.event);
+        while self
+            .messages
+            .front()
+            .is_some_and(|message| message.at <= self.now)
+        {
+            if let Some(message) = self.messages.pop_front() {
+                self.step(message.receiver, message.event);
             }
         }
     }
@@ -420,14 +424,14 @@
                 GatewayEvent::SummaryReceived(Box::new(gateway.summary(self.now)))
             } else if self.sends_slots
                 && steps.is_multiple_of(SLOT_UPDATE_STEPS)
-                && let Some(news) = gateway.slot_update(self.now)
+                && let Some(update) = gateway.slot_update(self.now)
             {
-                GatewayEvent::SlotsReceived(news)
+                GatewayEvent::SlotsReceived(update)
             } else {
                 continue;
             };
             for receiver in (0..self.daemons.len()).filter(|receiver| *receiver != number) {
-                self.words.push_back(MessageOnWay {
+                self.messages.push_back(MessageOnWay {
                     at: self.now + MESSAGE_TIME,
                     receiver,
                     event: event.clone(),
--- a/crates/savorywood-gateway/tests/deciding.rs
+++ b/crates/savorywood-gateway/tests/deciding.rs
@@ -247,11 +247,11 @@
     let (late, late_before) = (reported.not_in_time, untold.not_in_time);
     assert!(
         f64::from(late) < f64::from(late_before) * 0.9,
-        "{late} with news, {late_before} without"
+        "{late} with slot updates, {late_before} without"
     );
     let (full, full_before) = (reported.to_full, untold.to_full);
     assert!(
         full < full_before * 0.9,
-        "{full:.3} with news, {full_before:.3} without"
+        "{full:.3} with slot updates, {full_before:.3} without"
     );
 }
--- a/crates/savorywood-gateway/tests/together.rs
+++ b/crates/savorywood-gateway/tests/together.rs
@@ -68,13 +68,13 @@
             }
         }
         if step % 25 == 24 {
-            tell_all(&mut daemons, now);
+            gossip_all(&mut daemons, now);
         }
     }
     admitted
 }
 
-fn tell_all(daemons: &mut [GatewayScene], now: MonotonicTime) {
+fn gossip_all(daemons: &mut [GatewayScene], now: MonotonicTime) {
     for index in 0..daemons.len() {
         let summary = daemons[index].gateway.summary(now);
         for (other, daemon) in daemons.iter_mut().enumerate() {
@@ -196,7 +196,7 @@
 /// exact, the two bounds of the clocks' difference contradict each other now and then; each long
 /// poll then seemed as old as its wait, and a daemon that is in touch called itself unready.
 #[test]
-fn a_clock_told_in_whole_milliseconds_is_no_other_clock() {
+fn a_clock_in_whole_milliseconds_is_no_other_clock() {
     let mut clock = FreshnessClock::default();
     let quick = exchange(10_000_900, 10_000_990, 500_000_000);
     clock.proof(quick);
--- a/crates/savorywood-gateway/tests/waiting.rs
+++ b/crates/savorywood-gateway/tests/waiting.rs
@@ -227,7 +227,7 @@
     summary
 }
 
-fn tells(scene: &mut GatewayScene, host: &str, upstreams: &[&str]) {
+fn report_suspects(scene: &mut GatewayScene, host: &str, upstreams: &[&str]) {
     scene.step(GatewayEvent::SummaryReceived(suspecting(host, upstreams)));
 }
 
@@ -248,8 +248,8 @@
 #[test]
 fn an_upstream_that_two_peers_left_out_is_held_back_from() {
     let mut scene = GatewayScene::ready(2);
-    tells(&mut scene, "host-b", &["upstream-1"]);
-    tells(&mut scene, "host-c", &["upstream-1"]);
+    report_suspects(&mut scene, "host-b", &["upstream-1"]);
+    report_suspects(&mut scene, "host-c", &["upstream-1"]);
     let names = next_upstreams(&mut scene, 6);
     assert!(names.iter().all(|name| name == "upstream-2"), "{names:?}");
 }
@@ -258,7 +258,7 @@
 #[test]
 fn one_peer_alone_makes_no_upstream_look_ill() {
     let mut scene = GatewayScene::ready(1);
-    tells(&mut scene, "host-b", &["upstream-1"]);
+    report_suspects(&mut scene, "host-b", &["upstream-1"]);
     assert!(!scene.gateway.peers().suspect(&"upstream-1".into()));
 }
 
@@ -267,7 +267,7 @@
 fn upstreams_that_all_look_ill_still_serve() {
     let mut scene = GatewayScene::ready(2);
     for host in ["host-b", "host-c", "host-d"] {
-        tells(&mut scene, host, &["upstream-1", "upstream-2"]);
+        report_suspects(&mut scene, host, &["upstream-1", "upstream-2"]);
     }
     assert_eq!(next_upstreams(&mut scene, 4).len(), 4);
 }
--- a/crates/savorywood-gateway/tests/warmup.rs
+++ b/crates/savorywood-gateway/tests/warmup.rs
@@ -7,7 +7,7 @@
 #[path = "common/scene.rs"]
 mod scene;
 
-use callers::CallerGroup;
+use callers::{CallerGroup, SeededDraws};
 use field::{DAEMONS, DaemonField, zone};
 use quickcheck::{TestResult, quickcheck};
 use savorywood_gateway::{GatewayEvent, UpstreamEntry, UpstreamLabel, WarmupSpec, WarmupTolerance};
@@ -37,7 +37,7 @@
     sent_at: Vec<MonotonicTime>,
     born: u64,
     born_at: MonotonicTime,
-    draws: u64,
+    draws: SeededDraws,
 }
 
 fn cold_entry(born: u64) -> UpstreamEntry {
@@ -58,7 +58,7 @@
             sent_at: Vec::new(),
             born: 1,
             born_at: field.now,
-            draws: seed,
+            draws: SeededDraws(seed),
             field,
         };
         for number in 0..daemons {
@@ -93,14 +93,6 @@
         }
     }
 
-    fn draw(&mut self, below: usize) -> usize {
-        self.draws = self
-            .draws
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(99);
-        (self.draws >> 33) as usize % below
-    }
-
     /// Every daemon has a request for the upstream in each step.
     fn advance(&mut self, time: Duration) {
         let end = self.field.now + time;
@@ -179,13 +171,13 @@
         let mut play = ColdStart::new(24, seed);
         for _ in 0..12 {
             for _ in 0..3 {
-                let number = play.draw(24);
+                let number = play.draws.below(24);
                 play.kill(number);
             }
-            let pause = 200 + play.draw(900) as u64;
+            let pause = 200 + play.draws.below(900) as u64;
             play.advance(Duration::from_millis(pause));
             play.restart_killed();
-            let pause = 100 + play.draw(1_500) as u64;
+            let pause = 100 + play.draws.below(1_500) as u64;
             play.advance(Duration::from_millis(pause));
         }
         play.assert_bound_kept(&format!("seed {seed}"));
@@ -199,7 +191,7 @@
         let mut play = ColdStart::new(24, seed);
         for _ in 0..6 {
             for _ in 0..8 {
-                let number = play.draw(24);
+                let number = play.draws.below(24);
                 play.field.cut_off.insert(number);
             }
             play.advance(3 * SECOND);
--- a/crates/savorywood-gateway/tests/zones.rs
+++ b/crates/savorywood-gateway/tests/zones.rs
@@ -22,13 +22,13 @@
 
 /// Sent by each daemon to each, state would cost a daemon more with every other daemon.
 #[test]
-fn words_of_a_daemon_do_not_grow_with_other_zones() {
+fn messages_of_a_daemon_do_not_grow_with_other_zones() {
     for count in [59, 82, 160] {
         let mut field = DaemonField::new(count);
         let round = field.pass(Duration::from_millis(250));
         let most = round.sent.iter().max().copied().unwrap_or_default();
         let near = count.div_ceil(ZONES);
-        assert!(most <= near + 24, "{most} words at {count} daemons");
+        assert!(most <= near + 24, "{most} messages at {count} daemons");
         for receiver in 0..count {
             let received = &round.digests_received[&receiver];
             assert_eq!(
@@ -43,7 +43,7 @@
 
 /// Few daemons send each other summaries: each is seen at once and exactly.
 #[test]
-fn few_daemons_tell_each_other() {
+fn few_daemons_exchange_summaries() {
     let mut field = DaemonField::new(8);
     let round = field.pass(Duration::from_millis(250));
     assert!(round.sent.iter().all(|sent| *sent == 7), "{:?}", round.sent);
@@ -53,7 +53,7 @@
 /// Requests of daemons in another zone count at an upstream as those of the own zone do, once, at
 /// each daemon that places requests.
 #[test]
-fn seats_in_other_zones_are_counted_once() {
+fn slots_in_other_zones_are_counted_once() {
     let mut field = DaemonField::new(DAEMONS);
     let upstream = UpstreamLabel::from("upstream-1");
     let mut running = 0;
@@ -113,7 +113,7 @@
 /// The daemon that reported its zone dies. Others report on within two seconds, and callers of the
 /// zone are still sent to those that live.
 #[test]
-fn another_daemon_tells_of_a_zone_when_the_first_dies() {
+fn another_daemon_reports_a_zone_when_the_first_dies() {
     let mut field = DaemonField::new(DAEMONS);
     field.cut_off = (0..DAEMONS).filter(|number| number % 8 == 0).collect();
     for _ in 0..9 {
