Logs name what was asked and under what an attempt broke

Cause: for the incident on repeated requests the log named sizes only: repeats of one content, and upstreams that end for other reasons, looked alike. Ruled out: the request's own identity, which each repeat has anew.

--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -3,6 +3,7 @@
 use crate::{
     attempt::{KeptFailure, UpstreamAttempt, broken_outcome, prepare},
     clock::within,
+    content::content_digest,
     metrics,
     shared::{FrontShared, RequestDecision},
     sink::AnswerSink,
@@ -13,6 +14,7 @@
 use futures_lite::{AsyncWriteExt, future};
 use savorywood_gateway::{
     AttemptOutcome, CallerLimits, DispatchOrder, GatewayEvent, LocalRequest, RefusalReason,
+    RequestArrival,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{cell::Cell, net::Shutdown, rc::Rc, time::Duration};
@@ -210,7 +212,10 @@
     let closes = request.head.closes || shared.stopping.get();
     let mut sink = AnswerSink::new(reader.stream().clone(), closes);
     let arrival = match shared.dialect.arrival(&request.head) {
-        Ok(arrival) => arrival,
+        Ok(arrival) => RequestArrival {
+            content: content_digest(&request.head, &request.body),
+            ..arrival
+        },
         Err(fault) => {
             log::info!(
                 "event=request-malformed status=400 reason={:?}",
--- /dev/null
+++ b/crates/savorywood-front/src/content/tests.rs
@@ -0,0 +1,25 @@
+use super::content_digest;
+use crate::wire::RequestHead;
+use savorywood_gateway::ContentDigest;
+
+fn digest(target: &str, lines: &str, body: &[u8]) -> ContentDigest {
+    let text = format!("POST {target} HTTP/1.1\r\nHost: api.example\r\n{lines}\r\n");
+    let head = RequestHead::parse(text.as_bytes()).expect("a head");
+    content_digest(&head, body)
+}
+
+#[test]
+fn a_repeat_under_another_identity_has_the_same_digest() {
+    let first = digest("/a/1", "X-Attempt-Id: 1\r\n", b"body");
+    assert_eq!(first, digest("/a/1", "X-Attempt-Id: 2\r\n", b"body"));
+    assert_eq!(first, digest("/a/1?try=2", "", b"body"));
+}
+
+#[test]
+fn other_paths_bodies_and_queries_without_body_have_other_digests() {
+    let first = digest("/a/1", "", b"body");
+    assert_ne!(first, digest("/a/2", "", b"body"));
+    assert_ne!(first, digest("/a/1", "", b"bodies"));
+    assert_ne!(first, digest("/a/1b", "", b"ody"));
+    assert_ne!(digest("/a?b=1", "", b""), digest("/a?b=2", "", b""));
+}
--- a/crates/savorywood-front/src/lib.rs
+++ b/crates/savorywood-front/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod caller;
 mod clock;
+mod content;
 mod edge;
 mod feeds;
 mod load;
--- a/crates/savorywood-gateway/src/arrival.rs
+++ b/crates/savorywood-gateway/src/arrival.rs
@@ -1,6 +1,6 @@
 //! A caller's request as the decisions see it.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 /// Names a request within one daemon's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -24,6 +24,17 @@
     pub tokens: u32,
 }
 
+/// Digest of what a caller asks, the same at all daemons and for each repeat: method, host, path and
+/// body, or the query where there is no body.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ContentDigest(pub u64);
+
+impl fmt::Display for ContentDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
 /// A request that has arrived whole.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestArrival {
@@ -33,6 +44,8 @@
     pub host: String,
     /// Path without query.
     pub path: String,
+    /// What it asks, to recognise repeats.
+    pub content: ContentDigest,
     /// Key that the caller showed.
     pub key: Option<String>,
     /// Time that the caller will wait.
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -82,6 +82,7 @@
                 record.leave_at = record.leave_time(now);
                 let line = LogLine::new(LogLevel::Info, "request-admitted")
                     .with("request", &record.identity)
+                    .with("content", record.content)
                     .with("route", &record.route.name)
                     .with("service", &record.service)
                     .with(
@@ -105,6 +106,7 @@
             Err(denial) => {
                 let mut line = LogLine::new(LogLevel::Info, "request-refused")
                     .with("request", &arrival.identity)
+                    .with("content", arrival.content)
                     .with("reason", denial.reason)
                     .with("team", denial.team.as_ref().map_or("-", TeamLabel::as_str))
                     .with("path", &arrival.path)
@@ -178,6 +180,7 @@
         let begin_by = now + route.objective.saturating_sub(expected);
         Ok(RequestRecord {
             identity: arrival.identity.clone(),
+            content: arrival.content,
             service,
             team,
             units,
--- a/crates/savorywood-gateway/src/gateway/ending.rs
+++ b/crates/savorywood-gateway/src/gateway/ending.rs
@@ -47,11 +47,41 @@
             return;
         };
         let service = record.service.clone();
+        self.log_broken(request, &attempt, outcome, effects);
         self.release(now, request, &attempt, outcome, effects);
         self.decide(now, request, &attempt, outcome, effects);
         self.pump(now, &service, effects);
     }
 
+    /// Logs what an upstream ended under: which content, beside how many other requests.
+    fn log_broken(
+        &self,
+        request: LocalRequest,
+        attempt: &RunningAttempt,
+        outcome: &AttemptOutcome,
+        effects: &mut GatewayEffects,
+    ) {
+        let is_broken = matches!(
+            outcome,
+            AttemptOutcome::Broken { .. } | AttemptOutcome::StreamBroken(_)
+        );
+        let Some(record) = self.requests.get(&request).filter(|_| is_broken) else {
+            return;
+        };
+        let state = self.fleet.get(&attempt.upstream);
+        let own = state.map_or(0, |state| state.running.saturating_sub(1));
+        let peers = state.map_or(0, |state| self.peers.slots_of(state.digest).running);
+        let line = LogLine::new(LogLevel::Info, "attempt-broken")
+            .with("request", &record.identity)
+            .with("content", record.content)
+            .with("upstream", &attempt.upstream)
+            .with("cause", outcome.name())
+            .with("events", attempt.events)
+            .with("beside_own", own)
+            .with("beside_peers", peers);
+        effects.push(GatewayEffect::Log(line));
+    }
+
     /// Sends the request once more, or gives it its final answer.
     fn decide(
         &mut self,
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -1,7 +1,7 @@
 //! What a gateway knows of one open request.
 
 use crate::{
-    arrival::{PromptPart, RequestSize},
+    arrival::{ContentDigest, PromptPart, RequestSize},
     declared::{RouteSpec, TeamSpec},
     name::{ServiceLabel, UpstreamLabel},
     queue::{QueuePlace, RequestRank},
@@ -55,6 +55,8 @@
 pub struct RequestRecord {
     /// Identity of the caller's, for the log.
     pub identity: String,
+    /// What it asks.
+    pub content: ContentDigest,
     /// Its route.
     pub route: Arc<RouteSpec>,
     /// Service drawn from the route's split.
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -33,7 +33,7 @@
 mod warmup;
 mod zone;
 
-pub use arrival::{LocalRequest, PromptPart, RequestArrival, RequestSize};
+pub use arrival::{ContentDigest, LocalRequest, PromptPart, RequestArrival, RequestSize};
 pub use budget::{BudgetOptions, RetryBudget};
 pub use declared::{
     CallerLimits, DeclaredConfig, EngineSpec, RepeatKind, RouteSpec, ServiceSpec, TeamLimit,
--- a/crates/savorywood-gateway/tests/common/scene.rs
+++ b/crates/savorywood-gateway/tests/common/scene.rs
@@ -2,11 +2,11 @@
 #![allow(dead_code, reason = "each test file uses a part of the scene")]
 
 use savorywood_gateway::{
-    AnswerMarks, AttemptOutcome, DeclaredConfig, DispatchOrder, Gateway, GatewayBounds,
-    GatewayEffect, GatewayEvent, GatewayOptions, HostLabel, HostResources, LocalRequest,
-    PromptPart, RefusalReason, RegionMap, RepeatKind, RequestArrival, RequestSize, RouteSpec,
-    RoutingPolicy, ServiceLabel, ServiceSpec, TeamLabel, TeamLimit, TeamSpec, TrafficShare,
-    UpstreamEntry, UpstreamLabel, VersionLabel, ZoneLabel,
+    AnswerMarks, AttemptOutcome, ContentDigest, DeclaredConfig, DispatchOrder, Gateway,
+    GatewayBounds, GatewayEffect, GatewayEvent, GatewayOptions, HostLabel, HostResources,
+    LocalRequest, PromptPart, RefusalReason, RegionMap, RepeatKind, RequestArrival, RequestSize,
+    RouteSpec, RoutingPolicy, ServiceLabel, ServiceSpec, TeamLabel, TeamLimit, TeamSpec,
+    TrafficShare, UpstreamEntry, UpstreamLabel, VersionLabel, ZoneLabel, name_digest,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{sync::Arc, time::Duration};
@@ -111,6 +111,7 @@
         identity: "request".to_owned(),
         host: "api.example".to_owned(),
         path: path.to_owned(),
+        content: ContentDigest(name_digest(path)),
         key: Some("key".to_owned()),
         deadline: Some(Duration::from_secs(8)),
         size: Some(RequestSize {
