A test that fails: a request that crashes upstreams goes on reaching others

What callers see: their own requests break, as they run beside a request under which each upstream ends, again and again. Hypothesis: repeats of one content count as new at every daemon. Test: real decisions of 1, 8 and 48 daemons with gossip every 250 ms; the request comes once a round at another daemon; an upstream ends under each run and is replaced after 3 s.

--- a/crates/savorywood-gateway/tests/quarantine.rs
+++ b/crates/savorywood-gateway/tests/quarantine.rs
@@ -1,8 +1,15 @@
 //! Requests that crash the upstreams that run them.
 
+#[path = "common/callers.rs"]
+mod callers;
+#[path = "common/crashes.rs"]
+mod crashes;
+#[path = "common/field.rs"]
+mod field;
 #[path = "common/scene.rs"]
 mod scene;
 
+use crashes::{CrashField, MOST_RETRIES};
 use savorywood_gateway::{AttemptOutcome, GatewayEffect};
 use scene::{GatewayScene, arrival};
 
@@ -32,3 +39,14 @@
         assert!(broken[0].contains(part), "{broken:?}");
     }
 }
+
+/// Guards against a request that goes on crashing upstreams because each repeat counts as new.
+#[test]
+fn a_request_that_crashed_three_upstreams_reaches_few_more() {
+    for daemons in [1, 8, 48] {
+        let mut field = CrashField::new(daemons);
+        field.repeat_crashing(40);
+        let late = field.late_sends();
+        assert!(late <= MOST_RETRIES, "{late} at {daemons} daemons");
+    }
+}
