Logs name limits that upstreams name

Change: the header is read into the marks of an answer, kept from callers, and a change is logged as upstream-limited or upstream-unlimited with the rate before.

--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -16,6 +16,7 @@
     zone::ZoneDigest,
 };
 use savorywood_protocol::MonotonicTime;
+use serde::{Deserialize, Serialize};
 use std::{sync::Arc, time::Duration};
 
 /// Load of an upstream as one of its answers reports it.
@@ -29,6 +30,26 @@
     pub slots: u32,
 }
 
+/// Requests in a thousand seconds that an upstream takes from all daemons together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RateLimit(pub u32);
+
+impl RateLimit {
+    /// A limit of so many requests a second; none for what is no number of requests.
+    #[must_use]
+    pub fn of(per_second: f64) -> Option<Self> {
+        let is_number = per_second.is_finite() && per_second >= 0.0;
+        // A larger one than fits binds nothing.
+        is_number.then(|| Self((per_second * 1e3).round().min(f64::from(u32::MAX)) as u32))
+    }
+
+    /// Requests a second.
+    #[must_use]
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / 1e3
+    }
+}
+
 /// What an answer's head says beside the answer itself.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct AnswerMarks {
@@ -38,6 +59,8 @@
     pub closing: bool,
     /// Time for which it is still cold, where it says so.
     pub cold: Option<Duration>,
+    /// Requests that it takes from all daemons together, while it is in need.
+    pub limit: Option<RateLimit>,
 }
 
 /// How a stream stopped before its end.
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -226,7 +226,7 @@
             }
             GatewayEvent::CallerLeft(request) => self.caller_left(now, request, effects),
             GatewayEvent::AnswerBegan { request, marks } => {
-                self.answer_began(now, request, marks);
+                self.answer_began(now, request, marks, effects);
             }
             GatewayEvent::AnswerMoved { request, events } => {
                 self.answer_moved(now, request, events);
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     evacuation::{EvacuationBook, EvacuationOrder},
-    event::LoadFigures,
+    event::{LoadFigures, RateLimit},
     name::{ServiceLabel, UpstreamLabel, VersionLabel, ZoneLabel},
     outlier::OutlierState,
     pace::PaceEstimate,
@@ -73,6 +73,8 @@
     pub evacuated: bool,
     /// Until then it is cold.
     pub cold_until: MonotonicTime,
+    /// Requests that it takes from all daemons together, as its newest answer said.
+    pub limit: Option<RateLimit>,
     /// When this daemon sent something there last.
     pub sent_at: MonotonicTime,
     /// Connections to it failed, or it fell silent, and no good answer has come since.
@@ -95,6 +97,7 @@
             gone_at: None,
             evacuated: false,
             cold_until: MonotonicTime::default(),
+            limit: None,
             sent_at: MonotonicTime::default(),
             lost: false,
         }
