A test that fails: upstreams in need get more than the limit that they name

What callers see: answers of an upstream in need get slower or end, as it goes on getting a full share. Hypothesis: the limit is not kept to by any daemon. Test: real decisions of 1, 8 and 48 daemons, six upstreams of four slots, of which two name 1.2 and 1.7 a second; arrivals at them are counted as the users word it.

--- a/crates/savorywood-gateway/tests/rate_limits.rs
+++ b/crates/savorywood-gateway/tests/rate_limits.rs
@@ -1,10 +1,18 @@
 //! Upstreams that name a rate which they take from all daemons together.
 
+#[path = "common/callers.rs"]
+mod callers;
+#[path = "common/field.rs"]
+mod field;
+#[path = "common/limits.rs"]
+mod limits;
 #[path = "common/scene.rs"]
 mod scene;
 
+use limits::LimitField;
 use savorywood_gateway::{AnswerMarks, AttemptOutcome, GatewayEffect, GatewayEvent, RateLimit};
 use scene::{GatewayScene, arrival};
+use std::time::Duration;
 
 fn marks(per_second: Option<f64>) -> AnswerMarks {
     AnswerMarks {
@@ -24,7 +32,7 @@
             events: 0,
         };
         scene.end(request, outcome);
-        scene.advance(std::time::Duration::from_secs(30));
+        scene.advance(Duration::from_secs(30));
         scene.confirm();
     }
     let lines = scene.effects.iter().filter_map(|effect| match effect {
@@ -63,3 +71,17 @@
     scene.end(stream, outcome);
     assert_eq!(limited(&scene), 1);
 }
+
+/// Guards against daemons that each send an upstream in need what it takes from all of them.
+#[test]
+fn all_daemons_together_keep_to_the_limit_that_an_upstream_names() {
+    for daemons in [1, 8, 48] {
+        let mut field = LimitField::new(daemons, 6, 1);
+        field.arrivals = 3;
+        field.advance(Duration::from_secs(3));
+        field.set_limit(0, Some(1.2));
+        field.set_limit(1, Some(1.7));
+        field.advance(Duration::from_secs(20));
+        field.assert_limits_kept(&format!("{daemons} daemons"));
+    }
+}
