Upstreams that name a limit get no more than it allows from all daemons together

Cause: nothing read the limit. Class: what an upstream says to one daemon binds all, and state that one daemon has is no state of the system.

Change: each answer is a reading, the newest counts, readings are gossiped in a datagram of their own, and one and a half members of the entry set for each request a second of the limit, and three more, hold equal parts of it as token buckets. Leases moved into a module of their own, shared with the starts of cold upstreams and with trials of requests in quarantine; they are computed twice a second where nothing needs them, so that holders are known when it does.

Why it works: with k holders, each of which has at most one request saved, 4 s bring k + 4 L at most, 5.5 L + 3 against 6 L + 5; a daemon that can't see most others, has just started or sees changing members holds nothing.

--- a/crates/savorywood-front/src/admin.rs
+++ b/crates/savorywood-front/src/admin.rs
@@ -132,6 +132,9 @@
         metrics
             .evacuated_zones
             .set(count(gateway.evacuated_zones().count()));
+        let upstreams = gateway.fleet().iter();
+        let limited = upstreams.filter(|upstream| upstream.limit.limit().is_some());
+        metrics.limited_upstreams.set(count(limited.count()));
         metrics
             .quarantined
             .set(count(gateway.quarantined_requests()));
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -53,6 +53,8 @@
     pub entry_members: IntGauge,
     /// Zones under evacuation.
     pub evacuated_zones: IntGauge,
+    /// Upstreams that name a limit.
+    pub limited_upstreams: IntGauge,
     /// Requests in quarantine.
     pub quarantined: IntGauge,
     /// Upstreams that are cold.
@@ -101,6 +103,10 @@
                 "evacuated_zones",
                 "Zones whose upstreams get nothing new by order of operators",
             ),
+            limited_upstreams: gauge(
+                "limited_upstreams",
+                "Upstreams that name a rate which they take from all daemons together",
+            ),
             quarantined: gauge(
                 "quarantined_requests",
                 "Requests that are refused as upstreams crashed under their like",
@@ -163,7 +169,7 @@
 
 impl FrontMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 21] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 22] = [
             Box::new(self.arrived.clone()),
             Box::new(self.ended.clone()),
             Box::new(self.attempts.clone()),
@@ -182,6 +188,7 @@
             Box::new(self.entry_member.clone()),
             Box::new(self.entry_members.clone()),
             Box::new(self.evacuated_zones.clone()),
+            Box::new(self.limited_upstreams.clone()),
             Box::new(self.quarantined.clone()),
             Box::new(self.cold_upstreams.clone()),
             Box::new(self.log_omitted.clone()),
--- a/crates/savorywood-front/src/peers.rs
+++ b/crates/savorywood-front/src/peers.rs
@@ -73,7 +73,7 @@
             let summary = shared.gateway.borrow_mut().summary(now);
             let datagram = PeerDatagram::Message(Box::new(PeerMessage::Summary(Box::new(summary))));
             self.send(&datagram, &plan.summary_to).await;
-            self.send_crashes(shared, ReportScope::Daemon, &plan.summary_to)
+            self.send_reports(shared, ReportScope::Daemon, &plan.summary_to)
                 .await;
         }
         for (slots, receivers) in [(true, &plan.digest_to), (false, &plan.brief_to)] {
@@ -85,12 +85,13 @@
         }
         let far: Vec<SocketAddr> = [&plan.digest_to[..], &plan.brief_to[..]].concat();
         if !far.is_empty() {
-            self.send_crashes(shared, ReportScope::Zone, &far).await;
+            self.send_reports(shared, ReportScope::Zone, &far).await;
         }
     }
 
-    /// Sends what is known of requests under which upstreams crashed, if there is anything new.
-    async fn send_crashes(
+    /// Sends what is new of requests under which upstreams crashed, and of limits that upstreams
+    /// name.
+    async fn send_reports(
         &self,
         shared: &FrontShared,
         scope: ReportScope,
@@ -102,6 +103,11 @@
             let datagram = PeerDatagram::Message(Box::new(PeerMessage::Crashes(gossip)));
             self.send(&datagram, receivers).await;
         }
+        let gossip = shared.gateway.borrow().limit_gossip(now, scope);
+        if let Some(gossip) = gossip {
+            let datagram = PeerDatagram::Message(Box::new(PeerMessage::Limits(gossip)));
+            self.send(&datagram, receivers).await;
+        }
     }
 
     /// Hands changed rows on to the neighbours that rely on this daemon. Those that miss them see
@@ -141,6 +147,7 @@
                         PeerMessage::Slots(update) => GatewayEvent::SlotsReceived(update),
                         PeerMessage::Heartbeat(beat) => GatewayEvent::HeartbeatReceived(beat),
                         PeerMessage::Crashes(gossip) => GatewayEvent::CrashesReported(gossip),
+                        PeerMessage::Limits(gossip) => GatewayEvent::LimitsReported(gossip),
                     }),
                     // The receiver lives as long as the daemon; a full queue drops the rows, which
                     // are then read.
--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -10,13 +10,13 @@
     message::{PeerHeartbeat, PeerSummary, SlotUpdate},
     name::{HostLabel, ServiceLabel, UpstreamLabel},
     quarantine::{CrashGossip, QuarantineRow, QuarantineWrite},
+    rate_limit::{LimitGossip, RateLimit},
     reading::{SharedTable, TableKnowledge},
     rollout::{RolloutOrder, RolloutStatus},
     upstream::UpstreamEntry,
     zone::ZoneDigest,
 };
 use savorywood_protocol::MonotonicTime;
-use serde::{Deserialize, Serialize};
 use std::{sync::Arc, time::Duration};
 
 /// Load of an upstream as one of its answers reports it.
@@ -30,26 +30,6 @@
     pub slots: u32,
 }
 
-/// Requests in a thousand seconds that an upstream takes from all daemons together.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct RateLimit(pub u32);
-
-impl RateLimit {
-    /// A limit of so many requests a second; none for what is no number of requests.
-    #[must_use]
-    pub fn of(per_second: f64) -> Option<Self> {
-        let is_number = per_second.is_finite() && per_second >= 0.0;
-        // A larger one than fits binds nothing.
-        is_number.then(|| Self((per_second * 1e3).round().min(f64::from(u32::MAX)) as u32))
-    }
-
-    /// Requests a second.
-    #[must_use]
-    pub fn per_second(self) -> f64 {
-        f64::from(self.0) / 1e3
-    }
-}
-
 /// What an answer's head says beside the answer itself.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct AnswerMarks {
@@ -235,6 +215,8 @@
     HeartbeatReceived(PeerHeartbeat),
     /// Another daemon reported requests under which upstreams crashed.
     CrashesReported(CrashGossip),
+    /// Another daemon reported limits that upstreams name.
+    LimitsReported(LimitGossip),
     /// Requests in quarantine were read from the store.
     QuarantineRead(Vec<QuarantineRow>),
     /// The write of a row on a request in quarantine was answered, or not.
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 mod gossip;
 mod learning;
 mod quarantine;
+mod rate_limits;
 mod record;
 mod returning;
 mod updates;
@@ -25,6 +26,7 @@
     entry::{EntrySet, HostResources, LoadPeak},
     event::GatewayEvent,
     gossip::{ContactBook, SentSlots},
+    lease::MemberLeases,
     limit::{LimitTolerance, TeamMeter},
     message::SlotUse,
     name::{HostLabel, ServiceLabel, TeamLabel, ZoneLabel},
@@ -36,7 +38,7 @@
     region::RegionMap,
     rollout::{RolloutBook, TrialOptions},
     upstream::UpstreamFleet,
-    warmup::{WarmupLeases, WarmupTolerance},
+    warmup::WarmupTolerance,
 };
 use record::RequestRecord;
 use savorywood_core::{LogLevel, LogLine};
@@ -147,8 +149,9 @@
     /// Daemons of all zones that the directory names.
     entry_daemons: usize,
     entry_at: MonotonicTime,
-    /// Which cold upstreams are this daemon's to start.
-    leases: WarmupLeases,
+    /// What this daemon does for all.
+    leases: MemberLeases,
+    leases_at: MonotonicTime,
     /// Requests under which upstreams crashed.
     quarantine: QuarantineBook,
     /// When this process went on after it was frozen.
@@ -190,7 +193,8 @@
             entry: EntrySet::default(),
             entry_daemons: 1,
             entry_at: MonotonicTime::default(),
-            leases: WarmupLeases::default(),
+            leases: MemberLeases::default(),
+            leases_at: MonotonicTime::default(),
             quarantine: QuarantineBook::default(),
             resumed_at: None,
             reads: ReadBook::default(),
@@ -275,6 +279,7 @@
                 self.peers.take_heartbeat(now, beat);
             }
             GatewayEvent::CrashesReported(gossip) => self.crashes_reported(now, &gossip, effects),
+            GatewayEvent::LimitsReported(gossip) => self.limits_reported(now, &gossip, effects),
             GatewayEvent::QuarantineRead(rows) => self.quarantine_read(now, &rows, effects),
             GatewayEvent::QuarantineWritten { write, accepted } => {
                 self.quarantine.written(write, accepted);
@@ -409,6 +414,7 @@
         self.note_readiness(now, effects);
         self.peers.refresh(now);
         self.refresh_entry(now, effects);
+        self.refill_limits(now);
         self.reads.sweep(now);
         self.expire_waiting(now, effects);
         self.watch_silence(now, effects);
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -161,6 +161,7 @@
         state.chosen = self.dispatches;
         state.outlier.sent();
         state.sent_at = now;
+        state.limit.spend();
         if let RequestPlace::Waiting(place) = &record.place
             && let Some(queue) = self.queues.get_mut(&record.service)
         {
@@ -204,6 +205,10 @@
             .with("slots", state.entry.slots)
             .with("unread", state.unread)
             .with("cold_ms", state.cold_until.since(now).as_millis());
+        let line = match state.limit.limit() {
+            Some(limit) => line.with("limit", limit.per_second()),
+            None => line,
+        };
         effects.push(GatewayEffect::Log(line));
         effects.push(GatewayEffect::Dispatch(order));
     }
--- a/crates/savorywood-gateway/src/gateway/entry.rs
+++ b/crates/savorywood-gateway/src/gateway/entry.rs
@@ -23,6 +23,9 @@
 /// A daemon that has been running for less does not know what its last life sent to cold upstreams
 /// within the second that their bound counts.
 const LEASE_PAUSE: Duration = Duration::from_millis(1_100);
+/// Time between two computations of leases that nothing needs: the members must be known for a
+/// while once it does.
+const LEASE_REST_TIME: Duration = Duration::from_millis(500);
 /// A daemon that has been running for less, and has not seen most of its zone, does not know
 /// the set.
 pub(super) const DISCOVERY_TIME: Duration = Duration::from_millis(700);
@@ -79,16 +82,21 @@
         effects.push(GatewayEffect::Log(line));
     }
 
-    /// Leases of cold upstreams among the members of all zones.
+    /// Leases among the members of all zones.
     ///
     /// Daemons that see few others each take themselves for the only holder of every lease, so
     /// those that do not see most daemons hold none.
     fn refresh_leases(&mut self, now: MonotonicTime, own_members: &[u64]) {
         let is_member = own_members.contains(&name_digest(self.options.host.as_str()));
-        let may_hold = is_member && (self.fleet.has_warmups() || self.quarantine.count() > 0);
-        if !may_hold || self.age(now) < LEASE_PAUSE || !self.peers.sees_most(now) {
+        if !is_member || self.age(now) < LEASE_PAUSE || !self.peers.sees_most(now) {
             return self.leases.release();
         }
+        let is_needed =
+            self.fleet.has_warmups() || self.fleet.has_limits() || self.quarantine.count() > 0;
+        if !is_needed && now.since(self.leases_at) < LEASE_REST_TIME {
+            return;
+        }
+        self.leases_at = now;
         let own_zone = self.options.zone.clone();
         let mut members: BTreeMap<ZoneLabel, Vec<u64>> = BTreeMap::new();
         let near = self.member_numbers(now, own_zone.as_str(), own_members);
--- a/crates/savorywood-gateway/src/gateway/learning.rs
+++ b/crates/savorywood-gateway/src/gateway/learning.rs
@@ -7,7 +7,7 @@
 use crate::{
     arrival::LocalRequest,
     effect::GatewayEffect,
-    event::{AnswerMarks, AttemptOutcome, RateLimit},
+    event::{AnswerMarks, AttemptOutcome},
     name::{ServiceLabel, UpstreamLabel},
     pace::PaceEstimate,
 };
@@ -57,23 +57,6 @@
     attempt.began_at.is_none() && late
 }
 
-fn limit_line(
-    upstream: &UpstreamLabel,
-    before: Option<RateLimit>,
-    limit: Option<RateLimit>,
-) -> LogLine {
-    let per_second = |limit: Option<RateLimit>| limit.map_or(0.0, RateLimit::per_second);
-    let event = if limit.is_some() {
-        "upstream-limited"
-    } else {
-        "upstream-unlimited"
-    };
-    LogLine::new(LogLevel::Info, event)
-        .with("upstream", upstream)
-        .with("per_second", per_second(limit))
-        .with("before", per_second(before))
-}
-
 impl Gateway {
     pub(super) fn answer_began(
         &mut self,
@@ -109,7 +92,7 @@
             }
         }
         self.note_alive(&upstream, sent_at);
-        self.note_limit(&upstream, marks.limit, effects);
+        self.note_limit(now, &upstream, sent_at, marks.limit, effects);
         self.mark(now, &upstream, marks);
     }
 
@@ -124,22 +107,6 @@
         }
     }
 
-    /// Logs a limit that an upstream names anew, changes, or no longer names.
-    fn note_limit(
-        &mut self,
-        upstream: &UpstreamLabel,
-        limit: Option<RateLimit>,
-        effects: &mut GatewayEffects,
-    ) {
-        let Some(state) = self.fleet.get_mut(upstream) else {
-            return;
-        };
-        let before = std::mem::replace(&mut state.limit, limit);
-        if before != limit {
-            effects.push(GatewayEffect::Log(limit_line(upstream, before, limit)));
-        }
-    }
-
     fn mark(&mut self, now: MonotonicTime, upstream: &UpstreamLabel, marks: AnswerMarks) {
         let Some(state) = self.fleet.get_mut(upstream) else {
             return;
@@ -195,7 +162,13 @@
             | AttemptOutcome::Delivered { marks, .. } => {
                 // The head of a stream was read at its beginning, and says nothing newer at its end.
                 if attempt.began_at.is_none() {
-                    self.note_limit(&attempt.upstream, marks.limit, effects);
+                    self.note_limit(
+                        now,
+                        &attempt.upstream,
+                        attempt.sent_at,
+                        marks.limit,
+                        effects,
+                    );
                 }
                 self.mark(now, &attempt.upstream, *marks);
             }
--- /dev/null
+++ b/crates/savorywood-gateway/src/gateway/rate_limits.rs
@@ -0,0 +1,127 @@
+//! Limits that upstreams name: what answers and peers say of them, and this daemon's part.
+
+use super::{Gateway, GatewayEffects};
+use crate::{
+    effect::GatewayEffect,
+    name::UpstreamLabel,
+    peer::name_digest,
+    quarantine::ReportScope,
+    rate_limit::{LimitGossip, LimitReading, LimitReport, RateLimit, ReadingSource},
+};
+use savorywood_core::{LogLevel, LogLine};
+use savorywood_protocol::MonotonicTime;
+use std::time::Duration;
+
+/// Rounds of gossip for which a reading is reported: messages get lost.
+const REPORT_ROUNDS: u32 = 4;
+/// Reports in one message at most, so that it passes links in one piece.
+const MOST_REPORTS: usize = 64;
+
+impl Gateway {
+    /// An upstream answered what was sent to it at a moment, and named a limit or none.
+    pub(super) fn note_limit(
+        &mut self,
+        now: MonotonicTime,
+        upstream: &UpstreamLabel,
+        sent_at: MonotonicTime,
+        limit: Option<RateLimit>,
+        effects: &mut GatewayEffects,
+    ) {
+        let Some(state) = self.fleet.get_mut(upstream) else {
+            return;
+        };
+        // An answer without a limit may have begun before one that names it.
+        let at = if limit.is_some() { now } else { sent_at };
+        let before = state.limit.limit();
+        let reading = LimitReading { limit, at };
+        if state.limit.read(now, reading, ReadingSource::Own) {
+            effects.push(GatewayEffect::Log(limit_line(
+                upstream, before, limit, "own",
+            )));
+        }
+    }
+
+    pub(super) fn limits_reported(
+        &mut self,
+        now: MonotonicTime,
+        gossip: &LimitGossip,
+        effects: &mut GatewayEffects,
+    ) {
+        let is_near = gossip.zone == name_digest(self.options.zone.as_str());
+        let source = if is_near {
+            ReadingSource::Zone
+        } else {
+            ReadingSource::Far
+        };
+        let mut is_lifted = false;
+        for report in &gossip.reports {
+            let mut states = self.fleet.iter_mut();
+            let Some(state) = states.find(|state| state.digest == report.upstream) else {
+                continue;
+            };
+            let reading = LimitReading {
+                limit: report.limit,
+                at: now - Duration::from_millis(u64::from(report.age_ms)),
+            };
+            let before = state.limit.limit();
+            if state.limit.read(now, reading, source) {
+                let name = &state.entry.name;
+                let line = limit_line(name, before, report.limit, "peer");
+                effects.push(GatewayEffect::Log(line));
+                is_lifted |= report.limit.is_none();
+            }
+        }
+        if is_lifted {
+            self.pump_all(now, effects);
+        }
+    }
+
+    /// What peers get of limits in a round of gossip.
+    #[must_use]
+    pub fn limit_gossip(&self, now: MonotonicTime, scope: ReportScope) -> Option<LimitGossip> {
+        let within = self.contacts.pause().saturating_mul(REPORT_ROUNDS);
+        let of_zone = scope == ReportScope::Zone;
+        let reports = self.fleet.iter().filter_map(|state| {
+            let reading = state.limit.reported(now, within, of_zone)?;
+            let age = now.since(reading.at).as_millis();
+            Some(LimitReport {
+                upstream: state.digest,
+                limit: reading.limit,
+                age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            })
+        });
+        let reports: Vec<LimitReport> = reports.take(MOST_REPORTS).collect();
+        let zone = name_digest(self.options.zone.as_str());
+        (!reports.is_empty()).then_some(LimitGossip { zone, reports })
+    }
+
+    /// This daemon's part of what limited upstreams take grows with time.
+    pub(super) fn refill_limits(&mut self, now: MonotonicTime) {
+        let leases = &self.leases;
+        for state in self.fleet.iter_mut() {
+            if let Some(limit) = state.limit.limit() {
+                let share = leases.share(now, state.digest, limit.holders());
+                state.limit.refill(now, share);
+            }
+        }
+    }
+}
+
+fn limit_line(
+    upstream: &UpstreamLabel,
+    before: Option<RateLimit>,
+    limit: Option<RateLimit>,
+    source: &'static str,
+) -> LogLine {
+    let per_second = |limit: Option<RateLimit>| limit.map_or(0.0, RateLimit::per_second);
+    let event = if limit.is_some() {
+        "upstream-limited"
+    } else {
+        "upstream-unlimited"
+    };
+    LogLine::new(LogLevel::Info, event)
+        .with("upstream", upstream)
+        .with("per_second", per_second(limit))
+        .with("before", per_second(before))
+        .with("source", source)
+}
--- a/crates/savorywood-gateway/src/gossip.rs
+++ b/crates/savorywood-gateway/src/gossip.rs
@@ -5,6 +5,7 @@
     name::ZoneLabel,
     peer::{KnownPeer, PeerTable},
     quarantine::CrashGossip,
+    rate_limit::LimitGossip,
     rendezvous::{address_number, pair_weight},
     zone::ZoneDigest,
 };
@@ -46,6 +47,8 @@
     Heartbeat(PeerHeartbeat),
     /// Requests under which upstreams crashed.
     Crashes(CrashGossip),
+    /// Limits that upstreams name.
+    Limits(LimitGossip),
 }
 
 /// A daemon that may be reached at an address.
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod freshness;
 mod gateway;
 mod gossip;
+mod lease;
 mod limit;
 mod message;
 mod name;
@@ -25,6 +26,7 @@
 mod pick;
 mod quarantine;
 mod queue;
+mod rate_limit;
 mod reading;
 mod refusal;
 mod region;
@@ -43,10 +45,11 @@
 pub use effect::{DispatchOrder, GatewayEffect};
 pub use entry::{EntryCandidate, EntrySet, HostResources, LoadPeak, select_members};
 pub use evacuation::{EvacuationBook, EvacuationOrder};
-pub use event::{AnswerMarks, AttemptOutcome, GatewayEvent, LoadFigures, RateLimit, StreamEnd};
+pub use event::{AnswerMarks, AttemptOutcome, GatewayEvent, LoadFigures, StreamEnd};
 pub use freshness::{FreshnessClock, StoreExchange};
 pub use gateway::{Gateway, GatewayBounds, GatewayOptions, GatewayView};
 pub use gossip::{GossipPlan, PeerContact, PeerMessage, SlotPlan};
+pub use lease::{LeaseShare, MemberLeases};
 pub use limit::{LimitTolerance, MeterLevels, MeterQuery, MeterVerdict, PeerReading, TeamMeter};
 pub use message::{
     DaemonRole, PeerHeartbeat, PeerPhase, PeerSummary, SlotScope, SlotUpdate, SlotUse, TeamUse,
@@ -64,6 +67,9 @@
     RequestFingerprint,
 };
 pub use queue::RequestRank;
+pub use rate_limit::{
+    LimitGossip, LimitReading, LimitReport, RateLimit, ReadingSource, UpstreamLimit,
+};
 pub use reading::{
     PeerEcho, ReadPlan, SharedTable, StoreAttestation, TableAttestation, TableKnowledge,
 };
@@ -71,5 +77,5 @@
 pub use region::{CallerPlace, RegionMap};
 pub use rollout::{RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite};
 pub use upstream::{UpstreamEntry, UpstreamFleet};
-pub use warmup::{WarmupLeases, WarmupSpec, WarmupTolerance};
+pub use warmup::{WarmupSpec, WarmupTolerance};
 pub use zone::{ZoneDigest, ZoneMember};
--- a/crates/savorywood-gateway/src/pick.rs
+++ b/crates/savorywood-gateway/src/pick.rs
@@ -5,12 +5,13 @@
     arrival::PromptPart,
     demand::UrgentArrivals,
     estimate::AnswerEstimate,
+    lease::MemberLeases,
     name::{RegionLabel, ServiceLabel, UpstreamLabel, VersionLabel, ZoneLabel},
     pace::PaceEstimate,
     peer::PeerTable,
     region::RegionMap,
     upstream::{UpstreamFleet, UpstreamState},
-    warmup::{WarmupLeases, WarmupTolerance},
+    warmup::WarmupTolerance,
 };
 use savorywood_protocol::MonotonicTime;
 use serde::Deserialize;
@@ -123,7 +124,7 @@
     /// Regions of the zones.
     pub regions: &'a RegionMap,
     /// Which cold upstreams this daemon may start.
-    pub leases: &'a WarmupLeases,
+    pub leases: &'a MemberLeases,
     /// By how much rates of cold upstreams may be exceeded.
     pub warmup: Option<WarmupTolerance>,
     /// Part of an upstream's cost by which it may look dearer at random.
@@ -254,8 +255,11 @@
         candidate.occupied + kept < slots && self.is_paced(candidate.state)
     }
 
-    /// It is warm, or its next request of this daemon is due.
+    /// It names no limit and is warm, or its next request of this daemon is due.
     fn is_paced(&self, state: &UpstreamState) -> bool {
+        if !state.limit.may_send() {
+            return false;
+        }
         if !state.is_cold(self.now) {
             return true;
         }
--- /dev/null
+++ b/crates/savorywood-gateway/src/rate_limit.rs
@@ -0,0 +1,207 @@
+//! Upstreams that name a rate which they take from all daemons together.
+//!
+//! The load that this answers: an upstream in need names a rate far below what all daemons together
+//! send it. A few daemons, chosen alike by all of them, hold a part of the rate each; the others
+//! send nothing. What an answer says is passed on to all daemons, and the newest answer counts.
+
+use crate::lease::LeaseShare;
+use savorywood_protocol::MonotonicTime;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Daemons that send to a limited upstream: so many for each request a second, and some more. Each
+/// may have saved up a request, so their number bounds what comes at once after a rest; with a
+/// single one, requests at all other daemons could not reach a service whose upstreams are all in
+/// need.
+const HOLDERS_A_REQUEST: f64 = 1.5;
+const EXTRA_HOLDERS: f64 = 3.0;
+/// Daemons that begin to hold parts within this time after a limit was named begin together.
+const BEGIN_TIME: Duration = Duration::from_secs(2);
+/// Time whose part of the rate a daemon may save up, where that is more than one request.
+const BURST_TIME: Duration = Duration::from_millis(200);
+/// Least rate, in requests a second: an upstream that gets nothing can't say that it has recovered.
+const LEAST_RATE: f64 = 0.1;
+
+/// Requests in a thousand seconds that an upstream takes from all daemons together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RateLimit(pub u32);
+
+impl RateLimit {
+    /// A limit of so many requests a second; none for what is no number of requests.
+    #[must_use]
+    pub fn of(per_second: f64) -> Option<Self> {
+        let is_number = per_second.is_finite() && per_second >= 0.0;
+        // A larger one than fits binds nothing.
+        is_number.then(|| Self((per_second * 1e3).round().min(f64::from(u32::MAX)) as u32))
+    }
+
+    /// Requests a second.
+    #[must_use]
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / 1e3
+    }
+
+    /// Daemons that hold a part of it at most.
+    #[must_use]
+    pub fn holders(self) -> usize {
+        (self.per_second() * HOLDERS_A_REQUEST + EXTRA_HOLDERS) as usize
+    }
+
+    /// Requests a second of one of so many holders.
+    fn part(self, holders: usize) -> f64 {
+        self.per_second().max(LEAST_RATE) / holders.max(1) as f64
+    }
+}
+
+/// What an answer said of its upstream's limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitReading {
+    /// The limit; `None` where the upstream named none.
+    pub limit: Option<RateLimit>,
+    /// When it was in force at the earliest: newer readings replace older ones.
+    pub at: MonotonicTime,
+}
+
+/// A reading on its way between daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Digest of the upstream's name.
+    pub upstream: u64,
+    /// Its limit, if it names one.
+    pub limit: Option<RateLimit>,
+    /// Age of the reading in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Readings of a daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitGossip {
+    /// Digest of the sender's zone.
+    pub zone: u64,
+    /// The readings.
+    pub reports: Vec<LimitReport>,
+}
+
+/// Whose reading it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadingSource {
+    /// This daemon's own.
+    Own,
+    /// A daemon of this zone's.
+    Zone,
+    /// A daemon of another zone's.
+    Far,
+}
+
+/// Limit of one upstream, and what this daemon may send of it.
+#[derive(Debug, Clone, Default)]
+pub struct UpstreamLimit {
+    reading: Option<LimitReading>,
+    /// When this daemon, and a daemon of its zone, had a reading last.
+    own_at: Option<MonotonicTime>,
+    zone_at: Option<MonotonicTime>,
+    /// When the limit was named after there had been none.
+    named_at: MonotonicTime,
+    share: Option<LeaseShare>,
+    /// Requests that may be sent now.
+    level: f64,
+    filled_at: MonotonicTime,
+}
+
+impl UpstreamLimit {
+    /// State of an upstream that started anew: what was said of its last life counts for nothing.
+    #[must_use]
+    pub fn begin(now: MonotonicTime) -> Self {
+        Self {
+            reading: Some(LimitReading {
+                limit: None,
+                at: now,
+            }),
+            ..Self::default()
+        }
+    }
+
+    /// Limit in force.
+    #[must_use]
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.reading.and_then(|reading| reading.limit)
+    }
+
+    /// Takes a reading, unless a newer one is known; whether the limit is another one now.
+    pub fn read(
+        &mut self,
+        now: MonotonicTime,
+        reading: LimitReading,
+        source: ReadingSource,
+    ) -> bool {
+        let known = self.reading;
+        if known.is_some_and(|known| known.at >= reading.at) {
+            return false;
+        }
+        let before = self.limit();
+        if before.is_none() && reading.limit.is_none() {
+            return false;
+        }
+        self.reading = Some(reading);
+        if before.is_none() {
+            self.named_at = now;
+        }
+        match source {
+            ReadingSource::Own => self.own_at = Some(now),
+            ReadingSource::Zone => self.zone_at = Some(now),
+            ReadingSource::Far => {}
+        }
+        before != reading.limit
+    }
+
+    /// The reading, if it was had within a time by this daemon or, for other zones, by its zone.
+    #[must_use]
+    pub fn reported(
+        &self,
+        now: MonotonicTime,
+        within: Duration,
+        of_zone: bool,
+    ) -> Option<LimitReading> {
+        let had_at = if of_zone {
+            self.own_at.max(self.zone_at)
+        } else {
+            self.own_at
+        };
+        let is_new = had_at.is_some_and(|at| now.since(at) < within);
+        self.reading.filter(|_| is_new)
+    }
+
+    /// Time passes; `share` is this daemon's part in sending to the upstream.
+    pub fn refill(&mut self, now: MonotonicTime, share: Option<LeaseShare>) {
+        let elapsed = now.since(self.filled_at);
+        self.filled_at = now;
+        let (Some(limit), Some(share)) = (self.limit(), share) else {
+            self.share = None;
+            self.level = 0.0;
+            return;
+        };
+        let part = limit.part(share.holders);
+        if self.share.replace(share).is_none() {
+            self.level = if now.since(self.named_at) < BEGIN_TIME {
+                // Holders that begin together take turns.
+                share.rank as f64 / share.holders.max(1) as f64
+            } else {
+                0.0
+            };
+            return;
+        }
+        let most = (part * BURST_TIME.as_secs_f64()).max(1.0);
+        self.level = (self.level + part * elapsed.as_secs_f64()).min(most);
+    }
+
+    /// A request may be sent now.
+    #[must_use]
+    pub fn may_send(&self) -> bool {
+        self.limit().is_none() || self.level >= 1.0
+    }
+
+    /// A request is sent.
+    pub fn spend(&mut self) {
+        self.level -= 1.0;
+    }
+}
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -2,11 +2,12 @@
 
 use crate::{
     evacuation::{EvacuationBook, EvacuationOrder},
-    event::{LoadFigures, RateLimit},
+    event::LoadFigures,
     name::{ServiceLabel, UpstreamLabel, VersionLabel, ZoneLabel},
     outlier::OutlierState,
     pace::PaceEstimate,
     peer::name_digest,
+    rate_limit::UpstreamLimit,
     warmup::WarmupSpec,
 };
 use savorywood_protocol::MonotonicTime;
@@ -73,8 +74,8 @@
     pub evacuated: bool,
     /// Until then it is cold.
     pub cold_until: MonotonicTime,
-    /// Requests that it takes from all daemons together, as its newest answer said.
-    pub limit: Option<RateLimit>,
+    /// Rate that it takes from all daemons together.
+    pub limit: UpstreamLimit,
     /// When this daemon sent something there last.
     pub sent_at: MonotonicTime,
     /// Connections to it failed, or it fell silent, and no good answer has come since.
@@ -97,7 +98,7 @@
             gone_at: None,
             evacuated: false,
             cold_until: MonotonicTime::default(),
-            limit: None,
+            limit: UpstreamLimit::default(),
             sent_at: MonotonicTime::default(),
             lost: false,
         }
@@ -189,6 +190,18 @@
         self.states.values()
     }
 
+    /// All upstreams, to change what was seen of them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut UpstreamState> {
+        self.states.values_mut()
+    }
+
+    /// Some upstream names a limit.
+    #[must_use]
+    pub fn has_limits(&self) -> bool {
+        let mut states = self.states.values();
+        states.any(|state| state.limit.limit().is_some())
+    }
+
     /// What is usual at a service.
     #[must_use]
     pub fn usual(&self, service: &ServiceLabel) -> PaceEstimate {
@@ -240,6 +253,7 @@
                 running,
                 unread,
                 sent_at,
+                limit: UpstreamLimit::begin(now),
                 ..self.begin(now, entry)
             };
             self.states.insert(reborn.entry.name.clone(), reborn);
--- a/crates/savorywood-gateway/tests/common/field.rs
+++ b/crates/savorywood-gateway/tests/common/field.rs
@@ -253,6 +253,11 @@
                     let event = gossip.clone().map(GatewayEvent::CrashesReported);
                     messages.extend(event.map(|event| (number, receiver, event)));
                 }
+                let gossip = daemon.gateway.limit_gossip(self.now, scope);
+                for receiver in receivers.iter().filter_map(received) {
+                    let event = gossip.clone().map(GatewayEvent::LimitsReported);
+                    messages.extend(event.map(|event| (number, receiver, event)));
+                }
             }
             for (slots, receivers) in [(true, &plan.digest_to), (false, &plan.brief_to)] {
                 if receivers.is_empty() {
