The head of a stream counts once, not again at its end

What callers saw: an upstream that had started seconds ago got less than it bears: each stream that began while it was cold made it cold anew at its end. Cause: marks of a stream's head were applied at its first event and again with its delivery, as if new. Ruled out: plain answers, whose head and end come together. Change: marks are applied once. The load that answers report was kept and read by nothing; it is kept no longer.

The test failed before: a stream of 3 s makes its upstream cold for 3 s more.

--- a/crates/savorywood-gateway/src/gateway/learning.rs
+++ b/crates/savorywood-gateway/src/gateway/learning.rs
@@ -111,10 +111,6 @@
         let Some(state) = self.fleet.get_mut(upstream) else {
             return;
         };
-        if marks.load.is_some() {
-            state.load = marks.load;
-            state.load_at = now;
-        }
         if let Some(cold) = marks.cold {
             state.stay_cold(now + cold);
         }
@@ -156,20 +152,16 @@
         }
         self.judge_upstream(now, &service, attempt, outcome, effects);
         self.judge_version(now, &service, attempt, outcome, stream);
+        // The head of a stream was read at its beginning, and says nothing newer at its end.
+        let is_read = attempt.began_at.is_some();
         match outcome {
             AttemptOutcome::NotRun { marks, .. }
             | AttemptOutcome::Failed { marks }
-            | AttemptOutcome::Delivered { marks, .. } => {
-                // The head of a stream was read at its beginning, and says nothing newer at its end.
-                if attempt.began_at.is_none() {
-                    self.note_limit(
-                        now,
-                        &attempt.upstream,
-                        attempt.sent_at,
-                        marks.limit,
-                        effects,
-                    );
-                }
+            | AttemptOutcome::Delivered { marks, .. }
+                if !is_read =>
+            {
+                let sent_at = attempt.sent_at;
+                self.note_limit(now, &attempt.upstream, sent_at, marks.limit, effects);
                 self.mark(now, &attempt.upstream, *marks);
             }
             _ => {}
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -2,7 +2,6 @@
 
 use crate::{
     evacuation::{EvacuationBook, EvacuationOrder},
-    event::LoadFigures,
     name::{ServiceLabel, UpstreamLabel, VersionLabel, ZoneLabel},
     outlier::OutlierState,
     pace::PaceEstimate,
@@ -64,10 +63,6 @@
     pub pace: PaceEstimate,
     /// When something of an answer came from it last.
     pub received_at: MonotonicTime,
-    /// Load that its newest answer reported.
-    pub load: Option<LoadFigures>,
-    /// When that was.
-    pub load_at: MonotonicTime,
     /// The registration vanished; until then it may come back.
     pub gone_at: Option<MonotonicTime>,
     /// Its zone is under evacuation.
@@ -93,8 +88,6 @@
             outlier: OutlierState::default(),
             pace: PaceEstimate::default(),
             received_at: MonotonicTime::default(),
-            load: None,
-            load_at: MonotonicTime::default(),
             gone_at: None,
             evacuated: false,
             cold_until: MonotonicTime::default(),
--- a/crates/savorywood-gateway/tests/warmup.rs
+++ b/crates/savorywood-gateway/tests/warmup.rs
@@ -10,9 +10,12 @@
 use callers::{CallerGroup, SeededDraws};
 use field::{DAEMONS, DaemonField, zone};
 use quickcheck::{TestResult, quickcheck};
-use savorywood_gateway::{GatewayEvent, UpstreamEntry, UpstreamLabel, WarmupSpec, WarmupTolerance};
+use savorywood_gateway::{
+    AnswerMarks, AttemptOutcome, GatewayEvent, UpstreamEntry, UpstreamLabel, WarmupSpec,
+    WarmupTolerance,
+};
 use savorywood_protocol::MonotonicTime;
-use scene::{arrival, config, upstream};
+use scene::{GatewayScene, arrival, config, upstream};
 use std::{sync::Arc, time::Duration};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -202,6 +205,27 @@
     }
 }
 
+/// Guards against the head of a long stream that makes its upstream cold once more at its end.
+#[test]
+fn the_end_of_a_stream_says_nothing_new_of_how_long_its_upstream_is_cold() {
+    let mut scene = GatewayScene::ready(1);
+    let marks = AnswerMarks {
+        cold: Some(SPEC.time),
+        ..AnswerMarks::default()
+    };
+    let request = scene.arrive(arrival("/stream/1"));
+    scene.step(GatewayEvent::AnswerBegan { request, marks });
+    let is_cold = |scene: &GatewayScene| {
+        let mut states = scene.gateway.fleet().iter();
+        states.any(|state| state.is_cold(scene.now))
+    };
+    assert!(is_cold(&scene));
+    scene.advance(SPEC.time);
+    assert!(!is_cold(&scene));
+    scene.end(request, AttemptOutcome::Delivered { marks, events: 3 });
+    assert!(!is_cold(&scene));
+}
+
 quickcheck! {
     /// Guards against a bound that two holders at a moment exceed.
     fn two_holders_keep_the_bound(rate: u8, overage: u8, slack: u8) -> TestResult {
