A store that is restored from a copy is followed by its era

Cause: versions of the store were compared as if they only rose. Ruled out: waiting for 410 alone, which comes only while the store is behind the reader's version. Change: positions are pairs of era and version, in one type, everywhere that versions were compared; a rise of the era drops the positions of feeds and what was known to be written, not what is in force.

Why it works: every moment of a later era is later than all of earlier ones, so each old comparison is right again.

--- a/crates/savorywood-front/src/admin.rs
+++ b/crates/savorywood-front/src/admin.rs
@@ -132,6 +132,8 @@
         metrics
             .evacuated_zones
             .set(count(gateway.evacuated_zones().count()));
+        let era = i64::try_from(gateway.store_era()).unwrap_or(i64::MAX);
+        metrics.store_era.set(era);
         let upstreams = gateway.fleet().iter();
         let limited = upstreams.filter(|upstream| upstream.limit.limit().is_some());
         metrics.limited_upstreams.set(count(limited.count()));
--- a/crates/savorywood-front/src/edge.rs
+++ b/crates/savorywood-front/src/edge.rs
@@ -1,9 +1,9 @@
 //! Where the platform's way of speaking comes in: names, formats and calls, no decisions.
 
-use crate::wire::{AnswerHead, HeaderLine, RequestHead, StoreCall};
+use crate::wire::{AnswerHead, HeaderLine, HeaderList, RequestHead, StoreCall};
 use savorywood_gateway::{
     AnswerMarks, DeclaredConfig, RequestArrival, RolloutOrder, RolloutStatus, RolloutWrite,
-    TeamLabel, UpstreamEntry, UpstreamLabel, ZoneLabel,
+    StorePosition, TeamLabel, UpstreamEntry, UpstreamLabel, ZoneLabel,
 };
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -33,8 +33,8 @@
     pub key: String,
     /// Value; `None` when the row was removed.
     pub value: Option<Vec<u8>>,
-    /// Version of the row.
-    pub version: u64,
+    /// Position of its last change.
+    pub position: StorePosition,
 }
 
 /// An answer about rows.
@@ -44,8 +44,8 @@
     pub rows: Vec<StoreRow>,
     /// There are more.
     pub truncated: bool,
-    /// Newest version in the store.
-    pub revision: u64,
+    /// Position of the store.
+    pub revision: StorePosition,
     /// Steady clock of the store in microseconds.
     pub store_micros: Option<u64>,
 }
@@ -169,8 +169,11 @@
     /// Writes a row.
     fn write_row(&self, write: &TableWrite) -> StoreCall;
 
-    /// Reads an answer about rows; `None` when it can't be read.
-    fn page(&self, body: &[u8]) -> Option<StorePage>;
+    /// Era that an answer of the store names.
+    fn store_era(&self, headers: &HeaderList) -> u64;
+
+    /// Reads an answer about rows of an era; `None` when it can't be read.
+    fn page(&self, era: u64, body: &[u8]) -> Option<StorePage>;
 
     /// Reads a declared row.
     fn declared(&self, row: &StoreRow) -> DeclaredNews;
--- a/crates/savorywood-front/src/feeds.rs
+++ b/crates/savorywood-front/src/feeds.rs
@@ -20,8 +20,8 @@
 use async_io::Timer;
 use futures_lite::future;
 use savorywood_gateway::{
-    EvacuationOrder, FreshnessClock, GatewayEvent, ReadPlan, SharedTable, TableKnowledge,
-    UpstreamEntry, UpstreamLabel,
+    EvacuationOrder, FreshnessClock, GatewayEvent, ReadPlan, SharedTable, StorePosition,
+    TableKnowledge, UpstreamEntry, UpstreamLabel,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{
@@ -67,16 +67,16 @@
     table: StoreTable,
     link: StoreLink,
     freshness: FreshnessClock,
-    /// All changes up to this store version are known.
-    revision: Option<u64>,
-    /// Store version of the last change that is known.
-    changed: u64,
+    /// All changes up to this position are known.
+    revision: Option<StorePosition>,
+    /// Position of the last change that is known.
+    changed: StorePosition,
     /// The whole table was read once.
     was_read: bool,
-    /// Versions of the rows that are known.
-    versions: BTreeMap<String, u64>,
-    /// Versions of rows that could not be read, so that each is logged once.
-    unreadable: BTreeMap<String, u64>,
+    /// Positions of the rows that are known.
+    positions: BTreeMap<String, StorePosition>,
+    /// Positions of rows that could not be read, so that each is logged once.
+    unreadable: BTreeMap<String, StorePosition>,
     /// How the table was learned of last.
     plan: ReadPlan,
     read_at: MonotonicTime,
@@ -103,9 +103,9 @@
             link,
             freshness: FreshnessClock::default(),
             revision: None,
-            changed: 0,
+            changed: StorePosition::default(),
             was_read: false,
-            versions: BTreeMap::new(),
+            positions: BTreeMap::new(),
             unreadable: BTreeMap::new(),
             plan: ReadPlan::Direct,
             read_at: MonotonicTime::default(),
@@ -162,18 +162,18 @@
     /// A row by another writer; it is logged once, however often it is read.
     fn note_unreadable(&mut self, row: &StoreRow) {
         let known = self.unreadable.get(&row.key);
-        if row.value.is_none() || known == Some(&row.version) {
+        if row.value.is_none() || known == Some(&row.position) {
             return;
         }
         if self.unreadable.len() >= MOST_UNREADABLE {
             self.unreadable.clear();
         }
-        self.unreadable.insert(row.key.clone(), row.version);
+        self.unreadable.insert(row.key.clone(), row.position);
         log::warn!(
             "event=row-unreadable table={} key={:?} version={}",
             self.table,
             row.key,
-            row.version
+            row.position
         );
     }
 
@@ -195,7 +195,7 @@
     }
 
     /// Another daemon attests to what is known; it hands on what changes.
-    async fn rest_on_attestation(&mut self, known: u64) {
+    async fn rest_on_attestation(&mut self, known: StorePosition) {
         let pushed = async { self.sources.pushes.recv().await.ok() };
         let pause = async {
             Timer::after(REST_TIME).await;
@@ -208,7 +208,7 @@
         };
         for row in &push.rows {
             // A version that is not reported can't be known.
-            if row.version > known || row.version == 0 {
+            if row.position > known || row.position.version == 0 {
                 self.apply(row);
             }
         }
@@ -216,13 +216,13 @@
     }
 
     /// Notes what is known now.
-    fn know(&mut self, rows: &[StoreRow], through: u64, proof_at: Option<MonotonicTime>) {
+    fn know(&mut self, rows: &[StoreRow], through: StorePosition, proof_at: Option<MonotonicTime>) {
         for row in rows {
-            self.changed = self.changed.max(row.version);
+            self.changed = self.changed.max(row.position);
             if row.value.is_some() {
-                self.versions.insert(row.key.clone(), row.version);
+                self.positions.insert(row.key.clone(), row.position);
             } else {
-                self.versions.remove(&row.key);
+                self.positions.remove(&row.key);
             }
         }
         self.revision = Some(through);
@@ -286,6 +286,12 @@
             let answer = self.link.call(&call, CALL_TIME).await;
             let answer = self.accept(answer)?;
             let mut page = self.page(&answer)?;
+            let began = first
+                .as_ref()
+                .map_or(page.revision, |(page, _)| page.revision);
+            if page.revision.era != began.era {
+                return Err("the store was restored while a table was read".to_owned());
+            }
             rows.append(&mut page.rows);
             after = rows.last().map(|row: &StoreRow| row.key.clone());
             let truncated = page.truncated;
@@ -299,18 +305,18 @@
         };
         self.read_at = BootClock.now();
         self.apply_all(&rows, page.revision);
-        let versions = rows.iter().map(|row| (row.key.clone(), row.version));
-        let versions: BTreeMap<String, u64> = versions.collect();
+        let positions = rows.iter().map(|row| (row.key.clone(), row.position));
+        let positions: BTreeMap<String, StorePosition> = positions.collect();
         let changed = self.changed;
         let differences = if self.was_read {
             self.differences(rows, page.revision)
         } else {
             Vec::new()
         };
-        if versions != self.versions {
+        if positions != self.positions {
             // A row that is missing was removed at a version that this answer does not report.
             self.changed = page.revision;
-            self.versions = versions;
+            self.positions = positions;
         }
         self.was_read = true;
         self.know(&[], page.revision, None);
@@ -322,25 +328,28 @@
     }
 
     /// Rows of a full read that were not known, and removals of known rows that it lacks.
-    fn differences(&self, rows: Vec<StoreRow>, revision: u64) -> Vec<StoreRow> {
+    fn differences(&self, rows: Vec<StoreRow>, revision: StorePosition) -> Vec<StoreRow> {
         let keys: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
         let missing = self
-            .versions
+            .positions
             .keys()
             .filter(|key| !keys.contains(key.as_str()));
         let removed: Vec<StoreRow> = missing
             .map(|key| StoreRow {
                 key: key.clone(),
                 value: None,
-                version: revision,
+                position: revision,
             })
             .collect();
-        let is_new = |row: &StoreRow| self.versions.get(&row.key) != Some(&row.version);
+        let is_new = |row: &StoreRow| self.positions.get(&row.key) != Some(&row.position);
         rows.into_iter().filter(is_new).chain(removed).collect()
     }
 
-    async fn follow(&mut self, after: u64, wait: Duration) -> Result<(), String> {
-        let call = self.shared.dialect.feed_rows(self.table, after, wait);
+    async fn follow(&mut self, after: StorePosition, wait: Duration) -> Result<(), String> {
+        let call = self
+            .shared
+            .dialect
+            .feed_rows(self.table, after.version, wait);
         let answer = self.link.call(&call, wait + FEED_MARGIN).await;
         if matches!(&answer, Ok(answer) if answer.status == 410) {
             log::info!("event=feed-gap table={} after={after}", self.table);
@@ -349,6 +358,13 @@
         }
         let answer = self.accept(answer).inspect_err(|_| self.revision = None)?;
         let page = self.page(&answer)?;
+        if page.revision.era != after.era {
+            // The same version may stand for other changes there.
+            let (table, revision) = (self.table, page.revision);
+            log::warn!("event=feed-restored table={table} after={after} now={revision}");
+            self.revision = None;
+            return Ok(());
+        }
         for row in &page.rows {
             self.apply(row);
         }
@@ -367,7 +383,7 @@
 
     /// Passes changed rows on. Whoever knows the last change before them, at `changed`, knows all
     /// with them.
-    async fn push(&self, changed: u64, through: u64, rows: Vec<StoreRow>) {
+    async fn push(&self, changed: StorePosition, through: StorePosition, rows: Vec<StoreRow>) {
         let push = RowsPush {
             table: self.shared_table(),
             after: changed,
@@ -393,7 +409,8 @@
     }
 
     fn page(&self, answer: &StoreAnswer) -> Result<StorePage, String> {
-        let page = self.shared.dialect.page(&answer.body);
+        let era = self.shared.note_era(answer);
+        let page = self.shared.dialect.page(era, &answer.body);
         page.ok_or_else(|| "an answer that can't be read".to_owned())
     }
 
@@ -408,7 +425,7 @@
         }
     }
 
-    fn apply_all(&mut self, rows: &[StoreRow], revision: u64) {
+    fn apply_all(&mut self, rows: &[StoreRow], revision: StorePosition) {
         match self.table {
             StoreTable::Upstreams => {
                 let mut entries: Vec<UpstreamEntry> = Vec::new();
@@ -433,12 +450,12 @@
     }
 
     /// Orders that are missing from a full read were withdrawn.
-    fn read_evacuations(&self, rows: &[StoreRow], revision: u64) {
+    fn read_evacuations(&self, rows: &[StoreRow], revision: StorePosition) {
         let orders = rows.iter().filter_map(|row| {
             let zone = self.shared.dialect.evacuated_zone(row)?;
             Some(EvacuationOrder {
                 zone,
-                row_version: row.version,
+                position: row.position,
             })
         });
         let orders = orders.collect();
@@ -467,7 +484,7 @@
         if let Some(zone) = self.shared.dialect.evacuated_zone(row) {
             let order = EvacuationOrder {
                 zone,
-                row_version: row.version,
+                position: row.position,
             };
             self.shared.step(if row.value.is_some() {
                 GatewayEvent::EvacuationOrdered(order)
--- a/crates/savorywood-front/src/feeds/members.rs
+++ b/crates/savorywood-front/src/feeds/members.rs
@@ -88,7 +88,9 @@
         if answer.status != 200 {
             return None;
         }
-        let page = shared.dialect.page(&answer.body)?;
+        let page = shared
+            .dialect
+            .page(shared.note_era(&answer), &answer.body)?;
         after = page.rows.last().map(|row| row.key.clone());
         for row in page.rows {
             let Some(value) = row.value else { continue };
--- a/crates/savorywood-front/src/feeds/quarantine.rs
+++ b/crates/savorywood-front/src/feeds/quarantine.rs
@@ -35,7 +35,10 @@
         let call = shared.dialect.read_rows(table, after.as_deref());
         let answer = link.call(&call, CALL_TIME).await.ok()?;
         let page = Some(answer).filter(|answer| answer.status == 200);
-        let page = page.and_then(|answer| shared.dialect.page(&answer.body))?;
+        let page = page.and_then(|answer| {
+            let era = shared.note_era(&answer);
+            shared.dialect.page(era, &answer.body)
+        })?;
         after = page.rows.last().map(|row| row.key.clone());
         rows.extend(page.rows.iter().filter_map(read_row));
         if !page.truncated || after.is_none() {
--- a/crates/savorywood-front/src/feeds/rollouts.rs
+++ b/crates/savorywood-front/src/feeds/rollouts.rs
@@ -47,12 +47,18 @@
 }
 
 async fn write_status(shared: &FrontShared, link: &mut StoreLink, write: RolloutWrite) {
+    if write.expected.version != 0 && write.expected.era != shared.era.get() {
+        // The version that it expects may stand for another content by now.
+        read_statuses(shared, link).await;
+        let (service, accepted) = (write.service, false);
+        return shared.step(GatewayEvent::RolloutWritten { service, accepted });
+    }
     let row = shared.dialect.rollout_row(&write);
     let table_write = TableWrite {
         table: StoreTable::Status,
         key: row.key,
         value: Some(row.value),
-        expected: Some(write.expected),
+        expected: Some(write.expected.version),
     };
     let call = shared.dialect.write_row(&table_write);
     let answer = link.call(&call, CALL_TIME).await;
@@ -75,7 +81,10 @@
     let call = shared.dialect.read_rows(StoreTable::Status, None);
     let answer = link.call(&call, CALL_TIME).await;
     let page = answer.ok().filter(|answer| answer.status == 200);
-    let page = page.and_then(|answer| shared.dialect.page(&answer.body));
+    let page = page.and_then(|answer| {
+        let era = shared.note_era(&answer);
+        shared.dialect.page(era, &answer.body)
+    });
     for row in page.into_iter().flat_map(|page| page.rows) {
         if let Some(status) = shared.dialect.rollout_status(&row) {
             shared.step(GatewayEvent::RolloutRead(status));
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -53,6 +53,8 @@
     pub entry_members: IntGauge,
     /// Zones under evacuation.
     pub evacuated_zones: IntGauge,
+    /// Era of the store.
+    pub store_era: IntGauge,
     /// Upstreams that name a limit.
     pub limited_upstreams: IntGauge,
     /// Requests in quarantine.
@@ -103,6 +105,7 @@
                 "evacuated_zones",
                 "Zones whose upstreams get nothing new by order of operators",
             ),
+            store_era: gauge("store_era", "Era that the store names; a rise is a restore"),
             limited_upstreams: gauge(
                 "limited_upstreams",
                 "Upstreams that name a rate which they take from all daemons together",
@@ -169,7 +172,7 @@
 
 impl FrontMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 22] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 23] = [
             Box::new(self.arrived.clone()),
             Box::new(self.ended.clone()),
             Box::new(self.attempts.clone()),
@@ -188,6 +191,7 @@
             Box::new(self.entry_member.clone()),
             Box::new(self.entry_members.clone()),
             Box::new(self.evacuated_zones.clone()),
+            Box::new(self.store_era.clone()),
             Box::new(self.limited_upstreams.clone()),
             Box::new(self.quarantined.clone()),
             Box::new(self.cold_upstreams.clone()),
--- a/crates/savorywood-front/src/peers.rs
+++ b/crates/savorywood-front/src/peers.rs
@@ -4,7 +4,7 @@
 use async_io::Timer;
 use async_net::UdpSocket;
 use futures_lite::future;
-use savorywood_gateway::{GatewayEvent, PeerMessage, ReportScope, SharedTable};
+use savorywood_gateway::{GatewayEvent, PeerMessage, ReportScope, SharedTable, StorePosition};
 use serde::{Deserialize, Serialize};
 use std::{
     io,
@@ -28,10 +28,10 @@
 pub struct RowsPush {
     /// Their table.
     pub table: SharedTable,
-    /// All changes up to this store version were known before.
-    pub after: u64,
+    /// All changes up to this position were known before.
+    pub after: StorePosition,
     /// All changes up to this one are known with these rows.
-    pub through: u64,
+    pub through: StorePosition,
     /// The rows, in order.
     pub rows: Vec<StoreRow>,
 }
--- a/crates/savorywood-front/src/shared.rs
+++ b/crates/savorywood-front/src/shared.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::BootClock, edge::FrontDialect, logging::LogQueue, metrics::FrontMetrics,
-    peers::RowsPush, pool::UpstreamPool, settings::FrontSettings,
+    peers::RowsPush, pool::UpstreamPool, settings::FrontSettings, store::StoreAnswer,
 };
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -87,6 +87,10 @@
     declared_rows: RowChannel,
     /// Registrations that other daemons hand on.
     upstream_rows: RowChannel,
+    /// Newest era of the store that an answer named.
+    pub era: Cell<u64>,
+    /// An answer named its era.
+    knows_era: Cell<bool>,
     /// The process was ordered to stop.
     pub stopping: Cell<bool>,
     /// Requests that are being read or answered.
@@ -119,6 +123,8 @@
             quarantine_writes: writes.quarantine,
             declared_rows: RowChannel::default(),
             upstream_rows: RowChannel::default(),
+            era: Cell::new(0),
+            knows_era: Cell::new(false),
             stopping: Cell::new(false),
             busy: Cell::new(0),
             connections: Cell::new(0),
@@ -127,6 +133,17 @@
         })
     }
 
+    /// Notes the era that an answer of the store names, and returns it.
+    pub fn note_era(&self, answer: &StoreAnswer) -> u64 {
+        let era = self.dialect.store_era(&answer.headers);
+        let is_known = self.era.get() >= era && self.gateway.borrow().store_era() >= era;
+        if !is_known || !self.knows_era.replace(true) {
+            self.era.set(self.era.get().max(era));
+            self.step(GatewayEvent::StoreEraSeen(era));
+        }
+        era
+    }
+
     fn rows(&self, table: SharedTable) -> &RowChannel {
         match table {
             SharedTable::Declared => &self.declared_rows,
--- a/crates/savorywood-front/src/store.rs
+++ b/crates/savorywood-front/src/store.rs
@@ -3,7 +3,7 @@
 use crate::{
     attempt::prepare,
     clock::{BootClock, within},
-    wire::{ByteReader, StoreCall, read_answer_head, read_body},
+    wire::{ByteReader, HeaderList, StoreCall, read_answer_head, read_body},
 };
 use async_net::TcpStream;
 use futures_lite::AsyncWriteExt;
@@ -45,6 +45,8 @@
 pub struct StoreAnswer {
     /// Status.
     pub status: u16,
+    /// Header lines.
+    pub headers: HeaderList,
     /// Body.
     pub body: Vec<u8>,
     /// When the call was sent.
@@ -138,6 +140,7 @@
         let body = body.context(BrokenSnafu { step, address })?;
         let answer = StoreAnswer {
             status: head.status,
+            headers: head.headers,
             body,
             sent,
             received: self.clock.now(),
--- a/crates/savorywood-gateway/src/evacuation.rs
+++ b/crates/savorywood-gateway/src/evacuation.rs
@@ -1,6 +1,6 @@
 //! Availability zones that operators evacuate: their upstreams get nothing new.
 
-use crate::name::ZoneLabel;
+use crate::{name::ZoneLabel, position::StorePosition};
 use std::collections::BTreeMap;
 
 /// An order of an operator to evacuate a zone.
@@ -8,13 +8,13 @@
 pub struct EvacuationOrder {
     /// The zone.
     pub zone: ZoneLabel,
-    /// Version of the order in the store.
-    pub row_version: u64,
+    /// Position of the order in the store.
+    pub position: StorePosition,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct KnownOrder {
-    row_version: u64,
+    position: StorePosition,
     in_force: bool,
 }
 
@@ -49,27 +49,31 @@
 
     /// Zones whose orders are missing from a read of all orders as of a version.
     #[must_use]
-    pub fn missing_from(&self, orders: &[EvacuationOrder], revision: u64) -> Vec<EvacuationOrder> {
+    pub fn missing_from(
+        &self,
+        orders: &[EvacuationOrder],
+        revision: StorePosition,
+    ) -> Vec<EvacuationOrder> {
         let known = self.orders.iter();
-        let old = known.filter(|(_, known)| known.in_force && known.row_version <= revision);
+        let old = known.filter(|(_, known)| known.in_force && known.position <= revision);
         let missing = old.filter(|(zone, _)| !orders.iter().any(|order| order.zone == **zone));
         let withdrawn = missing.map(|(zone, _)| EvacuationOrder {
             zone: zone.clone(),
-            row_version: revision,
+            position: revision,
         });
         withdrawn.collect()
     }
 
     fn update(&mut self, order: EvacuationOrder, in_force: bool) -> bool {
         let newest = KnownOrder {
-            row_version: order.row_version,
+            position: order.position,
             in_force,
         };
         let Some(known) = self.orders.get_mut(&order.zone) else {
             self.orders.insert(order.zone, newest);
             return in_force;
         };
-        if known.row_version > order.row_version {
+        if known.position > order.position {
             return false;
         }
         let changed = known.in_force != in_force;
--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -9,6 +9,7 @@
     gossip::PeerContact,
     message::{PeerHeartbeat, PeerSummary, SlotUpdate},
     name::{HostLabel, ServiceLabel, UpstreamLabel},
+    position::StorePosition,
     quarantine::{CrashGossip, QuarantineRow, QuarantineWrite},
     rate_limit::{LimitGossip, RateLimit},
     reading::{SharedTable, TableKnowledge},
@@ -177,15 +178,17 @@
     },
     /// An operator evacuates a zone.
     EvacuationOrdered(EvacuationOrder),
-    /// An operator took an evacuation back, at the order's version.
+    /// An operator took an evacuation back, at the order's position.
     EvacuationWithdrawn(EvacuationOrder),
     /// All orders of evacuations were read.
     EvacuationsRead {
         /// Those in force.
         orders: Vec<EvacuationOrder>,
-        /// Version of the store that was read.
-        revision: u64,
+        /// Position of the store that was read.
+        revision: StorePosition,
     },
+    /// An answer of the store names its era.
+    StoreEraSeen(u64),
     /// Bounds were read from changed settings.
     BoundsRead(GatewayBounds),
     /// The store failed to answer a call.
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 mod quarantine;
 mod rate_limits;
 mod record;
+mod restoring;
 mod returning;
 mod updates;
 mod watching;
@@ -24,6 +25,7 @@
     demand::DemandBook,
     effect::GatewayEffect,
     entry::{EntrySet, HostResources, LoadPeak},
+    evacuation::EvacuationOrder,
     event::GatewayEvent,
     gossip::{ContactBook, SentSlots},
     lease::MemberLeases,
@@ -154,6 +156,11 @@
     leases_at: MonotonicTime,
     /// Requests under which upstreams crashed.
     quarantine: QuarantineBook,
+    store_era: Option<u64>,
+    /// When the store was seen to have been restored.
+    restored_at: Option<MonotonicTime>,
+    /// Withdrawals of evacuations that a restored store may only seem to report.
+    withdrawals: Vec<EvacuationOrder>,
     /// When this process went on after it was frozen.
     resumed_at: Option<MonotonicTime>,
     reads: ReadBook,
@@ -196,6 +203,9 @@
             leases: MemberLeases::default(),
             leases_at: MonotonicTime::default(),
             quarantine: QuarantineBook::default(),
+            store_era: None,
+            restored_at: None,
+            withdrawals: Vec::new(),
             resumed_at: None,
             reads: ReadBook::default(),
             options,
@@ -253,6 +263,7 @@
             GatewayEvent::EvacuationsRead { orders, revision } => {
                 self.evacuations_read(now, orders, revision, effects);
             }
+            GatewayEvent::StoreEraSeen(era) => self.store_era_seen(now, era, effects),
             GatewayEvent::BoundsRead(bounds) => self.bounds_read(now, bounds, effects),
             GatewayEvent::TableRead {
                 table,
@@ -422,6 +433,7 @@
         self.fleet.sweep(now);
         self.quarantine.sweep(now);
         self.write_quarantine(now, effects);
+        self.apply_withdrawals(now, effects);
         let leads = self.leads(now);
         for write in self.rollouts.advance(now, leads) {
             let line = LogLine::new(LogLevel::Info, "rollout-step")
--- a/crates/savorywood-gateway/src/gateway/evacuation.rs
+++ b/crates/savorywood-gateway/src/gateway/evacuation.rs
@@ -1,7 +1,9 @@
 //! Orders of operators to evacuate availability zones.
 
 use super::{Gateway, GatewayEffects};
-use crate::{effect::GatewayEffect, evacuation::EvacuationOrder, name::ZoneLabel};
+use crate::{
+    effect::GatewayEffect, evacuation::EvacuationOrder, name::ZoneLabel, position::StorePosition,
+};
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
 
@@ -13,18 +15,26 @@
         effects: &mut GatewayEffects,
     ) {
         let line = self.evacuation_line("zone-evacuated", &order);
+        let is_older =
+            |other: &EvacuationOrder| other.zone == order.zone && other.position <= order.position;
+        self.withdrawals.retain(|other| !is_older(other));
         if self.fleet.evacuate(order) {
             effects.push(GatewayEffect::Log(line));
         }
     }
 
-    /// The zone's upstreams get work again, at the pace of cold ones.
+    /// The zone's upstreams get work again, at the pace of cold ones. An order that a restored store
+    /// lacks may be written again at once, so it stays in force for a while.
     pub(super) fn evacuation_withdrawn(
         &mut self,
         now: MonotonicTime,
         order: EvacuationOrder,
         effects: &mut GatewayEffects,
     ) {
+        if !self.is_rewritten(now) {
+            self.withdrawals.push(order);
+            return;
+        }
         let line = self.evacuation_line("zone-taken-back", &order);
         if self.fleet.end_evacuation(now, order) {
             effects.push(GatewayEffect::Log(line));
@@ -37,7 +47,7 @@
         &mut self,
         now: MonotonicTime,
         orders: Vec<EvacuationOrder>,
-        revision: u64,
+        revision: StorePosition,
         effects: &mut GatewayEffects,
     ) {
         let missing = self.fleet.evacuations().missing_from(&orders, revision);
@@ -64,7 +74,7 @@
         }
         LogLine::new(LogLevel::Info, event)
             .with("zone", &order.zone)
-            .with("order", order.row_version)
+            .with("order", order.position)
             .with("upstreams", count)
             .with("running", running)
     }
--- /dev/null
+++ b/crates/savorywood-gateway/src/gateway/restoring.rs
@@ -0,0 +1,60 @@
+//! The store was restored from a backup that is some seconds old.
+
+use super::{Gateway, GatewayEffects};
+use crate::effect::GatewayEffect;
+use savorywood_core::{LogLevel, LogLine};
+use savorywood_protocol::MonotonicTime;
+use std::time::Duration;
+
+/// Time within which operators and upstreams write again what a restored store has lost. Until
+/// then a row that is missing was not removed.
+const REWRITE_TIME: Duration = Duration::from_secs(6);
+
+impl Gateway {
+    /// An answer or a peer names an era of the store.
+    pub(super) fn store_era_seen(
+        &mut self,
+        now: MonotonicTime,
+        era: u64,
+        effects: &mut GatewayEffects,
+    ) {
+        let before = self
+            .store_era
+            .replace(self.store_era.unwrap_or(era).max(era));
+        let Some(before) = before.filter(|before| *before < era) else {
+            return;
+        };
+        self.restored_at = Some(now);
+        // Registrations that the backup lacks are written again.
+        self.fleet.store_failed(now);
+        self.rollouts.store_restored(era);
+        self.quarantine.store_restored();
+        let line = LogLine::new(LogLevel::Warn, "store-restored")
+            .with("era", era)
+            .with("before", before);
+        effects.push(GatewayEffect::Log(line));
+    }
+
+    /// What the restored store lacks may still be written again.
+    pub(super) fn is_rewritten(&self, now: MonotonicTime) -> bool {
+        self.restored_at
+            .is_none_or(|at| now.since(at) >= REWRITE_TIME)
+    }
+
+    /// Withdrawals that were put off since the store was restored take effect, unless the order was
+    /// written again.
+    pub(super) fn apply_withdrawals(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
+        if self.withdrawals.is_empty() || !self.is_rewritten(now) {
+            return;
+        }
+        for order in std::mem::take(&mut self.withdrawals) {
+            self.evacuation_withdrawn(now, order, effects);
+        }
+    }
+
+    /// Era of the store, as answers and peers name it.
+    #[must_use]
+    pub fn store_era(&self) -> u64 {
+        self.store_era.unwrap_or_default()
+    }
+}
--- a/crates/savorywood-gateway/src/gateway/updates.rs
+++ b/crates/savorywood-gateway/src/gateway/updates.rs
@@ -224,6 +224,10 @@
         effects: &mut GatewayEffects,
     ) {
         self.reads.received(now, summary);
+        if let Some(attestation) = summary.attestation {
+            let era = attestation.declared.changed.era;
+            self.store_era_seen(now, era, effects);
+        }
         let own = name_digest(self.options.host.as_str());
         let proof = self.reads.proof(own, summary, SharedTable::Declared);
         if let Some(at) = proof {
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod pace;
 mod peer;
 mod pick;
+mod position;
 mod quarantine;
 mod queue;
 mod rate_limit;
@@ -61,6 +62,7 @@
 pub use outlier::OutlierState;
 pub use peer::{PeerTable, SlotSum, name_digest};
 pub use pick::RoutingPolicy;
+pub use position::StorePosition;
 pub use quarantine::{
     CrashAge, CrashGossip, CrashMark, CrashReport, QUARANTINE_CRASHES, QuarantineBook,
     QuarantineChange, QuarantineRow, QuarantineVerdict, QuarantineWrite, ReportScope,
--- a/crates/savorywood-gateway/src/quarantine.rs
+++ b/crates/savorywood-gateway/src/quarantine.rs
@@ -370,6 +370,14 @@
         }
     }
 
+    /// The store was restored: rows that were written may be lost.
+    pub fn store_restored(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.row = RowState::Absent;
+            entry.timer = RowTimer::default();
+        }
+    }
+
     /// Rows that are to be written now by this daemon, which writes those that it `holds`.
     pub fn due_writes(
         &mut self,
--- a/crates/savorywood-gateway/src/reading.rs
+++ b/crates/savorywood-gateway/src/reading.rs
@@ -5,7 +5,7 @@
 //! does so and attests to what the others hold; it hands on changed rows at once. Whoever sees no
 //! such daemon reads by itself.
 
-use crate::{message::PeerSummary, name::HostLabel, peer::name_digest};
+use crate::{message::PeerSummary, name::HostLabel, peer::name_digest, position::StorePosition};
 use savorywood_protocol::MonotonicTime;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, time::Duration};
@@ -32,8 +32,8 @@
 /// What a daemon says of a table in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableAttestation {
-    /// Store version of its last change.
-    pub changed: u64,
+    /// Position of its last change.
+    pub changed: StorePosition,
     /// Age in milliseconds of the proof that nothing changed since.
     pub proof_age_ms: u32,
 }
@@ -77,10 +77,10 @@
 /// What is known of a table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct TableKnowledge {
-    /// All changes up to this store version are known.
-    pub through: u64,
-    /// Store version of the last change, as far as it is known.
-    pub changed: u64,
+    /// All changes up to this position are known.
+    pub through: StorePosition,
+    /// Position of the last change, as far as it is known.
+    pub changed: StorePosition,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/savorywood-gateway/src/rollout.rs
+++ b/crates/savorywood-gateway/src/rollout.rs
@@ -5,6 +5,7 @@
     name::{ServiceLabel, VersionLabel},
     peer::name_digest,
     pick::VersionChoice,
+    position::StorePosition,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, time::Duration};
@@ -19,8 +20,8 @@
     pub to: VersionLabel,
     /// Within this time.
     pub within: Duration,
-    /// Version of the order's row in the store.
-    pub row_version: u64,
+    /// Position of the order's row in the store.
+    pub position: StorePosition,
 }
 
 /// State of a roll-out as operators see it.
@@ -44,8 +45,8 @@
     pub to: Option<VersionLabel>,
     /// Its state.
     pub phase: Option<RolloutPhase>,
-    /// Version of the row; zero if there is none.
-    pub row_version: u64,
+    /// Position of the row; of version zero if there is none.
+    pub position: StorePosition,
 }
 
 /// A status to be written under the condition that its row is as last read.
@@ -57,8 +58,8 @@
     pub to: VersionLabel,
     /// State.
     pub phase: RolloutPhase,
-    /// Version that the row must have; zero: it must not exist.
-    pub expected: u64,
+    /// Position that the row must have; of version zero: it must not exist.
+    pub expected: StorePosition,
 }
 
 /// Answers of the new version that are needed before it is held for good.
@@ -88,7 +89,8 @@
     own: VersionTally,
     peers: BTreeMap<u64, VersionTally>,
     phase: RolloutPhase,
-    row_version: u64,
+    /// Of the status row.
+    position: StorePosition,
     written: bool,
     writing: bool,
     write_after: MonotonicTime,
@@ -114,6 +116,14 @@
         total
     }
 
+    /// The order stands under a new position, as a restored store has it from the operator again.
+    fn is_same_after_restore(&self, order: &RolloutOrder) -> bool {
+        let known = &self.order;
+        known.position.era < order.position.era
+            && known.to == order.to
+            && known.within == order.within
+    }
+
     fn progress(&self, now: MonotonicTime) -> f64 {
         let elapsed = now.since(self.seen_at).as_secs_f64();
         elapsed / self.order.within.as_secs_f64().max(0.001)
@@ -144,10 +154,16 @@
 impl RolloutBook {
     /// An order was read.
     pub fn order(&mut self, now: MonotonicTime, order: RolloutOrder) -> bool {
-        let known = self.states.get(&order.service);
-        if known.is_some_and(|state| state.order.row_version >= order.row_version) {
-            return false;
+        if let Some(known) = self.states.get_mut(&order.service) {
+            if known.order.position >= order.position {
+                return false;
+            }
+            if known.is_same_after_restore(&order) {
+                known.order.position = order.position;
+                return false;
+            }
         }
+        let known = self.states.get(&order.service);
         let own = VersionTally {
             rollout: digest(&order),
             new_answers: 0,
@@ -158,13 +174,13 @@
             sent_new: 0,
             condemned: false,
         };
-        let row_version = known.map_or(0, |state| state.row_version);
+        let position = known.map_or(StorePosition::default(), |state| state.position);
         let state = RolloutState {
             seen_at: now,
             own,
             peers: BTreeMap::new(),
             phase: RolloutPhase::Running,
-            row_version,
+            position,
             written: false,
             writing: false,
             write_after: now,
@@ -179,7 +195,10 @@
         let Some(state) = self.states.get_mut(&status.service) else {
             return;
         };
-        state.row_version = status.row_version;
+        if status.position.era < state.position.era {
+            return;
+        }
+        state.position = status.position;
         if status.to.as_ref() != Some(&state.order.to) {
             return;
         }
@@ -195,6 +214,16 @@
         }
     }
 
+    /// The store was restored: what was written may be lost, and is written again where the row says
+    /// something else.
+    pub fn store_restored(&mut self, era: u64) {
+        for state in self.states.values_mut() {
+            state.position = StorePosition::new(era, 0);
+            state.written = false;
+            state.writing = false;
+        }
+    }
+
     /// A write was answered, or not.
     pub fn written(&mut self, now: MonotonicTime, service: &ServiceLabel, accepted: bool) {
         if let Some(state) = self.states.get_mut(service) {
@@ -316,7 +345,7 @@
                     service: state.order.service.clone(),
                     to: state.order.to.clone(),
                     phase: state.phase,
-                    expected: state.row_version,
+                    expected: state.position,
                 });
             }
         }
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -21,6 +21,10 @@
 /// The store counts as failing for this long after a failed call.
 const UNSETTLED_TIME: Duration = Duration::from_secs(4);
 
+/// A start that left as announced is remembered for this long: a store that is restored from an
+/// older backup would bring it back.
+const DEPARTURE_TIME: Duration = Duration::from_secs(60);
+
 /// One upstream's registration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamEntry {
@@ -115,8 +119,10 @@
     }
 
     /// Puts a newer registration in force. A row that is read once more says nothing new of how
-    /// long the upstream stays cold.
-    fn renew(&mut self, now: MonotonicTime, entry: UpstreamEntry) {
+    /// long the upstream stays cold, and one of a restored store may be older than the known one: a
+    /// start that has begun to leave goes on leaving.
+    fn renew(&mut self, now: MonotonicTime, mut entry: UpstreamEntry) {
+        entry.draining |= self.entry.draining;
         if entry != self.entry {
             self.stay_cold(now + entry.cold);
         }
@@ -148,6 +154,15 @@
     warmups: BTreeMap<ServiceLabel, WarmupSpec>,
     evacuations: EvacuationBook,
     store_failed_at: Option<MonotonicTime>,
+    /// Starts that left as announced.
+    departed: BTreeMap<UpstreamLabel, UpstreamDeparture>,
+}
+
+/// A start of an upstream that left as announced.
+#[derive(Debug, Clone, Copy)]
+struct UpstreamDeparture {
+    born: u64,
+    at: MonotonicTime,
 }
 
 impl UpstreamFleet {
@@ -229,6 +244,13 @@
 
     /// A registration was written.
     pub fn write(&mut self, now: MonotonicTime, entry: UpstreamEntry) -> Option<FleetChange> {
+        let has_left = self
+            .departed
+            .get(&entry.name)
+            .is_some_and(|left| left.born == entry.born);
+        if has_left && entry.born != 0 {
+            return None;
+        }
         let Some(state) = self.states.get_mut(&entry.name) else {
             let change = if entry.draining {
                 FleetChange::Draining
@@ -383,7 +405,19 @@
 
     /// Forgets upstreams that are gone and have no request left.
     pub fn sweep(&mut self, now: MonotonicTime) {
-        self.states
-            .retain(|_, state| state.running > 0 || state.gone_at.is_none_or(|at| now < at));
+        let is_over =
+            |state: &UpstreamState| state.running == 0 && state.gone_at.is_some_and(|at| now >= at);
+        for state in self.states.values().filter(|state| is_over(state)) {
+            if state.entry.draining {
+                let departure = UpstreamDeparture {
+                    born: state.entry.born,
+                    at: now,
+                };
+                self.departed.insert(state.entry.name.clone(), departure);
+            }
+        }
+        self.states.retain(|_, state| !is_over(state));
+        self.departed
+            .retain(|_, left| now.since(left.at) < DEPARTURE_TIME);
     }
 }
--- a/crates/savorywood-gateway/tests/evacuation.rs
+++ b/crates/savorywood-gateway/tests/evacuation.rs
@@ -4,7 +4,8 @@
 mod scene;
 
 use savorywood_gateway::{
-    EvacuationOrder, GatewayEvent, RefusalReason, UpstreamEntry, WarmupSpec, ZoneLabel,
+    EvacuationOrder, GatewayEvent, RefusalReason, StorePosition, UpstreamEntry, WarmupSpec,
+    ZoneLabel,
 };
 use scene::{GatewayScene, arrival, config, options, upstream};
 use std::{sync::Arc, time::Duration};
@@ -18,10 +19,10 @@
     }
 }
 
-fn order(zone: &str, row_version: u64) -> EvacuationOrder {
+fn order(zone: &str, version: u64) -> EvacuationOrder {
     EvacuationOrder {
         zone: ZoneLabel::from(zone),
-        row_version,
+        position: StorePosition::new(1, version),
     }
 }
 
@@ -109,12 +110,12 @@
     let mut scene = two_zones();
     scene.step(GatewayEvent::EvacuationsRead {
         orders: vec![order("zone-b", 7)],
-        revision: 9,
+        revision: StorePosition::new(1, 9),
     });
     assert_eq!(used(&mut scene), [1, 2]);
     scene.step(GatewayEvent::EvacuationsRead {
         orders: Vec::new(),
-        revision: 12,
+        revision: StorePosition::new(1, 12),
     });
     assert_eq!(used(&mut scene), [1, 2, 3, 4]);
 }
@@ -126,7 +127,7 @@
     scene.step(GatewayEvent::EvacuationOrdered(order("zone-a", 20)));
     scene.step(GatewayEvent::EvacuationsRead {
         orders: Vec::new(),
-        revision: 12,
+        revision: StorePosition::new(1, 12),
     });
     scene.step(GatewayEvent::EvacuationWithdrawn(order("zone-a", 15)));
     assert_eq!(used(&mut scene), [3, 4]);
--- a/crates/savorywood-gateway/tests/reading.rs
+++ b/crates/savorywood-gateway/tests/reading.rs
@@ -8,7 +8,7 @@
 mod scene;
 
 use field::{DAEMONS, DaemonField, ZONES};
-use savorywood_gateway::{GatewayEvent, ReadPlan, SharedTable, TableKnowledge};
+use savorywood_gateway::{GatewayEvent, ReadPlan, SharedTable, StorePosition, TableKnowledge};
 use std::{collections::BTreeSet, time::Duration};
 
 impl DaemonField {
@@ -16,8 +16,8 @@
     fn read(&mut self, number: usize, table: SharedTable, changed: u64, proved: bool) {
         let proof_at = proved.then_some(self.now);
         let knowledge = TableKnowledge {
-            through: changed,
-            changed,
+            through: StorePosition::new(1, changed),
+            changed: StorePosition::new(1, changed),
         };
         self.daemons[number].step(GatewayEvent::TableRead {
             table,
--- a/crates/savorywood-gateway/tests/rollouts.rs
+++ b/crates/savorywood-gateway/tests/rollouts.rs
@@ -5,7 +5,8 @@
 
 use savorywood_gateway::{
     AnswerMarks, AttemptOutcome, GatewayEffect, GatewayEvent, RolloutOrder, RolloutPhase,
-    RolloutStatus, RolloutWrite, ServiceLabel, UpstreamEntry, UpstreamLabel, VersionLabel,
+    RolloutStatus, RolloutWrite, ServiceLabel, StorePosition, UpstreamEntry, UpstreamLabel,
+    VersionLabel,
 };
 use savorywood_protocol::MonotonicTime;
 use scene::{GatewayScene, arrival, config, options, upstream};
@@ -102,7 +103,7 @@
         service: ServiceLabel::from("engine"),
         to: VersionLabel::from("v2"),
         within: WITHIN,
-        row_version: 50,
+        position: StorePosition::new(1, 50),
     }));
     scene
 }
@@ -122,7 +123,7 @@
         };
         result.writes.push(write.clone());
         let version = stored.as_ref().map_or(0, |(_, version)| *version);
-        let holds = write.expected == version;
+        let holds = write.expected.version == version;
         if holds {
             if write.phase != RolloutPhase::Running {
                 result.ended.get_or_insert((write.phase, elapsed));
@@ -141,7 +142,7 @@
         service: ServiceLabel::from("engine"),
         to: stored.map(|(write, _)| write.to.clone()),
         phase: stored.map(|(write, _)| write.phase),
-        row_version: stored.map_or(0, |(_, version)| *version),
+        position: StorePosition::new(1, stored.map_or(0, |(_, version)| *version)),
     }
 }
 
