--- a/crates/savorywood-gateway/src/quarantine.rs
+++ b/crates/savorywood-gateway/src/quarantine.rs
@@ -10,6 +10,7 @@
 //! Requests that merely ran beside it are told apart by what a crashing request never has: an
 //! answer. One whole answer clears a fingerprint, and covers crashes that follow soon after.
 
+mod entry;
 mod evidence;
 mod report;
 mod served;
@@ -23,7 +24,7 @@
     peer::{name_digest, slot_key},
     rendezvous::pair_weight,
 };
-use evidence::CrashEvidence;
+use entry::{QuarantineEntry, RowState, RowTimer, SUSPECT_TIME};
 use savorywood_protocol::MonotonicTime;
 use serde::{Deserialize, Serialize};
 use served::ServedRequests;
@@ -31,17 +32,8 @@
 
 /// Upstreams that must crash under a request before it is refused.
 pub const QUARANTINE_CRASHES: u32 = 3;
-/// Time after the last crash after which a request in quarantine may be tried once; it doubles with
-/// each further crash.
-const TRIAL_PAUSE: Duration = Duration::from_secs(60);
-/// Doublings of that time at most.
-const MOST_DOUBLINGS: u32 = 5;
 /// Requests of which crashes are remembered at most.
 const MOST_ENTRIES: usize = 2_048;
-/// Crashes under a request that is not in quarantine are forgotten after this time.
-const SUSPECT_TIME: Duration = Duration::from_secs(600);
-/// The same for one in quarantine.
-const QUARANTINE_TIME: Duration = Duration::from_secs(3_600);
 /// An upstream that answers what was sent to it within this time after an attempt broke there did
 /// not crash.
 const REFUTE_TIME: Duration = Duration::from_millis(1_500);
@@ -126,70 +118,6 @@
     },
 }
 
-/// Row of an entry in the store.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-enum RowState {
-    /// None that this daemon knows of.
-    #[default]
-    Absent,
-    /// It was there at this daemon's start.
-    Read,
-    /// This daemon wrote it.
-    Written,
-}
-
-/// When the row of an entry may be written next.
-#[derive(Debug, Clone, Copy, Default)]
-struct RowTimer {
-    due_at: MonotonicTime,
-    pause: Duration,
-}
-
-#[derive(Debug, Clone, Default)]
-struct QuarantineEntry {
-    evidence: CrashEvidence,
-    /// Changed by this daemon's own observation.
-    own_changed_at: Option<MonotonicTime>,
-    /// Changed by an observation of this daemon's zone.
-    zone_changed_at: Option<MonotonicTime>,
-    /// A trial was sent, or the entry was read from the store.
-    tried_at: MonotonicTime,
-    row: RowState,
-    timer: RowTimer,
-}
-
-impl QuarantineEntry {
-    fn is_quarantined(&self) -> bool {
-        self.evidence.count() >= QUARANTINE_CRASHES
-    }
-
-    fn trial_at(&self) -> MonotonicTime {
-        let further = self.evidence.count().saturating_sub(QUARANTINE_CRASHES);
-        let pause = TRIAL_PAUSE * 2u32.pow(further.min(MOST_DOUBLINGS));
-        self.evidence.newest().max(self.tried_at) + pause
-    }
-
-    fn changed_at(&self, scope: ReportScope) -> Option<MonotonicTime> {
-        match scope {
-            ReportScope::Daemon => self.own_changed_at,
-            ReportScope::Zone => self.own_changed_at.max(self.zone_changed_at),
-        }
-    }
-
-    fn is_forgotten(&self, now: MonotonicTime) -> bool {
-        let time = if self.is_quarantined() {
-            QUARANTINE_TIME
-        } else {
-            SUSPECT_TIME
-        };
-        now.since(self.evidence.newest().max(self.tried_at)) >= time
-    }
-
-    fn wants_row(&self, now: MonotonicTime) -> bool {
-        self.is_quarantined() && !self.is_forgotten(now)
-    }
-}
-
 /// An upstream at which an attempt broke a moment ago.
 #[derive(Debug, Clone, Copy)]
 struct BrokenUpstream {
--- a/crates/savorywood-gateway/src/quarantine/report.rs
+++ b/crates/savorywood-gateway/src/quarantine/report.rs
@@ -1,6 +1,6 @@
 //! What daemons send each other of crashes.
 
-use super::{CrashMark, QuarantineBook, QuarantineEntry, RequestFingerprint};
+use super::{CrashMark, QuarantineBook, RequestFingerprint, entry::QuarantineEntry};
 use savorywood_protocol::MonotonicTime;
 use serde::{Deserialize, Serialize};
 use std::{cmp::Reverse, ops::Bound, time::Duration};
--- a/crates/savorywood-gateway/tests/common/bystanders.rs
+++ b/crates/savorywood-gateway/tests/common/bystanders.rs
@@ -1,7 +1,10 @@
 //! Requests that run beside one that crashes upstreams.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
-use crate::crashes::{CrashField, RequestEnd, RequestName};
+use crate::{
+    callers::SeededDraws,
+    crashes::{CrashField, RequestEnd, RequestName},
+};
 use savorywood_gateway::RefusalReason;
 
 /// Repeats of a request that broke.
@@ -9,19 +12,6 @@
 /// Rounds for which a request runs at most.
 const MOST_ROUNDS: usize = 8;
 
-/// Evenly drawn numbers (SplitMix64).
-pub struct DrawSequence(pub u64);
-
-impl DrawSequence {
-    pub fn below(&mut self, end: usize) -> usize {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.0;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        (mixed ^ (mixed >> 31)) as usize % end
-    }
-}
-
 /// A request that harms nobody.
 pub struct Bystander {
     name: RequestName,
@@ -39,7 +29,7 @@
 }
 
 impl Bystander {
-    pub fn new(field: &mut CrashField, draws: &mut DrawSequence, path: String) -> Self {
+    pub fn new(field: &mut CrashField, draws: &mut SeededDraws, path: String) -> Self {
         let name = field.send_sound(draws.below(8), &path);
         Self {
             name,
@@ -50,7 +40,7 @@
     }
 
     /// A round passes: it is answered, runs on, or comes again.
-    pub fn advance(mut self, field: &mut CrashField, draws: &mut DrawSequence) -> BystanderEnd {
+    pub fn advance(mut self, field: &mut CrashField, draws: &mut SeededDraws) -> BystanderEnd {
         match field.ends.get(&self.name) {
             Some(RequestEnd::Served) => BystanderEnd::Served,
             Some(RequestEnd::Refused(RefusalReason::Quarantined)) => BystanderEnd::Quarantined,
--- a/crates/savorywood-gateway/tests/common/limits.rs
+++ b/crates/savorywood-gateway/tests/common/limits.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the field")]
 
 use crate::{
+    callers::SeededDraws,
     field::{DaemonField, zone},
     scene::{arrival, upstream},
 };
@@ -22,19 +23,6 @@
 const KNOWN_TIME: Duration = Duration::from_millis(500);
 const SLOTS: u32 = 4;
 
-/// Evenly drawn numbers (SplitMix64).
-pub struct DrawSequence(pub u64);
-
-impl DrawSequence {
-    pub fn below(&mut self, end: usize) -> usize {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.0;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        (mixed ^ (mixed >> 31)) as usize % end
-    }
-}
-
 /// A request at an upstream.
 struct RunningRequest {
     daemon: usize,
@@ -68,7 +56,7 @@
 /// Daemons, upstreams with limits, and what was sent where.
 pub struct LimitField {
     pub field: DaemonField,
-    pub draws: DrawSequence,
+    pub draws: SeededDraws,
     /// Requests that come in a step to all daemons together.
     pub arrivals: usize,
     pub tally: LimitTally,
@@ -93,7 +81,7 @@
         });
         let mut field = Self {
             field: DaemonField::new(daemons),
-            draws: DrawSequence(seed),
+            draws: SeededDraws(seed),
             arrivals: 2,
             tally: LimitTally::default(),
             entries: entries.collect(),
--- a/crates/savorywood-gateway/tests/quarantine.rs
+++ b/crates/savorywood-gateway/tests/quarantine.rs
@@ -11,7 +11,8 @@
 #[path = "common/scene.rs"]
 mod scene;
 
-use bystanders::{Bystander, BystanderEnd, DrawSequence};
+use bystanders::{Bystander, BystanderEnd};
+use callers::SeededDraws;
 use crashes::{CRASHING_PATH, CrashField, MOST_RETRIES, RequestEnd};
 use quickcheck::quickcheck;
 use savorywood_gateway::{
@@ -245,7 +246,7 @@
 /// Eight daemons with twelve new requests a round, each of which runs for one to eight rounds and
 /// comes again twice if it breaks, beside a crashing one that comes every few rounds.
 fn play_bystanders(seed: u64) -> BystanderTally {
-    let mut draws = DrawSequence(seed);
+    let mut draws = SeededDraws(seed);
     let mut field = CrashField::new(8);
     let mut tally = BystanderTally::default();
     let mut open: Vec<Bystander> = Vec::new();
