What an earlier era of the store acknowledged counts for nothing

What operators would see: the end of a roll-out that is missing from the store for good, or a request that is refused again after a start, as writes that were acknowledged just before a restore counted as done. Found by reading the change. Cause: the answer of a write was judged by its status alone. Change: it carries the era, and one of an earlier era is taken as not accepted; rows of quarantines that were removed are removed once more. The tests failed before: they do not compile without the era; with it ignored no second write comes.

--- a/crates/savorywood-front/src/feeds/quarantine.rs
+++ b/crates/savorywood-front/src/feeds/quarantine.rs
@@ -69,10 +69,15 @@
     let call = shared.dialect.write_row(&table_write);
     let answer = link.call(&call, CALL_TIME).await;
     let accepted = matches!(&answer, Ok(answer) if answer.status == 200);
+    let era = answer.as_ref().map_or(0, |answer| shared.note_era(answer));
     log::info!(
         "event=quarantine-written fingerprint={} crashes={} accepted={accepted}",
         write.fingerprint,
         write.crashes.unwrap_or_default()
     );
-    shared.step(GatewayEvent::QuarantineWritten { write, accepted });
+    shared.step(GatewayEvent::QuarantineWritten {
+        write,
+        accepted,
+        era,
+    });
 }
--- a/crates/savorywood-front/src/feeds/rollouts.rs
+++ b/crates/savorywood-front/src/feeds/rollouts.rs
@@ -50,8 +50,11 @@
     if write.expected.version != 0 && write.expected.era != shared.era.get() {
         // The version that it expects may stand for another content by now.
         read_statuses(shared, link).await;
-        let (service, accepted) = (write.service, false);
-        return shared.step(GatewayEvent::RolloutWritten { service, accepted });
+        return shared.step(GatewayEvent::RolloutWritten {
+            service: write.service,
+            accepted: false,
+            era: write.expected.era,
+        });
     }
     let row = shared.dialect.rollout_row(&write);
     let table_write = TableWrite {
@@ -63,6 +66,7 @@
     let call = shared.dialect.write_row(&table_write);
     let answer = link.call(&call, CALL_TIME).await;
     let accepted = matches!(&answer, Ok(answer) if answer.status == 200);
+    let era = answer.as_ref().map_or(0, |answer| shared.note_era(answer));
     log::info!(
         "event=rollout-status-written service={} state={} expected={} accepted={accepted}",
         write.service,
@@ -74,6 +78,7 @@
     shared.step(GatewayEvent::RolloutWritten {
         service: write.service,
         accepted,
+        era,
     });
 }
 
--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -203,6 +203,8 @@
         service: ServiceLabel,
         /// It is known to be in the store.
         accepted: bool,
+        /// Era of the store that said so.
+        era: u64,
     },
     /// Another daemon reported itself.
     SummaryReceived(Box<PeerSummary>),
@@ -228,6 +230,8 @@
         write: QuarantineWrite,
         /// It is known to be in the store.
         accepted: bool,
+        /// Era of the store that said so.
+        era: u64,
     },
     /// What this process uses of its host was measured.
     LoadMeasured(HostResources),
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -276,7 +276,12 @@
             }
             GatewayEvent::RolloutOrdered(order) => self.rollout_ordered(now, order, effects),
             GatewayEvent::RolloutRead(status) => self.rollouts.read(&status),
-            GatewayEvent::RolloutWritten { service, accepted } => {
+            GatewayEvent::RolloutWritten {
+                service,
+                accepted,
+                era,
+            } => {
+                let accepted = accepted && era >= self.store_era();
                 self.rollouts.written(now, &service, accepted);
             }
             GatewayEvent::SummaryReceived(summary) => self.summary_received(now, *summary, effects),
@@ -292,7 +297,12 @@
             GatewayEvent::CrashesReported(gossip) => self.crashes_reported(now, &gossip, effects),
             GatewayEvent::LimitsReported(gossip) => self.limits_reported(now, &gossip, effects),
             GatewayEvent::QuarantineRead(rows) => self.quarantine_read(now, &rows, effects),
-            GatewayEvent::QuarantineWritten { write, accepted } => {
+            GatewayEvent::QuarantineWritten {
+                write,
+                accepted,
+                era,
+            } => {
+                let accepted = accepted && era >= self.store_era();
                 self.quarantine.written(write, accepted);
             }
             GatewayEvent::LoadMeasured(load) => self.load = load,
--- a/crates/savorywood-gateway/src/quarantine.rs
+++ b/crates/savorywood-gateway/src/quarantine.rs
@@ -298,10 +298,13 @@
         }
     }
 
-    /// The store was restored: rows that were written may be lost.
+    /// The store was restored: rows that were written may be lost, and removed ones back.
     pub fn store_restored(&mut self) {
         for entry in self.entries.values_mut() {
-            entry.row = RowState::Absent;
+            entry.row = match entry.row {
+                RowState::Removed => RowState::Read,
+                _ => RowState::Absent,
+            };
             entry.timer = RowTimer::default();
         }
     }
@@ -315,7 +318,7 @@
         let mut writes = Vec::new();
         for (fingerprint, entry) in &mut self.entries {
             let wants_row = entry.wants_row(now);
-            let is_due = wants_row == (entry.row == RowState::Absent);
+            let is_due = wants_row != entry.row.is_there();
             let is_own = entry.row == RowState::Written || holds(*fingerprint);
             if !is_due || now < entry.timer.due_at || !is_own {
                 continue;
@@ -338,7 +341,7 @@
             entry.row = if write.crashes.is_some() {
                 RowState::Written
             } else {
-                RowState::Absent
+                RowState::Removed
             };
             entry.timer = RowTimer::default();
         }
@@ -367,8 +370,11 @@
     pub fn sweep(&mut self, now: MonotonicTime) {
         let is_kept = |entry: &QuarantineEntry| {
             // Its row is removed first, or the next start would bring it back.
-            let has_row = entry.row != RowState::Absent;
-            !entry.is_forgotten(if has_row { now - SUSPECT_TIME } else { now })
+            !entry.is_forgotten(if entry.row.is_there() {
+                now - SUSPECT_TIME
+            } else {
+                now
+            })
         };
         self.entries.retain(|_, entry| is_kept(entry));
         self.upstreams
--- a/crates/savorywood-gateway/src/quarantine/entry.rs
+++ b/crates/savorywood-gateway/src/quarantine/entry.rs
@@ -24,6 +24,18 @@
     Read,
     /// This daemon wrote it.
     Written,
+    /// This daemon removed it.
+    Removed,
+}
+
+impl RowState {
+    /// It is in the store.
+    pub fn is_there(self) -> bool {
+        match self {
+            Self::Read | Self::Written => true,
+            Self::Absent | Self::Removed => false,
+        }
+    }
 }
 
 /// When the row of an entry may be written next.
--- a/crates/savorywood-gateway/tests/common/crashes.rs
+++ b/crates/savorywood-gateway/tests/common/crashes.rs
@@ -161,7 +161,14 @@
                 None => self.rows.remove(&write.fingerprint),
             };
         }
-        self.step(daemon, GatewayEvent::QuarantineWritten { write, accepted });
+        self.step(
+            daemon,
+            GatewayEvent::QuarantineWritten {
+                write,
+                accepted,
+                era: 0,
+            },
+        );
     }
 
     /// All daemons start again at once; `reads`: they read what the store keeps.
--- a/crates/savorywood-gateway/tests/restoring.rs
+++ b/crates/savorywood-gateway/tests/restoring.rs
@@ -5,9 +5,11 @@
 
 use quickcheck::quickcheck;
 use savorywood_gateway::{
-    EvacuationOrder, GatewayEffect, GatewayEvent, RolloutOrder, RolloutPhase, RolloutStatus,
-    RolloutWrite, ServiceLabel, StorePosition, UpstreamEntry, VersionLabel, ZoneLabel,
+    ContentDigest, EvacuationOrder, GatewayEffect, GatewayEvent, QuarantineBook,
+    RequestFingerprint, RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite, ServiceLabel,
+    StorePosition, UpstreamEntry, VersionLabel, ZoneLabel,
 };
+use savorywood_protocol::MonotonicTime;
 use scene::{GatewayScene, arrival, upstream};
 use std::time::Duration;
 
@@ -182,8 +184,11 @@
         for write in rollout_writes(&mut scene) {
             last = Some(write.phase);
             let service = service.clone();
-            let accepted = true;
-            scene.step(GatewayEvent::RolloutWritten { service, accepted });
+            scene.step(GatewayEvent::RolloutWritten {
+                service,
+                accepted: true,
+                era: 1,
+            });
             scene.step(GatewayEvent::RolloutRead(status(last, position(1, 60))));
         }
     }
@@ -204,6 +209,49 @@
     );
 }
 
+/// Guards against an end of a roll-out that is lost, as it was acknowledged just before a restore.
+#[test]
+fn a_write_that_an_earlier_era_acknowledged_is_made_again() {
+    let mut scene = scene();
+    scene.step(GatewayEvent::RolloutOrdered(rollout(1, 50)));
+    pass(&mut scene, Duration::from_secs(1));
+    assert_eq!(rollout_writes(&mut scene).len(), 1);
+    scene.step(GatewayEvent::StoreEraSeen(2));
+    scene.step(GatewayEvent::RolloutWritten {
+        service: ServiceLabel::from("engine"),
+        accepted: true,
+        era: 1,
+    });
+    pass(&mut scene, Duration::from_secs(1));
+    assert_eq!(rollout_writes(&mut scene).len(), 1);
+}
+
+/// Guards against a row of a request that is no longer in quarantine, brought back by the backup and
+/// read at the next start.
+#[test]
+fn a_row_of_a_quarantine_that_ended_is_removed_again() {
+    let mut book = QuarantineBook::default();
+    let now = MonotonicTime(1_000_000_000);
+    let request = RequestFingerprint::new(ContentDigest(1), None);
+    for upstream in 1..=3 {
+        book.broke(now, request, upstream);
+    }
+    let write_all = |book: &mut QuarantineBook| {
+        let writes = book.due_writes(now, |_| true);
+        for write in &writes {
+            book.written(*write, true);
+        }
+        writes.iter().map(|write| write.crashes).collect::<Vec<_>>()
+    };
+    assert_eq!(write_all(&mut book), [Some(3)]);
+    book.store_restored();
+    assert_eq!(write_all(&mut book), [Some(3)]);
+    book.served(now, request);
+    assert_eq!(write_all(&mut book), [None]);
+    book.store_restored();
+    assert_eq!(write_all(&mut book), [None]);
+}
+
 quickcheck! {
     /// Guards against eras that fall: an answer of an earlier copy may come last.
     fn the_era_never_falls(eras: Vec<u8>) -> bool {
--- a/crates/savorywood-gateway/tests/rollouts.rs
+++ b/crates/savorywood-gateway/tests/rollouts.rs
@@ -132,7 +132,11 @@
         }
         let service = write.service.clone();
         let accepted = holds && !play_options.lose_writes;
-        daemon.step(GatewayEvent::RolloutWritten { service, accepted });
+        daemon.step(GatewayEvent::RolloutWritten {
+            service,
+            accepted,
+            era: 1,
+        });
         daemon.step(GatewayEvent::RolloutRead(status(stored.as_ref())));
     }
 }
