A crash is known by its number at an upstream, not by the time of its report

Cause: two reports were taken for one crash if their times were less than a second apart; a daemon that was frozen reads reports of several rounds at once, whose ages then give other times. Ruled out: breaks that were no crashes (the logs have two attempt-broken lines in all). Change: a crash carries the number that it has at its upstream, given where it was seen; reports merge by upstream and number.

--- a/crates/savorywood-gateway/src/gateway/learning.rs
+++ b/crates/savorywood-gateway/src/gateway/learning.rs
@@ -91,7 +91,7 @@
                 state.pace.saw_first(prompt, elapsed);
             }
         }
-        self.note_alive(&upstream, sent_at);
+        self.note_alive(now, &upstream, sent_at);
         self.note_limit(now, &upstream, sent_at, marks.limit, effects);
         self.mark(now, &upstream, marks);
     }
@@ -138,7 +138,7 @@
         let output = record.output;
         if outcome.was_received() {
             self.fleet.received(now, &attempt.upstream);
-            self.note_alive(&attempt.upstream, attempt.sent_at);
+            self.note_alive(now, &attempt.upstream, attempt.sent_at);
         }
         if let AttemptOutcome::Delivered { events, .. } = outcome {
             let seen = SeenAnswer {
--- a/crates/savorywood-gateway/src/gateway/quarantine.rs
+++ b/crates/savorywood-gateway/src/gateway/quarantine.rs
@@ -91,9 +91,14 @@
     }
 
     /// An upstream answered what was sent there at a moment.
-    pub(super) fn note_alive(&mut self, upstream: &UpstreamLabel, sent_at: MonotonicTime) {
+    pub(super) fn note_alive(
+        &mut self,
+        now: MonotonicTime,
+        upstream: &UpstreamLabel,
+        sent_at: MonotonicTime,
+    ) {
         if let Some(state) = self.fleet.get(upstream) {
-            self.quarantine.answered(state.digest, sent_at);
+            self.quarantine.answered(now, state.digest, sent_at);
         }
     }
 
--- a/crates/savorywood-gateway/src/quarantine.rs
+++ b/crates/savorywood-gateway/src/quarantine.rs
@@ -122,7 +122,8 @@
 #[derive(Debug, Clone, Copy)]
 struct BrokenUpstream {
     at: MonotonicTime,
-    is_refuted: bool,
+    /// When it answered what was sent to it after that.
+    answered_at: Option<MonotonicTime>,
 }
 
 /// Crashes by request, as this daemon and its peers saw them.
@@ -146,18 +147,15 @@
         if self.served.covers(fingerprint, now) {
             return QuarantineChange::None;
         }
-        let mark = CrashMark {
-            upstream: slot_key(upstream),
-            at: now,
-        };
+        let upstream = slot_key(upstream);
         let broken = BrokenUpstream {
             at: now,
-            is_refuted: false,
+            answered_at: None,
         };
-        self.upstreams.insert(mark.upstream, broken);
+        self.upstreams.insert(upstream, broken);
         let entry = self.entries.entry(fingerprint).or_default();
         let was_quarantined = entry.is_quarantined();
-        if !entry.evidence.add(mark) {
+        if !entry.evidence.add(now, upstream) {
             return QuarantineChange::None;
         }
         entry.own_changed_at = Some(now);
@@ -189,20 +187,19 @@
 
     /// An upstream answered what was sent to it at a moment. If an attempt broke there shortly
     /// before, its connection was lost and the upstream lives.
-    pub fn answered(&mut self, upstream: u64, sent_at: MonotonicTime) {
+    pub fn answered(&mut self, now: MonotonicTime, upstream: u64, sent_at: MonotonicTime) {
         let upstream = slot_key(upstream);
         let Some(broken) = self.upstreams.get_mut(&upstream) else {
             return;
         };
         let at = broken.at;
         let is_later = sent_at > at + REFUTE_MARGIN && sent_at < at + REFUTE_TIME;
-        if broken.is_refuted || !is_later {
+        if broken.answered_at.is_some() || !is_later {
             return;
         }
-        broken.is_refuted = true;
-        let mark = CrashMark { upstream, at };
+        broken.answered_at = Some(now);
         for entry in self.entries.values_mut() {
-            entry.evidence.withdraw(mark);
+            entry.evidence.withdraw(upstream, at);
         }
     }
 
@@ -257,7 +254,7 @@
         let was_quarantined = entry.is_quarantined();
         let mut is_changed = served_at.is_some_and(|at| entry.evidence.clear(at));
         for mark in marks {
-            is_changed |= entry.evidence.add(mark);
+            is_changed |= entry.evidence.take(mark);
         }
         if !is_changed && entry.evidence.restore(report.stored) {
             entry.tried_at = now;
@@ -278,13 +275,8 @@
 
     fn is_refuted(&self, mark: CrashMark) -> bool {
         let broken = self.upstreams.get(&mark.upstream);
-        broken.is_some_and(|broken| {
-            let known = CrashMark {
-                upstream: mark.upstream,
-                at: broken.at,
-            };
-            broken.is_refuted && known.is_same(mark)
-        })
+        let answered_at = broken.and_then(|broken| broken.answered_at);
+        answered_at.is_some_and(|answered_at| mark.at <= answered_at)
     }
 
     /// Requests in quarantine as the store keeps them.
--- a/crates/savorywood-gateway/src/quarantine/evidence.rs
+++ b/crates/savorywood-gateway/src/quarantine/evidence.rs
@@ -6,8 +6,7 @@
 
 /// Crashes that are kept; more say nothing new.
 const MOST_MARKS: usize = 8;
-/// Two daemons that report a crash of one upstream within this time saw the same one: it needs
-/// longer to start again.
+/// An upstream needs longer to start again: what breaks there within this time broke in one crash.
 const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
 
 /// An upstream that crashed under a request.
@@ -15,19 +14,13 @@
 pub struct CrashMark {
     /// Half of the digest of its name.
     pub upstream: u32,
+    /// Which of its crashes under the request, from 1. Reports of one crash are known by it, as their
+    /// times depend on how long they lay unread.
+    pub number: u8,
     /// When.
     pub at: MonotonicTime,
 }
 
-impl CrashMark {
-    /// Both are of one crash.
-    #[must_use]
-    pub fn is_same(self, other: Self) -> bool {
-        let apart = self.at.since(other.at).max(other.at.since(self.at));
-        self.upstream == other.upstream && apart < SAME_CRASH_TIME
-    }
-}
-
 /// What speaks against a request.
 #[derive(Debug, Clone, Default)]
 pub struct CrashEvidence {
@@ -39,10 +32,30 @@
 }
 
 impl CrashEvidence {
-    /// Takes a crash; whether it was new and counts.
-    pub fn add(&mut self, mark: CrashMark) -> bool {
-        let is_known = self.marks.iter().any(|known| known.is_same(mark));
-        if is_known || self.is_covered(mark) || self.marks.len() >= MOST_MARKS {
+    /// An upstream crashed a moment ago; whether that was new and counts.
+    pub fn add(&mut self, now: MonotonicTime, upstream: u32) -> bool {
+        let there = self.marks.iter().filter(|mark| mark.upstream == upstream);
+        let newest = there.max_by_key(|mark| mark.number);
+        if newest.is_some_and(|mark| now.since(mark.at) < SAME_CRASH_TIME) {
+            return false;
+        }
+        let number = newest.map_or(0, |mark| mark.number).saturating_add(1);
+        self.take(CrashMark {
+            upstream,
+            number,
+            at: now,
+        })
+    }
+
+    /// Takes a crash that a peer reports; whether it was new and counts.
+    pub fn take(&mut self, mark: CrashMark) -> bool {
+        let is_same =
+            |known: &&mut CrashMark| (known.upstream, known.number) == (mark.upstream, mark.number);
+        if let Some(known) = self.marks.iter_mut().find(is_same) {
+            known.at = known.at.min(mark.at);
+            return false;
+        }
+        if self.is_covered(mark) || self.marks.len() >= MOST_MARKS {
             return false;
         }
         self.marks.push(mark);
@@ -54,9 +67,13 @@
             .is_some_and(|served_at| mark.at < served_at + SERVED_TIME)
     }
 
-    /// Drops a crash that was none.
-    pub fn withdraw(&mut self, mark: CrashMark) {
-        self.marks.retain(|known| !known.is_same(mark));
+    /// Drops what was taken for a crash of an upstream around a moment.
+    pub fn withdraw(&mut self, upstream: u32, at: MonotonicTime) {
+        let is_it = |mark: &CrashMark| {
+            let apart = mark.at.since(at).max(at.since(mark.at));
+            mark.upstream == upstream && apart < SAME_CRASH_TIME
+        };
+        self.marks.retain(|mark| !is_it(mark));
     }
 
     /// The request was answered in whole; whether that was not known.
--- a/crates/savorywood-gateway/src/quarantine/report.rs
+++ b/crates/savorywood-gateway/src/quarantine/report.rs
@@ -27,6 +27,8 @@
 pub struct CrashAge {
     /// Half of the digest of the upstream's name.
     pub upstream: u32,
+    /// Which of its crashes under the request, from 1.
+    pub number: u8,
     /// Milliseconds since the crash.
     pub age_ms: u32,
 }
@@ -63,6 +65,7 @@
     pub fn mark(self, now: MonotonicTime) -> CrashMark {
         CrashMark {
             upstream: self.upstream,
+            number: self.number,
             at: now - Duration::from_millis(u64::from(self.age_ms)),
         }
     }
@@ -73,6 +76,7 @@
         let evidence = &entry.evidence;
         let crashes = evidence.marks().iter().map(|mark| CrashAge {
             upstream: mark.upstream,
+            number: mark.number,
             age_ms: millis(now.since(mark.at)),
         });
         Self {
--- a/crates/savorywood-gateway/tests/quarantine.rs
+++ b/crates/savorywood-gateway/tests/quarantine.rs
@@ -330,6 +330,36 @@
     }
 }
 
+/// Guards against one crash that counts several times as its reports lay unread during a freeze.
+#[test]
+fn a_report_that_is_read_late_counts_once() {
+    let start = MonotonicTime(1_000_000_000);
+    let mut sender = QuarantineBook::default();
+    sender.broke(start, fingerprint(0), 1);
+    sender.broke(start, fingerprint(0), 2);
+    let mut frozen = QuarantineBook::default();
+    let round = Duration::from_millis(250);
+    let wake = start + Duration::from_secs(9);
+    for number in 0..4 {
+        let sent = start + round * number;
+        for report in sender.reports(sent, ReportScope::Daemon, round) {
+            let read = wake + Duration::from_millis(u64::from(number) * 900);
+            frozen.merge(read, &report, true);
+        }
+    }
+    assert_eq!(frozen.verdict(fingerprint(0)), QuarantineVerdict::Clear);
+}
+
+/// Guards against crashes of one upstream that count once, however often it starts under its name.
+#[test]
+fn each_crash_of_an_upstream_that_comes_back_counts() {
+    let mut book = QuarantineBook::default();
+    for second in [10, 14, 18] {
+        book.broke(MonotonicTime(second * 1_000_000), fingerprint(0), 1);
+    }
+    assert_ne!(book.verdict(fingerprint(0)), QuarantineVerdict::Clear);
+}
+
 quickcheck! {
     /// Guards against daemons that disagree as messages came in another order, twice or not at all.
     fn reports_merge_alike_in_any_order(crashes: Vec<(u8, u8, u16)>, order: Vec<usize>) -> bool {
@@ -342,6 +372,7 @@
                 crashes: vec![CrashAge {
                     // One crash of each upstream: when two are the same is not a matter of order.
                     upstream: u32::from(*upstream % 4),
+                    number: 1,
                     age_ms: u32::from(*at % 900),
                 }],
                 stored: 0,
