One arm for both ways in which an upstream ends under a request; a word

Cause: note_crash held the same two lines twice, once for a broken answer and once for a broken stream; a comment used a figurative word. Change: one arm; no decision changes. Measured: quarantine.rs 18 and restoring.rs 10 passed, clippy of the gateway.

--- a/crates/savorywood-gateway/src/gateway/quarantine.rs
+++ b/crates/savorywood-gateway/src/gateway/quarantine.rs
@@ -4,7 +4,7 @@
 use crate::{
     arrival::LocalRequest,
     effect::GatewayEffect,
-    event::AttemptOutcome,
+    event::{AttemptOutcome, StreamEnd},
     name::{TeamLabel, UpstreamLabel},
     peer::name_digest,
     quarantine::{
@@ -76,11 +76,8 @@
         };
         let fingerprint = record.fingerprint;
         let change = match outcome {
-            AttemptOutcome::Broken { silent: false } => {
-                let upstream = name_digest(attempt.upstream.as_str());
-                self.quarantine.broke(now, fingerprint, upstream)
-            }
-            AttemptOutcome::StreamBroken(end) if !end.silent => {
+            AttemptOutcome::Broken { silent: false }
+            | AttemptOutcome::StreamBroken(StreamEnd { silent: false, .. }) => {
                 let upstream = name_digest(attempt.upstream.as_str());
                 self.quarantine.broke(now, fingerprint, upstream)
             }
--- a/crates/savorywood-gateway/src/quarantine.rs
+++ b/crates/savorywood-gateway/src/quarantine.rs
@@ -7,7 +7,7 @@
 //! Each daemon notes which upstreams broke under which request, named by its fingerprint, and
 //! daemons merge what they noted: a set of crashes that only grows, so order and loss of messages
 //! do not matter. A request under which [`QUARANTINE_CRASHES`] upstreams have crashed is refused.
-//! Requests that merely ran beside it are told apart by what a crashing request never has: an
+//! Requests that merely ran beside it are distinguished by what a crashing request never has: an
 //! answer. One whole answer clears a fingerprint, and covers crashes that follow soon after.
 
 mod entry;
