A move's first share ends early enough for the proof of the larger ones

Seen: a_good_version_gets_all_traffic_by_its_time (KNOWN-RED) ended "taken-back" once, "too few requests proved it in time for the larger shares", beside load. Cause: the time of the first share was planned from the beginning of the move, but counted from the end of the ten seconds in which the old version is measured. So in a short move it always lasted to its latest end and took the whole reserve of the later shares, which then had just the time that their proof takes on the mean: 3.2 s each in a move of 75 s. Change: the first share's time is shorter by the measurement. Both ways of the same time: reserve for the later shares, or for a longer look at a small share; the plan's own words give the reserve to the later ones.

--- a/crates/savorywood-core/src/moves/driving.rs
+++ b/crates/savorywood-core/src/moves/driving.rs
@@ -3,7 +3,7 @@
 use super::{
     MoveView, MovesState, PlannedMove, RowWriting,
     judge::{JudgeVerdict, VersionJudge},
-    plan::{MOST_UNPROVEN, MovePlan},
+    plan::{MEASURED_FOR, MOST_UNPROVEN, MovePlan},
     planned_moves,
     row::{MoveRow, row_key},
     watching::EvidenceParcel,
@@ -24,10 +24,6 @@
 /// Slot of the holder's judgement, which sees the requests of all daemons.
 const HOLDER_SLOT: Duration = Duration::from_secs(1);
 
-/// The old version is watched for so long before the new one gets its first share: how many
-/// requests there are decides how large that share must be.
-const MEASURED_FOR: Duration = Duration::from_secs(10);
-
 /// A move as its driver knows it.
 #[derive(Debug)]
 pub(super) struct DrivenMove {
--- a/crates/savorywood-core/tests/move_faults.rs
+++ b/crates/savorywood-core/tests/move_faults.rs
@@ -59,6 +59,27 @@
     }
 }
 
+/// Guards against a first share that takes the time which larger shares need for their proof.
+#[test]
+fn a_good_version_is_done_in_time_by_a_short_move() {
+    let plan = LabPlan {
+        rate: 690.0,
+        later_rate: Some(250.0),
+        deadline: 75.0,
+        soak_seconds: 1,
+        hot: false,
+        ..LabPlan::default()
+    };
+    let ends = (1..=20).map(|seed| {
+        let mut lab = MoveLab::new(plan, seed);
+        lab.run_until(plan.deadline);
+        let is_done = lab.result.state == Some(MoveState::Completed);
+        (seed, is_done, lab.reason(0))
+    });
+    let missed: Vec<_> = ends.filter(|(_, is_done, _)| !is_done).collect();
+    assert!(missed.is_empty(), "{} of 20: {missed:?}", missed.len());
+}
+
 /// A version turns bad in one of the ways that the users name, at any time. Callers get errors or
 /// slow answers. It must be taken back by the deadline with few requests having met it, and get
 /// none a second after the first daemon saw it.
--- a/crates/savorywood-core/tests/support/move_lab.rs
+++ b/crates/savorywood-core/tests/support/move_lab.rs
@@ -52,6 +52,8 @@
     pub later_rate: Option<f64>,
     /// Seconds from the beginning to the deadline.
     pub deadline: f64,
+    /// Seconds with all traffic on the new version before the move is done.
+    pub soak_seconds: u32,
     /// Peer messages lost, in percent.
     pub drop: u32,
 }
@@ -66,6 +68,7 @@
             rate: 60.0,
             later_rate: None,
             deadline: 600.0,
+            soak_seconds: 60,
             drop: 10,
         }
     }
@@ -208,9 +211,12 @@
                 self.check_told();
             }
             let later = self.plan.later_rate.filter(|_| self.elapsed() >= 12.0);
-            let mean = later.unwrap_or(self.plan.rate) * STEP_MICROS as f64 / 1e6;
-            if self.rng.random_bool(mean.min(1.0)) {
-                self.request();
+            let mut due = later.unwrap_or(self.plan.rate) * STEP_MICROS as f64 / 1e6;
+            while due > 0.0 {
+                if self.rng.random_bool(due.min(1.0)) {
+                    self.request();
+                }
+                due -= 1.0;
             }
         }
         self.result.state = Some(self.state(0));
@@ -428,6 +434,7 @@
 }
 
 fn config(plan: &LabPlan) -> ConfigView {
+    let soak = plan.soak_seconds;
     let finish_by = WallTime(START_WALL_MS + (plan.deadline * 1_000.0) as u64);
     let texts = [
         r#"{"kind":"service","name":"map","spec":{"protocol":"model"},"revision":1}"#.to_owned(),
@@ -436,7 +443,7 @@
             .to_owned(),
         format!(
             r#"{{"kind":"move","name":"m","revision":3,"spec":{{"service":"map","from":"v1",
-            "to":"v2","finish_by":"{finish_by}"}}}}"#
+            "to":"v2","finish_by":"{finish_by}","soak_seconds":{soak}}}}}"#
         ),
     ];
     let mut view = ConfigView::default();
