After a restore of the store few daemons of a zone read it, the others get what differs

Seen: where one daemon of a zone reads the store for the others, each daemon read all registrations by itself after a restore: 16 reads by 16 daemons, 65 calls in ten seconds in place of 41. At 350 daemons that is 350 whole reads at once, which the store's rate bears for no table of 600 upstreams in several pages. Cause: all rows have a position of a later era then, so all counted as changed; a table over 32 kB is not passed on, and a feed with a gap forgot its position, without which a daemon reads whatever others attest to. Ruled out: passing the whole table on (bytes of a zone times daemons); ignoring positions (an order that is withdrawn and given again with the same text would be missed). Change: rows of different eras are compared by content; a gap keeps the position, so that attestations and passed-on rows still help; daemons that do not go first wait half a second on the mean before a whole read; rows after a restore are refused by a daemon that learned more than their sender before it, since it may hold what was lost. An answer of an earlier era than the newest known is dropped, and one that names no era counts as of the newest known, or a store that stops naming it would be read without end. Unit tests of the comparison and of who takes the rows.

--- a/crates/savorywood-front/src/edge.rs
+++ b/crates/savorywood-front/src/edge.rs
@@ -169,8 +169,8 @@
     /// Writes a row.
     fn write_row(&self, write: &TableWrite) -> StoreCall;
 
-    /// Era that an answer of the store names.
-    fn store_era(&self, headers: &HeaderList) -> u64;
+    /// Era that an answer of the store names, if it names one.
+    fn store_era(&self, headers: &HeaderList) -> Option<u64>;
 
     /// Reads an answer about rows of an era; `None` when it can't be read.
     fn page(&self, era: u64, body: &[u8]) -> Option<StorePage>;
--- a/crates/savorywood-front/src/feeds.rs
+++ b/crates/savorywood-front/src/feeds.rs
@@ -2,6 +2,7 @@
 //! after any gap.
 
 mod applying;
+mod known;
 mod members;
 mod quarantine;
 mod rollouts;
@@ -10,6 +11,7 @@
 pub use quarantine::keep_quarantine;
 pub use rollouts::keep_rollouts;
 
+use self::known::KnownRows;
 use crate::{
     clock::BootClock,
     edge::{StorePage, StoreRow, StoreTable},
@@ -24,11 +26,7 @@
     FreshnessClock, GatewayEvent, ReadPlan, SharedTable, StorePosition, TableKnowledge,
 };
 use savorywood_protocol::MonotonicTime;
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    rc::Rc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 /// Wait of one call for registrations; changes are answered at once.
 const UPSTREAMS_WAIT: Duration = Duration::from_millis(2_400);
@@ -72,8 +70,11 @@
     changed: StorePosition,
     /// The whole table was read once.
     was_read: bool,
-    /// Positions of the rows that are known.
-    positions: BTreeMap<String, StorePosition>,
+    /// The changes after `revision` can't be had one by one.
+    has_gap: bool,
+    /// Whole reads were left to other daemons of the zone since something was learned last.
+    has_yielded: bool,
+    known: KnownRows,
     /// Positions of rows that could not be read, so that each is logged once.
     unreadable: BTreeMap<String, StorePosition>,
     /// How the table was learned of last.
@@ -104,7 +105,9 @@
             revision: None,
             changed: StorePosition::default(),
             was_read: false,
-            positions: BTreeMap::new(),
+            has_gap: false,
+            has_yielded: false,
+            known: KnownRows::default(),
             unreadable: BTreeMap::new(),
             plan: ReadPlan::Direct,
             read_at: MonotonicTime::default(),
@@ -133,6 +136,11 @@
                     Timer::after(REST_TIME).await;
                     continue;
                 }
+                (Some(after), ReadPlan::Direct) if self.yields(after) => {
+                    self.yield_read().await;
+                    continue;
+                }
+                (Some(after), _) if self.needs_whole_read(after) => self.read_all().await,
                 (Some(after), ReadPlan::CatchUp) => self.follow(after, Duration::ZERO).await,
                 (Some(after), ReadPlan::Direct) if !due => self.follow(after, self.wait()).await,
                 _ => self.read_all().await,
@@ -147,6 +155,29 @@
         }
     }
 
+    /// What changed since a position can't be had one by one.
+    fn needs_whole_read(&self, after: StorePosition) -> bool {
+        self.has_gap || after.era < self.shared.gateway.borrow().store_era()
+    }
+
+    /// The daemons of the zone that go first read the whole table, and pass on what has changed.
+    fn yields(&self, after: StorePosition) -> bool {
+        let is_first = self.shared.gateway.borrow().reads_first(BootClock.now());
+        !self.has_yielded && !is_first && self.needs_whole_read(after)
+    }
+
+    /// A call failed: whole reads wait for the pause after it alone.
+    fn note_failure(&mut self) {
+        self.has_gap = true;
+        self.has_yielded = true;
+    }
+
+    async fn yield_read(&mut self) {
+        self.has_yielded = true;
+        let jitter = 0.5 + fastrand::f64();
+        self.rest_for(FIRST_STANDBY_PAUSE.mul_f64(jitter)).await;
+    }
+
     fn note_plan(&mut self, plan: ReadPlan) {
         if self.plan != plan {
             self.plan = plan;
@@ -202,7 +233,7 @@
         };
         let push = future::or(pushed, pause).await;
         // Rows after a gap are not enough: what lies in it is read.
-        let Some(push) = push.filter(|push| push.after <= known && push.through > known) else {
+        let Some(push) = push.filter(|push| push.completes(known)) else {
             return;
         };
         for row in &push.rows {
@@ -218,13 +249,11 @@
     fn know(&mut self, rows: &[StoreRow], through: StorePosition, proof_at: Option<MonotonicTime>) {
         for row in rows {
             self.changed = self.changed.max(row.position);
-            if row.value.is_some() {
-                self.positions.insert(row.key.clone(), row.position);
-            } else {
-                self.positions.remove(&row.key);
-            }
+            self.known.note(row);
         }
         self.revision = Some(through);
+        self.has_gap = false;
+        self.has_yielded = false;
         let knowledge = TableKnowledge {
             through,
             changed: self.changed,
@@ -304,46 +333,30 @@
         };
         self.read_at = BootClock.now();
         self.apply_all(&rows, page.revision);
-        let positions = rows.iter().map(|row| (row.key.clone(), row.position));
-        let positions: BTreeMap<String, StorePosition> = positions.collect();
+        let before = self.revision.unwrap_or_default();
         let changed = self.changed;
-        let differences = if self.was_read {
-            self.differences(rows, page.revision)
-        } else {
-            Vec::new()
-        };
-        if positions != self.positions {
+        let differences = self.known.replace(rows, page.revision);
+        // After a restore other daemons may hold what the store has lost.
+        let is_changed = before.era < page.revision.era || !differences.is_empty();
+        if is_changed {
             // A row that is missing was removed at a version that this answer does not report.
             self.changed = page.revision;
-            self.positions = positions;
         }
-        self.was_read = true;
         self.know(&[], page.revision, None);
         self.confirm(&page, &answer);
-        if !differences.is_empty() {
-            self.push(changed, page.revision, differences).await;
+        if std::mem::replace(&mut self.was_read, true) && is_changed {
+            let push = RowsPush {
+                table: self.shared_table(),
+                after: changed,
+                before,
+                through: page.revision,
+                rows: differences,
+            };
+            self.sources.peers.push(&self.shared, push).await;
         }
         Ok(())
     }
 
-    /// Rows of a full read that were not known, and removals of known rows that it lacks.
-    fn differences(&self, rows: Vec<StoreRow>, revision: StorePosition) -> Vec<StoreRow> {
-        let keys: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
-        let missing = self
-            .positions
-            .keys()
-            .filter(|key| !keys.contains(key.as_str()));
-        let removed: Vec<StoreRow> = missing
-            .map(|key| StoreRow {
-                key: key.clone(),
-                value: None,
-                position: revision,
-            })
-            .collect();
-        let is_new = |row: &StoreRow| self.positions.get(&row.key) != Some(&row.position);
-        rows.into_iter().filter(is_new).chain(removed).collect()
-    }
-
     async fn follow(&mut self, after: StorePosition, wait: Duration) -> Result<(), String> {
         let call = self
             .shared
@@ -352,16 +365,19 @@
         let answer = self.link.call(&call, wait + FEED_MARGIN).await;
         if matches!(&answer, Ok(answer) if answer.status == 410) {
             log::info!("event=feed-gap table={} after={after}", self.table);
-            self.revision = None;
+            self.has_gap = true;
             return Ok(());
         }
-        let answer = self.accept(answer).inspect_err(|_| self.revision = None)?;
-        let page = self.page(&answer)?;
+        let page = self.accept(answer).and_then(|answer| {
+            let page = self.page(&answer)?;
+            Ok((page, answer))
+        });
+        let (page, answer) = page.inspect_err(|_| self.note_failure())?;
         if page.revision.era != after.era {
             // The same version may stand for other changes there.
             let (table, revision) = (self.table, page.revision);
             log::warn!("event=feed-restored table={table} after={after} now={revision}");
-            self.revision = None;
+            self.has_gap = true;
             return Ok(());
         }
         for row in &page.rows {
@@ -372,7 +388,14 @@
         self.know(&page.rows, through, None);
         self.confirm(&page, &answer);
         if !page.rows.is_empty() {
-            self.push(changed, through, page.rows).await;
+            let push = RowsPush {
+                table: self.shared_table(),
+                after: changed,
+                before: after,
+                through,
+                rows: page.rows,
+            };
+            self.sources.peers.push(&self.shared, push).await;
             let readers = self.shared.gateway.borrow().readers(BootClock.now());
             let pause = CHANGE_PAUSE.saturating_mul(readers);
             Timer::after(pause.min(LONGEST_CHANGE_PAUSE)).await;
@@ -380,18 +403,6 @@
         Ok(())
     }
 
-    /// Passes changed rows on. Whoever knows the last change before them, at `changed`, knows all
-    /// with them.
-    async fn push(&self, changed: StorePosition, through: StorePosition, rows: Vec<StoreRow>) {
-        let push = RowsPush {
-            table: self.shared_table(),
-            after: changed,
-            through,
-            rows,
-        };
-        self.sources.peers.push(&self.shared, push).await;
-    }
-
     fn accept(&self, answer: Result<StoreAnswer, StoreFault>) -> Result<StoreAnswer, String> {
         let outcome = match &answer {
             Ok(answer) if answer.status == 200 => "ok",
@@ -409,6 +420,9 @@
 
     fn page(&self, answer: &StoreAnswer) -> Result<StorePage, String> {
         let era = self.shared.note_era(answer);
+        if era < self.shared.gateway.borrow().store_era() {
+            return Err("an answer from before the store was restored".to_owned());
+        }
         let page = self.shared.dialect.page(era, &answer.body);
         page.ok_or_else(|| "an answer that can't be read".to_owned())
     }
--- /dev/null
+++ b/crates/savorywood-front/src/feeds/known/tests.rs
@@ -0,0 +1,67 @@
+use super::KnownRows;
+use crate::{edge::StoreRow, peers::RowsPush};
+use savorywood_gateway::{SharedTable, StorePosition};
+
+fn row(key: &str, value: &str, era: u64, version: u64) -> StoreRow {
+    StoreRow {
+        key: key.to_owned(),
+        value: Some(value.as_bytes().to_vec()),
+        position: StorePosition::new(era, version),
+    }
+}
+
+fn keys(rows: &[StoreRow]) -> Vec<&str> {
+    rows.iter().map(|row| row.key.as_str()).collect()
+}
+
+/// Guards against a restore after which every row counts as changed.
+#[test]
+fn a_restored_table_differs_by_what_the_backup_lacks() {
+    let mut known = KnownRows::default();
+    let before = vec![
+        row("kept", "a", 1, 10),
+        row("rewritten", "new", 1, 20),
+        row("lost", "c", 1, 21),
+    ];
+    known.replace(before, StorePosition::new(1, 21));
+    let restored = vec![
+        row("kept", "a", 2, 10),
+        row("rewritten", "old", 2, 12),
+        row("removed-before", "d", 2, 13),
+    ];
+    let differences = known.replace(restored, StorePosition::new(2, 15));
+    assert_eq!(keys(&differences), ["rewritten", "removed-before", "lost"]);
+    assert_eq!(differences[2].value, None);
+}
+
+/// Guards against an order that is withdrawn and given again with the same text, and is not passed on.
+#[test]
+fn a_row_that_is_written_again_within_an_era_differs() {
+    let mut known = KnownRows::default();
+    known.replace(vec![row("order", "a", 1, 10)], StorePosition::new(1, 10));
+    let again = vec![row("order", "a", 1, 14)];
+    let differences = known.replace(again, StorePosition::new(1, 14));
+    assert_eq!(keys(&differences), ["order"]);
+}
+
+/// Guards against rows after a restore that are taken for all there is by a daemon that holds what was lost.
+#[test]
+fn a_daemon_that_holds_what_a_restore_lost_is_not_completed() {
+    let push = RowsPush {
+        table: SharedTable::Upstreams,
+        after: StorePosition::new(1, 10),
+        before: StorePosition::new(1, 20),
+        through: StorePosition::new(2, 12),
+        rows: Vec::new(),
+    };
+    assert!(push.completes(StorePosition::new(1, 10)));
+    assert!(push.completes(StorePosition::new(1, 20)));
+    assert!(!push.completes(StorePosition::new(1, 9)), "it lacks rows");
+    assert!(!push.completes(StorePosition::new(1, 21)), "it holds more");
+    assert!(!push.completes(StorePosition::new(2, 12)), "it knows all");
+    let same_era = RowsPush {
+        through: StorePosition::new(1, 30),
+        ..push
+    };
+    assert!(same_era.completes(StorePosition::new(1, 25)));
+}
--- a/crates/savorywood-front/src/peers.rs
+++ b/crates/savorywood-front/src/peers.rs
@@ -28,14 +28,27 @@
 pub struct RowsPush {
     /// Their table.
     pub table: SharedTable,
-    /// All changes up to this position were known before.
+    /// The last change that was known before. Whoever knows it lacks nothing but these rows.
     pub after: StorePosition,
+    /// All changes up to this position were known before. Where the store was restored since, whoever
+    /// knows more holds what it lost.
+    pub before: StorePosition,
     /// All changes up to this one are known with these rows.
     pub through: StorePosition,
     /// The rows, in order.
     pub rows: Vec<StoreRow>,
 }
 
+impl RowsPush {
+    /// Whoever knows all changes up to a position knows all with these rows, and did not before.
+    #[must_use]
+    pub fn completes(&self, known: StorePosition) -> bool {
+        let is_restored = self.before.era < self.through.era;
+        let holds_lost = is_restored && known > self.before;
+        self.after <= known && known < self.through && !holds_lost
+    }
+}
+
 /// What travels between daemons.
 #[derive(Debug, Serialize, Deserialize)]
 enum PeerDatagram {
--- a/crates/savorywood-front/src/shared.rs
+++ b/crates/savorywood-front/src/shared.rs
@@ -133,10 +133,13 @@
         })
     }
 
-    /// Notes the era that an answer of the store names, and returns it.
+    /// Notes the era that an answer of the store names, and returns it; the era known
+    /// so far where it names none.
     pub fn note_era(&self, answer: &StoreAnswer) -> u64 {
-        let era = self.dialect.store_era(&answer.headers);
-        let is_known = self.era.get() >= era && self.gateway.borrow().store_era() >= era;
+        let named = self.dialect.store_era(&answer.headers);
+        let known = self.gateway.borrow().store_era();
+        let era = named.unwrap_or(known);
+        let is_known = self.era.get() >= era && known >= era;
         if !is_known || !self.knows_era.replace(true) {
             self.era.set(self.era.get().max(era));
             self.step(GatewayEvent::StoreEraSeen(era));
