--- a/crates/savorywood-front/src/feeds.rs
+++ b/crates/savorywood-front/src/feeds.rs
@@ -5,6 +5,7 @@
 mod known;
 mod members;
 mod quarantine;
+mod reading;
 mod rollouts;
 
 pub use members::{keep_members, leave_members};
@@ -14,10 +15,10 @@
 use self::known::KnownRows;
 use crate::{
     clock::BootClock,
-    edge::{StorePage, StoreRow, StoreTable},
+    edge::{StoreRow, StoreTable},
     peers::{PeerSocket, RowsPush},
     shared::FrontShared,
-    store::{StoreAnswer, StoreFault, StoreLink},
+    store::StoreLink,
 };
 use async_channel::Receiver;
 use async_io::Timer;
@@ -304,137 +305,4 @@
             log::warn!("event=store-lost table={table} cause={cause:?}");
         }
     }
-
-    async fn read_all(&mut self) -> Result<(), String> {
-        let mut rows = Vec::new();
-        let mut first: Option<(StorePage, StoreAnswer)> = None;
-        let mut after: Option<String> = None;
-        loop {
-            let call = self.shared.dialect.read_rows(self.table, after.as_deref());
-            let answer = self.link.call(&call, CALL_TIME).await;
-            let answer = self.accept(answer)?;
-            let mut page = self.page(&answer)?;
-            let began = first
-                .as_ref()
-                .map_or(page.revision, |(page, _)| page.revision);
-            if page.revision.era != began.era {
-                return Err("the store was restored while a table was read".to_owned());
-            }
-            rows.append(&mut page.rows);
-            after = rows.last().map(|row: &StoreRow| row.key.clone());
-            let truncated = page.truncated;
-            first.get_or_insert((page, answer));
-            if !truncated || after.is_none() {
-                break;
-            }
-        }
-        let Some((page, answer)) = first else {
-            return Err("no page was read".to_owned());
-        };
-        self.read_at = BootClock.now();
-        self.apply_all(&rows, page.revision);
-        let before = self.revision.unwrap_or_default();
-        let changed = self.changed;
-        let differences = self.known.replace(rows, page.revision);
-        // After a restore other daemons may hold what the store has lost.
-        let is_changed = before.era < page.revision.era || !differences.is_empty();
-        if is_changed {
-            // A row that is missing was removed at a version that this answer does not report.
-            self.changed = page.revision;
-        }
-        self.know(&[], page.revision, None);
-        self.confirm(&page, &answer);
-        if std::mem::replace(&mut self.was_read, true) && is_changed {
-            let push = RowsPush {
-                table: self.shared_table(),
-                after: changed,
-                before,
-                through: page.revision,
-                rows: differences,
-            };
-            self.sources.peers.push(&self.shared, push).await;
-        }
-        Ok(())
-    }
-
-    async fn follow(&mut self, after: StorePosition, wait: Duration) -> Result<(), String> {
-        let call = self
-            .shared
-            .dialect
-            .feed_rows(self.table, after.version, wait);
-        let answer = self.link.call(&call, wait + FEED_MARGIN).await;
-        if matches!(&answer, Ok(answer) if answer.status == 410) {
-            log::info!("event=feed-gap table={} after={after}", self.table);
-            self.has_gap = true;
-            return Ok(());
-        }
-        let page = self.accept(answer).and_then(|answer| {
-            let page = self.page(&answer)?;
-            Ok((page, answer))
-        });
-        let (page, answer) = page.inspect_err(|_| self.note_failure())?;
-        if page.revision.era != after.era {
-            // The same version may stand for other changes there.
-            let (table, revision) = (self.table, page.revision);
-            log::warn!("event=feed-restored table={table} after={after} now={revision}");
-            self.has_gap = true;
-            return Ok(());
-        }
-        for row in &page.rows {
-            self.apply(row);
-        }
-        let through = page.revision.max(after);
-        let changed = self.changed;
-        self.know(&page.rows, through, None);
-        self.confirm(&page, &answer);
-        if !page.rows.is_empty() {
-            let push = RowsPush {
-                table: self.shared_table(),
-                after: changed,
-                before: after,
-                through,
-                rows: page.rows,
-            };
-            self.sources.peers.push(&self.shared, push).await;
-            let readers = self.shared.gateway.borrow().readers(BootClock.now());
-            let pause = CHANGE_PAUSE.saturating_mul(readers);
-            Timer::after(pause.min(LONGEST_CHANGE_PAUSE)).await;
-        }
-        Ok(())
-    }
-
-    fn accept(&self, answer: Result<StoreAnswer, StoreFault>) -> Result<StoreAnswer, String> {
-        let outcome = match &answer {
-            Ok(answer) if answer.status == 200 => "ok",
-            Ok(_) => "refused",
-            Err(_) => "failed",
-        };
-        let calls = &self.shared.metrics.store_calls;
-        calls.with_label_values(&[outcome]).inc();
-        match answer {
-            Ok(answer) if answer.status == 200 => Ok(answer),
-            Ok(answer) => Err(format!("status {}", answer.status)),
-            Err(fault) => Err(fault.to_string()),
-        }
-    }
-
-    fn page(&self, answer: &StoreAnswer) -> Result<StorePage, String> {
-        let era = self.shared.note_era(answer);
-        if era < self.shared.gateway.borrow().store_era() {
-            return Err("an answer from before the store was restored".to_owned());
-        }
-        let page = self.shared.dialect.page(era, &answer.body);
-        page.ok_or_else(|| "an answer that can't be read".to_owned())
-    }
-
-    /// Only the table with keys and routes proves that these are up to date.
-    fn confirm(&mut self, page: &StorePage, answer: &StoreAnswer) {
-        let at = self.freshness.proof(answer.exchange(page.store_micros));
-        if let Some(through) = self.revision {
-            self.know(&[], through, Some(at));
-        }
-        if self.table == StoreTable::Declared {
-            self.shared.step(GatewayEvent::Confirmed { at });
-        }
-    }
 }
