--- a/crates/savorywood-front/src/edge.rs
+++ b/crates/savorywood-front/src/edge.rs
@@ -74,7 +74,7 @@
 
 /// What a declared row says.
 #[derive(Debug, Clone)]
-pub enum DeclaredNews {
+pub enum DeclaredRow {
     /// A configuration.
     Config(Box<DeclaredConfig>),
     /// A roll-out.
@@ -176,7 +176,7 @@
     fn page(&self, era: u64, body: &[u8]) -> Option<StorePage>;
 
     /// Reads a declared row.
-    fn declared(&self, row: &StoreRow) -> DeclaredNews;
+    fn declared(&self, row: &StoreRow) -> DeclaredRow;
 
     /// Zone whose evacuation a declared row orders while it exists; `None` for any other row.
     fn evacuated_zone(&self, row: &StoreRow) -> Option<ZoneLabel>;
--- a/crates/savorywood-front/src/feeds/applying.rs
+++ b/crates/savorywood-front/src/feeds/applying.rs
@@ -1,7 +1,7 @@
 //! Rows of a table become events.
 
 use super::TableReader;
-use crate::edge::{DeclaredNews, StoreRow, StoreTable};
+use crate::edge::{DeclaredRow, StoreRow, StoreTable};
 use savorywood_gateway::{
     EvacuationOrder, GatewayEvent, StorePosition, UpstreamEntry, UpstreamLabel,
 };
@@ -77,14 +77,14 @@
             return;
         }
         match self.shared.dialect.declared(row) {
-            DeclaredNews::Config(config) => {
+            DeclaredRow::Config(config) => {
                 self.shared
                     .step(GatewayEvent::ConfigRead(Arc::from(config)));
             }
-            DeclaredNews::Rollout(order) => {
+            DeclaredRow::Rollout(order) => {
                 self.shared.step(GatewayEvent::RolloutOrdered(order));
             }
-            DeclaredNews::Unknown => self.note_unreadable(row),
+            DeclaredRow::Unknown => self.note_unreadable(row),
         }
     }
 }
--- a/crates/savorywood-front/src/lib.rs
+++ b/crates/savorywood-front/src/lib.rs
@@ -24,7 +24,7 @@
 mod wire;
 
 pub use edge::{
-    AnswerFacts, ArrivalFault, DeclaredNews, DirectoryQuery, DispatchFacts, FrontDialect,
+    AnswerFacts, ArrivalFault, DeclaredRow, DirectoryQuery, DispatchFacts, FrontDialect,
     RolloutRow, StorePage, StoreRow, StoreTable, TableWrite,
 };
 pub use run::{FrontError, run};
--- a/crates/savorywood-gateway/src/demand.rs
+++ b/crates/savorywood-gateway/src/demand.rs
@@ -8,7 +8,7 @@
 const RECENT_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which daemons do not know of each other's newest dispatches.
 const OVERDUE_TIME: Duration = Duration::from_millis(250);
-/// Arrivals of the most urgent work while a kept slot is lent.
+/// Arrivals of the most urgent work while a kept slot is used by other work.
 const MOST_LENT: f64 = 0.8;
 /// At most one in so many slots of an upstream is kept.
 const MOST_KEPT: u32 = 3;
--- a/crates/savorywood-gateway/src/gateway/updates.rs
+++ b/crates/savorywood-gateway/src/gateway/updates.rs
@@ -1,4 +1,4 @@
-//! News of configuration, upstreams, roll-outs and peers.
+//! Configuration, upstreams, roll-outs and peers as they change.
 
 use super::{Gateway, GatewayBounds, GatewayEffects};
 use crate::{
--- a/crates/savorywood-gateway/src/limit.rs
+++ b/crates/savorywood-gateway/src/limit.rs
@@ -119,7 +119,7 @@
     /// taken to use included.
     zone_total: f64,
     /// Own use that no message reported yet.
-    untold: f64,
+    unreported: f64,
     /// Units of a request, on the average of the newest.
     usual_units: f64,
     /// Own use lately, fading.
@@ -164,7 +164,7 @@
             own_total: 0,
             adopt_until: if fresh { now } else { now + ADOPT_TIME },
             zone_total: 0.0,
-            untold: 0.0,
+            unreported: 0.0,
             usual_units: 0.0,
             own_recent: 0.0,
             others_recent: 0.0,
@@ -223,7 +223,7 @@
 
     /// A message reports all that was used so far.
     pub fn reported(&mut self) {
-        self.untold = 0.0;
+        self.unreported = 0.0;
     }
 
     /// Time after which the limit has room again.
@@ -241,7 +241,7 @@
         self.tolerated.level -= units;
         self.own_total += units as u64;
         self.zone_total += units;
-        self.untold += units;
+        self.unreported += units;
         self.own_recent += units;
     }
 
--- a/crates/savorywood-gateway/src/limit/share.rs
+++ b/crates/savorywood-gateway/src/limit/share.rs
@@ -43,13 +43,13 @@
         }
         // What was not reported yet is left out: others' use of the same time is not known either,
         // and a daemon that saw its own alone would take the whole bucket.
-        let reported = (self.own_recent - self.untold).max(0.0);
+        let reported = (self.own_recent - self.unreported).max(0.0);
         let used = reported + self.others_recent;
         let share = if used > 0.0 { reported / used } else { even };
         let coming = self.coming_units(bucket);
         let share = share.max(even);
-        let left = (level + self.untold) * (share * SHARE_FACTOR).min(1.0) + coming * share;
-        let room = left - self.untold;
+        let left = (level + self.unreported) * (share * SHARE_FACTOR).min(1.0) + coming * share;
+        let room = left - self.unreported;
         query.draw * self.usual_units.min(query.units) < room
     }
 
--- a/crates/savorywood-gateway/tests/admission.rs
+++ b/crates/savorywood-gateway/tests/admission.rs
@@ -110,7 +110,7 @@
 }
 
 #[test]
-fn a_team_over_its_limit_is_told_when_to_come_back() {
+fn a_team_over_its_limit_gets_the_time_to_come_back() {
     let limit = TeamLimit {
         per_second: 2_000.0,
         burst: 2_000.0,
--- a/crates/savorywood-gateway/tests/deciding.rs
+++ b/crates/savorywood-gateway/tests/deciding.rs
@@ -143,7 +143,7 @@
 }
 
 /// Guards against large requests of the lowest rank that never get a slot: more urgent work comes
-/// all the time, and every slot that is kept for it is lent to short answers as soon as it is free.
+/// all the time, and every slot that is kept for it goes to short answers as soon as it is free.
 #[test]
 fn large_requests_of_the_lowest_rank_are_not_starved() {
     let mut world = LoadWorld::new(DAEMONS, &SLOWNESS, 4, vec![briefs(20.0), notes(40.0)]);
@@ -243,13 +243,13 @@
 #[test]
 fn news_of_scarce_seats_spare_urgent_callers_a_wait() {
     let reported = scarce_loads(true);
-    let untold = scarce_loads(false);
-    let (late, late_before) = (reported.not_in_time, untold.not_in_time);
+    let unreported = scarce_loads(false);
+    let (late, late_before) = (reported.not_in_time, unreported.not_in_time);
     assert!(
         f64::from(late) < f64::from(late_before) * 0.9,
         "{late} with slot updates, {late_before} without"
     );
-    let (full, full_before) = (reported.to_full, untold.to_full);
+    let (full, full_before) = (reported.to_full, unreported.to_full);
     assert!(
         full < full_before * 0.9,
         "{full:.3} with slot updates, {full_before:.3} without"
