The second crash under a request outlasts a start of all daemons

Would be seen: a request that crashes upstreams reaches them without end where all daemons start again between its crashes (BUDGET), as the third is never counted. Cause: the store had requests in quarantine alone, as a number of crashes, which could not be added to what daemons saw. Ruled out: a row from the first crash on: all that ran beside one crash has that much, so each would be written and removed. Change: from the second crash on a row names upstream and number of each, as reports between daemons do, so that a crash that is read and reported counts once. The number of crashes "from the store" goes out of reports and evidence.

--- a/crates/savorywood-front/src/feeds/quarantine.rs
+++ b/crates/savorywood-front/src/feeds/quarantine.rs
@@ -1,4 +1,4 @@
-//! Requests in quarantine in the store: what a start of all daemons must not forget.
+//! Requests under which upstreams crashed, in the store: what a start of all daemons must not forget.
 
 use super::{CALL_TIME, LONGEST_PAUSE};
 use crate::{
@@ -8,7 +8,7 @@
 };
 use async_channel::Receiver;
 use async_io::Timer;
-use savorywood_gateway::{GatewayEvent, QuarantineRow, QuarantineWrite, RequestFingerprint};
+use savorywood_gateway::{GatewayEvent, QuarantineRow, QuarantineWrite};
 use std::rc::Rc;
 
 /// Reads all rows once, then writes those that this daemon is to write.
@@ -47,19 +47,13 @@
     }
 }
 
-/// Reads a row: the fingerprint is its key, the number of crashes its value.
 fn read_row(row: &StoreRow) -> Option<QuarantineRow> {
     let value = std::str::from_utf8(row.value.as_deref()?).ok()?;
-    Some(QuarantineRow {
-        fingerprint: RequestFingerprint::parse(&row.key)?,
-        crashes: value.parse().ok()?,
-    })
+    QuarantineRow::parse(&row.key, value)
 }
 
 async fn write_row(shared: &FrontShared, link: &mut StoreLink, write: QuarantineWrite) {
-    let value = write
-        .crashes
-        .map(|crashes| crashes.to_string().into_bytes());
+    let value = write.value().map(String::into_bytes);
     let table_write = TableWrite {
         table: StoreTable::Quarantine,
         key: write.fingerprint.to_string(),
@@ -73,7 +67,7 @@
     log::info!(
         "event=quarantine-written fingerprint={} crashes={} accepted={accepted}",
         write.fingerprint,
-        write.crashes.unwrap_or_default()
+        write.crashes.as_ref().map_or(0, Vec::len)
     );
     shared.step(GatewayEvent::QuarantineWritten {
         write,
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -293,7 +293,7 @@
                 era,
             } => {
                 let accepted = accepted && era >= self.store_era();
-                self.quarantine.written(write, accepted);
+                self.quarantine.written(&write, accepted);
             }
             GatewayEvent::LoadMeasured(load) => self.load = load,
             GatewayEvent::SeedsRead(contacts) => self.learn_contacts(now, contacts),
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -66,7 +66,7 @@
 pub use quarantine::{
     CrashAge, CrashGossip, CrashMark, CrashReport, QUARANTINE_CRASHES, QuarantineBook,
     QuarantineChange, QuarantineRow, QuarantineVerdict, QuarantineWrite, ReportScope,
-    RequestFingerprint,
+    RequestFingerprint, StoredCrash,
 };
 pub use queue::RequestRank;
 pub use rate_limit::{
--- a/crates/savorywood-gateway/src/quarantine.rs
+++ b/crates/savorywood-gateway/src/quarantine.rs
@@ -13,10 +13,12 @@
 mod entry;
 mod evidence;
 mod report;
+mod row;
 mod served;
 
 pub use evidence::CrashMark;
 pub use report::{CrashAge, CrashGossip, CrashReport, ReportScope};
+pub use row::{QuarantineRow, QuarantineWrite, StoredCrash};
 
 use crate::{
     arrival::ContentDigest,
@@ -75,24 +77,6 @@
     }
 }
 
-/// A request in quarantine as the store keeps it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct QuarantineRow {
-    /// Which request.
-    pub fingerprint: RequestFingerprint,
-    /// Upstreams that crashed under it.
-    pub crashes: u32,
-}
-
-/// A row to be written, or removed where the request is no longer in quarantine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct QuarantineWrite {
-    /// Which request.
-    pub fingerprint: RequestFingerprint,
-    /// Upstreams that crashed under it; `None` removes the row.
-    pub crashes: Option<u32>,
-}
-
 /// What an observation changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuarantineChange {
@@ -247,7 +231,7 @@
             }
         }
         let served_at = report.served_at(now);
-        if marks.is_empty() && served_at.is_none() && report.stored == 0 {
+        if marks.is_empty() && served_at.is_none() {
             return QuarantineChange::None;
         }
         let entry = self.entries.entry(fingerprint).or_default();
@@ -256,10 +240,6 @@
         for mark in marks {
             is_changed |= entry.evidence.take(mark);
         }
-        if !is_changed && entry.evidence.restore(report.stored) {
-            entry.tried_at = now;
-            is_changed = true;
-        }
         if is_changed && is_near {
             entry.zone_changed_at = Some(now);
         }
@@ -279,12 +259,13 @@
         answered_at.is_some_and(|answered_at| mark.at <= answered_at)
     }
 
-    /// Requests in quarantine as the store keeps them.
+    /// Crashes as the store keeps them.
     pub fn restore(&mut self, now: MonotonicTime, rows: &[QuarantineRow]) {
         for row in rows.iter().take(MOST_ENTRIES) {
             let entry = self.entries.entry(row.fingerprint).or_default();
             entry.row = RowState::Read;
-            if entry.evidence.restore(row.crashes) {
+            entry.row_crashes = u32::try_from(row.crashes.len()).unwrap_or(u32::MAX);
+            if entry.evidence.restore(now, &row.crashes) {
                 entry.tried_at = now;
             }
         }
@@ -309,32 +290,31 @@
     ) -> Vec<QuarantineWrite> {
         let mut writes = Vec::new();
         for (fingerprint, entry) in &mut self.entries {
-            let wants_row = entry.wants_row(now);
-            let is_due = wants_row != entry.row.is_there();
             let is_own = entry.row == RowState::Written || holds(*fingerprint);
-            if !is_due || now < entry.timer.due_at || !is_own {
+            if !entry.is_row_due(now) || now < entry.timer.due_at || !is_own {
                 continue;
             }
             entry.timer.pause = (entry.timer.pause * 2).clamp(ROW_PAUSE, LONGEST_ROW_PAUSE);
             entry.timer.due_at = now + entry.timer.pause;
             writes.push(QuarantineWrite {
                 fingerprint: *fingerprint,
-                crashes: wants_row.then(|| entry.evidence.count()),
+                crashes: entry.wants_row(now).then(|| entry.evidence.stored()),
             });
         }
         writes
     }
 
     /// A write was answered, or not.
-    pub fn written(&mut self, write: QuarantineWrite, accepted: bool) {
+    pub fn written(&mut self, write: &QuarantineWrite, accepted: bool) {
         if let Some(entry) = self.entries.get_mut(&write.fingerprint)
             && accepted
         {
-            entry.row = if write.crashes.is_some() {
-                RowState::Written
-            } else {
-                RowState::Removed
+            entry.row = match &write.crashes {
+                Some(_) => RowState::Written,
+                None => RowState::Removed,
             };
+            let crashes = write.crashes.as_ref().map_or(0, Vec::len);
+            entry.row_crashes = u32::try_from(crashes).unwrap_or(u32::MAX);
             entry.timer = RowTimer::default();
         }
     }
--- a/crates/savorywood-gateway/src/quarantine/entry.rs
+++ b/crates/savorywood-gateway/src/quarantine/entry.rs
@@ -14,6 +14,10 @@
 /// The same for one in quarantine.
 const QUARANTINE_TIME: Duration = Duration::from_secs(3_600);
 
+/// Crashes from which a request's row is kept: with fewer, a row would be written for each request
+/// that ran beside one crash.
+const STORED_CRASHES: u32 = 2;
+
 /// Row of an entry in the store.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum RowState {
@@ -60,6 +64,8 @@
     pub tried_at: MonotonicTime,
     /// Its row in the store.
     pub row: RowState,
+    /// Crashes that the row names.
+    pub row_crashes: u32,
     /// When that may be written next.
     pub timer: RowTimer,
 }
@@ -97,6 +103,15 @@
 
     /// It must outlast a start of all daemons.
     pub fn wants_row(&self, now: MonotonicTime) -> bool {
-        self.is_quarantined() && !self.is_forgotten(now)
+        self.evidence.count() >= STORED_CRASHES && !self.is_forgotten(now)
+    }
+
+    /// Its row is missing, is to be removed, or names too few crashes.
+    pub fn is_row_due(&self, now: MonotonicTime) -> bool {
+        let needed = self.evidence.count().min(QUARANTINE_CRASHES);
+        match (self.wants_row(now), self.row.is_there()) {
+            (true, true) => self.row_crashes < needed,
+            (wanted, there) => wanted != there,
+        }
     }
 }
--- a/crates/savorywood-gateway/src/quarantine/evidence.rs
+++ b/crates/savorywood-gateway/src/quarantine/evidence.rs
@@ -1,6 +1,6 @@
 //! Upstreams that crashed under one request.
 
-use super::served::SERVED_TIME;
+use super::{row::StoredCrash, served::SERVED_TIME};
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
@@ -25,8 +25,6 @@
 #[derive(Debug, Clone, Default)]
 pub struct CrashEvidence {
     marks: Vec<CrashMark>,
-    /// Crashes that the store reports from before this daemon's start.
-    stored: u32,
     /// When the request was answered in whole last.
     served_at: Option<MonotonicTime>,
 }
@@ -82,7 +80,6 @@
             return false;
         }
         self.served_at = Some(served_at);
-        self.stored = 0;
         let marks = std::mem::take(&mut self.marks);
         self.marks = marks
             .into_iter()
@@ -92,25 +89,35 @@
     }
 
     /// Takes what the store reports; whether that is more than was known.
-    pub fn restore(&mut self, crashes: u32) -> bool {
-        let is_more = crashes > self.count() && self.served_at.is_none();
-        if is_more {
-            self.stored = crashes;
+    pub fn restore(&mut self, now: MonotonicTime, crashes: &[StoredCrash]) -> bool {
+        if self.served_at.is_some() {
+            return false;
+        }
+        let before = self.marks.len();
+        for crash in crashes {
+            self.take(CrashMark {
+                upstream: crash.upstream,
+                number: crash.number,
+                at: now,
+            });
         }
-        is_more
+        self.marks.len() > before
     }
 
-    /// Upstreams that crashed under the request.
+    /// What the store keeps of it.
     #[must_use]
-    pub fn count(&self) -> u32 {
-        let marks = u32::try_from(self.marks.len()).unwrap_or(u32::MAX);
-        marks.max(self.stored)
+    pub fn stored(&self) -> Vec<StoredCrash> {
+        let marks = self.marks.iter().map(|mark| StoredCrash {
+            upstream: mark.upstream,
+            number: mark.number,
+        });
+        marks.collect()
     }
 
-    /// Crashes that the store reports.
+    /// Upstreams that crashed under the request.
     #[must_use]
-    pub fn stored(&self) -> u32 {
-        self.stored
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.marks.len()).unwrap_or(u32::MAX)
     }
 
     /// Crashes that daemons saw.
--- a/crates/savorywood-gateway/src/quarantine/report.rs
+++ b/crates/savorywood-gateway/src/quarantine/report.rs
@@ -40,8 +40,6 @@
     pub fingerprint: RequestFingerprint,
     /// Upstreams that crashed under it.
     pub crashes: Vec<CrashAge>,
-    /// Crashes that the store reports from before.
-    pub stored: u32,
     /// Milliseconds since it was answered in whole.
     pub served_ms: Option<u32>,
 }
@@ -82,7 +80,6 @@
         Self {
             fingerprint,
             crashes: crashes.collect(),
-            stored: evidence.stored(),
             served_ms: evidence.served_at().map(|at| millis(now.since(at))),
         }
     }
