Datagrams between daemons name the version of their format, others are dropped and counted

Would be seen: while two builds run side by side, figures of one that are read as others by the next: a summary of a build without eras, shifted by a field, may name an era that never was, and a daemon that believes it drops every answer of its store as one from before a restore. Ruled out: a version in each message (the outer enum may change as well); a digest of the types (none of the codec's). Change: a mark and a version before each datagram; anything else is dropped, counted, and logged once a sender (64 senders at most).

--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -61,6 +61,8 @@
     pub quarantined: IntGauge,
     /// Upstreams that are cold.
     pub cold_upstreams: IntGauge,
+    /// Datagrams that could not be read.
+    pub unread_datagrams: IntCounter,
     log_omitted: IntCounterVec,
 }
 
@@ -118,6 +120,10 @@
                 "cold_upstreams",
                 "Upstreams that are cold and get work at the pace of their start",
             ),
+            unread_datagrams: counter(
+                "unread_datagrams_total",
+                "Datagrams of daemons of other builds, or of nobody's",
+            ),
             entry_members: gauge(
                 "entry_members",
                 "Daemons of this zone that the directory names",
@@ -172,7 +178,7 @@
 
 impl FrontMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 23] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 24] = [
             Box::new(self.arrived.clone()),
             Box::new(self.ended.clone()),
             Box::new(self.attempts.clone()),
@@ -195,6 +201,7 @@
             Box::new(self.limited_upstreams.clone()),
             Box::new(self.quarantined.clone()),
             Box::new(self.cold_upstreams.clone()),
+            Box::new(self.unread_datagrams.clone()),
             Box::new(self.log_omitted.clone()),
         ];
         for collector in collectors {
--- a/crates/savorywood-front/src/peers.rs
+++ b/crates/savorywood-front/src/peers.rs
@@ -1,5 +1,8 @@
 //! Datagrams between daemons.
 
+mod format;
+
+use self::format::DatagramFault;
 use crate::{clock::BootClock, edge::StoreRow, shared::FrontShared};
 use async_io::Timer;
 use async_net::UdpSocket;
@@ -7,6 +10,8 @@
 use savorywood_gateway::{GatewayEvent, PeerMessage, ReportScope, SharedTable, StorePosition};
 use serde::{Deserialize, Serialize};
 use std::{
+    cell::RefCell,
+    collections::BTreeSet,
     io,
     net::SocketAddr,
     rc::Rc,
@@ -16,6 +21,10 @@
 /// Largest datagram that passes usual links in one piece.
 const MAX_DATAGRAM: usize = 1_400;
 
+/// Senders of datagrams that can't be read of which the log names the first one; beyond them it names
+/// none.
+const MOST_UNREAD_SENDERS: usize = 64;
+
 /// Bytes of rows that are handed on at most; larger changes are read by each daemon.
 const MAX_PUSH: usize = 32_768;
 
@@ -63,6 +72,8 @@
 pub struct PeerSocket {
     socket: UdpSocket,
     clock: BootClock,
+    /// Senders of datagrams that could not be read, so that each is logged once.
+    unread: RefCell<BTreeSet<SocketAddr>>,
 }
 
 impl PeerSocket {
@@ -75,6 +86,7 @@
         Ok(Rc::new(Self {
             socket: UdpSocket::bind(own).await?,
             clock: BootClock,
+            unread: RefCell::default(),
         }))
     }
 
@@ -134,7 +146,7 @@
     }
 
     async fn send(&self, datagram: &PeerDatagram, addresses: &[SocketAddr]) {
-        let Ok(bytes) = postcard::to_stdvec(datagram) else {
+        let Some(bytes) = format::encode(datagram) else {
             return;
         };
         if bytes.len() > MAX_DATAGRAM {
@@ -151,7 +163,7 @@
         let mut buffer = vec![0; 65_536];
         loop {
             match self.socket.recv_from(&mut buffer).await {
-                Ok((count, _)) => match postcard::from_bytes(&buffer[..count]) {
+                Ok((count, sender)) => match format::decode(&buffer[..count]) {
                     Ok(PeerDatagram::Message(message)) => shared.step(match *message {
                         PeerMessage::Summary(summary) => GatewayEvent::SummaryReceived(summary),
                         PeerMessage::Digest(digest) => {
@@ -165,17 +177,26 @@
                     // The receiver lives as long as the daemon; a full queue drops the rows, which
                     // are then read.
                     Ok(PeerDatagram::Rows(push)) => shared.take_rows(push),
-                    // Of another version of the daemon, or of nobody's.
-                    Err(error) => log::debug!("event=datagram-unknown error={error:?}"),
+                    Err(fault) => self.note_unread(&shared, sender, fault),
                 },
                 Err(error) => {
-                    log::debug!("event=datagram-unread error={error:?}");
+                    log::debug!("event=datagrams-stopped error={error:?}");
                     Timer::after(Duration::from_millis(20)).await;
                 }
             }
         }
     }
 
+    /// A datagram of another build, or of no daemon.
+    fn note_unread(&self, shared: &FrontShared, sender: SocketAddr, fault: DatagramFault) {
+        shared.metrics.unread_datagrams.inc();
+        let mut unread = self.unread.borrow_mut();
+        if unread.len() < MOST_UNREAD_SENDERS && unread.insert(sender) {
+            let cause = fault.to_string();
+            log::warn!("event=datagram-unread sender={sender} cause={cause:?}");
+        }
+    }
+
     /// Gossips for as long as the process lives.
     pub async fn keep_gossiping(self: Rc<Self>, shared: Rc<FrontShared>) {
         loop {
--- /dev/null
+++ b/crates/savorywood-front/src/peers/format/tests.rs
@@ -0,0 +1,50 @@
+use super::{DatagramFault, decode, encode};
+use crate::peers::{PeerDatagram, RowsPush};
+use quickcheck::quickcheck;
+use savorywood_gateway::{SharedTable, StorePosition};
+
+fn push() -> RowsPush {
+    RowsPush {
+        table: SharedTable::Upstreams,
+        after: StorePosition::new(1, 10),
+        before: StorePosition::new(1, 12),
+        through: StorePosition::new(2, 3),
+        rows: Vec::new(),
+    }
+}
+
+#[test]
+fn a_message_is_read_as_it_was_sent() {
+    let bytes = encode(&push()).expect("bytes");
+    assert_eq!(decode::<RowsPush>(&bytes), Ok(push()));
+    assert_eq!(
+        decode::<RowsPush>(&bytes[..3]),
+        Err(DatagramFault::Malformed)
+    );
+}
+
+/// Guards against figures of a daemon of another build that are read as something else.
+#[test]
+fn a_message_of_another_build_is_not_read() {
+    let bytes = encode(&push()).expect("bytes");
+    let mut other = bytes.clone();
+    other[1] += 1;
+    let fault = DatagramFault::OtherVersion { version: other[1] };
+    assert_eq!(decode::<RowsPush>(&other), Err(fault));
+    assert_eq!(
+        decode::<RowsPush>(&bytes[2..]),
+        Err(DatagramFault::Unmarked)
+    );
+}
+
+quickcheck! {
+    /// Guards against datagrams of anybody that end the process.
+    fn any_bytes_are_read_or_refused(bytes: Vec<u8>) -> bool {
+        let mut marked = encode(&()).unwrap_or_default();
+        marked.extend(&bytes);
+        let _ = decode::<PeerDatagram>(&marked);
+        let is_unmarked = decode::<PeerDatagram>(&bytes).err() == Some(DatagramFault::Unmarked);
+        let is_marked = bytes.len() > 1 && bytes[0] == 0xd5;
+        is_marked != is_unmarked
+    }
+}
