--- a/crates/savorywood-front/src/feeds.rs
+++ b/crates/savorywood-front/src/feeds.rs
@@ -73,7 +73,7 @@
     was_read: bool,
     /// The changes after `revision` can't be had one by one.
     has_gap: bool,
-    /// Whole reads were left to other daemons of the zone since something was learned last.
+    /// A whole read was left to other daemons of the zone once, and nothing was learned since.
     has_yielded: bool,
     known: KnownRows,
     /// Positions of rows that could not be read, so that each is logged once.
@@ -161,13 +161,13 @@
         self.has_gap || after.era < self.shared.gateway.borrow().store_era()
     }
 
-    /// The daemons of the zone that go first read the whole table, and pass on what has changed.
+    /// A whole read is first left to the daemons of the zone that go first; they pass on what changed.
     fn yields(&self, after: StorePosition) -> bool {
         let is_first = self.shared.gateway.borrow().reads_first(BootClock.now());
         !self.has_yielded && !is_first && self.needs_whole_read(after)
     }
 
-    /// A call failed: whole reads wait for the pause after it alone.
+    /// A call failed; the pause after it is all that a whole read waits for.
     fn note_failure(&mut self) {
         self.has_gap = true;
         self.has_yielded = true;
--- a/crates/savorywood-front/src/peers.rs
+++ b/crates/savorywood-front/src/peers.rs
@@ -21,8 +21,7 @@
 /// Largest datagram that passes usual links in one piece.
 const MAX_DATAGRAM: usize = 1_400;
 
-/// Senders of datagrams that can't be read of which the log names the first one; beyond them it names
-/// none.
+/// Senders of unreadable datagrams that are logged at most.
 const MOST_UNREAD_SENDERS: usize = 64;
 
 /// Bytes of rows that are handed on at most; larger changes are read by each daemon.
@@ -49,7 +48,7 @@
 }
 
 impl RowsPush {
-    /// Whoever knows all changes up to a position knows all with these rows, and did not before.
+    /// These rows are all that is missing where all changes up to a position are known.
     #[must_use]
     pub fn completes(&self, known: StorePosition) -> bool {
         let is_restored = self.before.era < self.through.era;
--- a/crates/savorywood-gateway/src/quarantine.rs
+++ b/crates/savorywood-gateway/src/quarantine.rs
@@ -126,7 +126,7 @@
 }
 
 impl BrokenUpstream {
-    /// What is sent at a moment, and breaks at a later one, finds it down.
+    /// An attempt that broke was sent while the upstream was down.
     fn is_down(self, sent_at: MonotonicTime, broke_at: MonotonicTime) -> bool {
         let is_soon = broke_at.since(self.at) < OUTAGE_TIME;
         sent_at > self.at && is_soon && self.answered_at.is_none()
