Logs and a metric tell why a connection ends without a response

The log had request-ended end=broken-off and caller-left, and the second also covered a decision channel that had ended, so the three hypotheses could not be told apart.

Change: response-cut, from the gateway, names the reason for which a response that had begun is given up, with attempts, runs, attempts taken from silent upstreams and the time left; connection-cut, from the I/O layer, names the cause for each connection that ends without a complete response to a request that was read; responses_cut_total counts them. No decision changes.

--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -13,12 +13,14 @@
 use async_channel::Receiver;
 use async_net::TcpStream;
 use futures_lite::{AsyncWriteExt, future};
+use savorywood_core::{LogLevel, LogLine};
 use savorywood_gateway::{
     AttemptOutcome, CallerLimits, DispatchOrder, GatewayEvent, LocalRequest, RefusalReason,
     RequestArrival,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{cell::Cell, net::Shutdown, rc::Rc, time::Duration};
+use strum::IntoStaticStr;
 
 /// Interim response after which a caller sends its body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -42,6 +44,21 @@
     Abort,
 }
 
+/// Why a connection ends although its request has no complete response. The text form is part of
+/// the log and the metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+enum CutCause {
+    /// The caller closed the connection.
+    CallerClosed,
+    /// Reading from or writing to the caller's connection failed.
+    CallerFailed,
+    /// The gateway gave up on a response that had begun.
+    GivenUp(RefusalReason),
+    /// The gateway removed the request without a decision.
+    DecisionMissing,
+}
+
 /// A request with its complete body.
 struct CompleteRequest {
     head: RequestHead,
@@ -186,13 +203,15 @@
 }
 
 /// Waits until the caller disconnects. Input received meanwhile is buffered as the next request.
-async fn caller_disconnected(reader: &mut ByteReader) {
+async fn caller_disconnected(reader: &mut ByteReader) -> CutCause {
     loop {
         if reader.bytes().len() > MAX_PIPELINED_BYTES {
             return future::pending().await;
         }
-        if !matches!(reader.fill().await, Ok(1..)) {
-            return;
+        match reader.fill().await {
+            Ok(1..) => {}
+            Ok(0) => return CutCause::CallerClosed,
+            Err(_) => return CutCause::CallerFailed,
         }
     }
 }
@@ -268,14 +287,18 @@
     ) -> NextStep {
         let mut saved_failure = None;
         loop {
-            let decision = async { decisions.recv().await.ok() };
-            let disconnected = async {
-                caller_disconnected(reader).await;
-                None
+            let decision = async {
+                let decision = decisions.recv().await;
+                decision.map_err(|_| CutCause::DecisionMissing)
             };
-            let Some(decision) = future::or(decision, disconnected).await else {
-                self.count_end("caller-left");
-                return NextStep::Abort;
+            let disconnected = async { Err(caller_disconnected(reader).await) };
+            let decision = match future::or(decision, disconnected).await {
+                Ok(decision) => decision,
+                Err(cause) => {
+                    self.count_end("caller-left");
+                    self.report_cut(cause, sink);
+                    return NextStep::Abort;
+                }
             };
             sink.closes_connection |= self.shared.stopping.get();
             match decision {
@@ -304,8 +327,9 @@
                 }
                 // The attempt that was to be abandoned has already ended.
                 RequestDecision::Abandon => {}
-                RequestDecision::Abort => {
+                RequestDecision::Abort(reason) => {
                     self.count_end("broken-off");
+                    self.report_cut(CutCause::GivenUp(reason), sink);
                     return NextStep::Abort;
                 }
             }
@@ -334,8 +358,9 @@
             sink: &mut *sink,
             saved_failure,
         };
+        let cause = Cell::new(CutCause::CallerFailed);
         let disconnected = async {
-            caller_disconnected(reader).await;
+            cause.set(caller_disconnected(reader).await);
             Some(AttemptOutcome::CallerDisconnected)
         };
         let ended = async {
@@ -344,7 +369,11 @@
         };
         let ran = async { Some(attempt.run().await) };
         let outcome = future::or(ran, future::or(disconnected, ended)).await;
-        outcome.unwrap_or_else(|| broken_outcome(sink, true))
+        let outcome = outcome.unwrap_or_else(|| broken_outcome(sink, true));
+        if matches!(outcome, AttemptOutcome::CallerDisconnected) {
+            self.report_cut(cause.get(), sink);
+        }
+        outcome
     }
 
     /// Returns the handling of the connection when the outcome ends the request.
@@ -382,6 +411,27 @@
         });
     }
 
+    /// Reports that the connection ends without a complete response.
+    fn report_cut(&self, cause: CutCause, sink: &ResponseSink) {
+        let name: &'static str = cause.into();
+        self.shared.metrics.cut.with_label_values(&[name]).inc();
+        let request_id = self.shared.adapter.parse_arrival(&self.request.head);
+        let request_id = request_id.map(|arrival| arrival.request_id);
+        let line = LogLine::new(LogLevel::Info, "connection-cut")
+            .with("request", request_id.unwrap_or_default())
+            .with("cause", name)
+            .with("events", sink.events())
+            .with(
+                "took_ms",
+                self.shared.clock.now().since(self.arrived_at).as_millis(),
+            );
+        let line = match cause {
+            CutCause::GivenUp(reason) => line.with("reason", reason),
+            _ => line,
+        };
+        self.shared.log.write_line(&line);
+    }
+
     fn count_end(&self, end: &str) {
         self.shared.metrics.ended.with_label_values(&[end]).inc();
     }
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -20,6 +20,8 @@
     pub arrived: IntCounter,
     /// Final responses, by how the request ended.
     pub ended: IntCounterVec,
+    /// Connections that were closed without a complete response to a request, by cause.
+    pub cut: IntCounterVec,
     /// Attempts at upstreams, by outcome.
     pub attempts: IntCounterVec,
     /// Calls to the store, by outcome.
@@ -74,6 +76,11 @@
                 "Final responses by how the request ended",
                 "end",
             ),
+            cut: counter_vec(
+                "responses_cut_total",
+                "Connections closed without a complete response to a request by cause",
+                "cause",
+            ),
             attempts: counter_vec(
                 "attempts_total",
                 "Attempts at upstreams by outcome",
@@ -195,9 +202,10 @@
 
 impl FrontMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 26] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 27] = [
             Box::new(self.arrived.clone()),
             Box::new(self.ended.clone()),
+            Box::new(self.cut.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.waiting_duration.clone()),
--- a/crates/savorywood-front/src/shared.rs
+++ b/crates/savorywood-front/src/shared.rs
@@ -44,7 +44,7 @@
     /// End the attempt in progress.
     Abandon,
     /// Close the caller's connection so that the response is seen as incomplete.
-    Abort,
+    Abort(RefusalReason),
 }
 
 /// Queue of pushed rows from the peer socket to the reader of a table.
@@ -256,7 +256,9 @@
             GatewayEffect::AbandonAttempt { request } => {
                 self.send(request, RequestDecision::Abandon);
             }
-            GatewayEffect::AbortResponse { request } => self.send(request, RequestDecision::Abort),
+            GatewayEffect::AbortResponse { request, reason } => {
+                self.send(request, RequestDecision::Abort(reason));
+            }
             GatewayEffect::WriteRollout(write) => {
                 // The receiver exists as long as the daemon runs, so the send can't fail.
                 let _ = self.senders.rollouts.try_send(write);
--- a/crates/savorywood-gateway/src/effect.rs
+++ b/crates/savorywood-gateway/src/effect.rs
@@ -68,6 +68,8 @@
     AbortResponse {
         /// Request whose response is aborted.
         request: LocalRequest,
+        /// Reason for which the response is not continued.
+        reason: RefusalReason,
     },
     /// Open connections to these addresses of upstreams and close them again.
     CheckUpstreams(Vec<SocketAddr>),
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -224,6 +224,7 @@
             attempted_upstreams: Vec::new(),
             attempts: 0,
             executions: 0,
+            abandoned_attempts: 0,
             has_upstream_failure: false,
             has_reserved_retry: false,
             response_started: false,
--- a/crates/savorywood-gateway/src/gateway/completion.rs
+++ b/crates/savorywood-gateway/src/gateway/completion.rs
@@ -204,7 +204,17 @@
             return;
         };
         if record.response_started {
-            effects.push(GatewayEffect::AbortResponse { request });
+            let line = LogLine::new(LogLevel::Warn, "response-cut")
+                .with("request", &record.request_id)
+                .with("reason", reason)
+                .with("sends", record.attempts)
+                .with("runs", record.executions)
+                .with("max_runs", record.route.max_attempts)
+                .with("abandoned", record.abandoned_attempts)
+                .with("left_ms", record.give_up_at.since(now).as_millis())
+                .with("config", self.config_version());
+            effects.push(GatewayEffect::Log(line));
+            effects.push(GatewayEffect::AbortResponse { request, reason });
             return self.close(now, request, "broken-off", effects);
         }
         if record.has_upstream_failure {
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -105,6 +105,8 @@
     pub attempts: u32,
     /// Number of attempts that an upstream may have executed.
     pub executions: u32,
+    /// Number of attempts that were cancelled because their upstreams were stalled.
+    pub abandoned_attempts: u32,
     /// The failure response of an upstream is kept and can be forwarded.
     pub has_upstream_failure: bool,
     /// A retry has already been charged to the budget for the next attempt.
--- a/crates/savorywood-gateway/src/gateway/stall_detection.rs
+++ b/crates/savorywood-gateway/src/gateway/stall_detection.rs
@@ -188,6 +188,7 @@
             return;
         };
         record.has_reserved_retry = true;
+        record.abandoned_attempts += 1;
         if let RequestState::Running(attempt) = &mut record.state {
             attempt.abandoned = true;
         }
--- a/crates/savorywood-gateway/tests/common/load.rs
+++ b/crates/savorywood-gateway/tests/common/load.rs
@@ -204,7 +204,7 @@
                 retry_after,
                 ..
             } => self.on_refused(number, request, retry_after),
-            GatewayEffect::AbortResponse { request }
+            GatewayEffect::AbortResponse { request, .. }
             | GatewayEffect::ForwardFailure { request } => {
                 if let Some(call) = self.calls.remove(&(number, request)) {
                     self.tallies[call.kind].record_unserved(&call);
--- a/crates/savorywood-gateway/tests/response_invariants.rs
+++ b/crates/savorywood-gateway/tests/response_invariants.rs
@@ -192,7 +192,8 @@
                 ));
             }
         }
-        GatewayEffect::ForwardFailure { request } | GatewayEffect::AbortResponse { request } => {
+        GatewayEffect::ForwardFailure { request }
+        | GatewayEffect::AbortResponse { request, .. } => {
             let state = observed
                 .get_mut(&request.0)
                 .ok_or("unknown request ended")?;
