Failing test: a stream is cut because its upstream was silent for a moment

Evidence: 8 simulated daemons, 6 upstreams with 4 slots and a queue of 2, one of which sends nothing for 1.2 s every 0.7 s and then continues.

The simulation's engines can now be silent for a time and turn requests away beyond a queue; no other test uses either.

--- a/crates/savorywood-gateway/tests/common/load.rs
+++ b/crates/savorywood-gateway/tests/common/load.rs
@@ -239,11 +239,29 @@
             tokens_left: call.tokens_left,
             tokens: 0,
         };
+        let now = self.now;
         let engine = self.engine(&order.upstream);
         let full = engine.is_full();
-        engine.enqueue(run);
+        let turned_away = engine.turns_away(now);
+        if !turned_away {
+            engine.enqueue(run);
+        }
         self.dispatched += 1;
         self.dispatched_to_full += u32::from(full);
+        if turned_away {
+            self.turn_away(number, order.request);
+        }
+    }
+
+    fn turn_away(&mut self, number: usize, request: LocalRequest) {
+        if let Some(call) = self.calls.get_mut(&(number, request)) {
+            call.engine = None;
+        }
+        let outcome = AttemptOutcome::NotRun {
+            misdirected: false,
+            metadata: ResponseMetadata::default(),
+        };
+        self.step(number, GatewayEvent::AttemptEnded { request, outcome });
     }
 
     fn abandon(&mut self, number: usize, request: LocalRequest) {
--- a/crates/savorywood-gateway/tests/common/load/engine.rs
+++ b/crates/savorywood-gateway/tests/common/load/engine.rs
@@ -46,6 +46,10 @@
     pub slowdown: f64,
     /// Whether the engine has stopped and sends nothing more.
     pub stalled: bool,
+    /// Time until which the engine sends nothing; it continues afterwards.
+    pub silent_until: Option<MonotonicTime>,
+    /// Requests that may be queued beyond the slots; more are turned away. `None` sets no limit.
+    pub max_queue: Option<usize>,
     slots: usize,
     queue: VecDeque<EngineRun>,
     batch: Vec<EngineRun>,
@@ -58,6 +62,8 @@
             name: UpstreamLabel::from(name),
             slowdown,
             stalled: false,
+            silent_until: None,
+            max_queue: None,
             slots: slots as usize,
             queue: VecDeque::new(),
             batch: Vec::new(),
@@ -70,6 +76,14 @@
         self.batch.len() + self.queue.len() >= self.slots
     }
 
+    /// Returns whether the engine turns another request away. A silent engine sends no response.
+    pub fn turns_away(&self, now: MonotonicTime) -> bool {
+        let open = self.batch.len() + self.queue.len();
+        let is_silent = self.silent_until.is_some_and(|until| now < until);
+        let max_queue = self.max_queue.filter(|_| !is_silent && !self.stalled);
+        max_queue.is_some_and(|max_queue| open >= self.slots + max_queue)
+    }
+
     pub fn enqueue(&mut self, run: EngineRun) {
         self.queue.push_back(run);
     }
@@ -86,6 +100,13 @@
         if self.stalled {
             return;
         }
+        if let Some(until) = self.silent_until {
+            if now < until {
+                return;
+            }
+            self.silent_until = None;
+            self.step_ends_at = None;
+        }
         while let Some(end) = self.step_end(now) {
             if end > now {
                 return;
