A stream that has begun is resumed until its deadline, not cut when an upstream turns it away

Cause: stall detection takes a stream from an upstream that has sent nothing for 0.4 to 1 s when another one has a free slot at that moment. The slot was not held: several streams, and other daemons, counted on the same one. From then on each way to fail ended the stream, and as its caller has events already, ending it means closing the connection: the next upstream turns it away and the retry budget is empty, four attempts were made, no candidate is left, or it waits behind new requests of its rank until it counts as too late. The class: something that runs is given up for something that is merely likely.

Change: the slot is held for the stream from the moment at which its attempt is cancelled, and released when the attempt goes on after all. A stream that has begun is not cut by rejections, an empty retry budget or a lack of candidates before its deadline: it waits, with growing delays, until the budget and a slot allow it, ahead of new requests of its rank. The bound on runs, the retry budget and the quarantine hold as before.

Holding the old connection until the next upstream delivers is ruled out: two upstreams would work on one request for longer than callers' platforms allow.

--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 mod record;
 mod registration;
 mod relay;
+mod resumption;
 mod retry_after;
 mod stall_detection;
 mod state_updates;
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -11,7 +11,7 @@
     label::{ServiceLabel, TeamLabel},
     latency::nominal_first_event_ms,
     quarantine::RequestFingerprint,
-    queue::{QueuePosition, RequestRank},
+    queue::{QueuePosition, QueueStage, RequestRank},
     refusal::RefusalReason,
     team_limit::{BucketLevels, LimitQuery, LimitVerdict, TeamLimiter},
 };
@@ -218,6 +218,7 @@
             caller_timeout_at: give_up_at,
             state: RequestState::Waiting(QueuePosition {
                 rank,
+                stage: QueueStage::New,
                 start_by,
                 request,
             }),
@@ -225,6 +226,9 @@
             attempts: 0,
             executions: 0,
             abandoned_attempts: 0,
+            successor: None,
+            owes_retry: false,
+            resume_at: now,
             has_upstream_failure: false,
             has_reserved_retry: false,
             response_started: false,
--- a/crates/savorywood-gateway/src/gateway/completion.rs
+++ b/crates/savorywood-gateway/src/gateway/completion.rs
@@ -6,8 +6,12 @@
     record::{EndedAttempt, RequestState},
 };
 use crate::{
-    arrival::LocalRequest, effect::GatewayEffect, event::AttemptOutcome, label::ServiceLabel,
-    queue::QueuePosition, refusal::RefusalReason,
+    arrival::LocalRequest,
+    effect::GatewayEffect,
+    event::AttemptOutcome,
+    label::ServiceLabel,
+    queue::{QueuePosition, QueueStage},
+    refusal::RefusalReason,
 };
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
@@ -56,7 +60,11 @@
         self.record_reachability(now, &attempt, outcome, effects);
         self.release_slot(now, ended, effects);
         self.record_crash(now, ended, effects);
+        let successor = self.release_successor(request);
         self.retry_or_finish(now, ended, effects);
+        if let Some(selected) = successor {
+            self.dispatch_to_successor(now, request, &selected, effects);
+        }
         self.dispatch_waiting(now, &service, effects);
     }
 
@@ -114,12 +122,18 @@
                 if record.attempts < MAX_ATTEMPTS {
                     return self.requeue(now, request, outcome, effects);
                 }
+                if self.resume_later(now, ended, effects) {
+                    return;
+                }
                 return self.finish(now, request, RefusalReason::NoUpstream, effects);
             }
             AttemptOutcome::NotRun { .. } => {
                 if record.attempts < MAX_ATTEMPTS && self.spend_retry(now, request) {
                     return self.requeue(now, request, outcome, effects);
                 }
+                if self.resume_later(now, ended, effects) {
+                    return;
+                }
                 return self.finish(now, request, RefusalReason::NotRun, effects);
             }
             AttemptOutcome::Expired => {
@@ -136,9 +150,13 @@
         }
         let may_retry = record.allows_another_execution() && record.attempts < MAX_ATTEMPTS;
         let fingerprint = record.fingerprint;
-        if may_retry && !self.is_quarantined(fingerprint) && self.spend_retry(now, request) {
+        let is_quarantined = self.is_quarantined(fingerprint);
+        if may_retry && !is_quarantined && self.spend_retry(now, request) {
             return self.requeue(now, request, outcome, effects);
         }
+        if !is_quarantined && self.resume_later(now, ended, effects) {
+            return;
+        }
         self.finish(now, request, RefusalReason::IncompleteResponse, effects);
     }
 
@@ -159,7 +177,7 @@
 
     /// Returns a request to its queue, ahead of the requests of its rank that have not been
     /// attempted.
-    fn requeue(
+    pub(super) fn requeue(
         &mut self,
         now: MonotonicTime,
         request: LocalRequest,
@@ -177,6 +195,11 @@
         }
         let position = QueuePosition {
             rank: record.rank,
+            stage: if record.response_started {
+                QueueStage::Resumed
+            } else {
+                QueueStage::New
+            },
             start_by: now,
             request,
         };
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -62,12 +62,19 @@
             let Some(record) = self.requests.get(&position.request) else {
                 continue;
             };
+            if now < record.resume_at {
+                continue;
+            }
             if !record.is_probe && self.is_quarantined(record.fingerprint) {
                 self.finish(now, position.request, RefusalReason::Quarantined, effects);
                 continue;
             }
             match self.select_upstream(now, record) {
-                Ok(selected) => self.dispatch(now, position.request, &selected, effects),
+                Ok(selected) => {
+                    if self.pay_owed_retry(now, position.request) {
+                        self.dispatch(now, position.request, &selected, effects);
+                    }
+                }
                 Err(SelectionFailure::AllFull) => full_selections += 1,
                 Err(SelectionFailure::NoCandidate) => {
                     self.handle_no_upstream(now, position.request, effects);
@@ -76,16 +83,18 @@
         }
     }
 
-    /// Returns the queue in order of dispatch: the most urgent rank first, and within a rank
-    /// requests that can still meet their objective before those that cannot. A late response is
+    /// Returns the queue in order of dispatch: the most urgent rank first, within a rank streams
+    /// that have begun, and then requests that can still meet their objective before those that cannot. A late response is
     /// worth little, and serving it first would make the next one late as well.
     fn queue_in_order(&self, now: MonotonicTime, service: &ServiceLabel) -> Vec<QueuePosition> {
         let Some(queue) = self.queues.get(service) else {
             return Vec::new();
         };
         let mut positions: Vec<QueuePosition> = queue.iter().copied().collect();
-        positions
-            .sort_by_key(|position| (position.rank, position.start_by < now, position.start_by));
+        positions.sort_by_key(|position| {
+            let is_late = position.start_by < now;
+            (position.rank, position.stage, is_late, position.start_by)
+        });
         positions
     }
 
@@ -152,7 +161,7 @@
             .unwrap_or_default()
     }
 
-    fn dispatch(
+    pub(super) fn dispatch(
         &mut self,
         now: MonotonicTime,
         request: LocalRequest,
@@ -254,6 +263,11 @@
         let Some(record) = self.requests.get_mut(&request) else {
             return;
         };
+        if record.can_resume() {
+            record.attempted_upstreams.clear();
+            record.delay_resumption(now);
+            return;
+        }
         if !record.attempted_upstreams.is_empty()
             && record.executions == 0
             && record.attempts < MAX_ATTEMPTS
@@ -277,6 +291,12 @@
                 let Some(record) = self.requests.get(&position.request) else {
                     continue;
                 };
+                if record.can_resume() {
+                    if now >= record.give_up_at {
+                        expired.push(position.request);
+                    }
+                    continue;
+                }
                 let min_first_event_s = service_latency
                     .first_event_ms(&service_latency, record.size.prompt_tokens)
                     * MIN_REMAINING_FRACTION
--- a/crates/savorywood-gateway/src/gateway/feedback.rs
+++ b/crates/savorywood-gateway/src/gateway/feedback.rs
@@ -118,7 +118,12 @@
         };
         if let RequestState::Running(attempt) = &mut record.state {
             attempt.record_events(now, events);
+            // The I/O layer does not cancel an attempt while it writes to the caller.
+            let continues = std::mem::take(&mut attempt.abandoned);
             self.fleet.record_received(now, &attempt.upstream);
+            if continues {
+                self.release_successor(request);
+            }
         }
     }
 
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -7,6 +7,7 @@
     label::{ServiceLabel, UpstreamLabel},
     quarantine::RequestFingerprint,
     queue::{QueuePosition, RequestRank},
+    selection::SelectedUpstream,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{sync::Arc, time::Duration};
@@ -109,6 +110,12 @@
     pub abandoned_attempts: u32,
     /// The failure response of an upstream is kept and can be forwarded.
     pub has_upstream_failure: bool,
+    /// Upstream at which a slot is held for the next attempt.
+    pub successor: Option<SelectedUpstream>,
+    /// The next attempt is a retry that has not been charged to the budget.
+    pub owes_retry: bool,
+    /// Earliest time of the next attempt.
+    pub resume_at: MonotonicTime,
     /// A retry has already been charged to the budget for the next attempt.
     pub has_reserved_retry: bool,
     /// Events of a stream have reached the caller, or are about to.
--- a/crates/savorywood-gateway/src/gateway/stall_detection.rs
+++ b/crates/savorywood-gateway/src/gateway/stall_detection.rs
@@ -54,8 +54,8 @@
     /// An upstream that lost its power or its connection sends nothing, and its callers would wait
     /// until they give up. An upstream that reads a long prompt also sends nothing, however, and
     /// cancelling its response gains nothing if no other upstream has a free slot. An attempt is
-    /// therefore cancelled only when the next one is certain: another upstream has a free slot, and
-    /// the budget allows a retry.
+    /// therefore cancelled only when another upstream has a free slot, which is held for the request,
+    /// and the budget allows a retry.
     pub(super) fn detect_stalls(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
         let before = self.stalls_checked_at.replace(now);
         if before.is_none_or(|before| now.since(before) > SUSPEND_THRESHOLD) {
@@ -179,11 +179,13 @@
         };
         let mut attempted = record.attempted_upstreams.clone();
         attempted.push(attempt.upstream.clone());
-        if self.select_unattempted(now, record, &attempted).is_err()
-            || !self.spend_retry(now, request)
-        {
+        let Ok(selected) = self.select_unattempted(now, record, &attempted) else {
+            return;
+        };
+        if !self.spend_retry(now, request) {
             return;
         }
+        self.hold_successor(request, selected);
         let Some(record) = self.requests.get_mut(&request) else {
             return;
         };
--- a/crates/savorywood-gateway/src/queue.rs
+++ b/crates/savorywood-gateway/src/queue.rs
@@ -13,12 +13,24 @@
     pub route: u32,
 }
 
+/// Whether the caller of a waiting request has received a part of the response. Those that have
+/// are first: what they received would otherwise be lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum QueueStage {
+    /// A stream that has begun.
+    Resumed,
+    /// A request without any part of a response.
+    New,
+}
+
 /// Position of a request in the queue. The order of the fields is the order of comparison.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct QueuePosition {
     /// The most urgent rank is first.
     pub rank: RequestRank,
-    /// Within a rank, the request that must start earliest is first.
+    /// Whether the request is a new one or a stream that has begun.
+    pub stage: QueueStage,
+    /// Within a stage, the request that must start earliest is first.
     pub start_by: MonotonicTime,
     /// Otherwise, the request that arrived earliest is first.
     pub request: LocalRequest,
--- a/crates/savorywood-gateway/tests/common/load/calls.rs
+++ b/crates/savorywood-gateway/tests/common/load/calls.rs
@@ -133,6 +133,8 @@
     pub left: u32,
     /// Responses that the daemon broke off.
     pub broken_off: u32,
+    /// Responses that the daemon broke off before their deadline.
+    pub cut_early: u32,
     /// Served after at least one abandoned attempt.
     pub redispatched: u32,
     /// Longest retry-after delay of a refusal.
