Logs name the parts of prompts

The log told requests apart by their content alone, so that the hypotheses (a part; retries of few requests; a popular part that merely runs where upstreams end) could not be told apart.

Change: request-admitted and attempt-broken name the ids of the prompt's parts, eight at most. No decision changes.

--- a/crates/savorywood-gateway/src/arrival.rs
+++ b/crates/savorywood-gateway/src/arrival.rs
@@ -25,6 +25,26 @@
     pub tokens: u32,
 }
 
+/// Maximum number of segments that a log line names.
+const MAX_LOGGED_PARTS: usize = 8;
+
+/// Text form of a prompt's segments for the log: their identifiers in hexadecimal, in order.
+#[derive(Debug, Clone, Copy)]
+pub struct PartList<'a>(pub &'a [PromptPart]);
+
+impl fmt::Display for PartList<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let [first, others @ ..] = self.0 else {
+            return formatter.write_str("-");
+        };
+        write!(formatter, "{:x}", first.id)?;
+        for part in others.iter().take(MAX_LOGGED_PARTS - 1) {
+            write!(formatter, ",{:x}", part.id)?;
+        }
+        Ok(())
+    }
+}
+
 /// Digest of a request's content, equal at all daemons and for each repeat: it covers method, host,
 /// path and body, or the query where there is no body.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -5,7 +5,7 @@
     record::{RequestRecord, RequestState},
 };
 use crate::{
-    arrival::{LocalRequest, RequestArrival},
+    arrival::{LocalRequest, PartList, RequestArrival},
     config::{DeclaredConfig, RouteSpec, TeamLimit, TeamSpec},
     effect::GatewayEffect,
     label::{ServiceLabel, TeamLabel},
@@ -89,6 +89,7 @@
                 let line = LogLine::new(LogLevel::Info, "request-admitted")
                     .with("request", &record.request_id)
                     .with("fingerprint", record.fingerprint)
+                    .with("parts", PartList(&record.prompt_parts))
                     .with("route", &record.route.name)
                     .with("service", &record.service)
                     .with(
--- a/crates/savorywood-gateway/src/gateway/completion.rs
+++ b/crates/savorywood-gateway/src/gateway/completion.rs
@@ -6,7 +6,7 @@
     record::{EndedAttempt, RequestState},
 };
 use crate::{
-    arrival::LocalRequest,
+    arrival::{LocalRequest, PartList},
     effect::GatewayEffect,
     event::AttemptOutcome,
     label::ServiceLabel,
@@ -89,6 +89,7 @@
         let line = LogLine::new(LogLevel::Info, "attempt-broken")
             .with("request", &record.request_id)
             .with("fingerprint", record.fingerprint)
+            .with("parts", PartList(&record.prompt_parts))
             .with("upstream", &attempt.upstream)
             .with("cause", outcome.name())
             .with("events", attempt.events)
