A held slot takes no limit with it, and streams that wait block nobody

- A stream that waits never returned to an upstream that it had left while another one existed but was full.
- Three such streams kept all new requests of their rank from free slots, as each counted as a search without a result.
- Streams of one silent upstream went to their held slots past the rate of a cold upstream, past an announced limit, and to an upstream that was ejected.
A stream now passes the selection again once its slot is released, holds at most one slot of an upstream with a rate limit, and none of an ejected one.
- An attempt was cancelled for silence although the request could not be sent again (last attempt, quarantine).
- A first event that came after the decision left the slot held; data that arrived together with the decision did not stop it.
The I/O layer now asks whether the decision still stands.

--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -364,7 +364,10 @@
             Some(AttemptOutcome::CallerDisconnected)
         };
         let ended = async {
-            attempt_abandoned(decisions, &writing).await;
+            attempt_abandoned(decisions, || {
+                !writing.get() && self.shared.gateway.borrow().is_attempt_abandoned(self.id)
+            })
+            .await;
             None
         };
         let ran = async { Some(attempt.run().await) };
@@ -482,10 +485,11 @@
 }
 
 /// Waits for the decision to abandon the attempt. The decision is ignored while bytes are being
-/// written, because the caller would receive a truncated chunk.
-async fn attempt_abandoned(decisions: &Receiver<RequestDecision>, writing: &Cell<bool>) {
+/// written, because the caller would receive a truncated chunk, and if the attempt has received
+/// data since it was made.
+async fn attempt_abandoned(decisions: &Receiver<RequestDecision>, is_valid: impl Fn() -> bool) {
     while let Ok(decision) = decisions.recv().await {
-        if matches!(decision, RequestDecision::Abandon) && !writing.get() {
+        if matches!(decision, RequestDecision::Abandon) && is_valid() {
             return;
         }
     }
--- a/crates/savorywood-gateway/src/gateway/completion.rs
+++ b/crates/savorywood-gateway/src/gateway/completion.rs
@@ -60,10 +60,10 @@
         self.record_reachability(now, &attempt, outcome, effects);
         self.release_slot(now, ended, effects);
         self.record_crash(now, ended, effects);
-        let successor = self.release_successor(request);
+        let had_successor = self.release_successor(request);
         self.retry_or_finish(now, ended, effects);
-        if let Some(selected) = successor {
-            self.dispatch_to_successor(now, request, &selected, effects);
+        if had_successor {
+            self.dispatch_first(now, request, effects);
         }
         self.dispatch_waiting(now, &service, effects);
     }
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -9,7 +9,7 @@
     demand::UrgentArrivals,
     effect::{DispatchOrder, GatewayEffect},
     label::{ServiceLabel, UpstreamLabel},
-    queue::QueuePosition,
+    queue::{QueuePosition, QueueStage},
     refusal::RefusalReason,
     selection::{SelectedUpstream, SelectionContext, SelectionFailure, SelectionQuery},
 };
@@ -17,7 +17,7 @@
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
-/// Requests of a rank that may find no free slot before the rest of the rank is skipped.
+/// New requests of a rank that may find no free slot before the rest of the rank is skipped.
 const MAX_FULL_SELECTIONS: usize = 3;
 /// Random jitter of an upstream's cost, as a fraction, by which the selections of daemons differ.
 const COST_JITTER: f64 = 0.05;
@@ -75,7 +75,10 @@
                         self.dispatch(now, position.request, &selected, effects);
                     }
                 }
-                Err(SelectionFailure::AllFull) => full_selections += 1,
+                Err(SelectionFailure::AllFull) => match position.stage {
+                    QueueStage::New => full_selections += 1,
+                    QueueStage::Resumed => self.allow_attempted_upstreams(position.request),
+                },
                 Err(SelectionFailure::NoCandidate) => {
                     self.handle_no_upstream(now, position.request, effects);
                 }
@@ -84,8 +87,9 @@
     }
 
     /// Returns the queue in order of dispatch: the most urgent rank first, within a rank streams
-    /// that have begun, and then requests that can still meet their objective before those that cannot. A late response is
-    /// worth little, and serving it first would make the next one late as well.
+    /// that have begun, and then requests that can still meet their objective before those that
+    /// cannot. A late response is worth little, and serving it first would make the next one late
+    /// as well.
     fn queue_in_order(&self, now: MonotonicTime, service: &ServiceLabel) -> Vec<QueuePosition> {
         let Some(queue) = self.queues.get(service) else {
             return Vec::new();
@@ -98,20 +102,24 @@
         positions
     }
 
-    fn select_upstream(
+    pub(super) fn select_upstream(
         &self,
         now: MonotonicTime,
         record: &RequestRecord,
     ) -> Result<SelectedUpstream, SelectionFailure> {
-        self.select_unattempted(now, record, &record.attempted_upstreams)
+        // A probe may fail, which would cut a stream that has begun.
+        let allow_probe = record.allows_concurrent_execution() && !record.response_started;
+        self.select_unattempted(now, record, &record.attempted_upstreams, allow_probe)
     }
 
-    /// Selects an upstream other than those in `attempted`.
+    /// Selects an upstream other than those in `attempted`; with `allow_probe` also one that is on
+    /// probation.
     pub(super) fn select_unattempted(
         &self,
         now: MonotonicTime,
         record: &RequestRecord,
         attempted: &[UpstreamLabel],
+        allow_probe: bool,
     ) -> Result<SelectedUpstream, SelectionFailure> {
         let waited = now.since(record.arrived_at);
         let query = SelectionQuery {
@@ -132,7 +140,7 @@
                 .rollouts
                 .version_filter(now, &record.service, self.canary_options()),
             urgent_arrivals: self.urgent_arrivals(now, record),
-            allow_probe: record.allows_concurrent_execution(),
+            allow_probe,
         };
         let context = SelectionContext {
             now,
@@ -264,9 +272,8 @@
             return;
         };
         if record.can_resume() {
-            record.attempted_upstreams.clear();
             record.delay_resumption(now);
-            return;
+            return self.allow_attempted_upstreams(request);
         }
         if !record.attempted_upstreams.is_empty()
             && record.executions == 0
--- a/crates/savorywood-gateway/src/gateway/feedback.rs
+++ b/crates/savorywood-gateway/src/gateway/feedback.rs
@@ -85,8 +85,12 @@
         record.response_started |= record.route.retry_safety.is_stream();
         let elapsed = now.since(attempt.dispatched_at);
         let upstream = attempt.upstream.clone();
-        self.fleet.record_received(now, &upstream);
         let dispatched_at = attempt.dispatched_at;
+        self.fleet.record_received(now, &upstream);
+        self.keep_attempt(request);
+        let Some(record) = self.requests.get(&request) else {
+            return;
+        };
         if is_first && let Some(state) = self.fleet.get_mut(&upstream) {
             state.unread_prompt_tokens = state
                 .unread_prompt_tokens
@@ -118,12 +122,8 @@
         };
         if let RequestState::Running(attempt) = &mut record.state {
             attempt.record_events(now, events);
-            // The I/O layer does not cancel an attempt while it writes to the caller.
-            let continues = std::mem::take(&mut attempt.abandoned);
             self.fleet.record_received(now, &attempt.upstream);
-            if continues {
-                self.release_successor(request);
-            }
+            self.keep_attempt(request);
         }
     }
 
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -7,7 +7,6 @@
     label::{ServiceLabel, UpstreamLabel},
     quarantine::RequestFingerprint,
     queue::{QueuePosition, RequestRank},
-    selection::SelectedUpstream,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{sync::Arc, time::Duration};
@@ -111,7 +110,7 @@
     /// The failure response of an upstream is kept and can be forwarded.
     pub has_upstream_failure: bool,
     /// Upstream at which a slot is held for the next attempt.
-    pub successor: Option<SelectedUpstream>,
+    pub successor: Option<UpstreamLabel>,
     /// The next attempt is a retry that has not been charged to the budget.
     pub owes_retry: bool,
     /// Earliest time of the next attempt.
--- a/crates/savorywood-gateway/src/gateway/resumption.rs
+++ b/crates/savorywood-gateway/src/gateway/resumption.rs
@@ -6,9 +6,9 @@
 
 use super::{
     Gateway, GatewayEffects,
-    record::{EndedAttempt, RequestRecord, RequestState},
+    record::{EndedAttempt, RequestRecord, RequestState, RunningAttempt},
 };
-use crate::{arrival::LocalRequest, event::AttemptOutcome, selection::SelectedUpstream};
+use crate::{arrival::LocalRequest, event::AttemptOutcome, label::UpstreamLabel};
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
@@ -31,45 +31,95 @@
 }
 
 impl Gateway {
+    /// Returns the upstream to which a stalled request can be moved: one that has a free slot and
+    /// is not ejected. One with a limit on the rate of requests gets a single request at a time.
+    pub(super) fn find_successor(
+        &self,
+        now: MonotonicTime,
+        record: &RequestRecord,
+        attempt: &RunningAttempt,
+    ) -> Option<UpstreamLabel> {
+        let mut attempted = record.attempted_upstreams.clone();
+        attempted.push(attempt.upstream.clone());
+        let selected = self
+            .select_unattempted(now, record, &attempted, false)
+            .ok()?;
+        let state = self.fleet.get(&selected.name)?;
+        let has_rate_limit = state.is_cold(now) || state.limit.limit().is_some();
+        let is_available = !has_rate_limit || state.held_slots == 0;
+        (is_available && !state.outlier.is_ejected()).then_some(selected.name)
+    }
+
     /// Holds a slot of an upstream for the next attempt of a request.
-    pub(super) fn hold_successor(&mut self, request: LocalRequest, selected: SelectedUpstream) {
+    pub(super) fn hold_successor(&mut self, request: LocalRequest, upstream: UpstreamLabel) {
         self.release_successor(request);
-        let Some(state) = self.fleet.get_mut(&selected.name) else {
+        let Some(state) = self.fleet.get_mut(&upstream) else {
             return;
         };
         state.running += 1;
+        state.held_slots += 1;
         if let Some(record) = self.requests.get_mut(&request) {
-            record.successor = Some(selected);
+            record.successor = Some(upstream);
         }
     }
 
-    /// Releases the slot that is held for the next attempt and returns its upstream.
-    pub(super) fn release_successor(&mut self, request: LocalRequest) -> Option<SelectedUpstream> {
-        let record = self.requests.get_mut(&request)?;
-        let selected = record.successor.take()?;
-        let state = self.fleet.get_mut(&selected.name)?;
-        state.running = state.running.saturating_sub(1);
-        Some(selected)
+    /// Releases the slot that is held for the next attempt. Returns whether there was one.
+    pub(super) fn release_successor(&mut self, request: LocalRequest) -> bool {
+        let record = self.requests.get_mut(&request);
+        let Some(upstream) = record.and_then(|record| record.successor.take()) else {
+            return false;
+        };
+        if let Some(state) = self.fleet.get_mut(&upstream) {
+            state.running = state.running.saturating_sub(1);
+            state.held_slots = state.held_slots.saturating_sub(1);
+        }
+        true
     }
 
-    /// Sends a request that has returned to its queue to the upstream at which a slot was held.
-    pub(super) fn dispatch_to_successor(
+    /// Continues an attempt that was to be cancelled, as it has received data.
+    pub(super) fn keep_attempt(&mut self, request: LocalRequest) {
+        self.release_successor(request);
+        if let Some(record) = self.requests.get_mut(&request)
+            && let RequestState::Running(attempt) = &mut record.state
+        {
+            attempt.abandoned = false;
+        }
+    }
+
+    /// Returns whether the attempt of a request is to be cancelled.
+    #[must_use]
+    pub fn is_attempt_abandoned(&self, request: LocalRequest) -> bool {
+        let record = self.requests.get(&request);
+        record.is_some_and(|record| match &record.state {
+            RequestState::Running(attempt) => attempt.abandoned,
+            RequestState::Waiting(_) => false,
+        })
+    }
+
+    /// Sends a request that has returned to its queue before all others, as the slot that was held
+    /// for it has just been released.
+    pub(super) fn dispatch_first(
         &mut self,
         now: MonotonicTime,
         request: LocalRequest,
-        selected: &SelectedUpstream,
         effects: &mut GatewayEffects,
     ) {
         let record = self.requests.get(&request);
-        let is_waiting = record.is_some_and(|record| {
+        let waiting = record.filter(|record| {
             matches!(record.state, RequestState::Waiting(_)) && !record.owes_retry
         });
-        let accepts = self
-            .fleet
-            .get(&selected.name)
-            .is_some_and(|state| state.accepts_requests(now) && !state.is_paused(now));
-        if is_waiting && accepts {
-            self.dispatch(now, request, selected, effects);
+        if let Some(Ok(selected)) = waiting.map(|record| self.select_upstream(now, record)) {
+            self.dispatch(now, request, &selected, effects);
+        }
+    }
+
+    /// Lets a stream return to upstreams that it was sent to before: they may have free slots by
+    /// now, or send data again.
+    pub(super) fn allow_attempted_upstreams(&mut self, request: LocalRequest) {
+        if let Some(record) = self.requests.get_mut(&request)
+            && record.can_resume()
+        {
+            record.attempted_upstreams.clear();
         }
     }
 
--- a/crates/savorywood-gateway/src/gateway/stall_detection.rs
+++ b/crates/savorywood-gateway/src/gateway/stall_detection.rs
@@ -2,6 +2,7 @@
 
 use super::{
     Gateway, GatewayEffects,
+    dispatch::MAX_ATTEMPTS,
     record::{RequestRecord, RequestState, RunningAttempt},
 };
 use crate::{arrival::LocalRequest, effect::GatewayEffect, upstream::UpstreamState};
@@ -73,7 +74,7 @@
             let RequestState::Running(attempt) = &record.state else {
                 continue;
             };
-            if !record.allows_concurrent_execution() || attempt.abandoned {
+            if !self.may_abandon(record) || attempt.abandoned {
                 continue;
             }
             let Some(state) = self.fleet.get(&attempt.upstream) else {
@@ -85,6 +86,13 @@
         stalled
     }
 
+    /// Returns whether a request could be sent again if its attempt were cancelled.
+    fn may_abandon(&self, record: &RequestRecord) -> bool {
+        record.allows_concurrent_execution()
+            && record.attempts < MAX_ATTEMPTS
+            && !self.is_quarantined(record.fingerprint)
+    }
+
     fn stall_kind(
         &self,
         now: MonotonicTime,
@@ -177,15 +185,13 @@
         let RequestState::Running(attempt) = record.state.clone() else {
             return;
         };
-        let mut attempted = record.attempted_upstreams.clone();
-        attempted.push(attempt.upstream.clone());
-        let Ok(selected) = self.select_unattempted(now, record, &attempted) else {
+        let Some(successor) = self.find_successor(now, record, &attempt) else {
             return;
         };
         if !self.spend_retry(now, request) {
             return;
         }
-        self.hold_successor(request, selected);
+        self.hold_successor(request, successor);
         let Some(record) = self.requests.get_mut(&request) else {
             return;
         };
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -84,6 +84,8 @@
     pub slot_share: SlotShare,
     /// Time of this daemon's last dispatch to the upstream.
     pub last_dispatch_at: MonotonicTime,
+    /// Slots that are held for streams of stalled upstreams; included in `running`.
+    pub held_slots: u32,
     /// Connections to it failed, or it stalled, and no successful response has followed.
     pub unreachable: bool,
 }
@@ -106,6 +108,7 @@
             paused_until: MonotonicTime::default(),
             slot_share: SlotShare::default(),
             last_dispatch_at: MonotonicTime::default(),
+            held_slots: 0,
             unreachable: false,
         }
     }
--- a/crates/savorywood-gateway/tests/silent_upstreams.rs
+++ b/crates/savorywood-gateway/tests/silent_upstreams.rs
@@ -125,3 +125,26 @@
     assert!(rejections > 0);
     assert!(!is_cut(&harness), "after {rejections} rejections");
 }
+
+/// Guards against a slot that stays held for a stream whose upstream continues.
+#[test]
+fn a_slot_is_released_when_the_silent_upstream_continues() {
+    let mut harness = GatewayHarness::ready(2);
+    let request = harness.arrive(arrival("/stream/1"));
+    let metadata = ResponseMetadata::default();
+    harness.step(GatewayEvent::ResponseStarted { request, metadata });
+    while !was_abandoned(&harness) {
+        harness.advance(Duration::from_millis(10));
+    }
+    assert!(harness.gateway.is_attempt_abandoned(request));
+    let in_use = |harness: &GatewayHarness| {
+        let states = harness.gateway.fleet().iter();
+        states.map(|state| state.running).sum::<u32>()
+    };
+    assert_eq!(in_use(&harness), 2);
+    harness.step(GatewayEvent::ResponseProgressed { request, events: 1 });
+    assert!(!harness.gateway.is_attempt_abandoned(request));
+    assert_eq!(in_use(&harness), 1);
+    harness.deliver(request);
+    assert_eq!(in_use(&harness), 0);
+}
