--- /dev/null
+++ b/crates/savorywood-gateway/tests/common/crashing_parts.rs
@@ -0,0 +1,466 @@
+//! A cluster whose upstreams crash under requests with certain parts in their prompts.
+#![allow(dead_code, reason = "each test file uses a part of the environment")]
+
+use crate::{
+    callers::SeededRandom,
+    cluster::{DaemonCluster, TeamLoad},
+    harness::{arrival, upstream},
+};
+use savorywood_gateway::{
+    AttemptOutcome, ContentDigest, DispatchOrder, GatewayEffect, GatewayEvent, LocalRequest,
+    PromptPart, QuarantineRow, QuarantineWrite, RefusalReason, RequestArrival, RequestFingerprint,
+    ResponseMetadata, StoredCrash, UpstreamEntry, UpstreamLabel, name_digest,
+};
+use savorywood_protocol::MonotonicTime;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+/// Time within which connected daemons must have received a crash record.
+pub const PROPAGATION_BOUND: Duration = Duration::from_secs(3);
+/// Crashes under one part after which requests with it are to be held back.
+pub const CRASHES_BEFORE_BOUND: usize = 5;
+/// Most dispatches of requests with a crashing part after `PROPAGATION_BOUND` has passed since the
+/// last of these crashes.
+pub const MAX_LATE_DISPATCHES: usize = 3;
+/// Steps of the simulated clock between two gossip rounds.
+pub const STEPS_PER_ROUND: usize = 5;
+const STEP: Duration = Duration::from_millis(50);
+/// Time after which a crashed upstream is replaced.
+const REPLACEMENT_DELAY: Duration = Duration::from_secs(3);
+/// Time from the dispatch of a request with a crashing part to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(100);
+/// Most rounds that other requests run.
+const MAX_ROUNDS: usize = 8;
+/// Retries by a caller after a broken attempt.
+const MAX_RETRIES: u32 = 2;
+const SLOTS: u32 = 1_000;
+
+/// A request of a caller, with the parts of its prompt.
+#[derive(Debug, Clone)]
+pub struct PromptRequest {
+    /// Number that no other request has; repeats by its caller have the same.
+    pub number: u64,
+    pub parts: Vec<u64>,
+}
+
+impl PromptRequest {
+    fn to_arrival(&self) -> RequestArrival {
+        let parts = self.parts.iter();
+        RequestArrival {
+            content_digest: ContentDigest(name_digest(&format!("body-{}", self.number))),
+            prompt_parts: parts
+                .map(|id| PromptPart {
+                    id: *id,
+                    tokens: 60,
+                })
+                .collect(),
+            ..arrival("/safe/prompts")
+        }
+    }
+
+    /// Returns the crashing part of the prompt; the last part never is.
+    fn crashing_part(&self, crashing: &BTreeSet<u64>) -> Option<u64> {
+        let (_, others) = self.parts.split_last()?;
+        others.iter().copied().find(|part| crashing.contains(part))
+    }
+}
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestEnd {
+    Served,
+    Refused(RefusalReason),
+}
+
+/// A request, with the daemon that received it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestId {
+    pub daemon: usize,
+    pub request: LocalRequest,
+}
+
+/// An attempt that runs at an upstream until a given time.
+#[derive(Debug, Clone)]
+struct RunningAttempt {
+    id: RequestId,
+    upstream: UpstreamLabel,
+    ends_at: MonotonicTime,
+    crashing_part: Option<u64>,
+}
+
+/// An upstream that is due to be replaced at the same address.
+#[derive(Debug, Clone)]
+struct CrashedUpstream {
+    upstream: UpstreamLabel,
+    slot: u16,
+    at: MonotonicTime,
+}
+
+/// A caller that waits for a response.
+#[derive(Debug, Clone)]
+struct WaitingCaller {
+    request: PromptRequest,
+    id: RequestId,
+    retries: u32,
+}
+
+/// What a sound request met when it was sent for the first time.
+#[derive(Debug, Clone)]
+pub struct FirstAttempt {
+    pub at: MonotonicTime,
+    pub parts: Vec<u64>,
+    /// Absent while the request waits at its daemon.
+    pub outcome: Option<FirstOutcome>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FirstOutcome {
+    Dispatched,
+    Refused(RefusalReason),
+}
+
+/// Crashes and dispatches under one part.
+#[derive(Debug, Clone, Default)]
+pub struct PartRecord {
+    /// Times at which upstreams crashed under requests with the part.
+    pub crashes: Vec<MonotonicTime>,
+    /// Times at which such requests were dispatched to a live upstream.
+    pub dispatches: Vec<MonotonicTime>,
+}
+
+impl PartRecord {
+    /// Returns the time of the crash after which `PROPAGATION_BOUND` begins.
+    pub fn bound_start(&self) -> Option<MonotonicTime> {
+        self.crashes.get(CRASHES_BEFORE_BOUND - 1).copied()
+    }
+
+    /// Returns the dispatches later than `PROPAGATION_BOUND` after the fifth crash.
+    pub fn late_dispatches(&self) -> usize {
+        let Some(fifth) = self.bound_start() else {
+            return 0;
+        };
+        let dispatches = self.dispatches.iter();
+        dispatches
+            .filter(|at| **at > fifth + PROPAGATION_BOUND)
+            .count()
+    }
+}
+
+/// Daemons, their upstreams and their callers.
+pub struct PartEnvironment {
+    pub cluster: DaemonCluster,
+    pub random: SeededRandom,
+    /// Parts that crash upstreams.
+    pub crashing_parts: BTreeSet<u64>,
+    /// Live upstreams with the number of their address.
+    live_upstreams: BTreeMap<UpstreamLabel, u16>,
+    next_upstream: u32,
+    crashed: Vec<CrashedUpstream>,
+    running: Vec<RunningAttempt>,
+    requests: BTreeMap<RequestId, PromptRequest>,
+    callers: Vec<WaitingCaller>,
+    next_number: u64,
+    pub ends: BTreeMap<RequestId, RequestEnd>,
+    pub parts: BTreeMap<u64, PartRecord>,
+    /// First attempts of sound requests by number.
+    pub first_attempts: BTreeMap<u64, FirstAttempt>,
+    /// Quarantine rows of the store.
+    pub rows: BTreeMap<RequestFingerprint, Vec<StoredCrash>>,
+}
+
+fn entry(name: &UpstreamLabel, slot: u16) -> UpstreamEntry {
+    let address = format!("10.1.{}.{}:80", slot / 200, slot % 200 + 1);
+    UpstreamEntry {
+        name: name.clone(),
+        address: address.parse().expect("an address"),
+        ..upstream(1, SLOTS)
+    }
+}
+
+impl PartEnvironment {
+    pub fn new(daemons: usize, upstreams: u16, seed: u64) -> Self {
+        let mut environment = Self {
+            cluster: DaemonCluster::with_load(daemons, TeamLoad::unlimited(daemons)),
+            random: SeededRandom(seed),
+            crashing_parts: BTreeSet::new(),
+            live_upstreams: BTreeMap::new(),
+            next_upstream: 1,
+            crashed: Vec::new(),
+            running: Vec::new(),
+            requests: BTreeMap::new(),
+            callers: Vec::new(),
+            next_number: 1,
+            ends: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            first_attempts: BTreeMap::new(),
+            rows: BTreeMap::new(),
+        };
+        for slot in 0..upstreams {
+            let name = environment.next_name();
+            environment.live_upstreams.insert(name, slot);
+        }
+        environment.read_upstreams();
+        environment
+    }
+
+    fn next_name(&mut self) -> UpstreamLabel {
+        self.next_upstream += 1;
+        UpstreamLabel::from(format!("engine-{}", self.next_upstream).as_str())
+    }
+
+    fn read_upstreams(&mut self) {
+        let upstreams = self.live_upstreams.iter();
+        let entries: Vec<_> = upstreams.map(|(name, slot)| entry(name, *slot)).collect();
+        for daemon in 0..self.cluster.daemons.len() {
+            self.step_daemon(daemon, GatewayEvent::UpstreamsRead(entries.clone()));
+        }
+    }
+
+    /// Restarts all daemons at once, which read the quarantine rows of the store; their requests
+    /// are lost.
+    pub fn restart_all(&mut self) {
+        self.cluster.restart_all();
+        self.running.clear();
+        self.callers.clear();
+        self.read_upstreams();
+        let rows = self.rows.iter();
+        let rows: Vec<_> = rows
+            .map(|(fingerprint, crashes)| QuarantineRow {
+                fingerprint: *fingerprint,
+                crashes: crashes.clone(),
+            })
+            .collect();
+        for daemon in 0..self.cluster.daemons.len() {
+            self.step_daemon(daemon, GatewayEvent::QuarantineRead(rows.clone()));
+        }
+    }
+
+    /// Returns a request that no other equals, whose last part is its own.
+    pub fn new_request(&mut self, parts: &[u64]) -> PromptRequest {
+        let number = self.next_number;
+        self.next_number += 1;
+        let mut parts = parts.to_vec();
+        parts.push(u64::MAX - number);
+        PromptRequest { number, parts }
+    }
+
+    /// Sends a request of a new caller, which sends it again if it breaks.
+    pub fn send(&mut self, daemon: usize, request: PromptRequest) -> RequestId {
+        let is_sound = request.crashing_part(&self.crashing_parts).is_none();
+        if is_sound {
+            let attempt = FirstAttempt {
+                at: self.cluster.now,
+                parts: request.parts.clone(),
+                outcome: None,
+            };
+            self.first_attempts.insert(request.number, attempt);
+        }
+        self.send_attempt(daemon, request, 0)
+    }
+
+    fn send_attempt(&mut self, daemon: usize, request: PromptRequest, retries: u32) -> RequestId {
+        let harness = &mut self.cluster.daemons[daemon];
+        harness.now = self.cluster.now;
+        harness.confirm();
+        let local = harness.next_request();
+        let id = RequestId {
+            daemon,
+            request: local,
+        };
+        let arrival = Box::new(request.to_arrival());
+        self.requests.insert(id, request.clone());
+        self.callers.push(WaitingCaller {
+            request,
+            id,
+            retries,
+        });
+        self.step_daemon(
+            daemon,
+            GatewayEvent::Arrived {
+                request: local,
+                arrival,
+            },
+        );
+        id
+    }
+
+    /// Handles an event and all events that its effects lead to.
+    fn step_daemon(&mut self, daemon: usize, event: GatewayEvent) {
+        let harness = &mut self.cluster.daemons[daemon];
+        harness.now = self.cluster.now;
+        harness.step(event);
+        for effect in std::mem::take(&mut harness.effects) {
+            match effect {
+                GatewayEffect::Dispatch(order) => self.on_dispatch(daemon, &order),
+                GatewayEffect::Refuse {
+                    request, reason, ..
+                } => {
+                    let id = RequestId { daemon, request };
+                    self.record_first(id, FirstOutcome::Refused(reason));
+                    self.ends.insert(id, RequestEnd::Refused(reason));
+                }
+                GatewayEffect::WriteQuarantine(write) => self.write_row(daemon, write),
+                _ => {}
+            }
+        }
+    }
+
+    fn write_row(&mut self, daemon: usize, write: QuarantineWrite) {
+        match write.crashes.clone() {
+            Some(crashes) => self.rows.insert(write.fingerprint, crashes),
+            None => self.rows.remove(&write.fingerprint),
+        };
+        let finished = GatewayEvent::QuarantineWriteFinished {
+            write,
+            accepted: true,
+            era: 0,
+        };
+        self.step_daemon(daemon, finished);
+    }
+
+    fn record_first(&mut self, id: RequestId, outcome: FirstOutcome) {
+        if let Some(request) = self.requests.get(&id)
+            && let Some(attempt) = self.first_attempts.get_mut(&request.number)
+        {
+            attempt.outcome.get_or_insert(outcome);
+        }
+    }
+
+    fn on_dispatch(&mut self, daemon: usize, order: &DispatchOrder) {
+        let id = RequestId {
+            daemon,
+            request: order.request,
+        };
+        let upstream = order.upstream.clone();
+        if !self.live_upstreams.contains_key(&upstream) {
+            return self.end_attempt(id, AttemptOutcome::NotSent);
+        }
+        self.record_first(id, FirstOutcome::Dispatched);
+        let now = self.cluster.now;
+        let crashing_part = self.requests[&id].crashing_part(&self.crashing_parts);
+        let time = match crashing_part {
+            Some(part) => {
+                self.parts.entry(part).or_default().dispatches.push(now);
+                CRASH_DELAY
+            }
+            None => {
+                let steps = 1 + self.random.below(MAX_ROUNDS * STEPS_PER_ROUND);
+                STEP * u32::try_from(steps).expect("few steps")
+            }
+        };
+        self.running.push(RunningAttempt {
+            id,
+            upstream,
+            ends_at: now + time,
+            crashing_part,
+        });
+    }
+
+    fn end_attempt(&mut self, id: RequestId, outcome: AttemptOutcome) {
+        let request = id.request;
+        self.step_daemon(id.daemon, GatewayEvent::AttemptEnded { request, outcome });
+    }
+
+    /// Crashes an upstream, which breaks all requests that run there.
+    pub fn crash(&mut self, upstream: &UpstreamLabel) {
+        let Some(slot) = self.live_upstreams.remove(upstream) else {
+            return;
+        };
+        self.crashed.push(CrashedUpstream {
+            upstream: upstream.clone(),
+            slot,
+            at: self.cluster.now,
+        });
+        let runs_there = |attempt: &mut RunningAttempt| attempt.upstream == *upstream;
+        let broken: Vec<_> = self.running.extract_if(.., runs_there).collect();
+        for attempt in broken {
+            self.end_attempt(attempt.id, AttemptOutcome::Broken { stalled: false });
+        }
+    }
+
+    /// Ends the attempts that are due: upstreams crash, or respond completely.
+    fn end_due_attempts(&mut self) {
+        let now = self.cluster.now;
+        while let Some(index) = self.running.iter().position(|a| a.ends_at <= now) {
+            let attempt = &self.running[index];
+            if let Some(part) = attempt.crashing_part {
+                let upstream = attempt.upstream.clone();
+                self.parts.entry(part).or_default().crashes.push(now);
+                self.crash(&upstream);
+                continue;
+            }
+            let attempt = self.running.swap_remove(index);
+            self.ends.insert(attempt.id, RequestEnd::Served);
+            let metadata = ResponseMetadata::default();
+            self.end_attempt(
+                attempt.id,
+                AttemptOutcome::Delivered {
+                    metadata,
+                    events: 1,
+                },
+            );
+        }
+    }
+
+    /// Sends requests that broke again, to any daemon.
+    fn advance_callers(&mut self) {
+        for caller in std::mem::take(&mut self.callers) {
+            let Some(end) = self.ends.remove(&caller.id) else {
+                self.callers.push(caller);
+                continue;
+            };
+            self.requests.remove(&caller.id);
+            let is_final = match end {
+                RequestEnd::Served | RequestEnd::Refused(RefusalReason::Quarantined) => true,
+                RequestEnd::Refused(_) => caller.retries == MAX_RETRIES,
+            };
+            if !is_final {
+                let daemon = self.random.below(self.cluster.daemons.len());
+                self.send_attempt(daemon, caller.request, caller.retries + 1);
+            }
+        }
+    }
+
+    /// Advances the clock by one gossip round, in which the given requests are sent to the given
+    /// daemons.
+    pub fn advance_round(&mut self, requests: Vec<(usize, PromptRequest)>) {
+        let count = requests.len();
+        let mut requests = requests.into_iter();
+        for step in 0..STEPS_PER_ROUND {
+            self.end_due_attempts();
+            self.advance_callers();
+            let sent = count * step / STEPS_PER_ROUND;
+            let due = count * (step + 1) / STEPS_PER_ROUND;
+            for (daemon, request) in requests.by_ref().take(due - sent) {
+                self.send(daemon, request);
+            }
+            if step + 1 < STEPS_PER_ROUND {
+                self.cluster.now = self.cluster.now + STEP;
+            }
+        }
+        self.cluster.gossip_round(STEP);
+        for daemon in 0..self.cluster.daemons.len() {
+            self.step_daemon(daemon, GatewayEvent::Tick);
+        }
+        self.replace_upstreams();
+    }
+
+    /// Replaces crashed upstreams that are due.
+    fn replace_upstreams(&mut self) {
+        let now = self.cluster.now;
+        let is_due = |crashed: &mut CrashedUpstream| now.since(crashed.at) >= REPLACEMENT_DELAY;
+        let due: Vec<_> = self.crashed.extract_if(.., is_due).collect();
+        for crashed in due {
+            let name = self.next_name();
+            self.live_upstreams.insert(name.clone(), crashed.slot);
+            for daemon in 0..self.cluster.daemons.len() {
+                let removed = GatewayEvent::UpstreamRemoved(crashed.upstream.clone());
+                self.step_daemon(daemon, removed);
+                let written = GatewayEvent::UpstreamWritten(entry(&name, crashed.slot));
+                self.step_daemon(daemon, written);
+            }
+        }
+    }
+}
