Crashes are counted by parts of prompts as well as by whole requests

Cause: evidence on crashes was kept by the fingerprint of the whole request, its content and team. What crashed the upstreams was a part of the prompt; no two of the requests were alike, so nothing ever added up to three. The class: the unit by which evidence is kept is not the unit that causes what is observed.

Change: a request has a fingerprint for each part of its prompt but the last, beside that of its content. A crash counts against all of them, a complete response clears all of them, and a request is refused while any is in quarantine. Gossip, rows of the store, leases and the table are the same for both, so formats do not change and a further thing that requests have in common is one more fingerprint. Popular parts are cleared all the while; the table of recent responses keeps those that are served again when it evicts.

Weighed: a table of its own for parts (two gossips, two kinds of rows, the same rules); counting only attempts without an event (the crash comes before the first one in all cases seen, but evidence that is left out is not made up for, and complete responses clear sound parts anyway).

--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -10,7 +10,7 @@
     effect::GatewayEffect,
     label::{ServiceLabel, TeamLabel},
     latency::nominal_first_event_ms,
-    quarantine::RequestFingerprint,
+    quarantine::{RequestFingerprint, RequestFingerprints},
     queue::{QueuePosition, QueueStage, RequestRank},
     refusal::RefusalReason,
     team_limit::{BucketLevels, LimitQuery, LimitVerdict, TeamLimiter},
@@ -44,7 +44,7 @@
     pub team: Option<TeamLabel>,
     /// State of the team's limiter, if the team has exceeded its limit.
     pub limiter: Option<LimiterSnapshot>,
-    /// Number of crashes recorded for the fingerprint, if the request is quarantined.
+    /// Number of crashes recorded for a fingerprint, if the request is quarantined.
     pub crashes: Option<u32>,
 }
 
@@ -88,7 +88,7 @@
                 record.caller_timeout_at = record.caller_timeout_after(now);
                 let line = LogLine::new(LogLevel::Info, "request-admitted")
                     .with("request", &record.request_id)
-                    .with("fingerprint", record.fingerprint)
+                    .with("fingerprint", record.fingerprints.whole)
                     .with("parts", PartList(&record.prompt_parts))
                     .with("route", &record.route.name)
                     .with("service", &record.service)
@@ -182,8 +182,9 @@
         let route = self.match_route(now, &config, arrival)?;
         let team = self.authenticate(now, &config, &route, arrival)?;
         let team_name = team.as_ref().map(|team| &team.name);
-        let fingerprint = RequestFingerprint::new(arrival.content_digest, team_name);
-        let is_probe = self.check_quarantine(now, fingerprint, team_name)?;
+        let whole = RequestFingerprint::new(arrival.content_digest, team_name);
+        let fingerprints = RequestFingerprints::new(whole, &arrival.prompt_parts);
+        let is_probe = self.check_quarantine(now, &fingerprints, team_name)?;
         let sample = self.random.next();
         let service = route.choose_service(sample).cloned();
         let service = service.ok_or_else(|| Refusal::new(RefusalReason::NoUpstream))?;
@@ -203,7 +204,7 @@
         let start_by = now + route.objective.saturating_sub(expected);
         Ok(RequestRecord {
             request_id: arrival.request_id.clone(),
-            fingerprint,
+            fingerprints,
             is_probe,
             service,
             team,
--- a/crates/savorywood-gateway/src/gateway/completion.rs
+++ b/crates/savorywood-gateway/src/gateway/completion.rs
@@ -10,6 +10,7 @@
     effect::GatewayEffect,
     event::AttemptOutcome,
     label::ServiceLabel,
+    quarantine::QuarantineVerdict,
     queue::{QueuePosition, QueueStage},
     refusal::RefusalReason,
 };
@@ -88,7 +89,7 @@
             state.map_or(0, |state| self.peers.slots_by_digest(state.digest).running);
         let line = LogLine::new(LogLevel::Info, "attempt-broken")
             .with("request", &record.request_id)
-            .with("fingerprint", record.fingerprint)
+            .with("fingerprint", record.fingerprints.whole)
             .with("parts", PartList(&record.prompt_parts))
             .with("upstream", &attempt.upstream)
             .with("cause", outcome.name())
@@ -150,8 +151,8 @@
             }
         }
         let may_retry = record.allows_another_execution() && record.attempts < MAX_ATTEMPTS;
-        let fingerprint = record.fingerprint;
-        let is_quarantined = self.is_quarantined(fingerprint);
+        let is_quarantined =
+            self.quarantine.verdict_on(&record.fingerprints) != QuarantineVerdict::Clear;
         if may_retry && !is_quarantined && self.spend_retry(now, request) {
             return self.requeue(now, request, outcome, effects);
         }
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -65,7 +65,7 @@
             if now < record.resume_at {
                 continue;
             }
-            if !record.is_probe && self.is_quarantined(record.fingerprint) {
+            if !record.is_probe && self.is_quarantined(&record.fingerprints) {
                 self.finish(now, position.request, RefusalReason::Quarantined, effects);
                 continue;
             }
--- a/crates/savorywood-gateway/src/gateway/quarantine.rs
+++ b/crates/savorywood-gateway/src/gateway/quarantine.rs
@@ -8,7 +8,7 @@
     peer::name_digest,
     quarantine::{
         CrashGossip, FailedAttempt, QuarantineChange, QuarantineRow, QuarantineVerdict,
-        ReportScope, RequestFingerprint,
+        ReportScope, RequestFingerprint, RequestFingerprints,
     },
     refusal::RefusalReason,
 };
@@ -25,48 +25,63 @@
     pub(super) fn check_quarantine(
         &mut self,
         now: MonotonicTime,
-        fingerprint: RequestFingerprint,
+        fingerprints: &RequestFingerprints,
         team: Option<&TeamLabel>,
     ) -> Result<bool, Refusal> {
-        let (crashes, probe_at) = match self.quarantine.verdict(fingerprint) {
+        let (crashes, probe_at) = match self.quarantine.verdict_on(fingerprints) {
             QuarantineVerdict::Clear => return Ok(false),
             QuarantineVerdict::Quarantined { crashes, probe_at } => (crashes, probe_at),
         };
-        // If all daemons sent the probe at the same time, each could crash an upstream.
-        if now >= probe_at && self.leases.holds_key(now, fingerprint.as_u64()) {
-            self.quarantine.begin_probe(now, fingerprint);
+        if probe_at.is_some_and(|at| now >= at) && self.holds_probe(now, fingerprints) {
+            for fingerprint in fingerprints.iter() {
+                self.quarantine.begin_probe(now, fingerprint);
+            }
             return Ok(true);
         }
         Err(Refusal {
-            retry_after: Some(probe_at.since(now).max(MIN_RETRY_AFTER)),
+            retry_after: Some(self.probe_delay(now, fingerprints)),
             team: team.cloned(),
             crashes: Some(crashes),
             ..Refusal::new(RefusalReason::Quarantined)
         })
     }
 
+    /// Returns whether this daemon may send the probe of a request. If all daemons sent one at the
+    /// same time, each could crash an upstream.
+    fn holds_probe(&self, now: MonotonicTime, fingerprints: &RequestFingerprints) -> bool {
+        let mut quarantined = fingerprints
+            .iter()
+            .filter(|one| self.quarantine.verdict(*one) != QuarantineVerdict::Clear);
+        quarantined.all(|one| self.leases.holds_key(now, one.as_u64()))
+    }
+
     /// Returns whether requests are in quarantine; `None` before the store's list was read.
     pub(super) fn has_quarantined(&self) -> Option<bool> {
         self.quarantine_read
             .then(|| self.quarantine.quarantined_count() > 0)
     }
 
-    pub(super) fn is_quarantined(&self, fingerprint: RequestFingerprint) -> bool {
-        self.quarantine.verdict(fingerprint) != QuarantineVerdict::Clear
+    pub(super) fn is_quarantined(&self, fingerprints: &RequestFingerprints) -> bool {
+        self.quarantine.verdict_on(fingerprints) != QuarantineVerdict::Clear
     }
 
-    /// Returns the time until a probe of the quarantined request is allowed.
+    /// Returns the time until a probe of the quarantined request is allowed, or until the end of
+    /// the quarantine if no further probe is sent.
     pub(super) fn probe_delay(
         &self,
         now: MonotonicTime,
-        fingerprint: RequestFingerprint,
+        fingerprints: &RequestFingerprints,
     ) -> Duration {
-        match self.quarantine.verdict(fingerprint) {
-            QuarantineVerdict::Clear => MIN_RETRY_AFTER,
+        let until = match self.quarantine.verdict_on(fingerprints) {
+            QuarantineVerdict::Clear => None,
             QuarantineVerdict::Quarantined { probe_at, .. } => {
-                probe_at.since(now).max(MIN_RETRY_AFTER)
+                probe_at.or_else(|| self.quarantine.expires_at(fingerprints))
             }
-        }
+        };
+        until
+            .map(|until| until.since(now))
+            .unwrap_or_default()
+            .max(MIN_RETRY_AFTER)
     }
 
     /// Records what the end of an attempt indicates about its request: the upstream crashed under
@@ -85,23 +100,27 @@
         let Some(record) = self.requests.get(&request) else {
             return;
         };
-        let fingerprint = record.fingerprint;
-        let change = match outcome {
+        let is_crash = match outcome {
             AttemptOutcome::Broken { stalled: false }
-            | AttemptOutcome::StreamBroken(StreamInterruption { stalled: false, .. }) => {
-                let broken = FailedAttempt {
-                    fingerprint,
-                    upstream: name_digest(attempt.upstream.as_str()),
-                    sent_at: attempt.dispatched_at,
-                };
-                self.quarantine.record_failed_attempt(now, broken)
-            }
-            AttemptOutcome::Delivered { .. } => {
-                self.quarantine.record_complete_response(now, fingerprint)
-            }
+            | AttemptOutcome::StreamBroken(StreamInterruption { stalled: false, .. }) => true,
+            AttemptOutcome::Delivered { .. } => false,
             _ => return,
         };
-        log_change(fingerprint, change, "own", effects);
+        for fingerprint in record.fingerprints.iter() {
+            let change = if is_crash {
+                self.quarantine.record_failed_attempt(
+                    now,
+                    FailedAttempt {
+                        fingerprint,
+                        upstream: name_digest(attempt.upstream.as_str()),
+                        sent_at: attempt.dispatched_at,
+                    },
+                )
+            } else {
+                self.quarantine.record_complete_response(now, fingerprint)
+            };
+            log_change(fingerprint, change, "own", effects);
+        }
     }
 
     /// Records that an upstream responded to a request dispatched at `sent_at`, which shows that it
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -5,7 +5,7 @@
     config::{RouteSpec, TeamSpec},
     event::AttemptOutcome,
     label::{ServiceLabel, UpstreamLabel},
-    quarantine::RequestFingerprint,
+    quarantine::RequestFingerprints,
     queue::{QueuePosition, RequestRank},
 };
 use savorywood_protocol::MonotonicTime;
@@ -71,8 +71,8 @@
 pub struct RequestRecord {
     /// Request identifier given by the caller, for the log.
     pub request_id: String,
-    /// Fingerprint of the content and team, used by the quarantine.
-    pub fingerprint: RequestFingerprint,
+    /// Fingerprints of the request, used by the quarantine.
+    pub fingerprints: RequestFingerprints,
     /// The request is the probe of a quarantined fingerprint.
     pub is_probe: bool,
     /// Route that the request matched.
--- a/crates/savorywood-gateway/src/gateway/retry_after.rs
+++ b/crates/savorywood-gateway/src/gateway/retry_after.rs
@@ -35,7 +35,7 @@
         let pause = self.remaining_pause(now, &record.service);
         match reason {
             RefusalReason::Overloaded => {}
-            RefusalReason::Quarantined => return self.probe_delay(now, record.fingerprint),
+            RefusalReason::Quarantined => return self.probe_delay(now, &record.fingerprints),
             _ => return DEFAULT_RETRY_AFTER.max(pause),
         }
         let queue = self.queues.get(&record.service);
--- a/crates/savorywood-gateway/src/gateway/stall_detection.rs
+++ b/crates/savorywood-gateway/src/gateway/stall_detection.rs
@@ -90,7 +90,7 @@
     fn may_abandon(&self, record: &RequestRecord) -> bool {
         record.allows_concurrent_execution()
             && record.attempts < MAX_ATTEMPTS
-            && !self.is_quarantined(record.fingerprint)
+            && !self.is_quarantined(&record.fingerprints)
     }
 
     fn stall_kind(
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -76,7 +76,7 @@
 pub use quarantine::{
     CrashGossip, CrashRecord, CrashReport, FailedAttempt, QUARANTINE_CRASHES, QuarantineChange,
     QuarantineRow, QuarantineTable, QuarantineVerdict, QuarantineWrite, ReportScope, ReportedCrash,
-    RequestFingerprint, StoredCrash,
+    RequestFingerprint, RequestFingerprints, StoredCrash,
 };
 pub use queue::RequestRank;
 pub use refusal::RefusalReason;
--- a/crates/savorywood-gateway/src/quarantine.rs
+++ b/crates/savorywood-gateway/src/quarantine.rs
@@ -1,37 +1,33 @@
 //! Quarantine of requests that crash upstreams: they are not sent to further upstreams.
 //!
 //! A request crashes each upstream that starts to execute it, and is sent again with a new request
-//! id to any daemon. All concurrent requests at the upstream fail as well, and so do retries of
-//! both.
+//! id to any daemon; or a part of prompts does, and requests with it arrive that share nothing
+//! else. All concurrent requests at the upstream fail as well, and so do retries of both.
 //!
 //! Each daemon records which upstreams crashed while executing which request, identified by its
-//! fingerprint, and daemons merge their records: a set of crashes that only grows, so the order and
-//! loss of messages do not matter. A request with crashes of [`QUARANTINE_CRASHES`] upstreams is
-//! refused. Concurrent requests are distinguished by what a crashing request never has: a complete
-//! response. One complete response clears a fingerprint, and excuses crashes that follow soon
-//! after.
+//! fingerprints, and daemons merge their records: a set of crashes that only grows, so the order
+//! and loss of messages do not matter. Requests with a fingerprint under which
+//! [`QUARANTINE_CRASHES`] upstreams crashed are refused. Concurrent requests are distinguished by
+//! what crashing requests never have: a complete response. One complete response clears all
+//! fingerprints of its request, and excuses crashes that follow soon after.
 
 mod crash_history;
 mod entry;
+mod fingerprint;
 mod report;
 mod row;
 mod served;
 
 pub use crash_history::CrashRecord;
+pub use fingerprint::{RequestFingerprint, RequestFingerprints};
 pub use report::{CrashGossip, CrashReport, ReportScope, ReportedCrash};
 pub use row::{QuarantineRow, QuarantineWrite, StoredCrash};
 
-use crate::{
-    arrival::ContentDigest,
-    label::TeamLabel,
-    peer::{name_digest, slot_key},
-    rendezvous::rendezvous_weight,
-};
+use crate::peer::slot_key;
 use entry::{QuarantineEntry, RowState, SUSPECT_TTL, WriteSchedule};
 use savorywood_protocol::MonotonicTime;
-use serde::{Deserialize, Serialize};
 use served::ServedRequests;
-use std::{collections::BTreeMap, fmt, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 /// Number of upstream crashes after which a request is quarantined.
 pub const QUARANTINE_CRASHES: u32 = 3;
@@ -50,37 +46,6 @@
 /// Maximum delay between such writes.
 const MAX_WRITE_BACKOFF: Duration = Duration::from_secs(8);
 
-/// Identifies repetitions of the same request of a team, by a hash of content and team.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct RequestFingerprint(u64);
-
-impl RequestFingerprint {
-    /// Computes the fingerprint. Requests without a team have one as well.
-    #[must_use]
-    pub fn new(content: ContentDigest, team: Option<&TeamLabel>) -> Self {
-        let team = team.map_or(0, |team| name_digest(team.as_str()));
-        Self(rendezvous_weight(content.0, team))
-    }
-
-    /// Parses the hexadecimal format that `Display` writes.
-    #[must_use]
-    pub fn parse(text: &str) -> Option<Self> {
-        u64::from_str_radix(text, 16).ok().map(Self)
-    }
-
-    /// Returns the hash value, for the selection of a lease holder.
-    #[must_use]
-    pub fn as_u64(self) -> u64 {
-        self.0
-    }
-}
-
-impl fmt::Display for RequestFingerprint {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:016x}", self.0)
-    }
-}
-
 /// Effect of an observation on the quarantine of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuarantineChange {
@@ -101,11 +66,32 @@
     Quarantined {
         /// Number of upstream crashes while it was executed.
         crashes: u32,
-        /// Earliest time of the next probe request.
-        probe_at: MonotonicTime,
+        /// Earliest time of the next probe request; `None` if no further one is sent.
+        probe_at: Option<MonotonicTime>,
     },
 }
 
+impl QuarantineVerdict {
+    fn stricter(self, other: Self) -> Self {
+        let (
+            Self::Quarantined { crashes, probe_at },
+            Self::Quarantined {
+                crashes: other_crashes,
+                probe_at: other_probe_at,
+            },
+        ) = (self, other)
+        else {
+            return if self == Self::Clear { other } else { self };
+        };
+        Self::Quarantined {
+            crashes: crashes.max(other_crashes),
+            probe_at: probe_at
+                .zip(other_probe_at)
+                .map(|(one, other)| one.max(other)),
+        }
+    }
+}
+
 /// An attempt whose connection broke at an upstream.
 #[derive(Debug, Clone, Copy)]
 pub struct FailedAttempt {
@@ -238,6 +224,21 @@
         }
     }
 
+    /// Returns the verdict on a request with several fingerprints: the strictest of them.
+    #[must_use]
+    pub fn verdict_on(&self, fingerprints: &RequestFingerprints) -> QuarantineVerdict {
+        let verdicts = fingerprints.iter().map(|one| self.verdict(one));
+        verdicts.fold(QuarantineVerdict::Clear, QuarantineVerdict::stricter)
+    }
+
+    /// Returns when the quarantine of a request ends at the latest without a probe.
+    #[must_use]
+    pub fn expires_at(&self, fingerprints: &RequestFingerprints) -> Option<MonotonicTime> {
+        let entries = fingerprints.iter().filter_map(|one| self.entries.get(&one));
+        let quarantined = entries.filter(|entry| entry.is_quarantined());
+        quarantined.map(QuarantineEntry::expires_at).max()
+    }
+
     /// Records that a quarantined request is sent as a probe.
     pub fn begin_probe(&mut self, now: MonotonicTime, fingerprint: RequestFingerprint) {
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
--- a/crates/savorywood-gateway/src/quarantine/crash_history.rs
+++ b/crates/savorywood-gateway/src/quarantine/crash_history.rs
@@ -1,11 +1,16 @@
-//! Crashes of upstreams while they executed one request.
+//! Crashes of upstreams while they executed requests with one fingerprint.
 
-use super::{row::StoredCrash, served::SERVED_WINDOW};
+use super::{
+    QUARANTINE_CRASHES, entry::MAX_PROBE_CRASHES, row::StoredCrash, served::SERVED_WINDOW,
+};
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
-/// Maximum number of crashes that are kept; more do not change the outcome.
+/// Maximum number of crashes that are kept before any under a probe; more do not change the outcome.
 const MAX_CRASHES: usize = 8;
+/// Time after the crash that began the quarantine from which crashes are those of probes: what was
+/// sent before the quarantine has ended.
+const PROBE_CRASH_DELAY: Duration = Duration::from_secs(30);
 /// An upstream needs longer than this to restart, so attempts that fail there within this time
 /// failed in the same crash.
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(1);
@@ -58,13 +63,39 @@
             known.at = known.at.min(crash.at);
             return false;
         }
-        if self.is_excused(crash) || self.crashes.len() >= MAX_CRASHES {
+        if self.is_excused(crash) || self.is_full_for(crash) {
             return false;
         }
         self.crashes.push(crash);
         true
     }
 
+    /// Returns whether further crashes like this one do not change the outcome.
+    fn is_full_for(&self, crash: CrashRecord) -> bool {
+        let probe_crashes = self.probe_crashes();
+        match self.quarantined_at() {
+            Some(at) if crash.at >= at + PROBE_CRASH_DELAY => probe_crashes >= MAX_PROBE_CRASHES,
+            _ => self.crashes.len() - probe_crashes >= MAX_CRASHES,
+        }
+    }
+
+    /// Returns the time of the crash that began the quarantine.
+    fn quarantined_at(&self) -> Option<MonotonicTime> {
+        let mut times: Vec<MonotonicTime> = self.crashes.iter().map(|crash| crash.at).collect();
+        times.sort_unstable();
+        times.get(QUARANTINE_CRASHES as usize - 1).copied()
+    }
+
+    /// Returns the number of crashes under probes.
+    #[must_use]
+    pub fn probe_crashes(&self) -> usize {
+        let Some(at) = self.quarantined_at() else {
+            return 0;
+        };
+        let is_probe = |crash: &&CrashRecord| crash.at >= at + PROBE_CRASH_DELAY;
+        self.crashes.iter().filter(is_probe).count()
+    }
+
     fn is_excused(&self, crash: CrashRecord) -> bool {
         self.served_at
             .is_some_and(|served_at| crash.at < served_at + SERVED_WINDOW)
--- a/crates/savorywood-gateway/src/quarantine/entry.rs
+++ b/crates/savorywood-gateway/src/quarantine/entry.rs
@@ -1,4 +1,4 @@
-//! Quarantine entry of one request.
+//! Quarantine entry of one fingerprint.
 
 use super::{QUARANTINE_CRASHES, crash_history::CrashHistory, report::ReportScope};
 use savorywood_protocol::MonotonicTime;
@@ -13,6 +13,10 @@
 pub const SUSPECT_TTL: Duration = Duration::from_secs(600);
 /// Lifetime of a quarantined entry, from its last crash or probe.
 const QUARANTINE_TTL: Duration = Duration::from_secs(3_600);
+/// The same after a probe has crashed an upstream as well.
+const CONFIRMED_TTL: Duration = Duration::from_secs(24 * 3_600);
+/// Crashes under probes after which no further probe is sent.
+pub const MAX_PROBE_CRASHES: usize = 2;
 
 /// Number of crashes from which the entry is stored. With fewer, each concurrent request of one
 /// crash would cause a write.
@@ -51,7 +55,7 @@
     pub backoff: Duration,
 }
 
-/// State of one request with recorded crashes.
+/// State of one fingerprint with recorded crashes.
 #[derive(Debug, Clone, Default)]
 pub struct QuarantineEntry {
     /// Crashes and the last complete response.
@@ -76,11 +80,24 @@
         self.history.count() >= QUARANTINE_CRASHES
     }
 
-    /// Returns the earliest time of the next probe.
-    pub fn probe_at(&self) -> MonotonicTime {
+    /// Returns the earliest time of the next probe; `None` if no further one is sent.
+    pub fn probe_at(&self) -> Option<MonotonicTime> {
+        if self.history.probe_crashes() >= MAX_PROBE_CRASHES {
+            return None;
+        }
         let excess = self.history.count().saturating_sub(QUARANTINE_CRASHES);
         let delay = PROBE_DELAY * 2u32.pow(excess.min(MAX_DOUBLINGS));
-        self.history.last_changed_at().max(self.probed_at) + delay
+        Some(self.history.last_changed_at().max(self.probed_at) + delay)
+    }
+
+    /// Returns the time at which the entry's lifetime ends.
+    pub fn expires_at(&self) -> MonotonicTime {
+        let ttl = match (self.is_quarantined(), self.history.probe_crashes()) {
+            (false, _) => SUSPECT_TTL,
+            (true, 0) => QUARANTINE_TTL,
+            (true, _) => CONFIRMED_TTL,
+        };
+        self.history.last_changed_at().max(self.probed_at) + ttl
     }
 
     /// Returns the time of the last change that is reported in the given scope.
@@ -93,12 +110,7 @@
 
     /// Returns true if the entry's lifetime has ended.
     pub fn is_expired(&self, now: MonotonicTime) -> bool {
-        let time = if self.is_quarantined() {
-            QUARANTINE_TTL
-        } else {
-            SUSPECT_TTL
-        };
-        now.since(self.history.last_changed_at().max(self.probed_at)) >= time
+        now >= self.expires_at()
     }
 
     /// Returns true if the entry has to survive a restart of all daemons.
--- a/crates/savorywood-gateway/src/quarantine/served.rs
+++ b/crates/savorywood-gateway/src/quarantine/served.rs
@@ -18,8 +18,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServedRequests {
     served_at: HashMap<RequestFingerprint, MonotonicTime>,
-    /// Requests in the order of their first complete responses, for eviction.
-    order: VecDeque<RequestFingerprint>,
+    /// Fingerprints with the time at which each was queued for eviction, the oldest first.
+    order: VecDeque<(RequestFingerprint, MonotonicTime)>,
 }
 
 impl ServedRequests {
@@ -28,11 +28,19 @@
         if self.served_at.insert(fingerprint, now).is_some() {
             return;
         }
-        self.order.push_back(fingerprint);
-        if self.order.len() > MAX_SERVED
-            && let Some(oldest) = self.order.pop_front()
+        self.order.push_back((fingerprint, now));
+        while self.order.len() > MAX_SERVED
+            && let Some((oldest, queued_at)) = self.order.pop_front()
         {
-            self.served_at.remove(&oldest);
+            // Many requests share a fingerprint, so its entry may be the most recent one.
+            match self.served_at.get(&oldest).copied() {
+                Some(served_at) if served_at > queued_at => {
+                    self.order.push_back((oldest, served_at));
+                }
+                _ => {
+                    self.served_at.remove(&oldest);
+                }
+            }
         }
     }
 
