Crashes read from the store are not withdrawn by later responses

What callers saw: after a restart of all daemons, a part of prompts that was in quarantine crashed five more upstreams.

Cause: the store keeps crashes without their times, and a read recorded them as of now. A peer that received them by gossip took their upstreams for ones at which attempts had just failed, and the first response of an upstream that had come back under its name withdrew the crash as refuted: a response 0.1 to 1.5 s after a failure shows that only a connection broke.

Evidence: the logs of the process test: quarantine-read rows=2 held=1, one refusal 0.1 s later, and from 0.3 s on requests with the part are sent again until three more crashes are counted. 5 late sends of 8.

Change: crashes from the store are recorded as of four seconds ago, so that no response after the read refutes them. A quarantine that was wrong still ends by a complete response or a probe.

--- a/crates/savorywood-gateway/src/quarantine.rs
+++ b/crates/savorywood-gateway/src/quarantine.rs
@@ -41,6 +41,9 @@
 const RESTART_WINDOW: Duration = Duration::from_secs(2);
 /// A request that was sent earlier than this after the failure may have been answered before it.
 const REFUTATION_MARGIN: Duration = Duration::from_millis(100);
+/// Minimum age of crashes that are read from the store. Their upstreams have restarted, and
+/// responses after the read do not refute them.
+const STORED_CRASH_AGE: Duration = Duration::from_secs(4);
 /// Delay after the first write of a row that was not accepted.
 const MIN_WRITE_BACKOFF: Duration = Duration::from_secs(1);
 /// Maximum delay between such writes.
@@ -309,7 +312,7 @@
             let entry = self.entries.entry(row.fingerprint).or_default();
             entry.row = RowState::Read;
             entry.stored_crashes = u32::try_from(row.crashes.len()).unwrap_or(u32::MAX);
-            if entry.history.restore(now, &row.crashes) {
+            if entry.history.restore(now - STORED_CRASH_AGE, &row.crashes) {
                 entry.probed_at = now;
             }
         }
--- a/crates/savorywood-gateway/src/quarantine/crash_history.rs
+++ b/crates/savorywood-gateway/src/quarantine/crash_history.rs
@@ -125,8 +125,9 @@
         true
     }
 
-    /// Merges crashes from the store. Returns true if any of them was new.
-    pub fn restore(&mut self, now: MonotonicTime, crashes: &[StoredCrash]) -> bool {
+    /// Merges crashes from the store, which does not keep their times; they are recorded as of
+    /// `at`. Returns true if any of them was new.
+    pub fn restore(&mut self, at: MonotonicTime, crashes: &[StoredCrash]) -> bool {
         if self.served_at.is_some() {
             return false;
         }
@@ -135,7 +136,7 @@
             self.merge(CrashRecord {
                 upstream: crash.upstream,
                 number: crash.number,
-                at: now,
+                at,
             });
         }
         self.crashes.len() > before
