The test of the operators' page knows the counter of cut responses

operators_page_lists_all_metrics failed since responses_cut_total was added: a counter with labels appears among the metrics only once it has counted, and the test counts each known one. The page lists the metric already.

--- a/crates/savorywood-front/src/metrics/tests.rs
+++ b/crates/savorywood-front/src/metrics/tests.rs
@@ -20,6 +20,7 @@
 fn names_in_code(metrics: &FrontMetrics) -> BTreeSet<String> {
     let counted = [
         &metrics.ended,
+        &metrics.cut,
         &metrics.attempts,
         &metrics.store_calls,
         &metrics.connect_failures,
