Limits of a caller's connection are those in force when its next request arrives

What callers saw: on a kept connection, the first request after an idle time was held to the header and body limits of the configuration that was in force when the previous response ended: 413 or 431 for what a newer version allows. A connection was also closed by the idle timeout of an older version, so that requests of callers who keep to a raised one crossed the close.

Cause: the limits were read once, before the wait for the first byte.

Change: the limits are read when the first byte has arrived; the wait looks at the idle timeout in force each time that it would end. A lowered timeout binds from the next wait on: until then a connection stays open longer than it has to.

--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -137,14 +137,11 @@
 }
 
 async fn read_request(shared: &FrontShared, reader: &mut ByteReader) -> RequestRead {
-    let limits = limits(shared);
     skip_empty_lines(reader);
-    if reader.bytes().is_empty() {
-        let first = with_timeout(limits.idle_timeout + IDLE_MARGIN, reader.fill()).await;
-        if !matches!(first, Some(Ok(1..))) {
-            return RequestRead::Closed;
-        }
+    if reader.bytes().is_empty() && !wait_for_input(shared, reader).await {
+        return RequestRead::Closed;
     }
+    let limits = limits(shared);
     let head = match with_timeout(limits.header_timeout, read_head(reader, &limits)).await {
         Some(Ok(Some(head))) => head,
         Some(Ok(None)) => return RequestRead::Closed,
@@ -175,6 +172,22 @@
     }
 }
 
+/// Waits for the first bytes of a request. Returns false if the connection ends or stays idle for
+/// the timeout of the configuration that is in force by then.
+async fn wait_for_input(shared: &FrontShared, reader: &mut ByteReader) -> bool {
+    let idle_since = shared.clock.now();
+    loop {
+        let idle = shared.clock.now().since(idle_since);
+        let idle_timeout = limits(shared).idle_timeout + IDLE_MARGIN;
+        if idle >= idle_timeout {
+            return false;
+        }
+        if let Some(read) = with_timeout(idle_timeout - idle, reader.fill()).await {
+            return matches!(read, Ok(1..));
+        }
+    }
+}
+
 fn skip_empty_lines(reader: &mut ByteReader) {
     while reader.bytes().starts_with(b"\r\n") {
         reader.consume(2);
