--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -1,5 +1,7 @@
 //! Serves a caller's connection: reads requests and writes responses.
 
+mod request_reader;
+
 use crate::{
     attempt::{SavedFailure, UpstreamAttempt, broken_outcome, configure_socket},
     clock::with_timeout,
@@ -8,32 +10,25 @@
     metrics,
     shared::{FrontShared, RequestDecision},
     sink::ResponseSink,
-    wire::{BodyError, BodyFraming, ByteReader, HeadError, HeaderLine, RequestHead, read_body},
+    wire::{ByteReader, HeaderLine},
 };
 use async_channel::Receiver;
 use async_net::TcpStream;
-use futures_lite::{AsyncWriteExt, future};
+use futures_lite::future;
+use request_reader::{CompleteRequest, RequestRead, read_request};
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_gateway::{
-    AttemptOutcome, CallerLimits, DispatchOrder, GatewayEvent, LocalRequest, RefusalReason,
-    RequestArrival,
+    AttemptOutcome, DispatchOrder, GatewayEvent, LocalRequest, RefusalReason, RequestArrival,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{cell::Cell, net::Shutdown, rc::Rc, time::Duration};
 use strum::IntoStaticStr;
 
-/// Interim response after which a caller sends its body.
-const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 /// Time for which input is still read after a connection's last response. Closing a connection with
 /// unread input resets it, and the reset can discard the response before the caller reads it.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum size of pipelined requests that are buffered while a request is in progress, in bytes.
 const MAX_PIPELINED_BYTES: usize = 65_536;
-/// Maximum time to receive a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(20);
-/// Time beyond the configured idle timeout for which idle connections stay open: a request may
-/// already be on its way.
-const IDLE_MARGIN: Duration = Duration::from_secs(2);
 
 /// Handling of the connection after a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,18 +54,6 @@
     DecisionMissing,
 }
 
-/// A request with its complete body.
-struct CompleteRequest {
-    head: RequestHead,
-    body: Vec<u8>,
-}
-
-enum RequestRead {
-    Request(Box<CompleteRequest>),
-    Closed,
-    Rejected(u16, &'static str),
-}
-
 /// Removes the request when dropped, also when its caller disconnects.
 struct OpenRequest<'a> {
     shared: &'a FrontShared,
@@ -128,93 +111,6 @@
     with_timeout(LINGER_TIMEOUT, read_on).await;
 }
 
-fn limits(shared: &FrontShared) -> CallerLimits {
-    let gateway = shared.gateway.borrow();
-    gateway
-        .config()
-        .map(|config| config.limits)
-        .unwrap_or_default()
-}
-
-async fn read_request(shared: &FrontShared, reader: &mut ByteReader) -> RequestRead {
-    skip_empty_lines(reader);
-    if reader.bytes().is_empty() && !wait_for_input(shared, reader).await {
-        return RequestRead::Closed;
-    }
-    let limits = limits(shared);
-    let head = match with_timeout(limits.header_timeout, read_head(reader, &limits)).await {
-        Some(Ok(Some(head))) => head,
-        Some(Ok(None)) => return RequestRead::Closed,
-        Some(Err(HeadError::TooLarge)) => return RequestRead::Rejected(431, "head too large"),
-        Some(Err(HeadError::Malformed { reason })) => return RequestRead::Rejected(400, reason),
-        None => return RequestRead::Rejected(408, "the head did not arrive in time"),
-    };
-    if matches!(head.framing, BodyFraming::Length(length) if length > limits.body_bytes as u64) {
-        return RequestRead::Rejected(413, "the request body exceeds the size limit");
-    }
-    if head.expects_continue {
-        let mut stream = reader.stream().clone();
-        if stream.write_all(CONTINUE).await.is_err() {
-            return RequestRead::Closed;
-        }
-    }
-    let body = read_body(reader, head.framing, limits.body_bytes);
-    match with_timeout(BODY_TIMEOUT, body).await {
-        Some(Ok(body)) => RequestRead::Request(Box::new(CompleteRequest { head, body })),
-        Some(Err(BodyError::TooLarge)) => {
-            RequestRead::Rejected(413, "the request body exceeds the size limit")
-        }
-        Some(Err(BodyError::BadChunk)) => {
-            RequestRead::Rejected(400, "the chunked coding of the body is malformed")
-        }
-        Some(Err(BodyError::CutOff | BodyError::Broken { .. })) => RequestRead::Closed,
-        None => RequestRead::Rejected(408, "the body did not arrive in time"),
-    }
-}
-
-/// Waits for the first bytes of a request. Returns false if the connection ends or stays idle for
-/// the timeout of the configuration that is in force by then.
-async fn wait_for_input(shared: &FrontShared, reader: &mut ByteReader) -> bool {
-    let idle_since = shared.clock.now();
-    loop {
-        let idle = shared.clock.now().since(idle_since);
-        let idle_timeout = limits(shared).idle_timeout + IDLE_MARGIN;
-        if idle >= idle_timeout {
-            return false;
-        }
-        if let Some(read) = with_timeout(idle_timeout - idle, reader.fill()).await {
-            return matches!(read, Ok(1..));
-        }
-    }
-}
-
-fn skip_empty_lines(reader: &mut ByteReader) {
-    while reader.bytes().starts_with(b"\r\n") {
-        reader.consume(2);
-    }
-}
-
-async fn read_head(
-    reader: &mut ByteReader,
-    limits: &CallerLimits,
-) -> Result<Option<RequestHead>, HeadError> {
-    loop {
-        skip_empty_lines(reader);
-        if let Some(end) = reader.head_end() {
-            if end > limits.header_bytes {
-                return Err(HeadError::TooLarge);
-            }
-            return RequestHead::parse(&reader.take(end)).map(Some);
-        }
-        if reader.bytes().len() > limits.header_bytes {
-            return Err(HeadError::TooLarge);
-        }
-        if !matches!(reader.fill().await, Ok(1..)) {
-            return Ok(None);
-        }
-    }
-}
-
 /// Waits until the caller disconnects. Input received meanwhile is buffered as the next request.
 async fn caller_disconnected(reader: &mut ByteReader) -> CutCause {
     loop {
