A failure response to a resumed stream is no crash of its upstream

A 500 to a stream that was being resumed counted as a broken stream: as a crash under the fingerprints of its request, and as a failed connection of an upstream that had responded properly. With evidence by parts of prompts, three such responses could hold back a rare sound part.

Change: it counts as a failure response, as it does for a request whose response has not begun.

--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -249,7 +249,14 @@
         }
         if self.sink.has_started() {
             // A stream can only be resumed by another stream.
-            return (self.stream_broken(), None);
+            let outcome = if success {
+                self.stream_broken()
+            } else {
+                AttemptOutcome::Failed {
+                    metadata: parsed.metadata,
+                }
+            };
+            return (outcome, None);
         }
         self.relay_response(reader, head, &parsed).await
     }
