A stream that has begun is not cut before its deadline

What callers saw: a stream that outlasts its deadline or its route's time-out ended 24 ms before it (976 ms after a request with a deadline of 1,000 ms). Such an end counts as one of the daemon's own, while one at the time-out does not; a configuration that lowers a time-out makes many of them beside its change.

Cause: attempts end 25 ms before the deadline, so that a refusal still reaches the caller in time. A response that has begun can't be refused.

Change: an attempt whose response has begun ends at the deadline. Streams that wait for another upstream are still given up 25 ms before it (expire_waiting in the gateway).

--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -28,6 +28,9 @@
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Characters of a request's identifier that a relay is told, for its log.
 const MAX_RELAYED_ID_CHARS: usize = 64;
+/// Time from the end of an attempt by its deadline to that of the request, which is reserved for a
+/// refusal. A response that has begun can't be refused and may use it.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(25);
 /// Time after which the kernel closes a connection whose sent data is not acknowledged.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -67,8 +70,12 @@
     pub async fn run(mut self) -> AttemptOutcome {
         let clock = self.shared.clock;
         let give_up_at = self.order.give_up_at;
+        let progress = self.sink.progress();
         let expired = async {
             clock.sleep_until(give_up_at).await;
+            if progress.events() > 0 {
+                clock.sleep_until(give_up_at + REFUSAL_MARGIN).await;
+            }
             AttemptOutcome::Expired
         };
         future::or(self.attempt(), expired).await
