Deadline of a request in one place, also for streams that wait

A stream that waited for another upstream was still cut 25 ms before it, and the margin stood in two crates. The dispatch order now names both times, streams that wait end at the deadline, and none is sent on within the margin.

--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -28,9 +28,6 @@
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Characters of a request's identifier that a relay is told, for its log.
 const MAX_RELAYED_ID_CHARS: usize = 64;
-/// Time from the end of an attempt by its deadline to that of the request, which is reserved for a
-/// refusal. A response that has begun can't be refused and may use it.
-const REFUSAL_MARGIN: Duration = Duration::from_millis(25);
 /// Time after which the kernel closes a connection whose sent data is not acknowledged.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -69,12 +66,12 @@
     /// Runs the attempt until it ends or the deadline of the request passes.
     pub async fn run(mut self) -> AttemptOutcome {
         let clock = self.shared.clock;
-        let give_up_at = self.order.give_up_at;
-        let progress = self.sink.progress();
+        let order = self.order;
+        let started = self.sink.started();
         let expired = async {
-            clock.sleep_until(give_up_at).await;
-            if progress.events() > 0 {
-                clock.sleep_until(give_up_at + REFUSAL_MARGIN).await;
+            clock.sleep_until(order.give_up_at).await;
+            if started.get() {
+                clock.sleep_until(order.deadline_at).await;
             }
             AttemptOutcome::Expired
         };
--- a/crates/savorywood-front/src/sink.rs
+++ b/crates/savorywood-front/src/sink.rs
@@ -11,7 +11,8 @@
     stream: TcpStream,
     /// The connection is closed after this response.
     pub closes_connection: bool,
-    started: bool,
+    /// A byte of the response was written.
+    started: Rc<Cell<bool>>,
     last_event_id: Option<String>,
     events: u32,
     /// A write is in progress: ending the attempt now would leave a truncated chunk.
@@ -24,7 +25,7 @@
         Self {
             stream,
             closes_connection,
-            started: false,
+            started: Rc::default(),
             last_event_id: None,
             events: 0,
             writing: Rc::default(),
@@ -47,7 +48,13 @@
     /// Reports whether any byte of the response was written.
     #[must_use]
     pub fn has_started(&self) -> bool {
-        self.started
+        self.started.get()
+    }
+
+    /// Returns a flag that is set once any byte of the response was written.
+    #[must_use]
+    pub fn started(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.started)
     }
 
     /// Returns the id of the last event forwarded to the caller.
@@ -94,7 +101,7 @@
         head.push_str("\r\n");
         let mut bytes = head.into_bytes();
         bytes.extend_from_slice(body);
-        self.started = true;
+        self.started.set(true);
         self.write(&bytes).await
     }
 
@@ -114,7 +121,7 @@
         head.push_str("Transfer-Encoding: chunked\r\n\r\n");
         let mut bytes = head.into_bytes();
         push_chunk(&mut bytes, events);
-        self.started = true;
+        self.started.set(true);
         self.write(&bytes).await
     }
 
--- a/crates/savorywood-gateway/src/effect.rs
+++ b/crates/savorywood-gateway/src/effect.rs
@@ -30,6 +30,8 @@
     pub team: Option<TeamLabel>,
     /// Deadline of the attempt.
     pub give_up_at: MonotonicTime,
+    /// Deadline of the request, until which a response that has begun continues.
+    pub deadline_at: MonotonicTime,
     /// The response is a stream of events.
     pub stream: bool,
     /// Peers that relay the request, tried in this order; empty when the upstream is reached
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -217,6 +217,7 @@
             prompt_parts: arrival.prompt_parts.clone(),
             arrived_at: now,
             give_up_at,
+            deadline_at: now + timeout,
             caller_timeout_at: give_up_at,
             state: RequestState::Waiting(QueuePosition {
                 rank,
--- a/crates/savorywood-gateway/src/gateway/completion.rs
+++ b/crates/savorywood-gateway/src/gateway/completion.rs
@@ -236,7 +236,7 @@
                 .with("runs", record.executions)
                 .with("max_runs", record.route.max_attempts)
                 .with("abandoned", record.abandoned_attempts)
-                .with("left_ms", record.give_up_at.since(now).as_millis())
+                .with("left_ms", record.deadline_at.since(now).as_millis())
                 .with("config", self.config_version());
             effects.push(GatewayEffect::Log(line));
             effects.push(GatewayEffect::AbortResponse { request, reason });
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -62,7 +62,7 @@
             let Some(record) = self.requests.get(&position.request) else {
                 continue;
             };
-            if now < record.resume_at {
+            if now < record.resume_at || now >= record.give_up_at {
                 continue;
             }
             if !record.is_probe && self.is_quarantined(&record.fingerprints) {
@@ -233,6 +233,7 @@
             address: state.entry.address,
             team: record.team.as_ref().map(|team| team.name.clone()),
             give_up_at: record.give_up_at,
+            deadline_at: record.deadline_at,
             stream: record.route.retry_safety.is_stream(),
             relays,
             idempotent: record.route.retry_safety.is_idempotent(),
@@ -299,7 +300,7 @@
                     continue;
                 };
                 if record.can_resume() {
-                    if now >= record.give_up_at {
+                    if now >= record.deadline_at {
                         expired.push(position.request);
                     }
                     continue;
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -93,8 +93,10 @@
     pub prompt_parts: Vec<PromptPart>,
     /// Time of arrival.
     pub arrived_at: MonotonicTime,
-    /// Deadline of the final response.
+    /// Time at which the request is given up so that a refusal reaches its caller in time.
     pub give_up_at: MonotonicTime,
+    /// Deadline of the final response.
+    pub deadline_at: MonotonicTime,
     /// Time at which the caller is expected to give up if it receives nothing more.
     pub caller_timeout_at: MonotonicTime,
     /// Whether the request waits or is in progress.
