No refusal is written into a response that has begun

What callers saw: a response without events whose caller reads slowly until its deadline passes is followed, in the middle of its body, by the head and body of a 504, and the connection stays open for the next request.

Cause: the attempt ends at the deadline while its response is being written. To the gateway only streams begin before they end, so it decides on a refusal, which was written to the same connection.

Change: after a response has begun, a decision to write another closes the connection instead, so that the caller sees the response as incomplete.

--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -210,6 +210,11 @@
                 }
             };
             sink.closes_connection |= self.shared.stopping.get();
+            let decision = if sink.has_started() {
+                without_response(decision)
+            } else {
+                decision
+            };
             match decision {
                 RequestDecision::Dispatch(order) => {
                     let outcome = self
@@ -393,6 +398,20 @@
     }
 }
 
+/// Replaces a decision to write a response. After the beginning of another one, it would be taken for
+/// a part of that.
+fn without_response(decision: RequestDecision) -> RequestDecision {
+    match decision {
+        RequestDecision::Refuse { reason, .. } => RequestDecision::Abort(reason),
+        RequestDecision::ForwardFailure => {
+            RequestDecision::Abort(RefusalReason::IncompleteResponse)
+        }
+        RequestDecision::Dispatch(_) | RequestDecision::Abandon | RequestDecision::Abort(_) => {
+            decision
+        }
+    }
+}
+
 /// Waits for the decision to abandon the attempt. The decision is ignored while bytes are being
 /// written, because the caller would receive a truncated chunk, and if the attempt has received
 /// data since it was made.
