Tests: cases in which a part of prompts crashes upstreams

Simulated daemons, upstreams and callers, against the interface as it is: a request crashes its upstream 0.1 s after its dispatch if its prompt has a crashing part that is not the last; sound ones run up to 2 s, break with their upstream and are sent again twice at most. First parts are shared by all requests of a kind, middle parts are popular or rare, last ones are each request's own.

Cases: sound requests with the same team, first part and middle parts; two crashing parts, one of them a first part; another team; one kind of requests only, popular or idle for 15 s to 40 s before; a rare part that only the crashing ones had; parts never answered before; a last part equal to the crashing one; starts of all daemons; a daemon that was cut off; three hours with requests all the while, one request in 15 minutes, pauses of 70 minutes; bursts by size of the cluster and load, with figures (SAVORYWOOD_CLUSTER_SIZES). Bounds are the users': three dispatches later than 3 s after the fifth crash, and from 6 s after it sound requests at the first attempt half as often as before.

Rounds of gossip return the crash reports that were sent, for their size; other tests are unchanged.

--- a/crates/savorywood-gateway/tests/common/cluster.rs
+++ b/crates/savorywood-gateway/tests/common/cluster.rs
@@ -6,8 +6,8 @@
     harness::{GatewayHarness, arrival, config, options, upstream},
 };
 use savorywood_gateway::{
-    GatewayEvent, GatewayOptions, HostResources, LimitTolerance, PeerContact, ReportScope,
-    RequestSize, TeamLimit, ZoneLabel,
+    CrashGossip, GatewayEvent, GatewayOptions, HostResources, LimitTolerance, PeerContact,
+    ReportScope, RequestSize, TeamLimit, ZoneLabel,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{
@@ -168,6 +168,8 @@
     pub sent: Vec<usize>,
     /// Digests by receiving daemon, then by zone of the sender.
     pub digests_received: BTreeMap<usize, BTreeMap<usize, usize>>,
+    /// Crash reports by sender, with the number of receivers.
+    pub crash_gossip: Vec<(usize, usize, CrashGossip)>,
 }
 
 impl DaemonCluster {
@@ -286,6 +288,10 @@
                 (ReportScope::Zone, &remote),
             ] {
                 let gossip = daemon.gateway.crash_gossip(self.now, scope);
+                let sent = gossip
+                    .clone()
+                    .map(|gossip| (number, receivers.len(), gossip));
+                traffic.crash_gossip.extend(sent);
                 for receiver in receivers.iter().filter_map(receiver_index) {
                     let event = gossip.clone().map(GatewayEvent::CrashesReported);
                     messages.extend(event.map(|event| (number, receiver, event)));
--- a/crates/savorywood-gateway/tests/common/crashing_parts.rs
+++ b/crates/savorywood-gateway/tests/common/crashing_parts.rs
@@ -4,28 +4,28 @@
 use crate::{
     callers::SeededRandom,
     cluster::{DaemonCluster, TeamLoad},
-    harness::{arrival, upstream},
+    crash_records::{
+        AttemptShare, CrashTraffic, FirstAttempt, FirstOutcome, PROPAGATION_BOUND, PartRecord,
+        SoundEnds,
+    },
+    harness::upstream,
+    prompt_requests::PromptRequest,
 };
 use savorywood_gateway::{
-    AttemptOutcome, ContentDigest, DispatchOrder, GatewayEffect, GatewayEvent, LocalRequest,
-    PromptPart, QuarantineRow, QuarantineWrite, RefusalReason, RequestArrival, RequestFingerprint,
-    ResponseMetadata, StoredCrash, UpstreamEntry, UpstreamLabel, name_digest,
+    AttemptOutcome, DispatchOrder, GatewayEffect, GatewayEvent, LocalRequest, QuarantineRow,
+    QuarantineWrite, RefusalReason, RequestFingerprint, ResponseMetadata, StoredCrash,
+    UpstreamEntry, UpstreamLabel,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{
     collections::{BTreeMap, BTreeSet},
+    ops::Range,
     time::Duration,
 };
 
-/// Time within which connected daemons must have received a crash record.
-pub const PROPAGATION_BOUND: Duration = Duration::from_secs(3);
-/// Crashes under one part after which requests with it are to be held back.
-pub const CRASHES_BEFORE_BOUND: usize = 5;
-/// Most dispatches of requests with a crashing part after `PROPAGATION_BOUND` has passed since the
-/// last of these crashes.
-pub const MAX_LATE_DISPATCHES: usize = 3;
 /// Steps of the simulated clock between two gossip rounds.
 pub const STEPS_PER_ROUND: usize = 5;
+/// Step of the simulated clock, unless a test sets another.
 const STEP: Duration = Duration::from_millis(50);
 /// Time after which a crashed upstream is replaced.
 const REPLACEMENT_DELAY: Duration = Duration::from_secs(3);
@@ -37,36 +37,6 @@
 const MAX_RETRIES: u32 = 2;
 const SLOTS: u32 = 1_000;
 
-/// A request of a caller, with the parts of its prompt.
-#[derive(Debug, Clone)]
-pub struct PromptRequest {
-    /// Number that no other request has; repeats by its caller have the same.
-    pub number: u64,
-    pub parts: Vec<u64>,
-}
-
-impl PromptRequest {
-    fn to_arrival(&self) -> RequestArrival {
-        let parts = self.parts.iter();
-        RequestArrival {
-            content_digest: ContentDigest(name_digest(&format!("body-{}", self.number))),
-            prompt_parts: parts
-                .map(|id| PromptPart {
-                    id: *id,
-                    tokens: 60,
-                })
-                .collect(),
-            ..arrival("/safe/prompts")
-        }
-    }
-
-    /// Returns the crashing part of the prompt; the last part never is.
-    fn crashing_part(&self, crashing: &BTreeSet<u64>) -> Option<u64> {
-        let (_, others) = self.parts.split_last()?;
-        others.iter().copied().find(|part| crashing.contains(part))
-    }
-}
-
 /// How a request ended for its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestEnd {
@@ -87,7 +57,7 @@
     id: RequestId,
     upstream: UpstreamLabel,
     ends_at: MonotonicTime,
-    crashing_part: Option<u64>,
+    crashing_parts: Vec<u64>,
 }
 
 /// An upstream that is due to be replaced at the same address.
@@ -106,54 +76,14 @@
     retries: u32,
 }
 
-/// What a sound request met when it was sent for the first time.
-#[derive(Debug, Clone)]
-pub struct FirstAttempt {
-    pub at: MonotonicTime,
-    pub parts: Vec<u64>,
-    /// Absent while the request waits at its daemon.
-    pub outcome: Option<FirstOutcome>,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FirstOutcome {
-    Dispatched,
-    Refused(RefusalReason),
-}
-
-/// Crashes and dispatches under one part.
-#[derive(Debug, Clone, Default)]
-pub struct PartRecord {
-    /// Times at which upstreams crashed under requests with the part.
-    pub crashes: Vec<MonotonicTime>,
-    /// Times at which such requests were dispatched to a live upstream.
-    pub dispatches: Vec<MonotonicTime>,
-}
-
-impl PartRecord {
-    /// Returns the time of the crash after which `PROPAGATION_BOUND` begins.
-    pub fn bound_start(&self) -> Option<MonotonicTime> {
-        self.crashes.get(CRASHES_BEFORE_BOUND - 1).copied()
-    }
-
-    /// Returns the dispatches later than `PROPAGATION_BOUND` after the fifth crash.
-    pub fn late_dispatches(&self) -> usize {
-        let Some(fifth) = self.bound_start() else {
-            return 0;
-        };
-        let dispatches = self.dispatches.iter();
-        dispatches
-            .filter(|at| **at > fifth + PROPAGATION_BOUND)
-            .count()
-    }
-}
-
 /// Daemons, their upstreams and their callers.
 pub struct PartEnvironment {
     pub cluster: DaemonCluster,
     pub random: SeededRandom,
     /// Parts that crash upstreams.
     pub crashing_parts: BTreeSet<u64>,
+    /// Step of the simulated clock.
+    pub step_time: Duration,
     /// Live upstreams with the number of their address.
     live_upstreams: BTreeMap<UpstreamLabel, u16>,
     next_upstream: u32,
@@ -162,12 +92,20 @@
     requests: BTreeMap<RequestId, PromptRequest>,
     callers: Vec<WaitingCaller>,
     next_number: u64,
-    pub ends: BTreeMap<RequestId, RequestEnd>,
+    /// Ends of requests whose callers have not seen them yet.
+    ends: BTreeMap<RequestId, RequestEnd>,
+    /// Daemons that were cut off, with the time of their return.
+    returned_at: BTreeMap<usize, MonotonicTime>,
+    pub crash_count: usize,
     pub parts: BTreeMap<u64, PartRecord>,
     /// First attempts of sound requests by number.
     pub first_attempts: BTreeMap<u64, FirstAttempt>,
+    pub sound_ends: SoundEnds,
     /// Quarantine rows of the store.
     pub rows: BTreeMap<RequestFingerprint, Vec<StoredCrash>>,
+    pub writes: usize,
+    /// Reports of crashes by round, then by daemon.
+    pub crash_gossip: Vec<BTreeMap<usize, CrashTraffic>>,
 }
 
 fn entry(name: &UpstreamLabel, slot: u16) -> UpstreamEntry {
@@ -185,6 +123,7 @@
             cluster: DaemonCluster::with_load(daemons, TeamLoad::unlimited(daemons)),
             random: SeededRandom(seed),
             crashing_parts: BTreeSet::new(),
+            step_time: STEP,
             live_upstreams: BTreeMap::new(),
             next_upstream: 1,
             crashed: Vec::new(),
@@ -193,9 +132,14 @@
             callers: Vec::new(),
             next_number: 1,
             ends: BTreeMap::new(),
+            returned_at: BTreeMap::new(),
+            crash_count: 0,
             parts: BTreeMap::new(),
             first_attempts: BTreeMap::new(),
+            sound_ends: SoundEnds::default(),
             rows: BTreeMap::new(),
+            writes: 0,
+            crash_gossip: Vec::new(),
         };
         for slot in 0..upstreams {
             let name = environment.next_name();
@@ -224,6 +168,8 @@
         self.cluster.restart_all();
         self.running.clear();
         self.callers.clear();
+        self.requests.clear();
+        self.ends.clear();
         self.read_upstreams();
         let rows = self.rows.iter();
         let rows: Vec<_> = rows
@@ -238,17 +184,15 @@
     }
 
     /// Returns a request that no other equals, whose last part is its own.
-    pub fn new_request(&mut self, parts: &[u64]) -> PromptRequest {
+    pub fn new_request(&mut self, shared_parts: &[u64]) -> PromptRequest {
         let number = self.next_number;
         self.next_number += 1;
-        let mut parts = parts.to_vec();
-        parts.push(u64::MAX - number);
-        PromptRequest { number, parts }
+        PromptRequest::new(number, shared_parts)
     }
 
     /// Sends a request of a new caller, which sends it again if it breaks.
     pub fn send(&mut self, daemon: usize, request: PromptRequest) -> RequestId {
-        let is_sound = request.crashing_part(&self.crashing_parts).is_none();
+        let is_sound = request.crashing_parts(&self.crashing_parts).is_empty();
         if is_sound {
             let attempt = FirstAttempt {
                 at: self.cluster.now,
@@ -308,6 +252,7 @@
     }
 
     fn write_row(&mut self, daemon: usize, write: QuarantineWrite) {
+        self.writes += 1;
         match write.crashes.clone() {
             Some(crashes) => self.rows.insert(write.fingerprint, crashes),
             None => self.rows.remove(&write.fingerprint),
@@ -339,22 +284,24 @@
         }
         self.record_first(id, FirstOutcome::Dispatched);
         let now = self.cluster.now;
-        let crashing_part = self.requests[&id].crashing_part(&self.crashing_parts);
-        let time = match crashing_part {
-            Some(part) => {
-                self.parts.entry(part).or_default().dispatches.push(now);
-                CRASH_DELAY
-            }
-            None => {
-                let steps = 1 + self.random.below(MAX_ROUNDS * STEPS_PER_ROUND);
-                STEP * u32::try_from(steps).expect("few steps")
-            }
+        let crashing_parts = self.requests[&id].crashing_parts(&self.crashing_parts);
+        let time = if crashing_parts.is_empty() {
+            let steps = 1 + self.random.below(MAX_ROUNDS * STEPS_PER_ROUND);
+            STEP * u32::try_from(steps).expect("few steps")
+        } else {
+            CRASH_DELAY
         };
+        if self.is_in_touch(daemon) {
+            for part in &crashing_parts {
+                let record = self.parts.entry(*part).or_default();
+                record.dispatches.push(now);
+            }
+        }
         self.running.push(RunningAttempt {
             id,
             upstream,
             ends_at: now + time,
-            crashing_part,
+            crashing_parts,
         });
     }
 
@@ -385,9 +332,12 @@
         let now = self.cluster.now;
         while let Some(index) = self.running.iter().position(|a| a.ends_at <= now) {
             let attempt = &self.running[index];
-            if let Some(part) = attempt.crashing_part {
+            if !attempt.crashing_parts.is_empty() {
                 let upstream = attempt.upstream.clone();
-                self.parts.entry(part).or_default().crashes.push(now);
+                for part in &attempt.crashing_parts {
+                    self.parts.entry(*part).or_default().crashes.push(now);
+                }
+                self.crash_count += 1;
                 self.crash(&upstream);
                 continue;
             }
@@ -412,13 +362,21 @@
                 continue;
             };
             self.requests.remove(&caller.id);
-            let is_final = match end {
-                RequestEnd::Served | RequestEnd::Refused(RefusalReason::Quarantined) => true,
-                RequestEnd::Refused(_) => caller.retries == MAX_RETRIES,
+            let is_retried = match end {
+                RequestEnd::Served | RequestEnd::Refused(RefusalReason::Quarantined) => false,
+                RequestEnd::Refused(_) => caller.retries < MAX_RETRIES,
             };
-            if !is_final {
+            if is_retried {
                 let daemon = self.random.below(self.cluster.daemons.len());
                 self.send_attempt(daemon, caller.request, caller.retries + 1);
+            } else if self.first_attempts.contains_key(&caller.request.number) {
+                match end {
+                    RequestEnd::Served => self.sound_ends.served += 1,
+                    RequestEnd::Refused(RefusalReason::Quarantined) => {
+                        self.sound_ends.quarantined += 1;
+                    }
+                    RequestEnd::Refused(_) => self.sound_ends.failed += 1,
+                }
             }
         }
     }
@@ -437,16 +395,80 @@
                 self.send(daemon, request);
             }
             if step + 1 < STEPS_PER_ROUND {
-                self.cluster.now = self.cluster.now + STEP;
+                self.cluster.now = self.cluster.now + self.step_time;
             }
         }
-        self.cluster.gossip_round(STEP);
+        let traffic = self.cluster.gossip_round(self.step_time);
+        self.crash_gossip
+            .push(CrashTraffic::by_sender(&traffic.crash_gossip));
         for daemon in 0..self.cluster.daemons.len() {
             self.step_daemon(daemon, GatewayEvent::Tick);
         }
         self.replace_upstreams();
     }
 
+    /// Cuts a daemon off from the gossip of all others.
+    pub fn cut_off(&mut self, daemon: usize) {
+        self.cluster.cut_off.insert(daemon);
+    }
+
+    /// Lets a daemon gossip again that was cut off.
+    pub fn reconnect(&mut self, daemon: usize) {
+        self.cluster.cut_off.remove(&daemon);
+        self.returned_at.insert(daemon, self.cluster.now);
+    }
+
+    /// Returns whether a daemon has exchanged gossip with the others for `PROPAGATION_BOUND`.
+    fn is_in_touch(&self, daemon: usize) -> bool {
+        let now = self.cluster.now;
+        let returned_at = self.returned_at.get(&daemon);
+        let is_back = returned_at.is_none_or(|at| now.since(*at) > PROPAGATION_BOUND);
+        is_back && !self.cluster.cut_off.contains(&daemon)
+    }
+
+    /// Returns how many of the sound requests that were sent in a period, and whose parts match,
+    /// were sent to an upstream at the first attempt.
+    pub fn first_attempt_share(
+        &self,
+        period: &Range<MonotonicTime>,
+        matches: impl Fn(&[u64]) -> bool,
+    ) -> AttemptShare {
+        let mut share = AttemptShare::default();
+        for attempt in self.first_attempts.values() {
+            if period.contains(&attempt.at) && matches(&attempt.parts) {
+                share.sent += 1;
+                let is_dispatched = attempt.outcome == Some(FirstOutcome::Dispatched);
+                share.dispatched += usize::from(is_dispatched);
+            }
+        }
+        share
+    }
+
+    /// Returns how many of the sound requests that were sent in a period were refused at the first
+    /// attempt as quarantined.
+    pub fn quarantined_first_attempts(&self, period: &Range<MonotonicTime>) -> usize {
+        let refused = FirstOutcome::Refused(RefusalReason::Quarantined);
+        let attempts = self.first_attempts.values();
+        attempts
+            .filter(|attempt| period.contains(&attempt.at) && attempt.outcome == Some(refused))
+            .count()
+    }
+
+    /// Returns the time at which the first sound request that was sent from a given time on, and
+    /// whose parts match, was sent if it was dispatched at the first attempt.
+    pub fn first_dispatch(
+        &self,
+        from: MonotonicTime,
+        matches: impl Fn(&[u64]) -> bool,
+    ) -> Option<MonotonicTime> {
+        let attempts = self.first_attempts.values();
+        let mut dispatched = attempts.filter(|attempt| {
+            let is_dispatched = attempt.outcome == Some(FirstOutcome::Dispatched);
+            attempt.at >= from && is_dispatched && matches(&attempt.parts)
+        });
+        dispatched.next().map(|attempt| attempt.at)
+    }
+
     /// Replaces crashed upstreams that are due.
     fn replace_upstreams(&mut self) {
         let now = self.cluster.now;
