A request that tells two suspected parts apart is sent as a probe at once

After a pause of 70 minutes a part in quarantine was forgotten and crashed upstreams again.

Cause: parts that always came together have the same crashes. Nothing tells them apart but a request that has one of them, and such requests waited for the probe a minute later.

Change: a request is sent as a probe at once if all crashes under its quarantined fingerprints also came under another one that it does not have, by one daemon and at most once a second.

--- a/crates/savorywood-gateway/src/gateway/quarantine.rs
+++ b/crates/savorywood-gateway/src/gateway/quarantine.rs
@@ -28,11 +28,11 @@
         fingerprints: &RequestFingerprints,
         team: Option<&TeamLabel>,
     ) -> Result<bool, Refusal> {
-        let (crashes, probe_at) = match self.quarantine.verdict_on(fingerprints) {
+        let crashes = match self.quarantine.verdict_on(fingerprints) {
             QuarantineVerdict::Clear => return Ok(false),
-            QuarantineVerdict::Quarantined { crashes, probe_at } => (crashes, probe_at),
+            QuarantineVerdict::Quarantined { crashes, .. } => crashes,
         };
-        if probe_at.is_some_and(|at| now >= at) && self.holds_probe(now, fingerprints) {
+        if self.quarantine.allows_probe(now, fingerprints) && self.holds_probe(now, fingerprints) {
             for fingerprint in fingerprints.iter() {
                 self.quarantine.begin_probe(now, fingerprint);
             }
@@ -51,10 +51,14 @@
     fn holds_probe(&self, now: MonotonicTime, fingerprints: &RequestFingerprints) -> bool {
         let mut quarantined = fingerprints
             .iter()
-            .filter(|one| self.quarantine.verdict(*one) != QuarantineVerdict::Clear);
+            .filter(|one| self.is_fingerprint_quarantined(*one));
         quarantined.all(|one| self.leases.holds_key(now, one.as_u64()))
     }
 
+    fn is_fingerprint_quarantined(&self, fingerprint: RequestFingerprint) -> bool {
+        self.quarantine.verdict(fingerprint) != QuarantineVerdict::Clear
+    }
+
     /// Returns whether requests are in quarantine; `None` before the store's list was read.
     pub(super) fn has_quarantined(&self) -> Option<bool> {
         self.quarantine_read
@@ -72,6 +76,12 @@
         now: MonotonicTime,
         fingerprints: &RequestFingerprints,
     ) -> Duration {
+        let mut quarantined = fingerprints
+            .iter()
+            .filter(|one| self.is_fingerprint_quarantined(*one));
+        if quarantined.all(|one| self.quarantine.is_explained(one, fingerprints)) {
+            return MIN_RETRY_AFTER;
+        }
         let until = match self.quarantine.verdict_on(fingerprints) {
             QuarantineVerdict::Clear => None,
             QuarantineVerdict::Quarantined { probe_at, .. } => {
--- a/crates/savorywood-gateway/src/quarantine.rs
+++ b/crates/savorywood-gateway/src/quarantine.rs
@@ -234,12 +234,53 @@
         verdicts.fold(QuarantineVerdict::Clear, QuarantineVerdict::stricter)
     }
 
+    /// Returns whether all crashes under a quarantined fingerprint of a request also came under
+    /// another one that the request does not have. Either may be the cause, and a response to this
+    /// request tells which.
+    #[must_use]
+    pub fn is_explained(
+        &self,
+        fingerprint: RequestFingerprint,
+        request: &RequestFingerprints,
+    ) -> bool {
+        let Some(entry) = self.entries.get(&fingerprint) else {
+            return false;
+        };
+        let quarantined = self
+            .entries
+            .iter()
+            .filter(|(_, other)| other.is_quarantined());
+        let mut others = quarantined.filter(|(other, _)| !request.contains(**other));
+        others.any(|(_, other)| other.history.covers(&entry.history))
+    }
+
+    /// Returns whether a request may be sent as a probe: each of its quarantined fingerprints is due
+    /// for one, or all crashes under it are explained by another fingerprint.
+    #[must_use]
+    pub fn allows_probe(&self, now: MonotonicTime, request: &RequestFingerprints) -> bool {
+        let mut quarantined = self.quarantined(request);
+        quarantined.all(|(fingerprint, entry)| {
+            entry.probe_at().is_some_and(|at| now >= at)
+                || (entry.allows_explained_probe(now) && self.is_explained(fingerprint, request))
+        })
+    }
+
+    /// Returns the quarantined fingerprints of a request.
+    fn quarantined<'a>(
+        &'a self,
+        request: &'a RequestFingerprints,
+    ) -> impl Iterator<Item = (RequestFingerprint, &'a QuarantineEntry)> {
+        let known = request
+            .iter()
+            .filter_map(|one| Some((one, self.entries.get(&one)?)));
+        known.filter(|(_, entry)| entry.is_quarantined())
+    }
+
     /// Returns when the quarantine of a request ends at the latest without a probe.
     #[must_use]
     pub fn expires_at(&self, fingerprints: &RequestFingerprints) -> Option<MonotonicTime> {
-        let entries = fingerprints.iter().filter_map(|one| self.entries.get(&one));
-        let quarantined = entries.filter(|entry| entry.is_quarantined());
-        quarantined.map(QuarantineEntry::expires_at).max()
+        let quarantined = self.quarantined(fingerprints);
+        quarantined.map(|(_, entry)| entry.expires_at()).max()
     }
 
     /// Records that a quarantined request is sent as a probe.
--- a/crates/savorywood-gateway/src/quarantine/crash_history.rs
+++ b/crates/savorywood-gateway/src/quarantine/crash_history.rs
@@ -27,6 +27,12 @@
     pub at: MonotonicTime,
 }
 
+impl CrashRecord {
+    fn is_near(&self, at: MonotonicTime) -> bool {
+        self.at.since(at).max(at.since(self.at)) < SAME_CRASH_WINDOW
+    }
+}
+
 /// Crashes under a request that have not been excused by a complete response.
 #[derive(Debug, Clone, Default)]
 pub struct CrashHistory {
@@ -86,6 +92,16 @@
         times.get(QUARANTINE_CRASHES as usize - 1).copied()
     }
 
+    /// Returns whether each crash of another history is also one of this history.
+    #[must_use]
+    pub fn covers(&self, other: &Self) -> bool {
+        let is_known = |crash: &CrashRecord| {
+            let mut own = self.crashes.iter();
+            own.any(|own| own.upstream == crash.upstream && own.is_near(crash.at))
+        };
+        other.crashes.iter().all(is_known)
+    }
+
     /// Returns the number of crashes under probes.
     #[must_use]
     pub fn probe_crashes(&self) -> usize {
@@ -103,10 +119,7 @@
 
     /// Removes the crash of an upstream around the given time, which has turned out to be none.
     pub fn withdraw(&mut self, upstream: u32, at: MonotonicTime) {
-        let is_same = |crash: &CrashRecord| {
-            let distance = crash.at.since(at).max(at.since(crash.at));
-            crash.upstream == upstream && distance < SAME_CRASH_WINDOW
-        };
+        let is_same = |crash: &CrashRecord| crash.upstream == upstream && crash.is_near(at);
         self.crashes.retain(|crash| !is_same(crash));
     }
 
--- a/crates/savorywood-gateway/src/quarantine/entry.rs
+++ b/crates/savorywood-gateway/src/quarantine/entry.rs
@@ -12,9 +12,9 @@
 /// Lifetime of an entry that is not quarantined, from its last crash.
 pub const SUSPECT_TTL: Duration = Duration::from_secs(600);
 /// Lifetime of a quarantined entry, from its last crash or probe.
-const QUARANTINE_TTL: Duration = Duration::from_secs(3_600);
-/// The same after a probe has crashed an upstream as well.
-const CONFIRMED_TTL: Duration = Duration::from_secs(24 * 3_600);
+const QUARANTINE_TTL: Duration = Duration::from_secs(24 * 3_600);
+/// Time between two probes by requests that may be sound.
+const EXPLAINED_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Crashes under probes after which no further probe is sent.
 pub const MAX_PROBE_CRASHES: usize = 2;
 
@@ -90,12 +90,18 @@
         Some(self.history.last_changed_at().max(self.probed_at) + delay)
     }
 
+    /// Returns whether a request may be sent as a probe for which another quarantined fingerprint,
+    /// which it does not have, explains all crashes of this one.
+    pub fn allows_explained_probe(&self, now: MonotonicTime) -> bool {
+        now >= self.probed_at + EXPLAINED_PROBE_INTERVAL
+    }
+
     /// Returns the time at which the entry's lifetime ends.
     pub fn expires_at(&self) -> MonotonicTime {
-        let ttl = match (self.is_quarantined(), self.history.probe_crashes()) {
-            (false, _) => SUSPECT_TTL,
-            (true, 0) => QUARANTINE_TTL,
-            (true, _) => CONFIRMED_TTL,
+        let ttl = if self.is_quarantined() {
+            QUARANTINE_TTL
+        } else {
+            SUSPECT_TTL
         };
         self.history.last_changed_at().max(self.probed_at) + ttl
     }
--- a/crates/savorywood-gateway/src/quarantine/fingerprint.rs
+++ b/crates/savorywood-gateway/src/quarantine/fingerprint.rs
@@ -71,6 +71,12 @@
         Self { whole, parts }
     }
 
+    /// Returns whether the request has a fingerprint.
+    #[must_use]
+    pub fn contains(&self, fingerprint: RequestFingerprint) -> bool {
+        self.iter().any(|own| own == fingerprint)
+    }
+
     /// Iterates over the fingerprints, each once.
     pub fn iter(&self) -> impl Iterator<Item = RequestFingerprint> {
         std::iter::once(self.whole).chain(self.parts.iter().copied())
