--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -102,6 +102,11 @@
                     .with("give_up_ms", record.give_up_at.since(now).as_millis())
                     .with("config", self.config_version())
                     .with("proof_age_ms", self.time_since_confirmed(now).as_millis());
+                let line = if record.is_probe {
+                    line.with("probe", true)
+                } else {
+                    line
+                };
                 effects.push(GatewayEffect::Log(line));
                 let service = record.service.clone();
                 self.retry_budgets
--- a/crates/savorywood-gateway/src/gateway/quarantine.rs
+++ b/crates/savorywood-gateway/src/gateway/quarantine.rs
@@ -129,7 +129,7 @@
             } else {
                 self.quarantine.record_complete_response(now, fingerprint)
             };
-            log_change(fingerprint, change, "own", effects);
+            log_change(fingerprint, change, Some(&record.request_id), effects);
         }
     }
 
@@ -155,7 +155,7 @@
         let is_same_zone = gossip.zone == name_digest(self.options.zone.as_str());
         for report in &gossip.reports {
             let change = self.quarantine.merge_report(now, report, is_same_zone);
-            log_change(report.fingerprint, change, "peer", effects);
+            log_change(report.fingerprint, change, None, effects);
         }
     }
 
@@ -200,10 +200,11 @@
     }
 }
 
+/// Logs a change with the request of this daemon that led to it, or else a report of a peer.
 fn log_change(
     fingerprint: RequestFingerprint,
     change: QuarantineChange,
-    source: &'static str,
+    own_request: Option<&str>,
     effects: &mut GatewayEffects,
 ) {
     let line = match change {
@@ -213,6 +214,10 @@
         }
         QuarantineChange::Lifted => LogLine::new(LogLevel::Warn, "quarantine-lifted"),
     };
-    let line = line.with("fingerprint", fingerprint).with("source", source);
+    let source = if own_request.is_some() { "own" } else { "peer" };
+    let line = line
+        .with("fingerprint", fingerprint)
+        .with("source", source)
+        .with("request", own_request.unwrap_or("-"));
     effects.push(GatewayEffect::Log(line));
 }
