--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -338,5 +338,6 @@
     }
 }
 
-/// Maximum number of attempts of a request, including those that upstreams did not execute.
+/// Maximum number of attempts of a request, including those that upstreams did not execute. A stream
+/// that has begun is resumed beyond it.
 pub(super) const MAX_ATTEMPTS: u32 = 4;
