Tests: prompts of many parts, trials over starts of all daemons, crashes far apart

Further cases in which a part of prompts crashes upstreams: prompts with 10 and 40 parts of each request's own, as the earlier turns of a chat have; trials while all daemons start every ten minutes; crashing requests that run once each, one in 15 minutes.

--- a/crates/savorywood-gateway/tests/common/crashing_parts.rs
+++ b/crates/savorywood-gateway/tests/common/crashing_parts.rs
@@ -9,7 +9,7 @@
         SoundEnds,
     },
     harness::upstream,
-    prompt_requests::PromptRequest,
+    prompt_requests::{PromptRequest, RequestSender},
 };
 use savorywood_gateway::{
     AttemptOutcome, DispatchOrder, GatewayEffect, GatewayEvent, LocalRequest, QuarantineRow,
@@ -183,6 +183,13 @@
         }
     }
 
+    /// Returns the daemons that callers reach.
+    pub fn receivers(&self) -> Vec<usize> {
+        let daemons = self.cluster.daemons.iter().enumerate();
+        let members = daemons.filter(|(_, daemon)| daemon.gateway.is_entry_member());
+        members.map(|(number, _)| number).collect()
+    }
+
     /// Returns a request that no other equals, whose last part is its own.
     pub fn new_request(&mut self, shared_parts: &[u64]) -> PromptRequest {
         let number = self.next_number;
@@ -364,7 +371,10 @@
             self.requests.remove(&caller.id);
             let is_retried = match end {
                 RequestEnd::Served | RequestEnd::Refused(RefusalReason::Quarantined) => false,
-                RequestEnd::Refused(_) => caller.retries < MAX_RETRIES,
+                RequestEnd::Refused(_) => {
+                    let is_repeatable = caller.request.sender != RequestSender::Once;
+                    is_repeatable && caller.retries < MAX_RETRIES
+                }
             };
             if is_retried {
                 let daemon = self.random.below(self.cluster.daemons.len());
--- a/crates/savorywood-gateway/tests/common/crashing_requests.rs
+++ b/crates/savorywood-gateway/tests/common/crashing_requests.rs
@@ -84,9 +84,9 @@
     environment: &mut PartEnvironment,
     count: usize,
 ) -> Vec<(usize, PromptRequest)> {
-    let daemons = environment.cluster.daemons.len();
+    let receivers = environment.receivers();
     let requests = (0..count).map(|_| {
-        let daemon = environment.random.below(daemons);
+        let daemon = receivers[environment.random.below(receivers.len())];
         let kind = any_kind(&mut environment.random);
         let parts = shared_parts(&mut environment.random, kind);
         (daemon, environment.new_request(&parts))
@@ -102,10 +102,10 @@
     mut requests: Vec<(usize, PromptRequest)>,
     crashing: &[CrashingRequests],
 ) {
-    let daemons = environment.cluster.daemons.len();
+    let receivers = environment.receivers();
     for source in crashing {
         for number in 0..source.per_round {
-            let daemon = (round * source.per_round + number) * 5 % daemons;
+            let daemon = receivers[(round * source.per_round + number) * 5 % receivers.len()];
             let position = environment.random.below(requests.len() + 1);
             requests.insert(position, (daemon, source.draw(environment)));
         }
--- a/crates/savorywood-gateway/tests/common/prompt_requests.rs
+++ b/crates/savorywood-gateway/tests/common/prompt_requests.rs
@@ -56,6 +56,8 @@
     Team,
     /// Nobody in particular, on a route that needs no key.
     Public,
+    /// The team, on a route whose requests are executed at most once.
+    Once,
 }
 
 impl PromptRequest {
@@ -75,6 +77,7 @@
         let (path, api_key) = match self.sender {
             RequestSender::Team => ("/safe/prompts", Some("key".to_owned())),
             RequestSender::Public => ("/open/prompts", None),
+            RequestSender::Once => ("/once/prompts", Some("key".to_owned())),
         };
         RequestArrival {
             api_key,
--- a/crates/savorywood-gateway/tests/crashing_parts.rs
+++ b/crates/savorywood-gateway/tests/crashing_parts.rs
@@ -4,6 +4,8 @@
 mod callers;
 #[path = "common/cluster.rs"]
 mod cluster;
+#[path = "common/crash_bursts.rs"]
+mod crash_bursts;
 #[path = "common/crash_records.rs"]
 mod crash_records;
 #[path = "common/crashing_parts.rs"]
@@ -15,7 +17,8 @@
 #[path = "common/prompt_requests.rs"]
 mod prompt_requests;
 
-use crash_records::{AttemptShare, CrashTraffic, MAX_LATE_DISPATCHES};
+use crash_bursts::{BurstResult, BurstSize, run_burst};
+use crash_records::MAX_LATE_DISPATCHES;
 use crashing_parts::PartEnvironment;
 use crashing_requests::{
     CRASHING_PART, CrashingRequests, MIN_COMPARED, OTHER_CRASHING_PART, RARE_PART, SOUND_PER_ROUND,
@@ -25,9 +28,6 @@
 use prompt_requests::{KINDS, RequestSender, first_part, shared_parts};
 use std::time::Duration;
 
-/// Rounds that a sound request runs, on average.
-const MEAN_ROUNDS: usize = 4;
-
 /// Guards against a part of prompts that goes on crashing upstreams because no two requests with it
 /// are alike.
 #[test]
@@ -232,6 +232,35 @@
     }
 }
 
+/// Guards against crash reports of the crashing part that find no room beside those of others.
+#[test]
+fn many_parts_in_prompts_do_not_hide_the_crashing_one() {
+    for (daemons, seed, own_parts) in [(8, 8, 10), (8, 17, 40)] {
+        let mut environment = PartEnvironment::new(daemons, 8, seed);
+        environment.crashing_parts.insert(CRASHING_PART);
+        let crashing = CrashingRequests::new(CRASHING_PART, 2);
+        for round in 0..50 {
+            let mut requests = sound_requests(&mut environment, 60);
+            if round >= 10 {
+                for number in 0..2 {
+                    let daemon = (round * 2 + number) * 5 % daemons;
+                    requests.push((daemon, crashing.draw(&mut environment)));
+                }
+            }
+            for (_, request) in &mut requests {
+                let earlier = (0..own_parts).map(|part| request.number * 1_000 + part);
+                request
+                    .parts
+                    .splice(1..1, earlier.map(|part| part + 1_000_000));
+            }
+            environment.advance_round(requests);
+        }
+        let label = format!("{daemons} daemons, {own_parts} parts, seed {seed}");
+        assert_few_late(&environment, &label);
+        assert_sound_are_dispatched(&environment, &label);
+    }
+}
+
 /// Guards against taking a response for evidence on the last part of its prompt, which never
 /// crashes an upstream.
 #[test]
@@ -328,11 +357,26 @@
     assert_sound_are_dispatched(&environment, "hours");
 }
 
+/// Guards against trials that each start of all daemons allows anew.
+#[test]
+fn trials_are_bounded_over_starts_of_all_daemons() {
+    let mut environment = slow_environment(2);
+    let crashing = [CrashingRequests::new(CRASHING_PART, 1)];
+    for _ in 0..6 {
+        run_rounds(&mut environment, 10 * 60, 1, &crashing);
+        environment.restart_all();
+    }
+    assert_few_late(&environment, "a start every 10 minutes");
+}
+
 /// Guards against crashes that never add up because hours lie between them.
 #[test]
 fn crashes_under_a_part_that_are_far_apart_add_up() {
     let mut environment = slow_environment(1);
-    let crashing = CrashingRequests::new(CRASHING_PART, 1);
+    let crashing = CrashingRequests {
+        sender: RequestSender::Once,
+        ..CrashingRequests::new(CRASHING_PART, 1)
+    };
     for _ in 0..16 {
         run_rounds(&mut environment, 1, 1, std::slice::from_ref(&crashing));
         run_rounds(&mut environment, 15 * 60, 1, &[]);
@@ -354,77 +398,6 @@
     assert_sound_are_dispatched(&environment, "pauses of 70 minutes");
 }
 
-/// Size of a cluster and its load in a burst of crashes.
-#[derive(Debug, Clone, Copy)]
-struct BurstSize {
-    daemons: usize,
-    /// Sound requests that run at an upstream at the same time, on average.
-    concurrent: usize,
-    crashing_parts: usize,
-}
-
-/// Dispatches after a burst of crashes.
-struct BurstResult {
-    size: BurstSize,
-    /// Late dispatches of requests with each crashing part.
-    late: Vec<usize>,
-    sound: AttemptShare,
-}
-
-/// Runs a burst of crashes and prints its figures.
-fn run_burst(size: BurstSize, seed: u64) -> BurstResult {
-    let parts = [CRASHING_PART, OTHER_CRASHING_PART];
-    let parts = &parts[..size.crashing_parts];
-    let upstreams: u16 = if size.daemons > 8 { 24 } else { 8 };
-    let mut environment = PartEnvironment::new(size.daemons, upstreams, seed);
-    environment.crashing_parts.extend(parts);
-    let sound = (size.concurrent * usize::from(upstreams)).div_ceil(MEAN_ROUNDS);
-    run_rounds(&mut environment, 24, sound, &[]);
-    let burst_start = environment.crash_gossip.len();
-    let sources = parts.iter().map(|part| CrashingRequests::new(*part, 2));
-    run_rounds(&mut environment, 60, sound, &sources.collect::<Vec<_>>());
-    let records: Vec<_> = environment.parts.values().collect();
-    let verdict = records.iter().filter_map(|record| {
-        let first = record.crashes.first()?;
-        Some(record.dispatches.last()?.since(*first).as_millis())
-    });
-    let verdict_ms: Vec<u128> = verdict.collect();
-    let crashes = environment.crash_count;
-    let late = records.iter().map(|record| record.late_dispatches());
-    let late: Vec<usize> = late.collect();
-    let burst = period_before(&environment).end..environment.cluster.now;
-    let sent = environment.first_attempt_share(&burst, |_| true).sent;
-    let refused = environment.quarantined_first_attempts(&burst);
-    let after = environment.first_attempt_share(&period_after(&environment), |_| true);
-    let daemons = environment.cluster.daemons.iter();
-    let held = daemons.map(|daemon| daemon.gateway.quarantined_requests());
-    let held = held.max().unwrap_or_default();
-    let rounds = &environment.crash_gossip[burst_start..];
-    for (name, rounds) in [("first 3 s", &rounds[..12]), ("last 3 s", &rounds[48..])] {
-        let total = CrashTraffic::total(rounds.iter());
-        let count = (size.daemons * rounds.len()) as f64;
-        println!(
-            "  {name}: {:.1} messages, {:.1} reports, {:.0} bytes a daemon and round, largest {}",
-            total.messages as f64 / count,
-            total.reports as f64 / count,
-            total.bytes as f64 / count,
-            total.largest
-        );
-    }
-    println!(
-        "{size:?} seed {seed}: crashes {crashes} late {late:?} verdict_ms {verdict_ms:?} \
-         sound refused {refused} of {sent} after {after:?} {:?} held {held} writes {} rows {}",
-        environment.sound_ends,
-        environment.writes,
-        environment.rows.len()
-    );
-    BurstResult {
-        size,
-        late,
-        sound: after,
-    }
-}
-
 /// Guards against bursts that end in small clusters or under light load only; other sizes in
 /// `SAVORYWOOD_CLUSTER_SIZES`.
 #[test]
