--- a/crates/savorywood-gateway/tests/common/crash_records.rs
+++ b/crates/savorywood-gateway/tests/common/crash_records.rs
@@ -67,6 +67,13 @@
     }
 }
 
+/// How a request ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestEnd {
+    Served,
+    Refused(RefusalReason),
+}
+
 /// Ends of sound requests for their callers, retries included.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct SoundEnds {
