--- a/crates/savorywood-gateway/tests/common/crash_bursts.rs
+++ b/crates/savorywood-gateway/tests/common/crash_bursts.rs
@@ -37,6 +37,7 @@
     let upstreams: u16 = if size.daemons > 8 { 24 } else { 8 };
     let mut environment = PartEnvironment::new(size.daemons, upstreams, seed);
     environment.crashing_parts.extend(parts);
+    environment.only_members = true;
     let sound = (size.concurrent * usize::from(upstreams)).div_ceil(MEAN_ROUNDS);
     run_rounds(&mut environment, 24, sound, &[]);
     let burst_start = environment.crash_gossip.len();
--- a/crates/savorywood-gateway/tests/common/crashing_parts.rs
+++ b/crates/savorywood-gateway/tests/common/crashing_parts.rs
@@ -75,6 +75,8 @@
     pub random: SeededRandom,
     /// Parts that crash upstreams.
     pub crashing_parts: BTreeSet<u64>,
+    /// Callers reach only the entry set.
+    pub only_members: bool,
     /// Step of the simulated clock.
     pub step_time: Duration,
     /// Live upstreams with the number of their address.
@@ -116,6 +118,7 @@
             cluster: DaemonCluster::with_load(daemons, TeamLoad::unlimited(daemons)),
             random: SeededRandom(seed),
             crashing_parts: BTreeSet::new(),
+            only_members: false,
             step_time: STEP,
             live_upstreams: BTreeMap::new(),
             next_upstream: 1,
@@ -176,16 +179,12 @@
         }
     }
 
-    /// Returns the daemons that callers reach: the entry set, or all before it has formed.
+    /// Returns the daemons that callers reach.
     pub fn receivers(&self) -> Vec<usize> {
-        let all = 0..self.cluster.daemons.len();
-        let is_member = |number: &usize| self.cluster.daemons[*number].gateway.is_entry_member();
-        let members: Vec<usize> = all.clone().filter(is_member).collect();
-        if members.is_empty() {
-            all.collect()
-        } else {
-            members
-        }
+        let daemons = self.cluster.daemons.iter().enumerate();
+        let reached =
+            daemons.filter(|(_, daemon)| !self.only_members || daemon.gateway.is_entry_member());
+        reached.map(|(number, _)| number).collect()
     }
 
     /// Returns a request that no other equals, whose last part is its own.
