Crash reports of many parts take turns and may fill several messages

Cause: a crash changes the entries of all parts of all requests that ran at the upstream. A message holds 24 of them, and of those with equally many crashes the same ones were reported in each round.

Change: entries that were reported least come first, each change is reported in four rounds within twelve, and a round has up to four messages. Nothing is sent while nothing crashes.

--- a/crates/savorywood-front/src/peers.rs
+++ b/crates/savorywood-front/src/peers.rs
@@ -133,7 +133,7 @@
     ) {
         let now = self.clock.now();
         let gossip = shared.gateway.borrow_mut().crash_gossip(now, scope);
-        if let Some(gossip) = gossip {
+        for gossip in gossip {
             let datagram = PeerDatagram::Message(Box::new(PeerMessage::Crashes(gossip)));
             self.send(&datagram, receivers).await;
         }
--- a/crates/savorywood-gateway/src/gateway/quarantine.rs
+++ b/crates/savorywood-gateway/src/gateway/quarantine.rs
@@ -8,7 +8,7 @@
     peer::name_digest,
     quarantine::{
         CrashGossip, FailedAttempt, QuarantineChange, QuarantineRow, QuarantineVerdict,
-        ReportScope, RequestFingerprint, RequestFingerprints,
+        REPEATED_REPORTS, ReportScope, RequestFingerprint, RequestFingerprints,
     },
     refusal::RefusalReason,
 };
@@ -16,6 +16,9 @@
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
+/// Messages with crash reports in one round of gossip. A crash changes the entries of all parts of
+/// all requests that ran at its upstream.
+const MAX_CRASH_MESSAGES: usize = 4;
 /// Minimum retry-after delay for a quarantined request.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -159,15 +162,19 @@
         }
     }
 
-    /// Returns the crash reports for one round of gossip; absent when there are none.
-    pub fn crash_gossip(&mut self, now: MonotonicTime, scope: ReportScope) -> Option<CrashGossip> {
-        if self.quarantine.is_empty() {
-            return None;
-        }
+    /// Returns the messages with crash reports of one round of gossip; none when nothing crashes.
+    pub fn crash_gossip(&mut self, now: MonotonicTime, scope: ReportScope) -> Vec<CrashGossip> {
         let round = self.contacts.gossip_interval();
-        let reports = self.quarantine.reports(now, scope, round);
         let zone = name_digest(self.options.zone.as_str());
-        (!reports.is_empty()).then_some(CrashGossip { zone, reports })
+        let mut messages = Vec::new();
+        while messages.len() < MAX_CRASH_MESSAGES && !self.quarantine.is_empty() {
+            let reports = self.quarantine.reports(now, scope, round);
+            if reports.is_empty() || (!messages.is_empty() && reports.len() <= REPEATED_REPORTS) {
+                break;
+            }
+            messages.push(CrashGossip { zone, reports });
+        }
+        messages
     }
 
     pub(super) fn quarantine_read(
--- a/crates/savorywood-gateway/src/quarantine.rs
+++ b/crates/savorywood-gateway/src/quarantine.rs
@@ -20,7 +20,7 @@
 
 pub use crash_history::CrashRecord;
 pub use fingerprint::{RequestFingerprint, RequestFingerprints};
-pub use report::{CrashGossip, CrashReport, ReportScope, ReportedCrash};
+pub use report::{CrashGossip, CrashReport, REPEATED_REPORTS, ReportScope, ReportedCrash};
 pub use row::{QuarantineRow, QuarantineWrite, StoredCrash};
 
 use crate::peer::slot_key;
--- a/crates/savorywood-gateway/src/quarantine/entry.rs
+++ b/crates/savorywood-gateway/src/quarantine/entry.rs
@@ -1,6 +1,10 @@
 //! Quarantine entry of one fingerprint.
 
-use super::{QUARANTINE_CRASHES, crash_history::CrashHistory, report::ReportScope};
+use super::{
+    QUARANTINE_CRASHES,
+    crash_history::CrashHistory,
+    report::{ReportProgress, ReportScope},
+};
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
@@ -64,6 +68,10 @@
     pub own_changed_at: Option<MonotonicTime>,
     /// Time of the last change by an observation of another daemon in this zone.
     pub zone_changed_at: Option<MonotonicTime>,
+    /// Reports of the last change, by scope.
+    pub own_reports: ReportProgress,
+    /// The same for digests of the zone.
+    pub zone_reports: ReportProgress,
     /// Time at which the last probe was sent, or the entry was read from the store.
     pub probed_at: MonotonicTime,
     /// State of the row in the store.
@@ -106,6 +114,22 @@
         self.history.last_changed_at().max(self.probed_at) + ttl
     }
 
+    /// Returns the reports of the last change in the given scope.
+    pub fn progress(&self, scope: ReportScope) -> ReportProgress {
+        match scope {
+            ReportScope::Daemon => self.own_reports,
+            ReportScope::Zone => self.zone_reports,
+        }
+    }
+
+    /// Returns the reports of the last change in the given scope, to record another one.
+    pub fn progress_mut(&mut self, scope: ReportScope) -> &mut ReportProgress {
+        match scope {
+            ReportScope::Daemon => &mut self.own_reports,
+            ReportScope::Zone => &mut self.zone_reports,
+        }
+    }
+
     /// Returns the time of the last change that is reported in the given scope.
     pub fn changed_at(&self, scope: ReportScope) -> Option<MonotonicTime> {
         match scope {
--- a/crates/savorywood-gateway/src/quarantine/report.rs
+++ b/crates/savorywood-gateway/src/quarantine/report.rs
@@ -9,9 +9,11 @@
 const MAX_REPORTS: usize = 24;
 /// Number of gossip rounds in which a change is reported, as messages may be lost.
 const REPORT_ROUNDS: u32 = 4;
+/// Number of gossip rounds after a change in which it is reported that often, if many changes wait.
+const REPORT_WINDOW_ROUNDS: u32 = 12;
 /// Number of quarantined requests that each message reports regardless of changes: a daemon that
 /// was partitioned or has restarted receives all of them within a few rounds.
-const REPEATED_REPORTS: usize = 2;
+pub const REPEATED_REPORTS: usize = 2;
 
 /// Whose observations a message reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,6 +55,34 @@
     pub reports: Vec<CrashReport>,
 }
 
+/// Reports of one entry in one scope since its last change.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ReportProgress {
+    /// Time of the change that was reported.
+    changed_at: Option<MonotonicTime>,
+    /// Number of reports.
+    sent: u32,
+    /// Time of the last report.
+    sent_at: Option<MonotonicTime>,
+}
+
+impl ReportProgress {
+    /// Returns the number of reports of a change.
+    fn sent(self, changed_at: Option<MonotonicTime>) -> u32 {
+        if self.changed_at == changed_at {
+            self.sent
+        } else {
+            0
+        }
+    }
+
+    fn record(&mut self, now: MonotonicTime, changed_at: Option<MonotonicTime>) {
+        self.sent = self.sent(changed_at) + 1;
+        self.changed_at = changed_at;
+        self.sent_at = Some(now);
+    }
+}
+
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
@@ -93,29 +123,40 @@
 }
 
 impl QuarantineTable {
-    /// Returns the reports for one round of gossip. If not all changes fit, requests with more
-    /// crashes take precedence.
+    /// Returns the reports for one message; further messages of a round report other entries. If
+    /// not all changes fit, those with more crashes take precedence, and then those that were
+    /// reported least.
     pub fn reports(
         &mut self,
         now: MonotonicTime,
         scope: ReportScope,
         round: Duration,
     ) -> Vec<CrashReport> {
-        let window = round.saturating_mul(REPORT_ROUNDS);
-        let is_changed = |entry: &QuarantineEntry| {
+        let window = round.saturating_mul(REPORT_WINDOW_ROUNDS);
+        let is_due = |entry: &QuarantineEntry| {
             let changed_at = entry.changed_at(scope);
+            let progress = entry.progress(scope);
             changed_at.is_some_and(|at| now.since(at) < window)
+                && progress.sent(changed_at) < REPORT_ROUNDS
+                && progress.sent_at != Some(now)
         };
-        let entries = self.entries.iter();
-        let mut changed: Vec<_> = entries.filter(|(_, entry)| is_changed(entry)).collect();
-        changed.sort_by_key(|(_, entry)| {
-            Reverse((entry.history.count(), entry.history.last_changed_at()))
+        let entries = self.entries.iter_mut();
+        let mut due: Vec<_> = entries.filter(|(_, entry)| is_due(entry)).collect();
+        due.sort_by_key(|(_, entry)| {
+            let sent = entry.progress(scope).sent(entry.changed_at(scope));
+            let last_changed_at = entry.history.last_changed_at();
+            (
+                Reverse(entry.history.count()),
+                sent,
+                Reverse(last_changed_at),
+            )
         });
-        let mut reports: Vec<CrashReport> = changed
-            .into_iter()
-            .take(MAX_REPORTS)
-            .map(|(fingerprint, entry)| CrashReport::new(now, *fingerprint, entry))
-            .collect();
+        let mut reports = Vec::new();
+        for (fingerprint, entry) in due.into_iter().take(MAX_REPORTS) {
+            let changed_at = entry.changed_at(scope);
+            entry.progress_mut(scope).record(now, changed_at);
+            reports.push(CrashReport::new(now, *fingerprint, entry));
+        }
         for _ in 0..REPEATED_REPORTS {
             let Some(fingerprint) = self.next_repeated() else {
                 break;
--- a/crates/savorywood-gateway/tests/common/cluster.rs
+++ b/crates/savorywood-gateway/tests/common/cluster.rs
@@ -289,12 +289,12 @@
             ] {
                 let gossip = daemon.gateway.crash_gossip(self.now, scope);
                 let sent = gossip
-                    .clone()
-                    .map(|gossip| (number, receivers.len(), gossip));
+                    .iter()
+                    .map(|gossip| (number, receivers.len(), gossip.clone()));
                 traffic.crash_gossip.extend(sent);
                 for receiver in receivers.iter().filter_map(receiver_index) {
-                    let event = gossip.clone().map(GatewayEvent::CrashesReported);
-                    messages.extend(event.map(|event| (number, receiver, event)));
+                    let events = gossip.iter().cloned().map(GatewayEvent::CrashesReported);
+                    messages.extend(events.map(|event| (number, receiver, event)));
                 }
                 let gossip = daemon.gateway.limit_gossip(self.now, scope);
                 for receiver in receivers.iter().filter_map(receiver_index) {
