Crashes that are far apart add up

Cause: an entry that was not in quarantine was forgotten ten minutes after its last crash.

The table stays bounded: entries with the fewest crashes are evicted first, the oldest of them before others, and a complete response clears an entry at any time.

--- a/crates/savorywood-gateway/src/quarantine.rs
+++ b/crates/savorywood-gateway/src/quarantine.rs
@@ -24,7 +24,7 @@
 pub use row::{QuarantineRow, QuarantineWrite, StoredCrash};
 
 use crate::peer::slot_key;
-use entry::{QuarantineEntry, RowState, SUSPECT_TTL, WriteSchedule};
+use entry::{QuarantineEntry, RowState, WriteSchedule};
 use savorywood_protocol::MonotonicTime;
 use served::ServedRequests;
 use std::{collections::BTreeMap, time::Duration};
@@ -44,6 +44,10 @@
 /// Minimum age of crashes that are read from the store. Their upstreams have restarted, and
 /// responses after the read do not refute them.
 const STORED_CRASH_AGE: Duration = Duration::from_secs(4);
+/// Time for which a failure of an upstream is kept.
+const SUSPECT_UPSTREAM_TTL: Duration = Duration::from_secs(600);
+/// Time in which the row of an expired entry is removed before the entry is.
+const ROW_REMOVAL_PERIOD: Duration = Duration::from_secs(600);
 /// Delay after the first write of a row that was not accepted.
 const MIN_WRITE_BACKOFF: Duration = Duration::from_secs(1);
 /// Maximum delay between such writes.
@@ -434,14 +438,14 @@
         let is_kept = |entry: &QuarantineEntry| {
             // The row is removed before the entry, as it would restore the entry at the next start.
             !entry.is_expired(if entry.row.is_present() {
-                now - SUSPECT_TTL
+                now - ROW_REMOVAL_PERIOD
             } else {
                 now
             })
         };
         self.entries.retain(|_, entry| is_kept(entry));
         self.upstreams
-            .retain(|_, suspect| now.since(suspect.at) < SUSPECT_TTL);
+            .retain(|_, suspect| now.since(suspect.at) < SUSPECT_UPSTREAM_TTL);
     }
 
     /// Keeps the number of entries bounded. Those with the fewest crashes are evicted first, so
--- a/crates/savorywood-gateway/src/quarantine/entry.rs
+++ b/crates/savorywood-gateway/src/quarantine/entry.rs
@@ -13,10 +13,9 @@
 const PROBE_DELAY: Duration = Duration::from_secs(60);
 /// Maximum number of times that this delay is doubled.
 const MAX_DOUBLINGS: u32 = 5;
-/// Lifetime of an entry that is not quarantined, from its last crash.
-pub const SUSPECT_TTL: Duration = Duration::from_secs(600);
-/// Lifetime of a quarantined entry, from its last crash or probe.
-const QUARANTINE_TTL: Duration = Duration::from_secs(24 * 3_600);
+/// Lifetime of an entry, from its last crash or probe. Crashes may be far apart; if there are many,
+/// entries are evicted before.
+const ENTRY_TTL: Duration = Duration::from_secs(24 * 3_600);
 /// Time between two probes by requests that may be sound.
 const EXPLAINED_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Crashes under probes after which no further probe is sent.
@@ -106,12 +105,7 @@
 
     /// Returns the time at which the entry's lifetime ends.
     pub fn expires_at(&self) -> MonotonicTime {
-        let ttl = if self.is_quarantined() {
-            QUARANTINE_TTL
-        } else {
-            SUSPECT_TTL
-        };
-        self.history.last_changed_at().max(self.probed_at) + ttl
+        self.history.last_changed_at().max(self.probed_at) + ENTRY_TTL
     }
 
     /// Returns the reports of the last change in the given scope.
