The store keeps crashes under probes, so their bound outlasts starts of all daemons

Cause: rows held three crashes without times, so after each start two more probes were allowed.

Change: a row holds the crashes that began the quarantine and those under probes, in order, and a read counts the later ones as such. Rows of older builds with more than three crashes count as after failed probes.

--- a/crates/savorywood-gateway/src/quarantine/crash_history.rs
+++ b/crates/savorywood-gateway/src/quarantine/crash_history.rs
@@ -138,31 +138,48 @@
         true
     }
 
-    /// Merges crashes from the store, which does not keep their times; they are recorded as of
-    /// `at`. Returns true if any of them was new.
+    /// Merges crashes from the store, which keeps their order but not their times: the first ones are
+    /// recorded as of `at`, those under probes as of so much later that they count as such. Returns
+    /// true if any of them was new.
     pub fn restore(&mut self, at: MonotonicTime, crashes: &[StoredCrash]) -> bool {
         if self.served_at.is_some() {
             return false;
         }
         let before = self.crashes.len();
-        for crash in crashes {
+        for (index, crash) in crashes.iter().enumerate() {
+            let is_probe = index >= QUARANTINE_CRASHES as usize;
             self.merge(CrashRecord {
                 upstream: crash.upstream,
                 number: crash.number,
-                at,
+                at: if is_probe { at } else { at - PROBE_CRASH_DELAY },
             });
         }
         self.crashes.len() > before
     }
 
-    /// Returns the crashes in the form that the store keeps.
+    /// Returns the crashes that the store keeps: those that began the quarantine, and those under
+    /// probes.
     #[must_use]
     pub fn to_stored(&self) -> Vec<StoredCrash> {
-        let crashes = self.crashes.iter().map(|crash| StoredCrash {
+        let mut crashes: Vec<&CrashRecord> = self.crashes.iter().collect();
+        crashes.sort_by_key(|crash| crash.at);
+        let probe_crashes = crashes.len() - self.probe_crashes();
+        let first = crashes.iter().take(QUARANTINE_CRASHES as usize);
+        let later = crashes.iter().skip(probe_crashes);
+        let stored = first.chain(later).map(|crash| StoredCrash {
             upstream: crash.upstream,
             number: crash.number,
         });
-        crashes.collect()
+        stored.collect()
+    }
+
+    /// Returns the number of crashes that the store is to keep.
+    #[must_use]
+    pub fn stored_count(&self) -> u32 {
+        let probe_crashes = u32::try_from(self.probe_crashes()).unwrap_or(u32::MAX);
+        self.count()
+            .min(QUARANTINE_CRASHES)
+            .saturating_add(probe_crashes)
     }
 
     /// Returns the number of crashes.
--- a/crates/savorywood-gateway/src/quarantine/entry.rs
+++ b/crates/savorywood-gateway/src/quarantine/entry.rs
@@ -145,7 +145,7 @@
     /// Returns true if the row has to be written or removed: it is missing, no longer needed, or
     /// holds too few crashes.
     pub fn is_row_outdated(&self, now: MonotonicTime) -> bool {
-        let needed = self.history.count().min(QUARANTINE_CRASHES);
+        let needed = self.history.stored_count();
         match (self.needs_row(now), self.row.is_present()) {
             (true, true) => self.stored_crashes < needed,
             (required, present) => required != present,
--- a/crates/savorywood-gateway/src/quarantine/row.rs
+++ b/crates/savorywood-gateway/src/quarantine/row.rs
@@ -2,7 +2,7 @@
 
 use super::RequestFingerprint;
 
-/// A crash as the store keeps it, without its time.
+/// A crash as the store keeps it, without its time. Rows hold them in the order of their times.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoredCrash {
     /// Half of the digest of the upstream's name.
