A stopping daemon refuses requests that come too late to end before the stop is forced

Cause: a daemon that always has requests in progress admits new ones until it exits.

Change: requests are admitted for as long as callers hold a cached response of the directory, 3.3 s, and no longer than half of the time until the stop is forced; later ones are refused as not run, to be retried at another address.

Weighed: cutting the deadlines of late requests to the end of the stop, which ends streams in the middle.

--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -190,6 +190,8 @@
     retry_budgets: BTreeMap<ServiceLabel, RetryBudget>,
     rollouts: RolloutTable,
     stopping: bool,
+    /// Time until which requests are admitted; present once the daemon stops.
+    admits_until: Option<MonotonicTime>,
     ready_logged: bool,
     sequence: u64,
     /// Own slots in use as last sent.
@@ -258,6 +260,7 @@
             retry_budgets: BTreeMap::new(),
             rollouts: RolloutTable::default(),
             stopping: false,
+            admits_until: None,
             ready_logged: false,
             sequence: 0,
             last_sent_slots: Vec::new(),
@@ -363,6 +366,7 @@
             GatewayEvent::Tick => self.tick(now, effects),
             GatewayEvent::StopRequested { grace } => {
                 self.stopping = true;
+                self.admits_until = Some(now + admission::stop_admission_period(grace));
                 let line = LogLine::new(LogLevel::Info, "stop-requested")
                     .with("grace_ms", grace.as_millis())
                     .with("open", self.requests.len());
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -26,14 +26,26 @@
 /// Fraction of the maximum confirmation age after which a daemon no longer responds that there is
 /// no such route or that the key is unknown.
 const REFUSAL_CONFIRMATION_FRACTION: f64 = 0.5;
-/// Retry-after delay of a daemon that cannot confirm its configuration; the caller should retry at
-/// another address.
-const UNCONFIRMED_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Retry-after delay of a daemon that cannot confirm its configuration or is about to exit; the
+/// caller should retry at another address.
+const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Time reserved for sending the final response to the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(25);
 /// Timeout of a request without a deadline on a route without a timeout.
 const MAX_REQUEST_TIMEOUT: Duration = Duration::from_secs(600);
 
+/// Time for which a stopping daemon admits requests. Callers with a cached directory response still
+/// send requests for about this long.
+const STOP_ADMISSION_PERIOD: Duration = Duration::from_millis(3_300);
+/// Fraction of the time until a stop is forced in which requests are admitted at most; what is
+/// admitted has the rest to end.
+const STOP_ADMISSION_FRACTION: f64 = 0.5;
+
+/// Returns the time from the order to stop for which requests are admitted.
+pub(super) fn stop_admission_period(grace: Duration) -> Duration {
+    STOP_ADMISSION_PERIOD.min(grace.mul_f64(STOP_ADMISSION_FRACTION))
+}
+
 /// Refusal of an arriving request.
 pub struct Refusal {
     /// Reason of the refusal.
@@ -66,9 +78,9 @@
         }
     }
 
-    fn unconfirmed() -> Self {
+    fn unavailable() -> Self {
         Self {
-            retry_after: Some(UNCONFIRMED_RETRY_AFTER),
+            retry_after: Some(UNAVAILABLE_RETRY_AFTER),
             ..Self::new(RefusalReason::NotReady)
         }
     }
@@ -181,9 +193,12 @@
         request: LocalRequest,
         arrival: &RequestArrival,
     ) -> Result<RequestRecord, Refusal> {
+        if self.admits_until.is_some_and(|until| now >= until) {
+            return Err(Refusal::unavailable());
+        }
         let is_initialized = self.upstreams_read && self.has_peer_list();
         let config = self.config.clone().filter(|_| is_initialized);
-        let config = config.ok_or_else(Refusal::unconfirmed)?;
+        let config = config.ok_or_else(Refusal::unavailable)?;
         let route = self.match_route(now, &config, arrival)?;
         let team = self.authenticate(now, &config, &route, arrival)?;
         let team_name = team.as_ref().map(|team| &team.name);
@@ -268,7 +283,7 @@
         {
             Refusal::new(reason)
         } else {
-            Refusal::unconfirmed()
+            Refusal::unavailable()
         }
     }
 
@@ -287,7 +302,7 @@
             return Ok(team.cloned());
         }
         if !self.are_keys_confirmed(now) {
-            return Err(Refusal::unconfirmed());
+            return Err(Refusal::unavailable());
         }
         let team = team.ok_or_else(|| self.final_refusal(now, RefusalReason::UnknownKey))?;
         Ok(Some(Arc::clone(team)))
