--- a/crates/savorywood-gateway/src/gateway/quarantine.rs
+++ b/crates/savorywood-gateway/src/gateway/quarantine.rs
@@ -54,8 +54,8 @@
     fn holds_probe(&self, now: MonotonicTime, fingerprints: &RequestFingerprints) -> bool {
         let mut quarantined = fingerprints
             .iter()
-            .filter(|one| self.is_fingerprint_quarantined(*one));
-        quarantined.all(|one| self.leases.holds_key(now, one.as_u64()))
+            .filter(|fingerprint| self.is_fingerprint_quarantined(*fingerprint));
+        quarantined.all(|fingerprint| self.leases.holds_key(now, fingerprint.as_u64()))
     }
 
     fn is_fingerprint_quarantined(&self, fingerprint: RequestFingerprint) -> bool {
@@ -81,8 +81,8 @@
     ) -> Duration {
         let mut quarantined = fingerprints
             .iter()
-            .filter(|one| self.is_fingerprint_quarantined(*one));
-        if quarantined.all(|one| self.quarantine.is_explained(one, fingerprints)) {
+            .filter(|fingerprint| self.is_fingerprint_quarantined(*fingerprint));
+        if quarantined.all(|fingerprint| self.quarantine.is_explained(fingerprint, fingerprints)) {
             return MIN_RETRY_AFTER;
         }
         let until = match self.quarantine.verdict_on(fingerprints) {
--- a/crates/savorywood-gateway/src/quarantine.rs
+++ b/crates/savorywood-gateway/src/quarantine.rs
@@ -234,7 +234,9 @@
     /// Returns the verdict on a request with several fingerprints: the strictest of them.
     #[must_use]
     pub fn verdict_on(&self, fingerprints: &RequestFingerprints) -> QuarantineVerdict {
-        let verdicts = fingerprints.iter().map(|one| self.verdict(one));
+        let verdicts = fingerprints
+            .iter()
+            .map(|fingerprint| self.verdict(fingerprint));
         verdicts.fold(QuarantineVerdict::Clear, QuarantineVerdict::stricter)
     }
 
@@ -276,7 +278,7 @@
     ) -> impl Iterator<Item = (RequestFingerprint, &'a QuarantineEntry)> {
         let known = request
             .iter()
-            .filter_map(|one| Some((one, self.entries.get(&one)?)));
+            .filter_map(|fingerprint| Some((fingerprint, self.entries.get(&fingerprint)?)));
         known.filter(|(_, entry)| entry.is_quarantined())
     }
 
--- a/crates/savorywood-gateway/src/quarantine/crash_history.rs
+++ b/crates/savorywood-gateway/src/quarantine/crash_history.rs
@@ -163,10 +163,10 @@
     pub fn to_stored(&self) -> Vec<StoredCrash> {
         let mut crashes: Vec<&CrashRecord> = self.crashes.iter().collect();
         crashes.sort_by_key(|crash| crash.at);
-        let probe_crashes = crashes.len() - self.probe_crashes();
-        let first = crashes.iter().take(QUARANTINE_CRASHES as usize);
-        let later = crashes.iter().skip(probe_crashes);
-        let stored = first.chain(later).map(|crash| StoredCrash {
+        let first_under_probe = crashes.len() - self.probe_crashes();
+        let initial = crashes.iter().take(QUARANTINE_CRASHES as usize);
+        let under_probes = crashes.iter().skip(first_under_probe);
+        let stored = initial.chain(under_probes).map(|crash| StoredCrash {
             upstream: crash.upstream,
             number: crash.number,
         });
