A part that shares crashes with others is tried before it is held back for long

Cause, from the saved logs: the part, used by a sixteenth of the requests, had broken four and three times within two seconds of the start, before any request with it had a complete response: at the upstreams that the crashing part and the repeated crashing request had just ended, and once by another fault. It was taken for explained by another fingerprint only if all its crashes were shared with one in quarantine; and the crashing request, with two crashes, could never get there, as it has the same part and was refused with it.

Change: with fewer than five crashes, a fingerprint is explained if the crashes that it does not share with another one would not make a quarantine; the other needs two. From five on all must be shared, as before. The store keeps five crashes and those under probes, so a confirmed one stays confirmed.

--- a/crates/savorywood-gateway/src/quarantine.rs
+++ b/crates/savorywood-gateway/src/quarantine.rs
@@ -31,6 +31,11 @@
 
 /// Number of upstream crashes after which a request is quarantined.
 pub const QUARANTINE_CRASHES: u32 = 3;
+/// Number of upstream crashes from which a fingerprint is the likely cause.
+pub const CONFIRMED_CRASHES: u32 = 5;
+/// Minimum number of crashes of a fingerprint that explains those of another one. All concurrent
+/// requests of one crash have that one in common.
+const MIN_EXPLAINING_CRASHES: u32 = 2;
 /// Maximum number of requests with recorded crashes.
 const MAX_ENTRIES: usize = 2_048;
 /// If an upstream responds to a request that was sent within this time after an attempt failed
@@ -240,9 +245,10 @@
         verdicts.fold(QuarantineVerdict::Clear, QuarantineVerdict::stricter)
     }
 
-    /// Returns whether all crashes under a quarantined fingerprint of a request also came under
-    /// another one that the request does not have. Either may be the cause, and a response to this
-    /// request tells which.
+    /// Returns whether a quarantined fingerprint of a request would not be in quarantine without the
+    /// crashes that it shares with another one, which the request does not have. Either may be the
+    /// cause, and a response to this request tells which. From [`CONFIRMED_CRASHES`] on, all of its
+    /// crashes must be shared.
     #[must_use]
     pub fn is_explained(
         &self,
@@ -252,16 +258,20 @@
         let Some(entry) = self.entries.get(&fingerprint) else {
             return false;
         };
-        let quarantined = self
-            .entries
-            .iter()
-            .filter(|(_, other)| other.is_quarantined());
-        let mut others = quarantined.filter(|(other, _)| !request.contains(**other));
-        others.any(|(_, other)| other.history.covers(&entry.history))
+        let is_confirmed = entry.history.count() >= CONFIRMED_CRASHES;
+        let (min_crashes, max_unexplained) = if is_confirmed {
+            (QUARANTINE_CRASHES, 0)
+        } else {
+            (MIN_EXPLAINING_CRASHES, QUARANTINE_CRASHES - 1)
+        };
+        let mut others = self.entries.iter().filter(|(other, suspect)| {
+            suspect.history.count() >= min_crashes && !request.contains(**other)
+        });
+        others.any(|(_, other)| entry.history.count_without(&other.history) <= max_unexplained)
     }
 
     /// Returns whether a request may be sent as a probe: each of its quarantined fingerprints is due
-    /// for one, or all crashes under it are explained by another fingerprint.
+    /// for one, or explained by another fingerprint.
     #[must_use]
     pub fn allows_probe(&self, now: MonotonicTime, request: &RequestFingerprints) -> bool {
         let mut quarantined = self.quarantined(request);
--- a/crates/savorywood-gateway/src/quarantine/crash_history.rs
+++ b/crates/savorywood-gateway/src/quarantine/crash_history.rs
@@ -1,7 +1,8 @@
 //! Crashes of upstreams while they executed requests with one fingerprint.
 
 use super::{
-    QUARANTINE_CRASHES, entry::MAX_PROBE_CRASHES, row::StoredCrash, served::SERVED_WINDOW,
+    CONFIRMED_CRASHES, QUARANTINE_CRASHES, entry::MAX_PROBE_CRASHES, row::StoredCrash,
+    served::SERVED_WINDOW,
 };
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
@@ -92,14 +93,15 @@
         times.get(QUARANTINE_CRASHES as usize - 1).copied()
     }
 
-    /// Returns whether each crash of another history is also one of this history.
+    /// Returns the number of crashes that are not those of another history as well.
     #[must_use]
-    pub fn covers(&self, other: &Self) -> bool {
-        let is_known = |crash: &CrashRecord| {
-            let mut own = self.crashes.iter();
-            own.any(|own| own.upstream == crash.upstream && own.is_near(crash.at))
+    pub fn count_without(&self, other: &Self) -> u32 {
+        let is_shared = |crash: &CrashRecord| {
+            let mut others = other.crashes.iter();
+            others.any(|other| other.upstream == crash.upstream && other.is_near(crash.at))
         };
-        other.crashes.iter().all(is_known)
+        let own = self.crashes.iter().filter(|crash| !is_shared(crash));
+        u32::try_from(own.count()).unwrap_or(u32::MAX)
     }
 
     /// Returns the number of crashes under probes.
@@ -147,7 +149,7 @@
         }
         let before = self.crashes.len();
         for (index, crash) in crashes.iter().enumerate() {
-            let is_probe = index >= QUARANTINE_CRASHES as usize;
+            let is_probe = index >= CONFIRMED_CRASHES as usize;
             self.merge(CrashRecord {
                 upstream: crash.upstream,
                 number: crash.number,
@@ -164,8 +166,10 @@
         let mut crashes: Vec<&CrashRecord> = self.crashes.iter().collect();
         crashes.sort_by_key(|crash| crash.at);
         let first_under_probe = crashes.len() - self.probe_crashes();
-        let initial = crashes.iter().take(QUARANTINE_CRASHES as usize);
-        let under_probes = crashes.iter().skip(first_under_probe);
+        let initial = crashes.iter().take(CONFIRMED_CRASHES as usize);
+        let under_probes = crashes
+            .iter()
+            .skip(first_under_probe.max(CONFIRMED_CRASHES as usize));
         let stored = initial.chain(under_probes).map(|crash| StoredCrash {
             upstream: crash.upstream,
             number: crash.number,
@@ -176,10 +180,7 @@
     /// Returns the number of crashes that the store is to keep.
     #[must_use]
     pub fn stored_count(&self) -> u32 {
-        let probe_crashes = u32::try_from(self.probe_crashes()).unwrap_or(u32::MAX);
-        self.count()
-            .min(QUARANTINE_CRASHES)
-            .saturating_add(probe_crashes)
+        u32::try_from(self.to_stored().len()).unwrap_or(u32::MAX)
     }
 
     /// Returns the number of crashes.
--- a/crates/savorywood-gateway/src/quarantine/entry.rs
+++ b/crates/savorywood-gateway/src/quarantine/entry.rs
@@ -97,8 +97,8 @@
         Some(self.history.last_changed_at().max(self.probed_at) + delay)
     }
 
-    /// Returns whether a request may be sent as a probe for which another quarantined fingerprint,
-    /// which it does not have, explains all crashes of this one.
+    /// Returns whether a request may be sent as a probe for which another fingerprint, which it does
+    /// not have, explains the quarantine of this one.
     pub fn allows_explained_probe(&self, now: MonotonicTime) -> bool {
         now >= self.probed_at + EXPLAINED_PROBE_INTERVAL
     }
