A freeze of a process under test is awaited

Cause: kill returns when the signal is sent, and the system stops the threads one after the other; one that still runs answers a call that arrives in between.

Change: sending the signal waits until no thread runs, for a second at most, as another thread of a soak may end the freeze meanwhile. Ruled out: the stand-in, which was not changed.

--- a/crates/savorywood-standin/tests/process.rs
+++ b/crates/savorywood-standin/tests/process.rs
@@ -43,3 +43,18 @@
     assert!(hosts.send().is_ok());
     assert_ne!(free_address(), free_address());
 }
+
+/// Guards against calls that are answered after a freeze because the signal has not reached all
+/// threads yet.
+#[test]
+fn no_thread_runs_once_a_freeze_was_ordered() {
+    let plain = StandinProcess::plain(&[]);
+    let call = TestCall::get(plain.address(), "/story").timeout(SHORT);
+    for _ in 0..100 {
+        plain.signal(ProcessSignal::Stop);
+        let states = plain.thread_states();
+        plain.signal(ProcessSignal::Continue);
+        assert!(states.iter().all(|state| *state == 'T'), "{states:?}");
+        assert_eq!(call.send().expect("an answer").status(), 200);
+    }
+}
--- a/crates/savorywood-testing/src/process.rs
+++ b/crates/savorywood-testing/src/process.rs
@@ -12,12 +12,21 @@
     process::{Child, Command, ExitStatus, Stdio},
     sync::{Arc, Mutex, PoisonError},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// A stand-in announces its addresses within this time.
 const READY_TIME: Duration = Duration::from_secs(10);
 
+/// A frozen process has no running thread after this time.
+const STOP_TIME: Duration = Duration::from_secs(1);
+
+/// Pause between two looks at the threads of a process that is being frozen.
+const STOP_LOOK_PERIOD: Duration = Duration::from_millis(1);
+
+/// States of threads that run or wait, in the system's process table.
+const RUNNING: [char; 3] = ['R', 'S', 'D'];
+
 /// A signal, by the name that `kill` knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProcessSignal {
@@ -133,7 +142,8 @@
         joined(&self.output)
     }
 
-    /// Sends a signal to this process and no other.
+    /// Sends a signal to this process and no other. Returns from a freeze once no thread runs: the
+    /// system stops them one after the other, and one that still runs may answer a call.
     ///
     /// # Panics
     ///
@@ -145,6 +155,32 @@
             status.is_ok_and(|status| status.success()),
             "no signal to {id}"
         );
+        if signal == ProcessSignal::Stop {
+            self.wait_until_stopped();
+        }
+    }
+
+    /// Waits until no thread runs. Another thread may end the freeze meanwhile, so the wait is bounded.
+    fn wait_until_stopped(&self) {
+        let begin = Instant::now();
+        let runs = |state: &char| RUNNING.contains(state);
+        while begin.elapsed() < STOP_TIME && self.thread_states().iter().any(runs) {
+            thread::sleep(STOP_LOOK_PERIOD);
+        }
+    }
+
+    /// States of its threads, by the letters of the system's process table; none once it is gone.
+    #[must_use]
+    pub fn thread_states(&self) -> Vec<char> {
+        let folder = format!("/proc/{}/task", self.id());
+        let tasks = fs::read_dir(folder).into_iter().flatten();
+        let states = tasks.flatten().filter_map(|task| {
+            let text = fs::read_to_string(task.path().join("stat")).ok()?;
+            // The name of the thread, in brackets, may hold anything.
+            let (_, fields) = text.rsplit_once(") ")?;
+            fields.chars().next()
+        });
+        states.collect()
     }
 
     /// Its end, if it has come.
--- a/crates/savorywood-testing/src/standin.rs
+++ b/crates/savorywood-testing/src/standin.rs
@@ -111,6 +111,12 @@
         version.filter(|_| state["ready"] == true)
     }
 
+    /// States of the threads of its process.
+    #[must_use]
+    pub fn thread_states(&self) -> Vec<char> {
+        self.process.thread_states()
+    }
+
     /// Sends a signal to its process.
     pub fn signal(&self, signal: ProcessSignal) {
         self.process.signal(signal);
