--- a/crates/savorywood-front/src/lib.rs
+++ b/crates/savorywood-front/src/lib.rs
@@ -32,7 +32,9 @@
     RolloutRow, RowRange, StorePage, StoreRow, StoreTable, TableWrite,
 };
 pub use run::{FrontError, run};
-pub use settings::{BoundSettings, FrontSettings, LimitSettings, ListenSettings, StoreSettings};
+pub use settings::{
+    BoundSettings, FrontSettings, LimitSettings, ListenSettings, OverloadSettings, StoreSettings,
+};
 pub use wire::{
     BodyFraming, HeadError, HeaderLine, HeaderList, RequestHead, ResponseHead, StoreCall,
     is_hop_by_hop_header,
--- a/crates/savorywood-front/src/run.rs
+++ b/crates/savorywood-front/src/run.rs
@@ -122,6 +122,7 @@
         routing: settings.routing,
         capacity: settings.limits.capacity(),
         regions: settings.regions(),
+        overload: settings.overload.options(),
     }
 }
 
--- a/crates/savorywood-front/src/settings.rs
+++ b/crates/savorywood-front/src/settings.rs
@@ -1,8 +1,8 @@
 //! Settings of a front daemon: a file of JSON with comments, checked at the start.
 
 use savorywood_gateway::{
-    GatewayBounds, HostResources, LimitTolerance, RegionLabel, RegionMap, RetryBudgetOptions,
-    RoutingPolicy, WarmupTolerance, ZoneLabel,
+    GatewayBounds, HostResources, LimitTolerance, OverloadOptions, RegionLabel, RegionMap,
+    RetryBudgetOptions, RoutingPolicy, WarmupTolerance, ZoneLabel,
 };
 use savorywood_settings::{FaultReport, MemberPath, SourceText, decode, node::SourceNode};
 use serde::Deserialize;
@@ -37,6 +37,9 @@
     /// Resource limits of the process, from which its capacity is computed.
     #[serde(default)]
     pub limits: LimitSettings,
+    /// Decisions under overload; all are off without this section.
+    #[serde(default)]
+    pub overload: OverloadSettings,
     /// Policy by which upstreams are chosen; all but `worth` exist for comparison.
     #[serde(default)]
     pub routing: RoutingPolicy,
@@ -164,6 +167,49 @@
     }
 }
 
+/// Decisions under overload.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct OverloadSettings {
+    /// Divides the slots of upstreams among the daemons while slots are scarce.
+    pub slot_reservations: bool,
+    /// Orders the requests of a rank by the time by which they must start, and refuses early those that
+    /// can't be completed by their deadline.
+    pub deadline_queue: bool,
+    /// Spreads the return of refused callers over the available capacity.
+    pub return_schedule: bool,
+    /// Selects upstreams by the pace that they report.
+    pub upstream_pace: bool,
+    /// Share of `limits.memory_mb` that request bodies and responses may use which are held for slow
+    /// callers and upstreams; above 0, at most 0.9.
+    pub held_memory_share: f64,
+}
+
+impl Default for OverloadSettings {
+    fn default() -> Self {
+        Self {
+            slot_reservations: false,
+            deadline_queue: false,
+            return_schedule: false,
+            upstream_pace: false,
+            held_memory_share: 0.5,
+        }
+    }
+}
+
+impl OverloadSettings {
+    /// Returns the options of the gateway.
+    #[must_use]
+    pub fn options(&self) -> OverloadOptions {
+        OverloadOptions {
+            slot_reservations: self.slot_reservations,
+            deadline_queue: self.deadline_queue,
+            return_schedule: self.return_schedule,
+            upstream_pace: self.upstream_pace,
+        }
+    }
+}
+
 fn default_log_level() -> String {
     "info".to_owned()
 }
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -37,6 +37,7 @@
     label::{HostLabel, ServiceLabel, TeamLabel, ZoneLabel},
     lease::MemberLeases,
     message::SlotUse,
+    overload::OverloadOptions,
     peer::{PeerTable, name_digest},
     quarantine::QuarantineTable,
     queue::WaitQueue,
@@ -82,6 +83,8 @@
     pub capacity: HostResources,
     /// Regions of the availability zones.
     pub regions: RegionMap,
+    /// Decisions under overload that are enabled.
+    pub overload: OverloadOptions,
 }
 
 /// Bounds that the settings set.
--- /dev/null
+++ b/crates/savorywood-gateway/src/health.rs
@@ -0,0 +1,1 @@
+//! Readings that upstreams report of themselves.
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -18,15 +18,20 @@
 mod freshness;
 mod gateway;
 mod gossip;
+mod health;
 mod label;
 mod latency;
 mod lease;
+mod limits;
 mod message;
 mod outlier;
+mod overload;
 mod peer;
+mod placing;
 mod position;
 mod quarantine;
 mod queue;
+mod queueing;
 mod reachability;
 mod refusal;
 mod region;
@@ -71,6 +76,7 @@
     VersionTally,
 };
 pub use outlier::OutlierState;
+pub use overload::OverloadOptions;
 pub use peer::{PeerTable, SlotTotal, name_digest};
 pub use position::StorePosition;
 pub use quarantine::{
--- /dev/null
+++ b/crates/savorywood-gateway/src/placing.rs
@@ -0,0 +1,1 @@
+//! Placement of requests on the slots of upstreams.
--- /dev/null
+++ b/crates/savorywood-gateway/src/queueing.rs
@@ -0,0 +1,1 @@
+//! Order and admission of waiting requests under overload.
--- a/crates/savorywood-gateway/tests/common/harness.rs
+++ b/crates/savorywood-gateway/tests/common/harness.rs
@@ -4,10 +4,10 @@
 use savorywood_gateway::{
     AttemptOutcome, ContentDigest, DaemonRole, DeclaredConfig, DispatchOrder, Gateway,
     GatewayBounds, GatewayEffect, GatewayEvent, GatewayOptions, HostLabel, HostResources,
-    LocalRequest, PeerPhase, PeerSummary, PromptPart, RefusalReason, RegionMap, RequestArrival,
-    RequestSize, ResponseMetadata, RetrySafety, RouteSpec, RoutingPolicy, ServiceLabel,
-    ServiceSpec, TeamLabel, TeamLimit, TeamSpec, TrafficShare, UpstreamEntry, UpstreamLabel,
-    VersionLabel, ZoneLabel, name_digest,
+    LocalRequest, OverloadOptions, PeerPhase, PeerSummary, PromptPart, RefusalReason, RegionMap,
+    RequestArrival, RequestSize, ResponseMetadata, RetrySafety, RouteSpec, RoutingPolicy,
+    ServiceLabel, ServiceSpec, TeamLabel, TeamLimit, TeamSpec, TrafficShare, UpstreamEntry,
+    UpstreamLabel, VersionLabel, ZoneLabel, name_digest,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{sync::Arc, time::Duration};
@@ -43,6 +43,7 @@
         routing: RoutingPolicy::LowestCost,
         capacity: HostResources::default(),
         regions: RegionMap::default(),
+        overload: OverloadOptions::default(),
     }
 }
 
