Property test of relays: a request is executed at most once whatever they do

Cause looked for: an unsafe request that ran twice behind a relay.

Change: the choice among the peers of one attempt is a function of the relay module (open_first_relay), and forwarding takes an observer as a closure, so that both run in a test without a daemon. No change of behaviour. The test plays all pairs of ten faults and 40 random lists of up to three peers: closed, refused, upstream unreachable, confirmation lost, late or doubled, connections closed before, within or after the request, response lost.

Ruled out by it: a second execution by any of these, and one behind a confirmation that came too late. Ruled out by reading: the test's caller sends once on one connection; the stand-in counts a request once it is whole, and once; a relayed connection is never pooled; an attempt writes its bytes once. The dispatch after a possible execution is covered by response_invariants of the gateway.

Conclusion: no fault of the product was found; pool and gateway do not run in this test.

--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -6,7 +6,7 @@
     adapter::{DispatchContext, ParsedResponseHead},
     connect::{ConnectFailure, connect},
     metrics,
-    peers::{RelayFailure, RelayRequest, open_relay},
+    peers::{RelayFailure, RelayRequest, open_first_relay},
     shared::FrontShared,
     sink::ResponseSink,
     wire::{
@@ -159,9 +159,10 @@
                 .collect(),
             time_left_ms: u32::try_from(time_left.as_millis()).unwrap_or(u32::MAX),
         };
-        for peer in &self.order.relays {
-            let opened = open_relay(*peer, &request).await;
-            let outcome = opened.as_ref().map_or_else(<&str>::from, |_| "relayed");
+        let report = |peer, opened: &Result<ByteReader, RelayFailure>| {
+            let outcome = opened
+                .as_ref()
+                .map_or_else(|failure| (*failure).into(), |_| "relayed");
             let metric = &self.shared.metrics.relays;
             metric.with_label_values(&[outcome]).inc();
             let line = LogLine::new(LogLevel::Info, "request-relayed")
@@ -170,13 +171,12 @@
                 .with("peer", peer)
                 .with("outcome", outcome);
             self.shared.log.write_line(&line);
-            match opened {
-                Ok(reader) => return Ok(reader),
-                Err(RelayFailure::UpstreamUnreachable) => return Err(AttemptOutcome::NotSent),
-                Err(RelayFailure::PeerUnreachable | RelayFailure::Refused(_)) => {}
-            }
-        }
-        Err(AttemptOutcome::NotRelayed)
+        };
+        let opened = open_first_relay(&self.order.relays, &request, report).await;
+        opened.map_err(|failure| match failure {
+            RelayFailure::UpstreamUnreachable => AttemptOutcome::NotSent,
+            RelayFailure::PeerUnreachable | RelayFailure::Refused(_) => AttemptOutcome::NotRelayed,
+        })
     }
 
     fn report_connect_failure(&self, failure: ConnectFailure, elapsed: Duration) {
--- a/crates/savorywood-front/src/peers.rs
+++ b/crates/savorywood-front/src/peers.rs
@@ -6,7 +6,7 @@
 mod transfer;
 
 pub use calls::{PeerCall, serve_calls};
-pub use relay::{RelayFailure, RelayRequest, open_relay};
+pub use relay::{RelayFailure, RelayRequest, open_first_relay};
 pub use transfer::{TableRequest, TableTransfer, fetch_table};
 
 use self::format::DatagramError;
--- a/crates/savorywood-front/src/peers/relay.rs
+++ b/crates/savorywood-front/src/peers/relay.rs
@@ -72,10 +72,7 @@
 /// # Errors
 ///
 /// Returns the cause when the peer does not relay the request.
-pub async fn open_relay(
-    peer: SocketAddr,
-    request: &RelayRequest,
-) -> Result<ByteReader, RelayFailure> {
+async fn open_relay(peer: SocketAddr, request: &RelayRequest) -> Result<ByteReader, RelayFailure> {
     let mut stream = connect(peer)
         .await
         .map_err(|_| RelayFailure::PeerUnreachable)?;
@@ -92,6 +89,32 @@
     }
 }
 
+/// Asks peers in turn to relay a request until one does or the upstream can't be reached. `report`
+/// gets the outcome of each. The bytes of the request are sent by the caller of this function, and
+/// only over the returned connection, so that no other peer can forward them.
+///
+/// # Errors
+///
+/// Returns the cause of the last peer when none relays the request.
+pub async fn open_first_relay(
+    peers: &[SocketAddr],
+    request: &RelayRequest,
+    mut report: impl FnMut(SocketAddr, &Result<ByteReader, RelayFailure>),
+) -> Result<ByteReader, RelayFailure> {
+    let mut last = RelayFailure::PeerUnreachable;
+    for peer in peers {
+        let opened = open_relay(*peer, request).await;
+        report(*peer, &opened);
+        match opened {
+            Err(failure @ (RelayFailure::PeerUnreachable | RelayFailure::Refused(_))) => {
+                last = failure;
+            }
+            Ok(_) | Err(RelayFailure::UpstreamUnreachable) => return opened,
+        }
+    }
+    Err(last)
+}
+
 /// Relays a request of a peer until one side closes its connection or the deadline passes.
 pub async fn serve_relay(
     shared: &Rc<FrontShared>,
@@ -131,7 +154,8 @@
     write_message(&mut origin, &RelayReply::Connected).await?;
     let time = Duration::from_millis(request.time_left_ms.into()) + DEADLINE_MARGIN;
     let mut observer = HeadObserver::new(shared, &upstream, &request.request_id);
-    let forwarded = with_timeout(time, forward(origin, target, &mut observer)).await;
+    let observe = |bytes: &[u8]| observer.observe(bytes);
+    let forwarded = with_timeout(time, forward(origin, target, observe)).await;
     forwarded.unwrap_or(Ok("expired"))
 }
 
@@ -173,12 +197,12 @@
     }
 }
 
-/// Forwards bytes until either side ends. When the requesting daemon closes its connection, the
+/// Forwards bytes until either side ends; `observe` gets those of the upstream. When the requesting daemon closes its connection, the
 /// one to the upstream is closed at once, as the caller has left.
 async fn forward(
     origin: TcpStream,
     target: TcpStream,
-    observer: &mut HeadObserver<'_>,
+    mut observe: impl FnMut(&[u8]),
 ) -> io::Result<&'static str> {
     let there = async {
         let (mut origin, mut target) = (ByteReader::new(origin.clone()), target.clone());
@@ -195,7 +219,7 @@
         let mut frame = vec![0; FRAME_HEADER_BYTES + MAX_FRAME_BYTES];
         loop {
             let count = target.read(&mut frame[FRAME_HEADER_BYTES..]).await?;
-            observer.observe(&frame[FRAME_HEADER_BYTES..FRAME_HEADER_BYTES + count]);
+            observe(&frame[FRAME_HEADER_BYTES..FRAME_HEADER_BYTES + count]);
             let header = frame_header(count)?;
             frame[..FRAME_HEADER_BYTES].copy_from_slice(&header);
             origin
@@ -208,3 +232,6 @@
     };
     future::or(back, there).await
 }
+
+#[cfg(test)]
+mod tests;
