A call's time includes connecting, and slow reads of the configuration are logged

Cause looked for: a daemon that came back from a stop of 3 s had no newer configuration within 5 s and wrote no line.

What was seen by reading: the time of a platform call began only after connecting, against its documentation, so that one try could take 0.5 s for its budget, 1 s for connecting and 1 s for the answer, and a read of two tries 5.15 s, with a retry logged at debug level only. No other read begins meanwhile.

Change: CallRequest::timeout includes connecting. platform-retry is logged at info level with duty and time taken. A poll that finds the read of an earlier period under way logs config-read-awaited with waited_ms, in_force and newest_heard.

Figures: a read at an address that answers no connection, call time 300 ms: 2.14 s before, within the bound of 1.5 s after.

By reading the bound of a read is now 3.15 s at the call time of the freeze test; the 5.15 s before needed a budget wait, a slow connection and a slow answer in both tries, and a failed read is logged.

--- a/crates/savorywood-core/src/config/refresh.rs
+++ b/crates/savorywood-core/src/config/refresh.rs
@@ -44,6 +44,7 @@
     ) {
         match ConfigTimer::from_number(number) {
             Some(ConfigTimer::Poll) => {
+                self.log_awaited_scan(now, effects);
                 self.begin_scan(now, effects);
                 self.schedule_poll(now, members.serving().count(), effects);
             }
@@ -69,6 +70,19 @@
         }
     }
 
+    /// Logs that the scan of an earlier period is still awaited. Without it, a daemon whose reads
+    /// take seconds gives no sign of why a newer revision is not in force.
+    fn log_awaited_scan(&self, now: CoreTime, effects: &mut EffectQueue) {
+        let Some(requested_at) = self.poll.requested_at() else {
+            return;
+        };
+        let line = LogLine::new(LogLevel::Info, "config-read-awaited")
+            .with("waited_ms", now.monotonic.since(requested_at).as_millis())
+            .with("in_force", self.view.revision)
+            .with("newest_heard", self.newest_reported);
+        effects.log(line);
+    }
+
     pub(super) fn handle_scan_response(
         &mut self,
         now: CoreTime,
--- a/crates/savorywood-core/src/config/table_poll.rs
+++ b/crates/savorywood-core/src/config/table_poll.rs
@@ -93,6 +93,12 @@
         Some(page_request(after))
     }
 
+    /// When the scan in progress was requested; `None` when there is none.
+    #[must_use]
+    pub fn requested_at(&self) -> Option<MonotonicTime> {
+        self.current.as_ref().map(|current| current.requested_at)
+    }
+
     /// Serial number of the next scan to start.
     #[must_use]
     pub fn next_serial(&self) -> u64 {
--- a/crates/savorywood-core/tests/config_faults.rs
+++ b/crates/savorywood-core/tests/config_faults.rs
@@ -10,8 +10,13 @@
 use quickcheck::quickcheck;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use savorywood_core::{OperatorReply, config::ChangeList};
-use savorywood_protocol::{ConfigRevision, OutcomeKind};
+use savorywood_core::{
+    DaemonEffect, EffectQueue, MemberView, OperatorReply,
+    config::{ChangeList, ConfigEvent, ConfigOptions, ConfigState},
+};
+use savorywood_protocol::{
+    ConfigRevision, CoreTime, HostName, MonotonicTime, OutcomeKind, WallTime,
+};
 use std::time::Duration;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -308,3 +313,47 @@
     cluster.run(31 * SECOND);
     assert!(!cluster.nodes[0].is_current(cluster.now()));
 }
+
+/// The platform takes seconds to answer a read, and no other read begins meanwhile. A daemon that
+/// wrote no line could not be told from one that stands still, and nobody would look at the platform.
+#[test]
+fn a_read_that_is_awaited_beyond_a_period_is_logged() {
+    let host = HostName::new("host-0").expect("a name");
+    let mut state = ConfigState::new(ConfigOptions::new(host, 1));
+    let mut step = |at_ms: u64, event| {
+        let now = CoreTime {
+            monotonic: MonotonicTime(at_ms * 1_000),
+            wall: WallTime(at_ms),
+        };
+        let mut effects = EffectQueue::new();
+        state.step(now, event, &MemberView::default(), &mut effects);
+        effects.drain().collect::<Vec<_>>()
+    };
+    let reads = |effects: &[DaemonEffect]| {
+        let calls = effects.iter();
+        calls
+            .filter(|effect| matches!(effect, DaemonEffect::CallTable { .. }))
+            .count()
+    };
+    let started = step(1, ConfigEvent::Started);
+    assert_eq!(reads(&started), 1);
+    let timer = started.iter().find_map(|effect| match effect {
+        DaemonEffect::SetTimer { key, .. } => Some(key.number),
+        _ => None,
+    });
+    let number = timer.expect("the timer of the next read");
+    for second in 1..=5 {
+        let effects = step(1_000 * second + 1, ConfigEvent::TimerFired { number });
+        assert_eq!(reads(&effects), 0);
+        let lines = effects.iter().filter_map(|effect| match effect {
+            DaemonEffect::Log(line) => Some(line.to_string()),
+            _ => None,
+        });
+        let expected = format!("event=config-read-awaited waited_ms={}", 1_000 * second);
+        let lines: Vec<String> = lines.collect();
+        assert!(
+            lines.iter().any(|line| line.starts_with(&expected)),
+            "{lines:?}"
+        );
+    }
+}
--- a/crates/savorywood-http/src/client.rs
+++ b/crates/savorywood-http/src/client.rs
@@ -122,10 +122,20 @@
     ///
     /// When no connection can be made; nothing was sent.
     pub async fn connect(&self, address: SocketAddr) -> Result<TcpStream, SendError> {
+        self.connect_within(address, self.limits.connect_time).await
+    }
+
+    /// The same, with a new connection made within `time` if that is less than the client's limit.
+    async fn connect_within(
+        &self,
+        address: SocketAddr,
+        time: Duration,
+    ) -> Result<TcpStream, SendError> {
         if let Some(stream) = self.pool.take(address).await {
             return Ok(stream);
         }
-        let connected = within(self.limits.connect_time, TcpStream::connect(address)).await;
+        let time = time.min(self.limits.connect_time);
+        let connected = within(time, TcpStream::connect(address)).await;
         let stream = connected
             .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
             .map_err(|source| SendError::NotSent { address, source })?;
--- a/crates/savorywood-http/src/client/call.rs
+++ b/crates/savorywood-http/src/client/call.rs
@@ -3,7 +3,10 @@
 use super::{HttpClient, SendError, SendStep, answer::read_whole};
 use crate::server::within;
 use http_types::{Body, Method, Request, Url};
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 /// One short call.
 #[derive(Debug, Clone)]
@@ -20,7 +23,7 @@
     pub headers: Vec<CallHeader>,
     /// JSON body, if there is one.
     pub body: Option<Vec<u8>>,
-    /// For the whole call.
+    /// For the whole call, connecting included.
     pub timeout: Duration,
     /// Bytes of an answer at most.
     pub answer_bytes: usize,
@@ -125,7 +128,9 @@
     /// Says whether a byte of the call may have left.
     pub async fn call(&self, call: &CallRequest) -> Result<CallAnswer, SendError> {
         let request = call.build()?;
-        let stream = self.connect(call.address).await?;
+        let started_at = Instant::now();
+        let stream = self.connect_within(call.address, call.timeout).await?;
+        let time_left = call.timeout.saturating_sub(started_at.elapsed());
         let exchange = async {
             let mut answer = self.exchange(call.address, stream, request).await?;
             let body = read_whole(&mut answer.body, call.answer_bytes).await;
@@ -136,7 +141,7 @@
                 body,
             })
         };
-        let answered = within(call.timeout, Box::pin(exchange)).await;
+        let answered = within(time_left, Box::pin(exchange)).await;
         answered.unwrap_or_else(|| Err(broken(call, "timed out".to_owned())))
     }
 }
--- a/crates/savorywood-platform/src/client.rs
+++ b/crates/savorywood-platform/src/client.rs
@@ -122,10 +122,16 @@
             CallKind::Write => 1,
         };
         let mut tried = 1;
+        let started_at = Instant::now();
         loop {
             match self.try_call(&call).await {
                 Err(error) if tried < tries && error.is_outage() => {
-                    log::debug!("event=platform-retry error={error:?}");
+                    log::info!(
+                        "event=platform-retry duty={} took_ms={} error={:?}",
+                        call.duty,
+                        started_at.elapsed().as_millis(),
+                        error.to_string()
+                    );
                     Timer::after(RETRY_PAUSE.mul_f64(0.3 + 0.7 * fastrand::f64())).await;
                     tried += 1;
                 }
--- a/crates/savorywood-platform/tests/platform_faults.rs
+++ b/crates/savorywood-platform/tests/platform_faults.rs
@@ -14,6 +14,7 @@
     table::{RowWrite, TableCommit, TableRequest, TableResponse},
 };
 use savorywood_standin::{OutageKind, PlatformFaults, PlatformOptions, PlatformServer};
+use socket2::{Domain, Socket, Type};
 use std::{
     future::Future,
     net::{Ipv4Addr, SocketAddr, TcpListener},
@@ -300,3 +301,37 @@
     let verdict = budgets.take(PlatformDuty::Claims, CallKind::Write, now);
     assert_eq!(verdict, TakeVerdict::Taken);
 }
+
+/// Listens with a queue of one connection and fills it, so that packets of new ones are lost.
+fn unanswering_listener() -> (Socket, Vec<Socket>, SocketAddr) {
+    let socket = || Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket is created");
+    let listener = socket();
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    listener.bind(&any.into()).expect("a free port");
+    listener.listen(0).expect("the socket listens");
+    let address = listener.local_addr().expect("an address").as_socket();
+    let address = address.expect("an address of the Internet protocol");
+    let connect = || {
+        let waiting = socket();
+        waiting.set_nonblocking(true).expect("the option is set");
+        waiting.connect(&address.into()).ok();
+        waiting
+    };
+    let waiting = (0..3).map(|_| connect()).collect();
+    (listener, waiting, address)
+}
+
+/// Packets to the table are lost, so that connecting takes its full time. A daemon that waited for it
+/// beyond the time of a call would be late to read a change of configuration, as no other read
+/// begins meanwhile.
+#[test]
+fn a_read_ends_within_two_call_times_also_while_connecting() {
+    let (_listener, _waiting, address) = unanswering_listener();
+    let client = client(address);
+    let began = Instant::now();
+    let answer = block_on(client.execute(PlatformDuty::Config, &read("a/1")));
+    let took = began.elapsed();
+    println!("took {took:?}");
+    assert_eq!(answer, TableResponse::Unavailable);
+    assert!(took < Duration::from_millis(1_500), "{took:?}");
+}
