Pace of upstreams: dated readings beside the learned speed, off by default

Cause: the load header's fourth figure was dropped. Upstreams that share machines are 2.5 times slower in 15% of spans of 0.6 s; first events that were slow for that reason distorted the learned speed.

Change: health/pace.rs keeps one dated reading for each upstream. With `overload.upstream_pace`, observed times are divided by the pace and expected times multiplied; a reading fades within 0.6 s, counts only relative to what is usual, and only while responses confirm it. Figures that can't be read are counted in reported_paces_total and ignored. The dispatch line shows pace and pace_age_ms.

--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -279,6 +279,9 @@
                 continue;
             }
             let parsed = self.shared.adapter.parse_response_head(&head);
+            if let Some(load) = parsed.metadata.load {
+                self.shared.metrics.record_reported_pace(load.pace);
+            }
             let own_id = self.request_id();
             let upstream = &self.order.upstream;
             self.shared.report_announcement(upstream, &own_id, &parsed);
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -5,7 +5,7 @@
     Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     Opts, Registry, TextEncoder,
 };
-use savorywood_gateway::DispatchOrder;
+use savorywood_gateway::{DispatchOrder, PaceReport};
 use std::{sync::atomic::Ordering, time::Duration};
 
 /// Upper bounds of the latency buckets in seconds.
@@ -37,6 +37,8 @@
     pub connect_failures: IntCounterVec,
     /// Requests sent through peers, by outcome.
     pub relays: IntCounterVec,
+    /// Paces that upstreams reported, by validity.
+    pub reported_paces: IntCounterVec,
     /// Requests that wait for a free slot.
     pub waiting: IntGauge,
     /// Requests that are executing at upstreams.
@@ -110,6 +112,11 @@
                 "Requests sent through other daemons by outcome",
                 "outcome",
             ),
+            reported_paces: counter_vec(
+                "reported_paces_total",
+                "Paces that upstreams reported by validity",
+                "validity",
+            ),
             waiting: gauge("requests_waiting", "Requests that wait for a free slot"),
             running: gauge("requests_running", "Requests that upstreams are executing"),
             confirmation_age: float_gauge(
@@ -201,8 +208,18 @@
 }
 
 impl FrontMetrics {
+    /// Counts the pace that a response reports, if it reports one.
+    pub fn record_reported_pace(&self, report: PaceReport) {
+        let validity = match report {
+            PaceReport::Absent => return,
+            PaceReport::Invalid => "invalid",
+            PaceReport::Reading(_) => "valid",
+        };
+        self.reported_paces.with_label_values(&[validity]).inc();
+    }
+
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 27] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 28] = [
             Box::new(self.arrived.clone()),
             Box::new(self.ended.clone()),
             Box::new(self.cut.clone()),
@@ -226,6 +243,7 @@
             Box::new(self.evacuated_zones.clone()),
             Box::new(self.store_era.clone()),
             Box::new(self.limited_upstreams.clone()),
+            Box::new(self.reported_paces.clone()),
             Box::new(self.quarantined.clone()),
             Box::new(self.cold_upstreams.clone()),
             Box::new(self.unreadable_datagrams.clone()),
--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -9,6 +9,7 @@
     evacuation::EvacuationOrder,
     gateway::GatewayBounds,
     gossip::PeerContact,
+    health::PaceReport,
     label::{HostLabel, ServiceLabel, UpstreamLabel},
     message::{PeerHeartbeat, PeerSummary, SlotUpdate},
     position::StorePosition,
@@ -31,6 +32,8 @@
     pub waiting: u32,
     /// Requests that the upstream executes concurrently.
     pub slots: u32,
+    /// Current pace of the upstream.
+    pub pace: PaceReport,
 }
 
 /// Metadata that a response head carries beside the response itself. The adapter parses it; a field
@@ -109,6 +112,17 @@
         )
     }
 
+    /// Returns the metadata of the response head, if the upstream sent a response.
+    #[must_use]
+    pub fn metadata(&self) -> Option<ResponseMetadata> {
+        match self {
+            Self::NotRun { metadata, .. }
+            | Self::Failed { metadata }
+            | Self::Delivered { metadata, .. } => Some(*metadata),
+            _ => None,
+        }
+    }
+
     /// Returns the name of the outcome in logs and metrics.
     #[must_use]
     pub fn name(&self) -> &'static str {
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -249,6 +249,15 @@
             .with("slots", state.entry.slots)
             .with("unread", state.unread_prompt_tokens)
             .with("cold_ms", state.cold_until.since(now).as_millis());
+        let line = match state.pace.newest_age(now) {
+            Some(age) => line
+                .with(
+                    "pace",
+                    format_args!("{:.2}", state.pace.factor(now, Duration::ZERO)),
+                )
+                .with("pace_age_ms", age.as_millis()),
+            None => line,
+        };
         let line = if order.relays.is_empty() {
             line
         } else {
--- a/crates/savorywood-gateway/src/gateway/feedback.rs
+++ b/crates/savorywood-gateway/src/gateway/feedback.rs
@@ -88,6 +88,7 @@
         let dispatched_at = attempt.dispatched_at;
         self.fleet.record_received(now, &upstream);
         self.keep_attempt(request);
+        self.record_pace(now, &upstream, metadata);
         let Some(record) = self.requests.get(&request) else {
             return;
         };
@@ -98,8 +99,13 @@
         }
         if record.route.retry_safety.is_stream() {
             let prompt = record.size.prompt_tokens;
+            let service = record.service.clone();
+            let service_latency = self.fleet.service_latency(&service);
+            let elapsed = self.remove_pace(now, &upstream, elapsed, |latency| {
+                latency.first_event_ms(&service_latency, prompt)
+            });
             self.fleet
-                .service_latency_mut(&record.service)
+                .service_latency_mut(&service)
                 .record_first_event(prompt, elapsed);
             if let Some(state) = self.fleet.get_mut(&upstream) {
                 state.latency.record_first_event(prompt, elapsed);
@@ -127,6 +133,42 @@
         }
     }
 
+    /// Records the pace that a response reports, if the settings enable it.
+    fn record_pace(
+        &mut self,
+        now: MonotonicTime,
+        upstream: &UpstreamLabel,
+        metadata: ResponseMetadata,
+    ) {
+        let reading = metadata.load.and_then(|load| load.pace.reading());
+        if self.options.overload.upstream_pace
+            && let Some(reading) = reading
+            && let Some(state) = self.fleet.get_mut(upstream)
+        {
+            state.pace.record(now, reading);
+        }
+    }
+
+    /// Returns the time that a response would have taken at the upstream's usual pace, and compares
+    /// it with the one that the latency model predicts.
+    fn remove_pace(
+        &mut self,
+        now: MonotonicTime,
+        upstream: &UpstreamLabel,
+        elapsed: Duration,
+        predict_ms: impl FnOnce(&LatencyModel) -> f64,
+    ) -> Duration {
+        let Some(state) = self.fleet.get_mut(upstream) else {
+            return elapsed;
+        };
+        let predicted_ms = predict_ms(&state.latency);
+        let observed_ms = elapsed.as_secs_f64() * 1e3;
+        state
+            .pace
+            .record_observation(now, observed_ms, predicted_ms);
+        elapsed.div_f64(state.pace.factor(now, Duration::ZERO))
+    }
+
     fn apply_metadata(
         &mut self,
         now: MonotonicTime,
@@ -170,37 +212,40 @@
             self.fleet.record_received(now, &attempt.upstream);
             self.record_response(now, &attempt.upstream, attempt.dispatched_at);
         }
+        // Metadata of a stream's head was applied at its beginning and is outdated at its end.
+        let metadata_applied = attempt.first_event_at.is_some();
+        if let Some(metadata) = outcome.metadata().filter(|_| !metadata_applied) {
+            self.record_pace(now, &attempt.upstream, metadata);
+        }
         if let AttemptOutcome::Delivered { events, .. } = outcome {
+            let mut total = now.since(attempt.dispatched_at);
+            if !stream {
+                let service_latency = self.fleet.service_latency(&service);
+                total = self.remove_pace(now, &attempt.upstream, total, |latency| {
+                    latency.response_ms(&service_latency)
+                });
+            }
             let response = CompletedResponse {
                 events: stream.then_some(*events),
                 expected_output_tokens,
                 max_event_gap: attempt.max_event_gap,
                 after_first_event: now.since(attempt.first_event_at.unwrap_or(now)),
-                total: now.since(attempt.dispatched_at),
+                total,
             };
             self.record_latency(&service, &attempt.upstream, &response);
         }
         self.update_outlier_state(now, &service, attempt, outcome, effects);
         self.record_rollout_result(now, &service, attempt, outcome, stream);
-        // Metadata of a stream's head was applied at its beginning and is outdated at its end.
-        let metadata_applied = attempt.first_event_at.is_some();
-        match outcome {
-            AttemptOutcome::NotRun { metadata, .. }
-            | AttemptOutcome::Failed { metadata }
-            | AttemptOutcome::Delivered { metadata, .. }
-                if !metadata_applied =>
-            {
-                let dispatched_at = attempt.dispatched_at;
-                self.record_limit(
-                    now,
-                    &attempt.upstream,
-                    dispatched_at,
-                    metadata.rate_limit,
-                    effects,
-                );
-                self.apply_metadata(now, &attempt.upstream, *metadata);
-            }
-            _ => {}
+        if let Some(metadata) = outcome.metadata().filter(|_| !metadata_applied) {
+            let dispatched_at = attempt.dispatched_at;
+            self.record_limit(
+                now,
+                &attempt.upstream,
+                dispatched_at,
+                metadata.rate_limit,
+                effects,
+            );
+            self.apply_metadata(now, &attempt.upstream, metadata);
         }
     }
 
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -67,6 +67,7 @@
 pub use gossip::{
     GossipPlan, PeerContact, PeerMessage, ReportedDaemons, SlotPlan, uses_coordinators,
 };
+pub use health::{PaceReading, PaceReport, UpstreamPace};
 pub use label::{
     HostLabel, RegionLabel, ServiceLabel, TeamLabel, UpstreamLabel, VersionLabel, ZoneLabel,
 };
--- a/crates/savorywood-gateway/src/selection.rs
+++ b/crates/savorywood-gateway/src/selection.rs
@@ -263,25 +263,37 @@
         others_unread: u32,
     ) -> ResponseEstimate {
         if !query.stream {
-            return ResponseEstimate::non_streaming(state.latency.response_ms(service_latency));
+            let usual_ms = state.latency.response_ms(service_latency);
+            return ResponseEstimate::non_streaming(usual_ms * self.pace_factor(state, usual_ms));
         }
         let cached =
             self.prefix_cache
                 .cached_tokens(self.now, query.prompt_parts, &state.entry.name);
         let own = query.prompt_tokens.saturating_sub(cached);
         let unread = own + state.unread_prompt_tokens + others_unread;
+        let first_event_ms = state.latency.first_event_ms(service_latency, unread);
+        let streaming_ms = state
+            .latency
+            .streaming_ms(service_latency, query.expected_tokens);
+        let pace = self.pace_factor(state, first_event_ms);
         ResponseEstimate {
-            idle_first_event_ms: state
-                .latency
-                .first_event_ms(service_latency, query.prompt_tokens),
-            first_event_ms: state.latency.first_event_ms(service_latency, unread),
-            streaming_ms: state
-                .latency
-                .streaming_ms(service_latency, query.expected_tokens),
+            idle_first_event_ms: pace
+                * state
+                    .latency
+                    .first_event_ms(service_latency, query.prompt_tokens),
+            first_event_ms: first_event_ms * pace,
+            streaming_ms: streaming_ms * self.pace_factor(state, first_event_ms + streaming_ms),
             stream: true,
         }
     }
 
+    /// Returns the factor by which the upstream's pace changes the time of work that takes
+    /// `usual_ms` at its usual pace.
+    fn pace_factor(&self, state: &UpstreamState, usual_ms: f64) -> f64 {
+        let duration = Duration::from_secs_f64(usual_ms / 1e3);
+        state.pace.factor(self.now, duration)
+    }
+
     fn has_free_slot(
         &self,
         candidate: &Candidate<'_>,
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     evacuation::{EvacuationOrder, EvacuationTable},
+    health::UpstreamPace,
     label::{ServiceLabel, UpstreamLabel, VersionLabel, ZoneLabel},
     latency::LatencyModel,
     lease::MemberLeases,
@@ -68,6 +69,8 @@
     pub outlier: OutlierState,
     /// Latency estimates.
     pub latency: LatencyModel,
+    /// Pace that it reports; without readings while they are not used.
+    pub pace: UpstreamPace,
     /// Time at which response data was last received.
     pub last_received_at: MonotonicTime,
     /// Time from which the removal of the registration takes effect; `None` while it is registered.
@@ -100,6 +103,7 @@
             last_dispatch_number: 0,
             outlier: OutlierState::default(),
             latency: LatencyModel::default(),
+            pace: UpstreamPace::default(),
             last_received_at: MonotonicTime::default(),
             removed_at: None,
             evacuated: false,
--- a/crates/savorywood-gateway/tests/common/load.rs
+++ b/crates/savorywood-gateway/tests/common/load.rs
@@ -10,14 +10,16 @@
 pub mod calls;
 #[path = "load/engine.rs"]
 pub mod engine;
+#[path = "load/pace.rs"]
+pub mod pace;
 
 use crate::harness::{GatewayHarness, config, options, route, upstream};
 use calls::{CallKind, CallTally, OpenCall, RandomSource};
 use engine::{EngineModel, EngineOutput, EngineRun};
 use savorywood_gateway::{
-    AttemptOutcome, DispatchOrder, GatewayEffect, GatewayEvent, LocalRequest, PeerContact,
-    RequestArrival, RequestSize, ResponseMetadata, RetrySafety, StreamInterruption, UpstreamLabel,
-    ZoneLabel,
+    AttemptOutcome, DispatchOrder, GatewayEffect, GatewayEvent, LocalRequest, OverloadOptions,
+    PeerContact, RequestArrival, RequestSize, ResponseMetadata, RetrySafety, StreamInterruption,
+    UpstreamLabel, ZoneLabel,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{
@@ -58,6 +60,24 @@
     call: OpenCall,
 }
 
+/// Options of a simulation.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadOptions {
+    /// Seed of arrivals and sizes.
+    pub seed: u64,
+    /// Decisions that the daemons' settings enable.
+    pub overload: OverloadOptions,
+}
+
+impl Default for LoadOptions {
+    fn default() -> Self {
+        Self {
+            seed: 42,
+            overload: OverloadOptions::default(),
+        }
+    }
+}
+
 /// Daemons, engines, callers and the messages between them.
 pub struct LoadEnvironment {
     pub now: MonotonicTime,
@@ -75,6 +95,7 @@
     /// Whether daemons send slot updates between summaries.
     pub sends_slot_updates: bool,
     steps: u64,
+    overload: OverloadOptions,
     random: RandomSource,
     /// Open requests, by daemon and number.
     calls: BTreeMap<(usize, LocalRequest), OpenCall>,
@@ -86,6 +107,17 @@
     /// Creates the environment with one engine for each entry of `slowdown`: 1 is the normal speed,
     /// 2 takes twice the time. Each engine has `slots` slots.
     pub fn new(daemons: usize, slowdown: &[f64], slots: u32, kinds: Vec<CallKind>) -> Self {
+        Self::with_options(daemons, slowdown, slots, kinds, LoadOptions::default())
+    }
+
+    /// The same with other options.
+    pub fn with_options(
+        daemons: usize,
+        slowdown: &[f64],
+        slots: u32,
+        kinds: Vec<CallKind>,
+        options: LoadOptions,
+    ) -> Self {
         let mut environment = Self {
             now: MonotonicTime(1_000_000),
             daemons: Vec::new(),
@@ -97,7 +129,8 @@
             abandoned_streams: 0,
             sends_slot_updates: true,
             steps: 0,
-            random: RandomSource(42),
+            random: RandomSource(options.seed),
+            overload: options.overload,
             calls: BTreeMap::new(),
             messages: VecDeque::new(),
             pending_retries: Vec::new(),
@@ -125,6 +158,7 @@
         // Two daemons per zone: the directory lists all of them.
         options.zone = ZoneLabel::from(format!("zone-{}", number / 2).as_str());
         options.seed = 7 + number as u64;
+        options.overload = self.overload;
         let mut harness = GatewayHarness::unconfigured(options);
         harness.now = self.now;
         let mut config = config(1, None);
@@ -372,6 +406,10 @@
     /// Delivers an event of a stream to its caller and reports it to the daemon.
     fn deliver_output(&mut self, output: EngineOutput) {
         let key = (output.daemon, output.request);
+        let metadata = ResponseMetadata {
+            load: Some(output.load),
+            ..ResponseMetadata::default()
+        };
         let Some(call) = self.calls.get_mut(&key) else {
             return;
         };
@@ -387,7 +425,6 @@
         call.received_at = self.now;
         call.events += 1;
         call.tokens_left = output.tokens_left;
-        let metadata = ResponseMetadata::default();
         let request = output.request;
         let event = if output.is_first {
             GatewayEvent::ResponseStarted { request, metadata }
--- a/crates/savorywood-gateway/tests/common/load/engine.rs
+++ b/crates/savorywood-gateway/tests/common/load/engine.rs
@@ -1,7 +1,7 @@
 //! Model of an engine with continuous batching: each step decodes one token for every request in
 //! the batch, and prompts are processed in chunks within the steps.
 
-use savorywood_gateway::{LocalRequest, UpstreamLabel};
+use savorywood_gateway::{LocalRequest, PaceReading, PaceReport, ReportedLoad, UpstreamLabel};
 use savorywood_protocol::MonotonicTime;
 use std::{collections::VecDeque, time::Duration};
 
@@ -37,6 +37,8 @@
     pub is_first: bool,
     /// Output tokens not yet produced; 0 in the last event.
     pub tokens_left: u32,
+    /// Load of the engine at the time of the event.
+    pub load: ReportedLoad,
 }
 
 /// An engine with a fixed number of slots and a queue.
@@ -44,6 +46,10 @@
     pub name: UpstreamLabel,
     /// Factor on the time of each step.
     pub slowdown: f64,
+    /// Pace in percent at the moment: a further factor on the time of each step.
+    pub pace: u16,
+    /// Pace that the engine reports; `None` for the true one.
+    pub reported_pace: Option<u16>,
     /// Whether the engine has stopped and sends nothing more.
     pub stalled: bool,
     /// Time until which the engine sends nothing; it continues afterwards.
@@ -61,6 +67,8 @@
         Self {
             name: UpstreamLabel::from(name),
             slowdown,
+            pace: 100,
+            reported_pace: None,
             stalled: false,
             silent_until: None,
             max_queue: None,
@@ -95,6 +103,19 @@
         self.queue.retain(is_other);
     }
 
+    /// Returns the load as reported in a response.
+    pub fn reported_load(&self) -> ReportedLoad {
+        let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+        let percent = self.reported_pace.unwrap_or(self.pace);
+        let reading = PaceReading::from_percent(percent);
+        ReportedLoad {
+            running: count(self.batch.len()),
+            waiting: count(self.queue.len()),
+            slots: count(self.slots),
+            pace: reading.map_or(PaceReport::Invalid, PaceReport::Reading),
+        }
+    }
+
     /// Runs the steps that end up to now.
     pub fn advance(&mut self, now: MonotonicTime, outputs: &mut Vec<EngineOutput>) {
         if self.stalled {
@@ -139,13 +160,14 @@
             .map(|run| run.prefill_left.min(MAX_PREFILL_CHUNK))
             .sum();
         let prefilled = f64::from(prefill_left.min(MAX_PREFILL_CHUNK)) / PREFILL_TOKENS_PER_MS;
-        let millis = self.slowdown
+        let millis = self.slowdown * f64::from(self.pace) / 100.0
             * (BASE_STEP_MS + STEP_MS_PER_REQUEST * self.batch.len() as f64 + prefilled);
         self.step_ends_at = Some(at + Duration::from_secs_f64(millis / 1e3));
     }
 
     fn finish_step(&mut self, outputs: &mut Vec<EngineOutput>) {
         let mut chunk_left = MAX_PREFILL_CHUNK;
+        let load = self.reported_load();
         for run in &mut self.batch {
             let prefilled = run.prefill_left.min(chunk_left);
             chunk_left -= prefilled;
@@ -162,6 +184,7 @@
                     request: run.request,
                     is_first: run.tokens == 1,
                     tokens_left: run.tokens_left,
+                    load,
                 });
             }
         }
