Slot reservations: daemons divide the free slots of an upstream

Cause: daemons see each other's use of slots through reports that are 80 to 250 ms old, so several take the same free slot.

Change: with `overload.slot_reservations`, the entry set members are ranked for each upstream by rendezvous hashing. A daemon takes its own slots first; a free slot of others is open to twice as many ranks for each 100 ms that it has been free. The load that an upstream reports counts as a lower bound of its use for 600 ms. Slots of members that were lost are kept for 2 s, or 15 s if many were lost together. The dispatch line shows share, own, seen and unaccounted; reservation_holds_total counts selections that were held back, by cause.

--- a/crates/savorywood-front/src/admin.rs
+++ b/crates/savorywood-front/src/admin.rs
@@ -151,6 +151,12 @@
         let upstreams = gateway.fleet().iter();
         let cold = upstreams.filter(|upstream| upstream.is_cold(now));
         metrics.cold_upstreams.set(count(cold.count()));
+        for (cause, held) in gateway.reservation_holds() {
+            let metric = metrics
+                .reservation_holds
+                .with_label_values(&[cause.to_string().as_str()]);
+            metric.inc_by(held.saturating_sub(metric.get()));
+        }
         return AdminResponse {
             status: 200,
             reason: "OK",
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -63,6 +63,8 @@
     pub cold_upstreams: IntGauge,
     /// Datagrams that could not be decoded.
     pub unreadable_datagrams: IntCounter,
+    /// Selections that a slot reservation held back, by cause.
+    pub reservation_holds: IntCounterVec,
     log_omitted: IntCounterVec,
 }
 
@@ -152,6 +154,11 @@
                 "entry_members",
                 "Members of the entry set of this availability zone",
             ),
+            reservation_holds: counter_vec(
+                "reservation_holds_total",
+                "Selections that a slot reservation held back by cause",
+                "cause",
+            ),
             log_omitted: counter_vec("log_lines_omitted_total", "Log lines dropped", "cause"),
             registry,
         };
@@ -202,7 +209,7 @@
 
 impl FrontMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 27] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 28] = [
             Box::new(self.arrived.clone()),
             Box::new(self.ended.clone()),
             Box::new(self.cut.clone()),
@@ -229,6 +236,7 @@
             Box::new(self.quarantined.clone()),
             Box::new(self.cold_upstreams.clone()),
             Box::new(self.unreadable_datagrams.clone()),
+            Box::new(self.reservation_holds.clone()),
             Box::new(self.log_omitted.clone()),
         ];
         for collector in collectors {
--- a/crates/savorywood-gateway/src/entry_set.rs
+++ b/crates/savorywood-gateway/src/entry_set.rs
@@ -210,6 +210,12 @@
         changed
     }
 
+    /// Returns the digests of the members' hosts.
+    #[must_use]
+    pub fn members(&self) -> &[u64] {
+        &self.members
+    }
+
     /// Returns true if the host with this name digest is a member.
     #[must_use]
     pub fn contains(&self, host: u64) -> bool {
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 mod evacuation;
 mod feedback;
 mod gossip;
+mod placing;
 mod quarantine;
 mod rate_limits;
 mod reachability;
@@ -39,6 +40,7 @@
     message::SlotUse,
     overload::OverloadOptions,
     peer::{PeerTable, name_digest},
+    placing::{HoldCounters, MemberHistory, ReservationPolicy},
     quarantine::QuarantineTable,
     queue::WaitQueue,
     reachability::UpstreamReachability,
@@ -173,6 +175,14 @@
     slot_shares_at: MonotonicTime,
     /// The leases were settled then.
     slot_shares_settled: bool,
+    reservation_policy: ReservationPolicy,
+    /// Daemons among which slots are reserved.
+    slot_members: MemberHistory,
+    slot_members_at: MonotonicTime,
+    /// Time at which the free slots of upstreams were last looked at.
+    vacancies_at: MonotonicTime,
+    /// Selections that a reservation held back.
+    reservation_holds: HoldCounters,
     /// Requests under which upstreams crashed.
     quarantine: QuarantineTable,
     /// The store's list of requests in quarantine was read.
@@ -240,6 +250,11 @@
             leases_refreshed_at: MonotonicTime::default(),
             slot_shares_at: MonotonicTime::default(),
             slot_shares_settled: false,
+            reservation_policy: ReservationPolicy::default(),
+            slot_members: MemberHistory::default(),
+            slot_members_at: MonotonicTime::default(),
+            vacancies_at: MonotonicTime::default(),
+            reservation_holds: HoldCounters::default(),
             quarantine: QuarantineTable::default(),
             quarantine_read: false,
             none_quarantined_at: None,
@@ -433,6 +448,7 @@
         self.refresh_entry(now, effects);
         self.refill_limits(now);
         self.refresh_slot_shares(now);
+        self.refresh_reservations(now);
         self.store_reads.expire(now);
         self.expire_waiting(now, effects);
         self.detect_stalls(now, effects);
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -11,7 +11,9 @@
     label::{ServiceLabel, UpstreamLabel},
     queue::{QueuePosition, QueueStage},
     refusal::RefusalReason,
-    selection::{SelectedUpstream, SelectionContext, SelectionFailure, SelectionQuery},
+    selection::{
+        ReservationContext, SelectedUpstream, SelectionContext, SelectionFailure, SelectionQuery,
+    },
 };
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
@@ -142,22 +144,29 @@
             urgent_arrivals: self.urgent_arrivals(now, record),
             allow_probe,
         };
-        let context = SelectionContext {
-            now,
-            fleet: &self.fleet,
-            peers: &self.peers,
-            prefix_cache: &self.prefix_cache,
-            zone: &self.options.zone,
-            policy: self.options.routing,
-            regions: &self.options.regions,
-            leases: &self.leases,
-            warmup: self.options.bounds.warmup_tolerance,
-            jitter: if self.contacts.uses_zone_digests() {
-                ZONED_COST_JITTER
-            } else {
-                COST_JITTER
-            },
-        };
+        let context =
+            SelectionContext {
+                now,
+                fleet: &self.fleet,
+                peers: &self.peers,
+                prefix_cache: &self.prefix_cache,
+                zone: &self.options.zone,
+                policy: self.options.routing,
+                regions: &self.options.regions,
+                leases: &self.leases,
+                warmup: self.options.bounds.warmup_tolerance,
+                jitter: if self.contacts.uses_zone_digests() {
+                    ZONED_COST_JITTER
+                } else {
+                    COST_JITTER
+                },
+                reservations: self.options.overload.slot_reservations.then_some(
+                    ReservationContext {
+                        policy: self.reservation_policy,
+                        holds: &self.reservation_holds,
+                    },
+                ),
+            };
         let mut random = self.random.clone();
         context.select(&query, || random.next())
     }
@@ -258,6 +267,14 @@
             Some(limit) => line.with("limit", limit.per_second()),
             None => line,
         };
+        let line = match selected.reservation {
+            Some(view) => line
+                .with("share", view.share)
+                .with("own", view.own)
+                .with("seen", view.seen)
+                .with("unaccounted", view.unaccounted),
+            None => line,
+        };
         effects.push(GatewayEffect::Log(line));
         effects.push(GatewayEffect::Dispatch(order));
     }
--- a/crates/savorywood-gateway/src/gateway/entry.rs
+++ b/crates/savorywood-gateway/src/gateway/entry.rs
@@ -4,7 +4,7 @@
 use crate::{
     effect::GatewayEffect,
     entry_set::{EntryCandidate, HostResources, MemberRanking, rank_members},
-    label::{RegionLabel, ZoneLabel},
+    label::RegionLabel,
     message::{DaemonRole, PeerPhase},
     peer::{PeerState, name_digest},
     region::CallerLocation,
@@ -110,30 +110,19 @@
             return;
         }
         self.leases_refreshed_at = now;
-        let own_zone = self.options.zone.clone();
-        let mut members: BTreeMap<ZoneLabel, Vec<u64>> = BTreeMap::new();
-        let own_hashes = self.member_address_hashes(now, own_zone.as_str(), own_members);
-        members.insert(own_zone.clone(), own_hashes);
-        let direct = self.peers.direct_zones(now).into_iter();
-        for zone in direct.filter(|zone| *zone != own_zone.as_str()) {
-            let selected = self.select_members(now, zone);
-            let hashes = self.member_address_hashes(now, zone, &selected);
-            members.insert(ZoneLabel::from(zone), hashes);
-        }
-        for digest in self.peers.zone_digests(now) {
-            let entry = digest.members.iter().filter(|member| {
-                member.phase == PeerPhase::Ready && member.role == DaemonRole::Entry
-            });
-            let hashes = entry.map(|member| address_hash(member.peer_address));
-            members.insert(ZoneLabel::from(digest.zone.as_str()), hashes.collect());
-        }
+        let members = self.members_by_zone(now, own_members);
         let own = address_hash(self.options.peer_address);
         self.leases.update(now, own, members);
     }
 
     /// Returns the address hashes of the selected members of a zone whose daemons send summaries
     /// here.
-    fn member_address_hashes(&self, now: MonotonicTime, zone: &str, members: &[u64]) -> Vec<u64> {
+    pub(super) fn member_address_hashes(
+        &self,
+        now: MonotonicTime,
+        zone: &str,
+        members: &[u64],
+    ) -> Vec<u64> {
         let is_own = zone == self.options.zone.as_str();
         if let Some(view) = self.followed_view(now).filter(|_| is_own) {
             let ready = view.members.iter();
@@ -196,7 +185,7 @@
     }
 
     /// Selects the members of a zone whose daemons send summaries here.
-    fn select_members(&self, now: MonotonicTime, zone: &str) -> Vec<u64> {
+    pub(super) fn select_members(&self, now: MonotonicTime, zone: &str) -> Vec<u64> {
         self.rank_members(now, zone).members
     }
 
--- a/crates/savorywood-gateway/src/gateway/feedback.rs
+++ b/crates/savorywood-gateway/src/gateway/feedback.rs
@@ -107,7 +107,7 @@
         }
         self.record_response(now, &upstream, dispatched_at);
         self.record_limit(now, &upstream, dispatched_at, metadata.rate_limit, effects);
-        self.apply_metadata(now, &upstream, metadata);
+        self.apply_metadata(now, &upstream, metadata, 0);
     }
 
     /// Records further events of a stream.
@@ -127,15 +127,25 @@
         }
     }
 
+    /// Applies the metadata of a response head. `ended` is the number of requests that the reported
+    /// load includes although they have ended here.
     fn apply_metadata(
         &mut self,
         now: MonotonicTime,
         upstream: &UpstreamLabel,
         metadata: ResponseMetadata,
+        ended: u32,
     ) {
         let Some(state) = self.fleet.get_mut(upstream) else {
             return;
         };
+        if let Some(load) = metadata.load {
+            let slots = state.entry.slots;
+            state
+                .reservation
+                .report
+                .record(now, load, state.running + ended, slots);
+        }
         if let Some(cold_for) = metadata.cold_for {
             state.extend_cold(now + cold_for);
         }
@@ -198,7 +208,8 @@
                     metadata.rate_limit,
                     effects,
                 );
-                self.apply_metadata(now, &attempt.upstream, *metadata);
+                let executed = !matches!(outcome, AttemptOutcome::NotRun { .. });
+                self.apply_metadata(now, &attempt.upstream, *metadata, u32::from(executed));
             }
             _ => {}
         }
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -78,6 +78,10 @@
 pub use outlier::OutlierState;
 pub use overload::OverloadOptions;
 pub use peer::{PeerTable, SlotTotal, name_digest};
+pub use placing::{
+    HoldCause, LoadRecord, MemberHistory, ReservationPolicy, SlotClaim, SlotReservation, Vacancies,
+    rank_claim,
+};
 pub use position::StorePosition;
 pub use quarantine::{
     CrashGossip, CrashRecord, CrashReport, FailedAttempt, QUARANTINE_CRASHES, QuarantineChange,
@@ -88,6 +92,7 @@
 pub use refusal::RefusalReason;
 pub use region::{CallerLocation, RegionMap};
 pub use registration::MemberRegistration;
+pub use rejection_limit::SlotUsage;
 pub use relay::RelayRefusal;
 pub use retry_budget::{RetryBudget, RetryBudgetOptions};
 pub use rollout::{RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite};
--- a/crates/savorywood-gateway/src/placing.rs
+++ b/crates/savorywood-gateway/src/placing.rs
@@ -1,1 +1,18 @@
 //! Placement of requests on the slots of upstreams.
+//!
+//! Daemons see each other's use of slots with a delay. While slots are scarce, several of them would
+//! take the same free slot. Slot reservations decide without further messages which daemon may take
+//! it: all daemons rank the members of the entry sets in the same way for each upstream, and a free
+//! slot is open to more of them the longer it has been free.
+
+mod claim;
+mod decision;
+mod members;
+mod report;
+mod vacancy;
+
+pub use claim::{SlotClaim, rank_claim};
+pub use decision::{HoldCause, HoldCounters, ReservationPolicy, ReservationView, SlotReservation};
+pub use members::MemberHistory;
+pub use report::LoadRecord;
+pub use vacancy::Vacancies;
--- a/crates/savorywood-gateway/src/selection.rs
+++ b/crates/savorywood-gateway/src/selection.rs
@@ -9,6 +9,7 @@
     latency::LatencyModel,
     lease::MemberLeases,
     peer::PeerTable,
+    placing::{HoldCause, HoldCounters, ReservationPolicy, ReservationView},
     region::RegionMap,
     rejection_limit::SlotUsage,
     upstream::{UpstreamFleet, UpstreamState},
@@ -141,6 +142,17 @@
     /// Fraction of its cost that is added to an upstream at random at most, so that daemons do not
     /// all select the same one.
     pub jitter: f64,
+    /// Reservations of slots; `None` if they are disabled.
+    pub reservations: Option<ReservationContext<'a>>,
+}
+
+/// Rule for reservations of slots, and the counters of selections that they hold back.
+#[derive(Debug, Clone, Copy)]
+pub struct ReservationContext<'a> {
+    /// Rule by which daemons divide free slots.
+    pub policy: ReservationPolicy,
+    /// Selections that a reservation held back.
+    pub holds: &'a HoldCounters,
 }
 
 /// Reason why no upstream was selected.
@@ -164,6 +176,17 @@
     pub slots_in_use: u32,
     /// Score by which it was selected; the lowest wins.
     pub score: f64,
+    /// Inputs of the reservation's decision, if reservations are enabled.
+    pub reservation: Option<ReservationView>,
+}
+
+/// Whether an upstream has a slot for the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SlotAvailability {
+    Free,
+    Full,
+    /// A slot seems to be free, but a reservation leaves it to others.
+    Held(HoldCause),
 }
 
 /// An upstream that is eligible for the request.
@@ -207,6 +230,7 @@
             .map(|candidate| candidate.throughput)
             .sum();
         let mut best: Option<SelectedUpstream> = None;
+        let mut held = None;
         for candidate in &candidates {
             let noise = sample();
             let estimate = &candidate.estimate;
@@ -214,14 +238,27 @@
             let fits = !must_complete || estimate.fits_within(query.remaining_ms);
             let in_time =
                 !must_start_in_time || estimate.first_event_ms <= query.first_event_budget_ms;
-            if !fits || !in_time || !self.has_free_slot(candidate, query, share) {
+            if !fits || !in_time {
                 continue;
             }
+            match self.has_free_slot(candidate, query, share) {
+                SlotAvailability::Free => {}
+                SlotAvailability::Full => continue,
+                SlotAvailability::Held(cause) => {
+                    held = Some(cause);
+                    continue;
+                }
+            }
             let selected = self.score_candidate(candidate, query, noise);
             if best.as_ref().is_none_or(|best| selected.score < best.score) {
                 best = Some(selected);
             }
         }
+        if best.is_none()
+            && let Some((cause, reservations)) = held.zip(self.reservations)
+        {
+            reservations.holds.record(cause);
+        }
         best.ok_or(SelectionFailure::AllFull)
     }
 
@@ -287,7 +324,7 @@
         candidate: &Candidate<'_>,
         query: &SelectionQuery<'_>,
         share: f64,
-    ) -> bool {
+    ) -> SlotAvailability {
         let slots = candidate.state.entry.slots;
         let slot = Duration::from_secs_f64(candidate.estimate.slot_hold_ms() / 1e3);
         let reserved = query.urgent_arrivals.reserved_slots(share, slot, slots);
@@ -302,7 +339,17 @@
         } else {
             usage.all < usage.slots
         };
-        has_slot && !candidate.state.is_paused(self.now) && self.rate_allows(candidate.state)
+        if !has_slot || candidate.state.is_paused(self.now) || !self.rate_allows(candidate.state) {
+            return SlotAvailability::Full;
+        }
+        let Some(reservations) = self.reservations else {
+            return SlotAvailability::Free;
+        };
+        let reservation = &candidate.state.reservation;
+        match reservation.check(self.now, usage, reservations.policy) {
+            Ok(()) => SlotAvailability::Free,
+            Err(cause) => SlotAvailability::Held(cause),
+        }
     }
 
     /// Returns true if the upstream's rate limit and, while it is cold, its warm-up allow this
@@ -406,6 +453,11 @@
             expected_ms: first_event_ms,
             slots_in_use: *slots_in_use,
             score,
+            reservation: self.reservations.map(|_| {
+                state
+                    .reservation
+                    .view(self.now, state.running, *slots_in_use)
+            }),
         }
     }
 }
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -7,6 +7,7 @@
     lease::MemberLeases,
     outlier::OutlierState,
     peer::name_digest,
+    placing::SlotReservation,
     rejection_limit::{RejectionLimits, SlotShare},
     upstream_limit::UpstreamLimit,
     warmup::WarmupSpec,
@@ -82,6 +83,8 @@
     pub paused_until: MonotonicTime,
     /// Slots that this daemon may use while rejections are limited.
     pub slot_share: SlotShare,
+    /// Reservation of its slots, if they are enabled.
+    pub reservation: SlotReservation,
     /// Time of this daemon's last dispatch to the upstream.
     pub last_dispatch_at: MonotonicTime,
     /// Slots that are held for streams of stalled upstreams; included in `running`.
@@ -107,6 +110,7 @@
             limit: UpstreamLimit::default(),
             paused_until: MonotonicTime::default(),
             slot_share: SlotShare::default(),
+            reservation: SlotReservation::default(),
             last_dispatch_at: MonotonicTime::default(),
             held_slots: 0,
             unreachable: false,
--- a/crates/savorywood-gateway/tests/common/load.rs
+++ b/crates/savorywood-gateway/tests/common/load.rs
@@ -10,16 +10,19 @@
 pub mod calls;
 #[path = "load/engine.rs"]
 pub mod engine;
+#[path = "load/slots.rs"]
+pub mod slots;
 
 use crate::harness::{GatewayHarness, config, options, route, upstream};
 use calls::{CallKind, CallTally, OpenCall, RandomSource};
 use engine::{EngineModel, EngineOutput, EngineRun};
 use savorywood_gateway::{
     AttemptOutcome, DispatchOrder, GatewayEffect, GatewayEvent, LocalRequest, PeerContact,
-    RequestArrival, RequestSize, ResponseMetadata, RetrySafety, StreamInterruption, UpstreamLabel,
-    ZoneLabel,
+    ReportedLoad, RequestArrival, RequestSize, ResponseMetadata, RetrySafety, StreamInterruption,
+    UpstreamLabel, ZoneLabel,
 };
 use savorywood_protocol::MonotonicTime;
+use slots::SlotConditions;
 use std::{
     collections::{BTreeMap, VecDeque},
     sync::Arc,
@@ -74,6 +77,8 @@
     pub abandoned_streams: u32,
     /// Whether daemons send slot updates between summaries.
     pub sends_slot_updates: bool,
+    /// Conditions under which daemons share slots.
+    pub conditions: SlotConditions,
     steps: u64,
     random: RandomSource,
     /// Open requests, by daemon and number.
@@ -86,6 +91,17 @@
     /// Creates the environment with one engine for each entry of `slowdown`: 1 is the normal speed,
     /// 2 takes twice the time. Each engine has `slots` slots.
     pub fn new(daemons: usize, slowdown: &[f64], slots: u32, kinds: Vec<CallKind>) -> Self {
+        Self::with_conditions(daemons, slowdown, slots, kinds, SlotConditions::default())
+    }
+
+    /// Creates the environment with conditions under which daemons share slots.
+    pub fn with_conditions(
+        daemons: usize,
+        slowdown: &[f64],
+        slots: u32,
+        kinds: Vec<CallKind>,
+        conditions: SlotConditions,
+    ) -> Self {
         let mut environment = Self {
             now: MonotonicTime(1_000_000),
             daemons: Vec::new(),
@@ -97,7 +113,8 @@
             abandoned_streams: 0,
             sends_slot_updates: true,
             steps: 0,
-            random: RandomSource(42),
+            random: RandomSource(conditions.seed),
+            conditions,
             calls: BTreeMap::new(),
             messages: VecDeque::new(),
             pending_retries: Vec::new(),
@@ -125,6 +142,8 @@
         // Two daemons per zone: the directory lists all of them.
         options.zone = ZoneLabel::from(format!("zone-{}", number / 2).as_str());
         options.seed = 7 + number as u64;
+        options.overload = self.conditions.overload;
+        options.incarnation += self.conditions.restarts;
         let mut harness = GatewayHarness::unconfigured(options);
         harness.now = self.now;
         let mut config = config(1, None);
@@ -152,6 +171,9 @@
         harness.confirm();
         harness.effects.clear();
         harness
+            .gateway
+            .set_reservation_policy(self.conditions.policy);
+        harness
     }
 
     /// Runs with arrivals for some time, then until the open requests have ended.
@@ -166,6 +188,7 @@
         while self.now < end {
             self.now = self.now + STEP;
             self.steps += 1;
+            self.restart_due();
             self.receive_messages();
             if arrivals {
                 self.generate_arrivals();
@@ -247,23 +270,25 @@
         let engine = self.engine(&order.upstream);
         let full = engine.is_full();
         let turned_away = engine.turns_away(now);
+        let load = engine.reported_load();
         if !turned_away {
             engine.enqueue(run);
         }
         self.dispatched += 1;
         self.dispatched_to_full += u32::from(full);
+        self.conditions.rejected += u32::from(turned_away);
         if turned_away {
-            self.turn_away(number, order.request);
+            self.turn_away(number, order.request, load);
         }
     }
 
-    fn turn_away(&mut self, number: usize, request: LocalRequest) {
+    fn turn_away(&mut self, number: usize, request: LocalRequest, load: ReportedLoad) {
         if let Some(call) = self.calls.get_mut(&(number, request)) {
             call.engine = None;
         }
         let outcome = AttemptOutcome::NotRun {
             misdirected: false,
-            metadata: ResponseMetadata::default(),
+            metadata: self.conditions.metadata(load),
         };
         self.step(number, GatewayEvent::AttemptEnded { request, outcome });
     }
@@ -325,8 +350,9 @@
     }
 
     fn send_call(&mut self, mut call: OpenCall) {
-        let daemons = self.daemons.len() as f64;
-        let number = (self.random.next() * daemons) as usize;
+        let number = self
+            .conditions
+            .choose_daemon(&mut self.random, self.daemons.len());
         let kind = &self.kinds[call.kind];
         let left = call.deadline_at.since(self.now);
         let mut arrival: RequestArrival = crate::harness::arrival(&format!("{}1", kind.path));
@@ -387,7 +413,15 @@
         call.received_at = self.now;
         call.events += 1;
         call.tokens_left = output.tokens_left;
-        let metadata = ResponseMetadata::default();
+        let metadata = match &call.engine {
+            Some(name) if output.is_first && self.conditions.reports_load => {
+                let mut engines = self.engines.iter();
+                let engine = engines.find(|engine| engine.name == *name);
+                let load = engine.expect("an engine").reported_load();
+                self.conditions.metadata(load)
+            }
+            _ => ResponseMetadata::default(),
+        };
         let request = output.request;
         let event = if output.is_first {
             GatewayEvent::ResponseStarted { request, metadata }
@@ -477,6 +511,9 @@
                 continue;
             };
             for receiver in (0..self.daemons.len()).filter(|receiver| *receiver != number) {
+                if self.conditions.is_cut(self.now, number, receiver) {
+                    continue;
+                }
                 self.messages.push_back(InFlightMessage {
                     at: self.now + MESSAGE_DELAY,
                     receiver,
--- a/crates/savorywood-gateway/tests/common/load/engine.rs
+++ b/crates/savorywood-gateway/tests/common/load/engine.rs
@@ -1,7 +1,7 @@
 //! Model of an engine with continuous batching: each step decodes one token for every request in
 //! the batch, and prompts are processed in chunks within the steps.
 
-use savorywood_gateway::{LocalRequest, UpstreamLabel};
+use savorywood_gateway::{LocalRequest, ReportedLoad, UpstreamLabel};
 use savorywood_protocol::MonotonicTime;
 use std::{collections::VecDeque, time::Duration};
 
@@ -71,6 +71,15 @@
         }
     }
 
+    /// Returns the load as the engine reports it.
+    pub fn reported_load(&self) -> ReportedLoad {
+        ReportedLoad {
+            running: self.batch.len() as u32,
+            waiting: self.queue.len() as u32,
+            slots: self.slots as u32,
+        }
+    }
+
     /// Returns whether no slot is free for another request.
     pub fn is_full(&self) -> bool {
         self.batch.len() + self.queue.len() >= self.slots
