--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -65,6 +65,8 @@
     pub cold_upstreams: IntGauge,
     /// Datagrams that could not be decoded.
     pub unreadable_datagrams: IntCounter,
+    /// Selections that a slot reservation held back, by cause.
+    pub reservation_holds: IntCounterVec,
     log_omitted: IntCounterVec,
 }
 
@@ -159,6 +161,11 @@
                 "entry_members",
                 "Members of the entry set of this availability zone",
             ),
+            reservation_holds: counter_vec(
+                "reservation_holds_total",
+                "Selections that a slot reservation held back by cause",
+                "cause",
+            ),
             log_omitted: counter_vec("log_lines_omitted_total", "Log lines dropped", "cause"),
             registry,
         };
@@ -219,7 +226,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 28] = [
+        let collectors: Vec<Box<dyn prometheus::core::Collector>> = vec![
             Box::new(self.arrived.clone()),
             Box::new(self.ended.clone()),
             Box::new(self.cut.clone()),
@@ -247,6 +254,7 @@
             Box::new(self.quarantined.clone()),
             Box::new(self.cold_upstreams.clone()),
             Box::new(self.unreadable_datagrams.clone()),
+            Box::new(self.reservation_holds.clone()),
             Box::new(self.log_omitted.clone()),
         ];
         for collector in collectors {
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -8,6 +8,7 @@
     lease::MemberLeases,
     outlier::OutlierState,
     peer::name_digest,
+    placing::SlotReservation,
     rejection_limit::{RejectionLimits, SlotShare},
     upstream_limit::UpstreamLimit,
     warmup::WarmupSpec,
@@ -85,6 +86,8 @@
     pub paused_until: MonotonicTime,
     /// Slots that this daemon may use while rejections are limited.
     pub slot_share: SlotShare,
+    /// Reservation of its slots, if they are enabled.
+    pub reservation: SlotReservation,
     /// Time of this daemon's last dispatch to the upstream.
     pub last_dispatch_at: MonotonicTime,
     /// Slots that are held for streams of stalled upstreams; included in `running`.
@@ -111,6 +114,7 @@
             limit: UpstreamLimit::default(),
             paused_until: MonotonicTime::default(),
             slot_share: SlotShare::default(),
+            reservation: SlotReservation::default(),
             last_dispatch_at: MonotonicTime::default(),
             held_slots: 0,
             unreachable: false,
--- a/crates/savorywood-gateway/tests/common/load/engine.rs
+++ b/crates/savorywood-gateway/tests/common/load/engine.rs
@@ -37,8 +37,6 @@
     pub is_first: bool,
     /// Output tokens not yet produced; 0 in the last event.
     pub tokens_left: u32,
-    /// Load of the engine at the time of the event.
-    pub load: ReportedLoad,
 }
 
 /// An engine with a fixed number of slots and a queue.
@@ -167,7 +165,6 @@
 
     fn finish_step(&mut self, outputs: &mut Vec<EngineOutput>) {
         let mut chunk_left = MAX_PREFILL_CHUNK;
-        let load = self.reported_load();
         for run in &mut self.batch {
             let prefilled = run.prefill_left.min(chunk_left);
             chunk_left -= prefilled;
@@ -184,7 +181,6 @@
                     request: run.request,
                     is_first: run.tokens == 1,
                     tokens_left: run.tokens_left,
-                    load,
                 });
             }
         }
--- a/crates/savorywood-gateway/tests/upstream_pace.rs
+++ b/crates/savorywood-gateway/tests/upstream_pace.rs
@@ -7,9 +7,10 @@
 mod load;
 
 use load::{
-    LoadEnvironment, LoadOptions,
+    LoadEnvironment,
     calls::CallKind,
     pace::{ReportStyle, run_with_changing_pace},
+    slots::SlotConditions,
 };
 use savorywood_gateway::{OverloadOptions, PaceReading, UpstreamPace};
 use savorywood_protocol::MonotonicTime;
@@ -140,15 +141,17 @@
     let mut served = 0;
     let mut requests = 0;
     for seed in 1..=seeds {
-        let options = LoadOptions {
+        let conditions = SlotConditions {
             seed,
             overload: OverloadOptions {
                 upstream_pace: uses_pace,
                 ..OverloadOptions::default()
             },
+            reports_load: true,
+            ..SlotConditions::default()
         };
         let kinds = vec![statements(per_second)];
-        let mut environment = LoadEnvironment::with_options(4, &SLOWDOWNS, 4, kinds, options);
+        let mut environment = LoadEnvironment::with_conditions(4, &SLOWDOWNS, 4, kinds, conditions);
         run_with_changing_pace(&mut environment, Duration::from_secs(seconds), seed, style);
         let tally = environment.tally("/statement/");
         served += tally.in_time;
