Requeued requests keep the time by which they must start

Cause: requeue set the start time to the time of the requeue. A moment later the request counted as late and was ordered behind all requests of its rank that were still in time, although the documented order puts it ahead of them.

Change: the start time computed at admission is kept in the record, and the queue position states whether the request was attempted before. Attempted requests are first among those of their rank that are in time. This holds without an option, as it is the documented order; retries stay bounded by the retry budget.

Before: a_requeued_request_goes_ahead_of_requests_not_yet_attempted fails (1 attempt instead of 2). After: it passes, as do the tests of scheduling, resumption, upstream selection and silent upstreams.

Conclusion: fixed.

--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -242,9 +242,11 @@
             state: RequestState::Waiting(QueuePosition {
                 rank,
                 stage: QueueStage::New,
+                unattempted: true,
                 start_by,
                 request,
             }),
+            start_by,
             attempted_upstreams: Vec::new(),
             attempts: 0,
             executions: 0,
--- a/crates/savorywood-gateway/src/gateway/completion.rs
+++ b/crates/savorywood-gateway/src/gateway/completion.rs
@@ -122,7 +122,7 @@
             }
             AttemptOutcome::NotSent | AttemptOutcome::NotRelayed => {
                 if record.attempts < MAX_ATTEMPTS {
-                    return self.requeue(now, request, outcome, effects);
+                    return self.requeue(request, outcome, effects);
                 }
                 if self.resume_later(now, ended, effects) {
                     return;
@@ -131,7 +131,7 @@
             }
             AttemptOutcome::NotRun { .. } => {
                 if record.attempts < MAX_ATTEMPTS && self.spend_retry(now, request) {
-                    return self.requeue(now, request, outcome, effects);
+                    return self.requeue(request, outcome, effects);
                 }
                 if self.resume_later(now, ended, effects) {
                     return;
@@ -154,7 +154,7 @@
         let is_quarantined =
             self.quarantine.verdict_on(&record.fingerprints) != QuarantineVerdict::Clear;
         if may_retry && !is_quarantined && self.spend_retry(now, request) {
-            return self.requeue(now, request, outcome, effects);
+            return self.requeue(request, outcome, effects);
         }
         if !is_quarantined && self.resume_later(now, ended, effects) {
             return;
@@ -177,11 +177,10 @@
         budget.try_acquire(now, &self.options.bounds.retry_budget, daemons)
     }
 
-    /// Returns a request to its queue, ahead of the requests of its rank that have not been
-    /// attempted.
+    /// Returns a request to its queue with its original start time. While it can be in time, it goes
+    /// ahead of the requests of its rank that have not been attempted.
     pub(super) fn requeue(
         &mut self,
-        now: MonotonicTime,
         request: LocalRequest,
         outcome: &AttemptOutcome,
         effects: &mut GatewayEffects,
@@ -202,7 +201,8 @@
             } else {
                 QueueStage::New
             },
-            start_by: now,
+            unattempted: false,
+            start_by: record.start_by,
             request,
         };
         record.state = RequestState::Waiting(position);
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -88,8 +88,8 @@
 
     /// Returns the queue in order of dispatch: the most urgent rank first, within a rank streams
     /// that have begun, and then requests that can still meet their objective before those that
-    /// cannot. A late response is worth little, and serving it first would make the next one late
-    /// as well.
+    /// cannot; of both, requests that were attempted before are first. A late response is worth
+    /// little, and serving it first would make the next one late as well.
     fn queue_in_order(&self, now: MonotonicTime, service: &ServiceLabel) -> Vec<QueuePosition> {
         let Some(queue) = self.queues.get(service) else {
             return Vec::new();
@@ -97,7 +97,13 @@
         let mut positions: Vec<QueuePosition> = queue.iter().copied().collect();
         positions.sort_by_key(|position| {
             let is_late = position.start_by < now;
-            (position.rank, position.stage, is_late, position.start_by)
+            (
+                position.rank,
+                position.stage,
+                is_late,
+                position.unattempted,
+                position.start_by,
+            )
         });
         positions
     }
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -93,6 +93,8 @@
     pub prompt_parts: Vec<PromptPart>,
     /// Time of arrival.
     pub arrived_at: MonotonicTime,
+    /// Time by which it must start in order to meet its objective.
+    pub start_by: MonotonicTime,
     /// Time at which the request is given up so that a refusal reaches its caller in time.
     pub give_up_at: MonotonicTime,
     /// Deadline of the final response.
--- a/crates/savorywood-gateway/src/gateway/resumption.rs
+++ b/crates/savorywood-gateway/src/gateway/resumption.rs
@@ -145,7 +145,7 @@
             AttemptOutcome::NotSent | AttemptOutcome::NotRelayed
         );
         record.delay_resumption(now);
-        self.requeue(now, request, outcome, effects);
+        self.requeue(request, outcome, effects);
         true
     }
 
--- a/crates/savorywood-gateway/src/queue.rs
+++ b/crates/savorywood-gateway/src/queue.rs
@@ -30,7 +30,11 @@
     pub rank: RequestRank,
     /// Whether the request is a new one or a stream that has begun.
     pub stage: QueueStage,
-    /// Within a stage, the request that must start earliest is first.
+    /// Whether the request waits for its first attempt. Requests that have waited for a slot before
+    /// are first.
+    pub unattempted: bool,
+    /// Otherwise, the request that must start earliest is first. The time stays the same when the
+    /// request returns to the queue.
     pub start_by: MonotonicTime,
     /// Otherwise, the request that arrived earliest is first.
     pub request: LocalRequest,
