Deadline queue: order, late work, pooled reservation and early refusal

Cause: under overload requests that could no longer be in time held slots that requests in time could use, the reservation rounded to no slot at each upstream, and requests were refused only when their callers' time was nearly used up.

Change (option overload.deadline_queue): late requests are held back behind requests in time of all ranks until one second before their latest start, with a share of a tenth of the slot time; slots are reserved over all upstreams of a service by urgent requests that wait and by arrivals within the delay of reports, only where urgent work could be in time; requests that cannot be complete by their deadline, given the slot time ahead and the observed turnover, are refused as overloaded while no slot beyond the reserved ones is free, never before a less urgent one. One log line for each early refusal; counters by cause. Without the option nothing changes.

The tests of rules, of the queue and of two overloads pass.

Conclusion: part in place, to be weighed.

--- a/crates/savorywood-gateway/src/demand.rs
+++ b/crates/savorywood-gateway/src/demand.rs
@@ -16,23 +16,28 @@
 
 /// Event counter with exponential decay.
 #[derive(Debug, Clone, Copy, Default)]
-struct DecayingCounter {
+pub struct DecayingCounter {
     count: f64,
     updated_at: MonotonicTime,
 }
 
 impl DecayingCounter {
-    fn add(&mut self, now: MonotonicTime) {
-        self.count = self.value_at(now) + 1.0;
+    /// Adds events, or another amount.
+    pub fn add(&mut self, now: MonotonicTime, amount: f64) {
+        self.count = self.value_at(now) + amount;
         self.updated_at = now;
     }
 
-    fn value_at(&self, now: MonotonicTime) -> f64 {
+    /// Returns the amount of the recent past.
+    #[must_use]
+    pub fn value_at(&self, now: MonotonicTime) -> f64 {
         let elapsed = now.since(self.updated_at).as_secs_f64();
         self.count * (-elapsed / DECAY_WINDOW.as_secs_f64()).exp()
     }
 
-    fn per_second(&self, now: MonotonicTime) -> f64 {
+    /// Returns the recent amount per second.
+    #[must_use]
+    pub fn per_second(&self, now: MonotonicTime) -> f64 {
         self.value_at(now) / DECAY_WINDOW.as_secs_f64()
     }
 }
@@ -47,12 +52,12 @@
 impl DemandTracker {
     /// Records the arrival of a request.
     pub fn record_arrival(&mut self, now: MonotonicTime, rank: RequestRank) {
-        self.arrivals.entry(rank).or_default().add(now);
+        self.arrivals.entry(rank).or_default().add(now, 1.0);
     }
 
     /// Records that a request was assigned a slot.
     pub fn record_dispatch(&mut self, now: MonotonicTime, rank: RequestRank) {
-        self.dispatches.entry(rank).or_default().add(now);
+        self.dispatches.entry(rank).or_default().add(now, 1.0);
     }
 
     /// Returns the current rate of dispatches of a rank, in requests per second.
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 mod feedback;
 mod gossip;
 mod quarantine;
+mod queue_decisions;
 mod rate_limits;
 mod reachability;
 mod record;
@@ -41,6 +42,7 @@
     peer::{PeerTable, name_digest},
     quarantine::QuarantineTable,
     queue::WaitQueue,
+    queueing::QueueController,
     reachability::UpstreamReachability,
     region::RegionMap,
     registration::RegistrationQueue,
@@ -144,6 +146,7 @@
     requests: BTreeMap<LocalRequest, RequestRecord>,
     queues: BTreeMap<ServiceLabel, WaitQueue>,
     demand_trackers: BTreeMap<ServiceLabel, DemandTracker>,
+    queueing: QueueController,
     prefix_cache: PrefixCacheIndex,
     peers: PeerTable,
     contacts: ContactTable,
@@ -257,6 +260,7 @@
             requests: BTreeMap::new(),
             queues: BTreeMap::new(),
             demand_trackers: BTreeMap::new(),
+            queueing: QueueController::default(),
             prefix_cache: PrefixCacheIndex::default(),
             presence: PeerPresence::default(),
             team_limiters: BTreeMap::new(),
@@ -435,6 +439,7 @@
         self.refresh_slot_shares(now);
         self.store_reads.expire(now);
         self.expire_waiting(now, effects);
+        self.refuse_early(now, effects);
         self.detect_stalls(now, effects);
         self.check_upstreams(now, effects);
         self.dispatch_all_waiting(now, effects);
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -127,6 +127,7 @@
                     .record_request(now);
                 let demand = self.demand_trackers.entry(service.clone()).or_default();
                 demand.record_arrival(now, record.rank);
+                self.record_queue_arrival(now, &record);
                 self.enqueue(request, record);
                 self.dispatch_waiting(now, &service, effects);
             }
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -9,7 +9,8 @@
     demand::UrgentArrivals,
     effect::{DispatchOrder, GatewayEffect},
     label::{ServiceLabel, UpstreamLabel},
-    queue::{QueuePosition, QueueStage},
+    queue::QueueStage,
+    queueing::{LateWorkRule, OrderedRequest, QueuedRequest, SlotReservation, order_requests},
     refusal::RefusalReason,
     selection::{SelectedUpstream, SelectionContext, SelectionFailure, SelectionQuery},
 };
@@ -49,10 +50,15 @@
         service: &ServiceLabel,
         effects: &mut GatewayEffects,
     ) {
-        let positions = self.queue_in_order(now, service);
+        let ordered = self.queue_in_order(now, service);
         let mut full_selections = 0;
         let mut rank = None;
-        for position in positions {
+        for OrderedRequest {
+            position,
+            held_back,
+            ..
+        } in ordered
+        {
             if rank.replace(position.rank) != Some(position.rank) {
                 full_selections = 0;
             }
@@ -69,7 +75,8 @@
                 self.finish(now, position.request, RefusalReason::Quarantined, effects);
                 continue;
             }
-            match self.select_upstream(now, record) {
+            let reservation = self.slot_reservation(now, record, held_back);
+            match self.select_with_reservation(now, record, reservation) {
                 Ok(selected) => {
                     if self.pay_owed_retry(now, position.request) {
                         self.dispatch(now, position.request, &selected, effects);
@@ -90,32 +97,41 @@
     /// that have begun, and then requests that can still meet their objective before those that
     /// cannot; of both, requests that were attempted before are first. A late response is worth
     /// little, and serving it first would make the next one late as well.
-    fn queue_in_order(&self, now: MonotonicTime, service: &ServiceLabel) -> Vec<QueuePosition> {
+    ///
+    /// With the deadline queue, late requests may be held back behind less urgent ones.
+    fn queue_in_order(&self, now: MonotonicTime, service: &ServiceLabel) -> Vec<OrderedRequest> {
+        if self.options.overload.deadline_queue {
+            return self.order_waiting(now, service);
+        }
         let Some(queue) = self.queues.get(service) else {
             return Vec::new();
         };
-        let mut positions: Vec<QueuePosition> = queue.iter().copied().collect();
-        positions.sort_by_key(|position| {
-            let is_late = position.start_by < now;
-            (
-                position.rank,
-                position.stage,
-                is_late,
-                position.unattempted,
-                position.start_by,
-            )
+        let requests = queue.iter().map(|position| QueuedRequest {
+            position: *position,
+            latest_start: position.start_by,
         });
-        positions
+        order_requests(now, requests, LateWorkRule::BehindRank, false)
     }
 
     pub(super) fn select_upstream(
         &self,
         now: MonotonicTime,
         record: &RequestRecord,
+    ) -> Result<SelectedUpstream, SelectionFailure> {
+        let reservation = self.slot_reservation(now, record, false);
+        self.select_with_reservation(now, record, reservation)
+    }
+
+    fn select_with_reservation(
+        &self,
+        now: MonotonicTime,
+        record: &RequestRecord,
+        reservation: Option<SlotReservation>,
     ) -> Result<SelectedUpstream, SelectionFailure> {
         // A probe may fail, which would cut a stream that has begun.
         let allow_probe = record.allows_concurrent_execution() && !record.response_started;
-        self.select_unattempted(now, record, &record.attempted_upstreams, allow_probe)
+        let attempted = &record.attempted_upstreams;
+        self.select_among(now, record, attempted, allow_probe, reservation)
     }
 
     /// Selects an upstream other than those in `attempted`; with `allow_probe` also one that is on
@@ -126,6 +142,18 @@
         record: &RequestRecord,
         attempted: &[UpstreamLabel],
         allow_probe: bool,
+    ) -> Result<SelectedUpstream, SelectionFailure> {
+        let reservation = self.slot_reservation(now, record, false);
+        self.select_among(now, record, attempted, allow_probe, reservation)
+    }
+
+    fn select_among(
+        &self,
+        now: MonotonicTime,
+        record: &RequestRecord,
+        attempted: &[UpstreamLabel],
+        allow_probe: bool,
+        reservation: Option<SlotReservation>,
     ) -> Result<SelectedUpstream, SelectionFailure> {
         let waited = now.since(record.arrived_at);
         let query = SelectionQuery {
@@ -146,6 +174,7 @@
                 .rollouts
                 .version_filter(now, &record.service, self.canary_options()),
             urgent_arrivals: self.urgent_arrivals(now, record),
+            reservation,
             allow_probe,
         };
         let context = SelectionContext {
@@ -191,6 +220,7 @@
             return;
         };
         let relays = self.choose_relays(now, &zone);
+        self.record_queue_dispatch(now, request);
         let Some(record) = self.requests.get_mut(&request) else {
             return;
         };
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -84,7 +84,12 @@
     QuarantineRow, QuarantineTable, QuarantineVerdict, QuarantineWrite, ReportScope, ReportedCrash,
     RequestFingerprint, RequestFingerprints, StoredCrash,
 };
-pub use queue::RequestRank;
+pub use queue::{QueuePosition, QueueStage, RequestRank};
+pub use queueing::{
+    EarlyRefusal, LateWorkRule, OrderedRequest, QueueCounters, QueuePolicy, QueuedRequest,
+    RankRate, RefusalCause, ReservationRule, SlotReservation, UrgentRank, WaitingWork, WorkRates,
+    early_refusals, expected_wait, order_requests,
+};
 pub use refusal::RefusalReason;
 pub use region::{CallerLocation, RegionMap};
 pub use registration::MemberRegistration;
--- a/crates/savorywood-gateway/src/selection.rs
+++ b/crates/savorywood-gateway/src/selection.rs
@@ -9,6 +9,7 @@
     latency::LatencyModel,
     lease::MemberLeases,
     peer::PeerTable,
+    queueing::SlotReservation,
     region::RegionMap,
     rejection_limit::SlotUsage,
     upstream::{UpstreamFleet, UpstreamState},
@@ -113,6 +114,8 @@
     pub versions: VersionFilter,
     /// Arrival rates of more urgent requests at all daemons, for which slots are reserved.
     pub urgent_arrivals: UrgentArrivals,
+    /// Demand for which slots of the whole service are left free; replaces the arrival rates.
+    pub reservation: Option<SlotReservation>,
     /// The request may be retried elsewhere, so that it can serve as a probe request.
     pub allow_probe: bool,
 }
@@ -176,6 +179,51 @@
     estimate: ResponseEstimate,
 }
 
+/// Slots of a service that are left free for more urgent work.
+struct SlotPool<'a> {
+    reservation: &'a SlotReservation,
+    service_latency: &'a LatencyModel,
+    /// Free slots that more urgent work could use.
+    free: u32,
+    /// All slots that it could use.
+    slots: u32,
+}
+
+impl<'a> SlotPool<'a> {
+    fn new(
+        reservation: &'a SlotReservation,
+        candidates: &[Candidate<'_>],
+        service_latency: &'a LatencyModel,
+    ) -> Self {
+        let mut pool = Self {
+            reservation,
+            service_latency,
+            free: 0,
+            slots: 0,
+        };
+        for candidate in candidates {
+            if pool.is_useful(candidate) {
+                let slots = candidate.state.entry.slots;
+                pool.free += slots.saturating_sub(candidate.slots_in_use);
+                pool.slots += slots;
+            }
+        }
+        pool
+    }
+
+    fn is_useful(&self, candidate: &Candidate<'_>) -> bool {
+        let latency = &candidate.state.latency;
+        self.reservation
+            .can_use(|prompt| latency.first_event_ms(self.service_latency, prompt))
+    }
+
+    /// Returns whether a request may take a slot of the candidate.
+    fn allows(&self, candidate: &Candidate<'_>) -> bool {
+        let hold = Duration::from_secs_f64(candidate.estimate.slot_hold_ms() / 1e3);
+        !self.is_useful(candidate) || self.free > self.reservation.reserved_slots(hold, self.slots)
+    }
+}
+
 impl SelectionContext<'_> {
     /// Selects the upstream with the lowest expected cost among those with a free slot.
     ///
@@ -192,7 +240,8 @@
         query: &SelectionQuery<'_>,
         mut sample: impl FnMut() -> f64,
     ) -> Result<SelectedUpstream, SelectionFailure> {
-        let candidates = self.candidates(query);
+        let service_latency = self.fleet.service_latency(query.service);
+        let candidates = self.candidates(query, &service_latency);
         if candidates.is_empty() {
             return Err(SelectionFailure::NoCandidate);
         }
@@ -206,6 +255,10 @@
             .iter()
             .map(|candidate| candidate.throughput)
             .sum();
+        let pool = query
+            .reservation
+            .as_ref()
+            .map(|reservation| SlotPool::new(reservation, &candidates, &service_latency));
         let mut best: Option<SelectedUpstream> = None;
         for candidate in &candidates {
             let noise = sample();
@@ -217,6 +270,9 @@
             if !fits || !in_time || !self.has_free_slot(candidate, query, share) {
                 continue;
             }
+            if pool.as_ref().is_some_and(|pool| !pool.allows(candidate)) {
+                continue;
+            }
             let selected = self.score_candidate(candidate, query, noise);
             if best.as_ref().is_none_or(|best| selected.score < best.score) {
                 best = Some(selected);
@@ -226,8 +282,11 @@
     }
 
     /// Returns the upstreams that are eligible for the request, with or without a free slot.
-    fn candidates<'q>(&'q self, query: &'q SelectionQuery<'q>) -> Vec<Candidate<'q>> {
-        let service_latency = self.fleet.service_latency(query.service);
+    fn candidates<'q>(
+        &'q self,
+        query: &'q SelectionQuery<'q>,
+        service_latency: &LatencyModel,
+    ) -> Vec<Candidate<'q>> {
         let all_ejected = self.all_ejected(query);
         let members = self.fleet.members(query.service);
         let eligible = members.filter(|state| self.is_eligible(state, query, all_ejected));
@@ -243,11 +302,11 @@
                 Candidate {
                     state,
                     slots_in_use: state.running + others.running,
-                    throughput: state.latency.throughput(&service_latency),
+                    throughput: state.latency.throughput(service_latency),
                     estimate: self.estimate(
                         state,
                         query,
-                        &service_latency,
+                        service_latency,
                         others.unread_prompt_tokens,
                     ),
                 }
@@ -290,7 +349,11 @@
     ) -> bool {
         let slots = candidate.state.entry.slots;
         let slot = Duration::from_secs_f64(candidate.estimate.slot_hold_ms() / 1e3);
-        let reserved = query.urgent_arrivals.reserved_slots(share, slot, slots);
+        let reserved = if query.reservation.is_some() {
+            0
+        } else {
+            query.urgent_arrivals.reserved_slots(share, slot, slots)
+        };
         let usage = SlotUsage {
             slots,
             own: candidate.state.running,
--- a/crates/savorywood-gateway/tests/common/load.rs
+++ b/crates/savorywood-gateway/tests/common/load.rs
@@ -10,14 +10,16 @@
 pub mod calls;
 #[path = "load/engine.rs"]
 pub mod engine;
+#[path = "load/overload.rs"]
+pub mod overload;
 
 use crate::harness::{GatewayHarness, config, options, route, upstream};
-use calls::{CallKind, CallTally, OpenCall, RandomSource};
+use calls::{CallKind, CallTally, FirstDispatch, OpenCall, RandomSource};
 use engine::{EngineModel, EngineOutput, EngineRun};
 use savorywood_gateway::{
-    AttemptOutcome, DispatchOrder, GatewayEffect, GatewayEvent, LocalRequest, PeerContact,
-    RequestArrival, RequestSize, ResponseMetadata, RetrySafety, StreamInterruption, UpstreamLabel,
-    ZoneLabel,
+    AttemptOutcome, DispatchOrder, GatewayEffect, GatewayEvent, LocalRequest, OverloadOptions,
+    PeerContact, RequestArrival, RequestSize, ResponseMetadata, RetrySafety, StreamInterruption,
+    UpstreamLabel, ZoneLabel,
 };
 use savorywood_protocol::MonotonicTime;
 use std::{
@@ -76,6 +78,9 @@
     pub sends_slot_updates: bool,
     steps: u64,
     random: RandomSource,
+    /// Source for the daemons of retries. Without it they use that of the arrivals, which then depend
+    /// on the refusals.
+    retry_random: Option<RandomSource>,
     /// Open requests, by daemon and number.
     calls: BTreeMap<(usize, LocalRequest), OpenCall>,
     messages: VecDeque<InFlightMessage>,
@@ -86,6 +91,17 @@
     /// Creates the environment with one engine for each entry of `slowdown`: 1 is the normal speed,
     /// 2 takes twice the time. Each engine has `slots` slots.
     pub fn new(daemons: usize, slowdown: &[f64], slots: u32, kinds: Vec<CallKind>) -> Self {
+        Self::with_overload(daemons, slowdown, slots, kinds, OverloadOptions::default())
+    }
+
+    /// Creates the environment with decisions under overload enabled.
+    pub fn with_overload(
+        daemons: usize,
+        slowdown: &[f64],
+        slots: u32,
+        kinds: Vec<CallKind>,
+        overload: OverloadOptions,
+    ) -> Self {
         let mut environment = Self {
             now: MonotonicTime(1_000_000),
             daemons: Vec::new(),
@@ -98,6 +114,7 @@
             sends_slot_updates: true,
             steps: 0,
             random: RandomSource(42),
+            retry_random: None,
             calls: BTreeMap::new(),
             messages: VecDeque::new(),
             pending_retries: Vec::new(),
@@ -109,13 +126,25 @@
                 .push(EngineModel::new(&name, *slowdown, slots));
         }
         for number in 0..daemons {
-            let daemon = environment.start_daemon(number, daemons, slots);
+            let daemon = environment.start_daemon(number, daemons, slots, overload);
             environment.daemons.push(daemon);
         }
         environment
     }
 
-    fn start_daemon(&self, number: usize, daemons: usize, slots: u32) -> GatewayHarness {
+    /// Sets the seed of arrivals and sizes.
+    pub fn set_seed(&mut self, seed: u64) {
+        self.random = RandomSource(seed);
+        self.retry_random = Some(RandomSource(seed + 1));
+    }
+
+    fn start_daemon(
+        &self,
+        number: usize,
+        daemons: usize,
+        slots: u32,
+        overload: OverloadOptions,
+    ) -> GatewayHarness {
         let address = |number: usize| {
             let text = format!("10.0.0.{}:7600", number + 1);
             text.parse().expect("an address")
@@ -125,6 +154,7 @@
         // Two daemons per zone: the directory lists all of them.
         options.zone = ZoneLabel::from(format!("zone-{}", number / 2).as_str());
         options.seed = 7 + number as u64;
+        options.overload = overload;
         let mut harness = GatewayHarness::unconfigured(options);
         harness.now = self.now;
         let mut config = config(1, None);
@@ -234,6 +264,14 @@
         let Some(call) = self.calls.get_mut(&(number, order.request)) else {
             return;
         };
+        if !call.dispatched {
+            call.dispatched = true;
+            let dispatch = FirstDispatch {
+                at: self.now,
+                waited: self.now.since(call.sent_at),
+            };
+            self.tallies[call.kind].first_dispatches.push(dispatch);
+        }
         call.engine = Some(order.upstream.clone());
         call.give_up_at = order.give_up_at;
         let run = EngineRun {
@@ -300,6 +338,7 @@
         let Some(after) = retry_after else {
             self.tallies[kind].record_unserved(&call);
             self.tallies[kind].refused += 1;
+            self.tallies[kind].refused_twice += u32::from(call.retried);
             return;
         };
         self.tallies[kind].max_retry_after = self.tallies[kind].max_retry_after.max(after);
@@ -326,7 +365,9 @@
 
     fn send_call(&mut self, mut call: OpenCall) {
         let daemons = self.daemons.len() as f64;
-        let number = (self.random.next() * daemons) as usize;
+        let retry_random = self.retry_random.as_mut().filter(|_| call.retried);
+        let random = retry_random.unwrap_or(&mut self.random);
+        let number = (random.next() * daemons) as usize;
         let kind = &self.kinds[call.kind];
         let left = call.deadline_at.since(self.now);
         let mut arrival: RequestArrival = crate::harness::arrival(&format!("{}1", kind.path));
@@ -338,6 +379,7 @@
         arrival.expected_output_tokens = Some(call.output_estimate);
         arrival.prompt_parts = Vec::new();
         call.received_at = self.now;
+        call.sent_at = self.now;
         call.give_up_at = call.deadline_at;
         let request = self.daemons[number].next_request();
         self.calls.insert((number, request), call);
--- a/crates/savorywood-gateway/tests/common/load/calls.rs
+++ b/crates/savorywood-gateway/tests/common/load/calls.rs
@@ -71,6 +71,8 @@
             arrived_at: now,
             deadline_at: now + self.deadline,
             received_at: now,
+            sent_at: now,
+            dispatched: false,
             give_up_at: now + self.deadline,
             engine: None,
             events: 0,
@@ -96,6 +98,10 @@
     pub deadline_at: MonotonicTime,
     /// When the caller last received data, or sent the request.
     pub received_at: MonotonicTime,
+    /// When the caller last sent the request.
+    pub sent_at: MonotonicTime,
+    /// Whether the request was dispatched.
+    pub dispatched: bool,
     /// When the daemon gives up the current attempt.
     pub give_up_at: MonotonicTime,
     /// Upstream of the current attempt; `None` while the request is queued.
@@ -119,6 +125,14 @@
     }
 }
 
+/// First dispatch of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct FirstDispatch {
+    pub at: MonotonicTime,
+    /// Time since the caller sent the request to the daemon.
+    pub waited: Duration,
+}
+
 /// Results of the requests of one kind.
 #[derive(Debug, Clone, Default)]
 pub struct CallTally {
@@ -127,6 +141,10 @@
     pub late: u32,
     /// Refused, and not retried.
     pub refused: u32,
+    /// Of these, refused for the second time.
+    pub refused_twice: u32,
+    /// First dispatches of requests.
+    pub first_dispatches: Vec<FirstDispatch>,
     /// Refused with a retry-after delay and retried.
     pub asked_to_retry: u32,
     /// Ended by a caller that received no data within its time-out.
--- a/crates/savorywood-gateway/tests/common/load/engine.rs
+++ b/crates/savorywood-gateway/tests/common/load/engine.rs
@@ -50,6 +50,12 @@
     pub silent_until: Option<MonotonicTime>,
     /// Requests that may be queued beyond the slots; more are turned away. `None` sets no limit.
     pub max_queue: Option<usize>,
+    /// Milliseconds of a step with an empty batch.
+    pub base_step_ms: f64,
+    /// Prompt tokens processed per millisecond.
+    pub prefill_tokens_per_ms: f64,
+    /// Tokens that are sent together in one event.
+    pub event_tokens: u32,
     slots: usize,
     queue: VecDeque<EngineRun>,
     batch: Vec<EngineRun>,
@@ -64,6 +70,9 @@
             stalled: false,
             silent_until: None,
             max_queue: None,
+            base_step_ms: BASE_STEP_MS,
+            prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS,
+            event_tokens: EVENT_TOKENS,
             slots: slots as usize,
             queue: VecDeque::new(),
             batch: Vec::new(),
@@ -138,9 +147,9 @@
             .iter()
             .map(|run| run.prefill_left.min(MAX_PREFILL_CHUNK))
             .sum();
-        let prefilled = f64::from(prefill_left.min(MAX_PREFILL_CHUNK)) / PREFILL_TOKENS_PER_MS;
+        let prefilled = f64::from(prefill_left.min(MAX_PREFILL_CHUNK)) / self.prefill_tokens_per_ms;
         let millis = self.slowdown
-            * (BASE_STEP_MS + STEP_MS_PER_REQUEST * self.batch.len() as f64 + prefilled);
+            * (self.base_step_ms + STEP_MS_PER_REQUEST * self.batch.len() as f64 + prefilled);
         self.step_ends_at = Some(at + Duration::from_secs_f64(millis / 1e3));
     }
 
@@ -155,7 +164,7 @@
             }
             run.tokens += 1;
             run.tokens_left -= 1;
-            let completes_event = run.tokens % EVENT_TOKENS == 1 || run.tokens_left == 0;
+            let completes_event = run.tokens % self.event_tokens == 1 || run.tokens_left == 0;
             if completes_event {
                 outputs.push(EngineOutput {
                     daemon: run.daemon,
--- /dev/null
+++ b/crates/savorywood-gateway/tests/overload_queue.rs
@@ -0,0 +1,146 @@
+//! Deadline queue under the load of the two deployments of `docs/OVERLOAD.md`: results by rank.
+//!
+//! `SAVORYWOOD_OVERLOAD_SEEDS` (a number of seeds) runs and prints the comparison of policies.
+
+#[path = "common/harness.rs"]
+mod harness;
+#[path = "common/load.rs"]
+mod load;
+
+use load::overload::{DEPLOYMENT_A, DEPLOYMENT_B, Deployment, OverloadResult, OverloadRun};
+use savorywood_gateway::{LateWorkRule, QueuePolicy, ReservationRule};
+use std::{env, thread, time::Duration};
+
+const DAEMONS: usize = 6;
+/// Engines of normal speed.
+const EQUAL: [f64; 8] = [1.0; 8];
+/// Engines whose speeds differ by a factor of 4.4.
+const UNEQUAL: [f64; 8] = [0.5, 0.6, 0.8, 1.0, 1.0, 1.3, 1.7, 2.2];
+
+fn run(deployment: Deployment, load: f64, policy: Option<QueuePolicy>) -> OverloadRun {
+    OverloadRun {
+        deployment,
+        load,
+        seed: 42,
+        slowdown: EQUAL.to_vec(),
+        daemons: DAEMONS,
+        time: Duration::from_secs(20),
+        policy,
+    }
+}
+
+/// Policies that were weighed.
+fn policies() -> Vec<(&'static str, Option<QueuePolicy>)> {
+    let chosen = QueuePolicy::default();
+    let late = |late_work| {
+        Some(QueuePolicy {
+            late_work,
+            ..chosen
+        })
+    };
+    let reserving = |reservation| {
+        Some(QueuePolicy {
+            reservation,
+            ..chosen
+        })
+    };
+    vec![
+        ("off", None),
+        ("on", Some(chosen)),
+        ("late behind rank", late(LateWorkRule::BehindRank)),
+        ("late behind all", late(LateWorkRule::BehindAll)),
+        ("reserve none", reserving(ReservationRule::Disabled)),
+        (
+            "reserve by upstream",
+            reserving(ReservationRule::PerUpstream),
+        ),
+        (
+            "reserve by arrivals",
+            reserving(ReservationRule::PooledArrivals),
+        ),
+        (
+            "no early refusal",
+            Some(QueuePolicy {
+                refuses_early: false,
+                ..chosen
+            }),
+        ),
+    ]
+}
+
+/// The ranks of both deployments send 1.2 and 1.5 times the load that all slots serve. Guards against
+/// slots that less urgent work holds when urgent requests arrive: while less urgent work is
+/// dispatched, the most urgent rank waits at most a tenth of its objective at the median and half of
+/// it at the 90th percentile. Also guards against refusing a more urgent rank more often.
+#[test]
+fn the_most_urgent_rank_does_not_wait_behind_less_urgent_work() {
+    for (deployment, load, objective_ms) in [(DEPLOYMENT_A, 1.2, 1_200), (DEPLOYMENT_B, 1.5, 1_000)]
+    {
+        let run = OverloadRun {
+            time: Duration::from_secs(10),
+            ..run(deployment, load, Some(QueuePolicy::default()))
+        };
+        let result = run.run();
+        let urgent = result.ranks[0];
+        let objective = Duration::from_millis(objective_ms);
+        assert!(urgent.wait_median <= objective / 10, "{result}");
+        assert!(urgent.wait_90th <= objective / 2, "{result}");
+        let refused = result.ranks.iter().map(|rank| rank.refused);
+        assert!(refused.is_sorted(), "{result}");
+    }
+}
+
+/// Prints results of all policies by deployment, load, engines and seed.
+#[test]
+fn policies_are_compared_on_request() {
+    let Ok(seeds) = env::var("SAVORYWOOD_OVERLOAD_SEEDS") else {
+        return;
+    };
+    let seeds: u64 = seeds.parse().expect("a number of seeds");
+    let only = env::var("SAVORYWOOD_OVERLOAD_POLICY").ok();
+    let mut runs = Vec::new();
+    for deployment in [DEPLOYMENT_A, DEPLOYMENT_B] {
+        for load in [0.9, 1.2, 1.5] {
+            for (engines, slowdown) in [("equal", &EQUAL), ("unequal", &UNEQUAL)] {
+                for (name, policy) in policies() {
+                    if only.as_ref().is_some_and(|only| *only != name) {
+                        continue;
+                    }
+                    for seed in 1..=seeds {
+                        let run = OverloadRun {
+                            seed,
+                            slowdown: slowdown.to_vec(),
+                            ..run(deployment, load, policy)
+                        };
+                        runs.push((name, engines, run));
+                    }
+                }
+            }
+        }
+    }
+    let chunk = runs.len().div_ceil(3);
+    let results: Vec<String> = thread::scope(|scope| {
+        let threads: Vec<_> = runs
+            .chunks(chunk)
+            .map(|runs| {
+                scope.spawn(move || {
+                    let lines = runs.iter().map(|(name, engines, run)| {
+                        let result: OverloadResult = run.run();
+                        format!(
+                            "{} {:.1} {engines:8} {name:20} {} {result}",
+                            run.deployment.name, run.load, run.seed
+                        )
+                    });
+                    lines.collect::<Vec<_>>()
+                })
+            })
+            .collect();
+        let results = threads.into_iter();
+        results
+            .flat_map(|thread| thread.join().expect("results"))
+            .collect()
+    });
+    for line in results {
+        println!("{line}");
+    }
+}
