--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 mod gossip;
 mod placing;
 mod quarantine;
+mod queue_decisions;
 mod rate_limits;
 mod reachability;
 mod record;
@@ -43,6 +44,7 @@
     placing::{HoldCounters, MemberHistory, ReservationPolicy},
     quarantine::QuarantineTable,
     queue::WaitQueue,
+    queueing::QueueController,
     reachability::UpstreamReachability,
     region::RegionMap,
     registration::RegistrationQueue,
@@ -146,6 +148,7 @@
     requests: BTreeMap<LocalRequest, RequestRecord>,
     queues: BTreeMap<ServiceLabel, WaitQueue>,
     demand_trackers: BTreeMap<ServiceLabel, DemandTracker>,
+    queueing: QueueController,
     prefix_cache: PrefixCacheIndex,
     peers: PeerTable,
     contacts: ContactTable,
@@ -272,6 +275,7 @@
             requests: BTreeMap::new(),
             queues: BTreeMap::new(),
             demand_trackers: BTreeMap::new(),
+            queueing: QueueController::default(),
             prefix_cache: PrefixCacheIndex::default(),
             presence: PeerPresence::default(),
             team_limiters: BTreeMap::new(),
@@ -451,6 +455,7 @@
         self.refresh_reservations(now);
         self.store_reads.expire(now);
         self.expire_waiting(now, effects);
+        self.refuse_early(now, effects);
         self.detect_stalls(now, effects);
         self.check_upstreams(now, effects);
         self.dispatch_all_waiting(now, effects);
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -127,6 +127,7 @@
                     .record_request(now);
                 let demand = self.demand_trackers.entry(service.clone()).or_default();
                 demand.record_arrival(now, record.rank);
+                self.record_queue_arrival(now, &record);
                 self.enqueue(request, record);
                 self.dispatch_waiting(now, &service, effects);
             }
@@ -242,9 +243,11 @@
             state: RequestState::Waiting(QueuePosition {
                 rank,
                 stage: QueueStage::New,
+                unattempted: true,
                 start_by,
                 request,
             }),
+            start_by,
             attempted_upstreams: Vec::new(),
             attempts: 0,
             executions: 0,
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -9,7 +9,8 @@
     demand::UrgentArrivals,
     effect::{DispatchOrder, GatewayEffect},
     label::{ServiceLabel, UpstreamLabel},
-    queue::{QueuePosition, QueueStage},
+    queue::QueueStage,
+    queueing::{LateWorkRule, OrderedRequest, QueuedRequest, UrgentReservation, order_requests},
     refusal::RefusalReason,
     selection::{
         ReservationContext, SelectedUpstream, SelectionContext, SelectionFailure, SelectionQuery,
@@ -51,10 +52,15 @@
         service: &ServiceLabel,
         effects: &mut GatewayEffects,
     ) {
-        let positions = self.queue_in_order(now, service);
+        let ordered = self.queue_in_order(now, service);
         let mut full_selections = 0;
         let mut rank = None;
-        for position in positions {
+        for OrderedRequest {
+            position,
+            held_back,
+            ..
+        } in ordered
+        {
             if rank.replace(position.rank) != Some(position.rank) {
                 full_selections = 0;
             }
@@ -71,7 +77,8 @@
                 self.finish(now, position.request, RefusalReason::Quarantined, effects);
                 continue;
             }
-            match self.select_upstream(now, record) {
+            let reservation = self.slot_reservation(now, record, held_back);
+            match self.select_with_reservation(now, record, reservation) {
                 Ok(selected) => {
                     if self.pay_owed_retry(now, position.request) {
                         self.dispatch(now, position.request, &selected, effects);
@@ -90,28 +97,43 @@
 
     /// Returns the queue in order of dispatch: the most urgent rank first, within a rank streams
     /// that have begun, and then requests that can still meet their objective before those that
-    /// cannot. A late response is worth little, and serving it first would make the next one late
-    /// as well.
-    fn queue_in_order(&self, now: MonotonicTime, service: &ServiceLabel) -> Vec<QueuePosition> {
+    /// cannot; of both, requests that were attempted before are first. A late response is worth
+    /// little, and serving it first would make the next one late as well.
+    ///
+    /// With the deadline queue, late requests may be held back behind less urgent ones.
+    fn queue_in_order(&self, now: MonotonicTime, service: &ServiceLabel) -> Vec<OrderedRequest> {
+        if self.options.overload.deadline_queue {
+            return self.order_waiting(now, service);
+        }
         let Some(queue) = self.queues.get(service) else {
             return Vec::new();
         };
-        let mut positions: Vec<QueuePosition> = queue.iter().copied().collect();
-        positions.sort_by_key(|position| {
-            let is_late = position.start_by < now;
-            (position.rank, position.stage, is_late, position.start_by)
+        let requests = queue.iter().map(|position| QueuedRequest {
+            position: *position,
+            latest_start: position.start_by,
         });
-        positions
+        order_requests(now, requests, LateWorkRule::BehindRank, false)
     }
 
     pub(super) fn select_upstream(
         &self,
         now: MonotonicTime,
         record: &RequestRecord,
+    ) -> Result<SelectedUpstream, SelectionFailure> {
+        let reservation = self.slot_reservation(now, record, false);
+        self.select_with_reservation(now, record, reservation)
+    }
+
+    fn select_with_reservation(
+        &self,
+        now: MonotonicTime,
+        record: &RequestRecord,
+        reservation: Option<UrgentReservation>,
     ) -> Result<SelectedUpstream, SelectionFailure> {
         // A probe may fail, which would cut a stream that has begun.
         let allow_probe = record.allows_concurrent_execution() && !record.response_started;
-        self.select_unattempted(now, record, &record.attempted_upstreams, allow_probe)
+        let attempted = &record.attempted_upstreams;
+        self.select_among(now, record, attempted, allow_probe, reservation)
     }
 
     /// Selects an upstream other than those in `attempted`; with `allow_probe` also one that is on
@@ -122,6 +144,18 @@
         record: &RequestRecord,
         attempted: &[UpstreamLabel],
         allow_probe: bool,
+    ) -> Result<SelectedUpstream, SelectionFailure> {
+        let reservation = self.slot_reservation(now, record, false);
+        self.select_among(now, record, attempted, allow_probe, reservation)
+    }
+
+    fn select_among(
+        &self,
+        now: MonotonicTime,
+        record: &RequestRecord,
+        attempted: &[UpstreamLabel],
+        allow_probe: bool,
+        reservation: Option<UrgentReservation>,
     ) -> Result<SelectedUpstream, SelectionFailure> {
         let waited = now.since(record.arrived_at);
         let query = SelectionQuery {
@@ -142,6 +176,7 @@
                 .rollouts
                 .version_filter(now, &record.service, self.canary_options()),
             urgent_arrivals: self.urgent_arrivals(now, record),
+            reservation,
             allow_probe,
         };
         let context =
@@ -194,6 +229,7 @@
             return;
         };
         let relays = self.choose_relays(now, &zone);
+        self.record_queue_dispatch(now, request);
         let Some(record) = self.requests.get_mut(&request) else {
             return;
         };
--- a/crates/savorywood-gateway/tests/common/load.rs
+++ b/crates/savorywood-gateway/tests/common/load.rs
@@ -10,18 +10,20 @@
 pub mod calls;
 #[path = "load/engine.rs"]
 pub mod engine;
+#[path = "load/overload.rs"]
+pub mod overload;
 #[path = "load/pace.rs"]
 pub mod pace;
 #[path = "load/slots.rs"]
 pub mod slots;
 
 use crate::harness::{GatewayHarness, config, options, route, upstream};
-use calls::{CallKind, CallTally, OpenCall, RandomSource};
+use calls::{CallKind, CallTally, FirstDispatch, OpenCall, RandomSource};
 use engine::{EngineModel, EngineOutput, EngineRun};
 use savorywood_gateway::{
-    AttemptOutcome, DispatchOrder, GatewayEffect, GatewayEvent, LocalRequest, PeerContact,
-    ReportedLoad, RequestArrival, RequestSize, ResponseMetadata, RetrySafety, StreamInterruption,
-    UpstreamLabel, ZoneLabel,
+    AttemptOutcome, DispatchOrder, GatewayEffect, GatewayEvent, LocalRequest, OverloadOptions,
+    PeerContact, ReportedLoad, RequestArrival, RequestSize, ResponseMetadata, RetrySafety,
+    StreamInterruption, UpstreamLabel, ZoneLabel,
 };
 use savorywood_protocol::MonotonicTime;
 use slots::SlotConditions;
@@ -83,6 +85,9 @@
     pub conditions: SlotConditions,
     steps: u64,
     random: RandomSource,
+    /// Source for the daemons of retries. Without it they use that of the arrivals, which then depend
+    /// on the refusals.
+    retry_random: Option<RandomSource>,
     /// Open requests, by daemon and number.
     calls: BTreeMap<(usize, LocalRequest), OpenCall>,
     messages: VecDeque<InFlightMessage>,
@@ -96,6 +101,21 @@
         Self::with_conditions(daemons, slowdown, slots, kinds, SlotConditions::default())
     }
 
+    /// Creates the environment with decisions under overload enabled.
+    pub fn with_overload(
+        daemons: usize,
+        slowdown: &[f64],
+        slots: u32,
+        kinds: Vec<CallKind>,
+        overload: OverloadOptions,
+    ) -> Self {
+        let conditions = SlotConditions {
+            overload,
+            ..SlotConditions::default()
+        };
+        Self::with_conditions(daemons, slowdown, slots, kinds, conditions)
+    }
+
     /// Creates the environment with conditions under which daemons share slots.
     pub fn with_conditions(
         daemons: usize,
@@ -117,6 +137,7 @@
             steps: 0,
             random: RandomSource(conditions.seed),
             conditions,
+            retry_random: None,
             calls: BTreeMap::new(),
             messages: VecDeque::new(),
             pending_retries: Vec::new(),
@@ -134,6 +155,12 @@
         environment
     }
 
+    /// Sets the seed of arrivals and sizes.
+    pub fn set_seed(&mut self, seed: u64) {
+        self.random = RandomSource(seed);
+        self.retry_random = Some(RandomSource(seed + 1));
+    }
+
     fn start_daemon(&self, number: usize, daemons: usize, slots: u32) -> GatewayHarness {
         let address = |number: usize| {
             let text = format!("10.0.0.{}:7600", number + 1);
@@ -259,6 +286,14 @@
         let Some(call) = self.calls.get_mut(&(number, order.request)) else {
             return;
         };
+        if !call.dispatched {
+            call.dispatched = true;
+            let dispatch = FirstDispatch {
+                at: self.now,
+                waited: self.now.since(call.sent_at),
+            };
+            self.tallies[call.kind].first_dispatches.push(dispatch);
+        }
         call.engine = Some(order.upstream.clone());
         call.give_up_at = order.give_up_at;
         let run = EngineRun {
@@ -327,6 +362,7 @@
         let Some(after) = retry_after else {
             self.tallies[kind].record_unserved(&call);
             self.tallies[kind].refused += 1;
+            self.tallies[kind].refused_twice += u32::from(call.retried);
             return;
         };
         self.tallies[kind].max_retry_after = self.tallies[kind].max_retry_after.max(after);
@@ -352,9 +388,9 @@
     }
 
     fn send_call(&mut self, mut call: OpenCall) {
-        let number = self
-            .conditions
-            .choose_daemon(&mut self.random, self.daemons.len());
+        let retry_random = self.retry_random.as_mut().filter(|_| call.retried);
+        let random = retry_random.unwrap_or(&mut self.random);
+        let number = self.conditions.choose_daemon(random, self.daemons.len());
         let kind = &self.kinds[call.kind];
         let left = call.deadline_at.since(self.now);
         let mut arrival: RequestArrival = crate::harness::arrival(&format!("{}1", kind.path));
@@ -366,6 +402,7 @@
         arrival.expected_output_tokens = Some(call.output_estimate);
         arrival.prompt_parts = Vec::new();
         call.received_at = self.now;
+        call.sent_at = self.now;
         call.give_up_at = call.deadline_at;
         let request = self.daemons[number].next_request();
         self.calls.insert((number, request), call);
