Scheduled return times of refused callers

Cause: refused callers received delays that did not account for each other: 50 ms at a team's limit, 200 ms in an outage of the store. They returned together and were refused again.

Change: with overload.return_schedule, a daemon reserves return times within its share of the capacity, by team or by service and rank. New requests of a team leave promised units to returning ones, which are recognised by their shorter deadline. In an outage of the store, callers are sent elsewhere if a quarter of the live daemons confirm keys, and return at the spare capacity otherwise.

With the option off, nothing changes.

--- a/crates/savorywood-gateway/src/demand.rs
+++ b/crates/savorywood-gateway/src/demand.rs
@@ -62,6 +62,13 @@
         count.map_or(0.0, |count| count.per_second(now))
     }
 
+    /// Returns the current rate of dispatches of all ranks, in requests per second.
+    #[must_use]
+    pub fn total_dispatch_rate(&self, now: MonotonicTime) -> f64 {
+        let counts = self.dispatches.values();
+        counts.map(|count| count.per_second(now)).sum()
+    }
+
     /// Returns the arrival rates of all ranks more urgent than `rank`, on the assumption that each
     /// of `daemons` daemons sees as many arrivals as this one.
     #[must_use]
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 mod relay;
 mod resumption;
 mod retry_after;
+mod returns;
 mod stall_detection;
 mod state_updates;
 mod store_reads;
@@ -54,6 +55,7 @@
 };
 use coordination::ZoneCoordination;
 use record::RequestRecord;
+use returns::ReturnState;
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
@@ -143,6 +145,7 @@
     confirmed_at: Option<MonotonicTime>,
     requests: BTreeMap<LocalRequest, RequestRecord>,
     queues: BTreeMap<ServiceLabel, WaitQueue>,
+    returns: ReturnState,
     demand_trackers: BTreeMap<ServiceLabel, DemandTracker>,
     prefix_cache: PrefixCacheIndex,
     peers: PeerTable,
@@ -216,6 +219,7 @@
     /// Creates a gateway without configuration, upstreams or peers.
     #[must_use]
     pub fn new(options: GatewayOptions) -> Self {
+        let returns = ReturnState::new(!options.seed ^ name_digest(options.host.as_str()));
         Self {
             random: RandomSequence(options.seed),
             limit_random: RandomSequence(options.seed ^ name_digest(options.host.as_str())),
@@ -256,6 +260,7 @@
             confirmed_at: None,
             requests: BTreeMap::new(),
             queues: BTreeMap::new(),
+            returns,
             demand_trackers: BTreeMap::new(),
             prefix_cache: PrefixCacheIndex::default(),
             presence: PeerPresence::default(),
@@ -434,6 +439,7 @@
         self.refill_limits(now);
         self.refresh_slot_shares(now);
         self.store_reads.expire(now);
+        self.refresh_returns(now);
         self.expire_waiting(now, effects);
         self.detect_stalls(now, effects);
         self.check_upstreams(now, effects);
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -3,6 +3,7 @@
 use super::{
     Gateway, GatewayEffects,
     record::{RequestRecord, RequestState},
+    returns::{ReturnInputs, ScheduledReturn, TeamReturn, remaining_time},
 };
 use crate::{
     arrival::{LocalRequest, PartList, RequestArrival},
@@ -10,6 +11,7 @@
     effect::GatewayEffect,
     label::{ServiceLabel, TeamLabel},
     latency::nominal_first_event_ms,
+    limits::ReturnKey,
     quarantine::{RequestFingerprint, RequestFingerprints},
     queue::{QueuePosition, QueueStage, RequestRank},
     refusal::RefusalReason,
@@ -32,7 +34,7 @@
 /// Time reserved for sending the final response to the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(25);
 /// Timeout of a request without a deadline on a route without a timeout.
-const MAX_REQUEST_TIMEOUT: Duration = Duration::from_secs(600);
+pub(super) const MAX_REQUEST_TIMEOUT: Duration = Duration::from_secs(600);
 
 /// Time for which a stopping daemon admits requests. Callers with a cached directory response still
 /// send requests for about this long.
@@ -58,6 +60,8 @@
     pub limiter: Option<LimiterSnapshot>,
     /// Number of crashes recorded for a fingerprint, if the request is quarantined.
     pub crashes: Option<u32>,
+    /// Inputs of the retry-after delay, if it was scheduled.
+    pub(super) inputs: Option<ReturnInputs>,
 }
 
 /// State of a team's limiter at the time of a refusal.
@@ -67,6 +71,24 @@
     levels: BucketLevels,
 }
 
+/// Route of an arriving request, and what is known of its earlier attempt.
+struct RouteAdmission<'a> {
+    config: &'a DeclaredConfig,
+    route: Arc<RouteSpec>,
+    /// Time since the first attempt, if the request was refused before.
+    since_first_attempt: Option<Duration>,
+}
+
+/// A request that is to be charged to its team.
+struct TeamCharge<'a> {
+    team: &'a TeamSpec,
+    route: &'a RouteSpec,
+    arrival: &'a RequestArrival,
+    service: &'a ServiceLabel,
+    /// Time since the first attempt, if the request was refused before.
+    since_first_attempt: Option<Duration>,
+}
+
 impl Refusal {
     pub(super) fn new(reason: RefusalReason) -> Self {
         Self {
@@ -75,6 +97,15 @@
             team: None,
             limiter: None,
             crashes: None,
+            inputs: None,
+        }
+    }
+
+    pub(super) fn scheduled(reason: RefusalReason, scheduled: ScheduledReturn) -> Self {
+        Self {
+            retry_after: scheduled.delay,
+            inputs: Some(scheduled.inputs),
+            ..Self::new(reason)
         }
     }
 
@@ -125,6 +156,7 @@
                     .entry(service.clone())
                     .or_default()
                     .record_request(now);
+                self.record_usual_arrival(&service, record.rank);
                 let demand = self.demand_trackers.entry(service.clone()).or_default();
                 demand.record_arrival(now, record.rank);
                 self.enqueue(request, record);
@@ -156,6 +188,9 @@
                 if let Some(crashes) = denial.crashes {
                     line = line.with("crashes", crashes);
                 }
+                if let Some(inputs) = denial.inputs {
+                    line = inputs.add_to(line);
+                }
                 effects.push(GatewayEffect::Log(line));
                 effects.push(GatewayEffect::Refuse {
                     request,
@@ -200,7 +235,37 @@
         let config = self.config.clone().filter(|_| is_initialized);
         let config = config.ok_or_else(Refusal::unavailable)?;
         let route = self.match_route(now, &config, arrival)?;
-        let team = self.authenticate(now, &config, &route, arrival)?;
+        let since_first_attempt = self.time_since_first_attempt(now, &route, arrival);
+        let admission = RouteAdmission {
+            config: &config,
+            route,
+            since_first_attempt,
+        };
+        let admitted = self.admit_to_route(now, request, arrival, admission);
+        if admitted.is_err() && since_first_attempt.is_some() {
+            self.returns.counters.refused_again += 1;
+        }
+        admitted
+    }
+
+    fn admit_to_route(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        arrival: &RequestArrival,
+        admission: RouteAdmission<'_>,
+    ) -> Result<RequestRecord, Refusal> {
+        let RouteAdmission {
+            config,
+            route,
+            since_first_attempt,
+        } = admission;
+        let returned = since_first_attempt.is_some();
+        let needs_key = !route.public && config.requires_keys();
+        if self.schedules_returns() && needs_key && !self.are_keys_confirmed(now) {
+            return Err(self.refuse_unconfirmed(now, &route, arrival, returned));
+        }
+        let team = self.authenticate(now, config, &route, arrival)?;
         let team_name = team.as_ref().map(|team| &team.name);
         let whole = RequestFingerprint::new(arrival.content_digest, team_name);
         let fingerprints = RequestFingerprints::new(whole, &arrival.prompt_parts);
@@ -210,10 +275,16 @@
         let service = service.ok_or_else(|| Refusal::new(RefusalReason::NoUpstream))?;
         let mut charged_units = 0.0;
         if let Some(team) = &team {
-            charged_units = self.charge_team(now, team, &route, arrival, &service)?;
+            let charge = TeamCharge {
+                team,
+                route: &route,
+                arrival,
+                service: &service,
+                since_first_attempt,
+            };
+            charged_units = self.charge_team(now, &charge)?;
         }
-        let deadline = arrival.deadline.unwrap_or(MAX_REQUEST_TIMEOUT);
-        let timeout = deadline.min(route.timeout.unwrap_or(MAX_REQUEST_TIMEOUT));
+        let timeout = remaining_time(&route, arrival);
         let size = arrival.size.unwrap_or_default();
         let rank = RequestRank {
             team: team.as_ref().and_then(|team| team.priority).unwrap_or(0),
@@ -221,7 +292,10 @@
         };
         let expected = Duration::from_secs_f64(nominal_first_event_ms(size.prompt_tokens) / 1e3);
         let give_up_at = now + timeout.saturating_sub(RESPONSE_MARGIN);
-        let start_by = now + route.objective.saturating_sub(expected);
+        // The objective counts from the first attempt: a request that returns too late for it is
+        // queued behind those that can still be in time.
+        let start_by = now + route.objective.saturating_sub(expected)
+            - since_first_attempt.unwrap_or_default();
         Ok(RequestRecord {
             request_id: arrival.request_id.clone(),
             fingerprints,
@@ -255,6 +329,7 @@
             has_upstream_failure: false,
             has_reserved_retry: false,
             response_started: false,
+            returned,
             route,
         })
     }
@@ -308,14 +383,14 @@
         Ok(Some(Arc::clone(team)))
     }
 
-    fn charge_team(
-        &mut self,
-        now: MonotonicTime,
-        team: &TeamSpec,
-        route: &RouteSpec,
-        arrival: &RequestArrival,
-        service: &ServiceLabel,
-    ) -> Result<f64, Refusal> {
+    fn charge_team(&mut self, now: MonotonicTime, charge: &TeamCharge<'_>) -> Result<f64, Refusal> {
+        let TeamCharge {
+            team,
+            route,
+            arrival,
+            service,
+            since_first_attempt,
+        } = *charge;
         let Some(limit) = team.limit else {
             return Ok(0.0);
         };
@@ -332,6 +407,7 @@
         } else {
             1.0
         };
+        let held = self.held_units(now, &team.name, limit);
         self.presence.advance(now);
         let presence = &self.presence;
         let is_first_start = self.options.first_start;
@@ -345,6 +421,8 @@
             rank: route.priority,
             sample: self.limit_random.next(),
         };
+        let returned = since_first_attempt.is_some();
+        limiter.set_held(if returned { 0.0 } else { held });
         let verdict = limiter.check(presence, &query);
         let is_refused = match verdict {
             LimitVerdict::Within => false,
@@ -352,18 +430,42 @@
             LimitVerdict::Exceeded { .. } => true,
         };
         if is_refused {
-            return Err(Refusal {
-                reason: RefusalReason::OverLimit,
+            let refusal = Refusal {
                 retry_after: Some(limiter.retry_after()),
                 team: Some(team.name.clone()),
                 limiter: Some(LimiterSnapshot {
                     limit,
                     levels: limiter.levels(),
                 }),
-                crashes: None,
+                ..Refusal::new(RefusalReason::OverLimit)
+            };
+            if !self.options.overload.return_schedule {
+                return Err(refusal);
+            }
+            let prompt_tokens = arrival.size.unwrap_or_default().prompt_tokens;
+            let expected = Duration::from_secs_f64(nominal_first_event_ms(prompt_tokens) / 1e3);
+            let elapsed = since_first_attempt.unwrap_or_default();
+            let team_return = TeamReturn {
+                team: &team.name,
+                limit,
+                units,
+                room_delay: limiter.room_delay(&query, queue_is_empty),
+                in_time: route.objective.saturating_sub(expected + elapsed),
+                left: remaining_time(route, arrival),
+                returned,
+            };
+            let scheduled = self.schedule_team_return(now, &team_return);
+            return Err(Refusal {
+                retry_after: scheduled.delay,
+                inputs: Some(scheduled.inputs),
+                ..refusal
             });
         }
         limiter.charge(units, verdict);
+        if returned {
+            let key = ReturnKey::Team(team.name.clone());
+            self.returns.schedule.claim(now, &key, units);
+        }
         Ok(units)
     }
 
--- a/crates/savorywood-gateway/src/gateway/completion.rs
+++ b/crates/savorywood-gateway/src/gateway/completion.rs
@@ -251,9 +251,11 @@
             (true, true) => RefusalReason::IncompleteResponse,
             _ => reason,
         };
-        let retry_after = reason
-            .guarantees_not_executed()
-            .then(|| self.retry_after_delay(now, request, reason));
+        let retry_after = if reason.guarantees_not_executed() {
+            self.retry_after_delay(now, request, reason, effects)
+        } else {
+            None
+        };
         if reason.guarantees_not_executed() {
             self.refund_units(request);
         }
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -121,6 +121,8 @@
     pub has_reserved_retry: bool,
     /// Events of a stream have reached the caller, or are about to.
     pub response_started: bool,
+    /// The request was refused before, as far as that is recognised.
+    pub returned: bool,
 }
 
 /// Time reserved for sending a refusal to a caller before its timeout.
--- a/crates/savorywood-gateway/src/gateway/retry_after.rs
+++ b/crates/savorywood-gateway/src/gateway/retry_after.rs
@@ -1,7 +1,11 @@
 //! Retry-after delays of refused requests.
 
-use super::Gateway;
-use crate::{arrival::LocalRequest, label::ServiceLabel, queue::WaitQueue, refusal::RefusalReason};
+use super::{Gateway, GatewayEffects, returns::MAX_DEADLINE_FRACTION};
+use crate::{
+    arrival::LocalRequest, effect::GatewayEffect, label::ServiceLabel, queue::WaitQueue,
+    refusal::RefusalReason,
+};
+use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
@@ -11,9 +15,6 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Maximum delay, as the measured dispatch rate predicts nothing beyond it.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
-/// Maximum delay as a fraction of the caller's remaining time: the rest is left for queueing and
-/// for the response.
-const MAX_DEADLINE_FRACTION: f64 = 1.0 / 3.0;
 /// Width of the random spread of delays, as a fraction of the estimate: callers that were refused
 /// together would otherwise be refused together again.
 const RETRY_AFTER_SPREAD: f64 = 0.5;
@@ -28,15 +29,32 @@
         now: MonotonicTime,
         request: LocalRequest,
         reason: RefusalReason,
-    ) -> Duration {
+        effects: &mut GatewayEffects,
+    ) -> Option<Duration> {
         let Some(record) = self.requests.get(&request) else {
-            return DEFAULT_RETRY_AFTER;
+            return Some(DEFAULT_RETRY_AFTER);
         };
+        if self.schedules_returns() && record.returned {
+            self.returns.counters.refused_again += 1;
+        }
         let pause = self.remaining_pause(now, &record.service);
         match reason {
             RefusalReason::Overloaded => {}
-            RefusalReason::Quarantined => return self.probe_delay(now, &record.fingerprints),
-            _ => return DEFAULT_RETRY_AFTER.max(pause),
+            RefusalReason::Quarantined => {
+                return Some(self.probe_delay(now, &record.fingerprints));
+            }
+            _ => return Some(DEFAULT_RETRY_AFTER.max(pause)),
+        }
+        if self.schedules_returns() {
+            let record = record.clone();
+            let scheduled = self.schedule_overload_return(now, &record);
+            let delay = scheduled.delay.map(|delay| delay.max(pause));
+            let line = LogLine::new(LogLevel::Info, "request-refused")
+                .with("request", &record.request_id)
+                .with("reason", reason)
+                .with("retry_ms", delay.unwrap_or_default().as_millis());
+            effects.push(GatewayEffect::Log(scheduled.inputs.add_to(line)));
+            return delay;
         }
         let queue = self.queues.get(&record.service);
         let ahead = queue.map_or(0, |queue: &WaitQueue| {
@@ -48,9 +66,8 @@
         let delay_s = delay_s.clamp(MIN_RETRY_AFTER.as_secs_f64(), MAX_RETRY_AFTER.as_secs_f64());
         let max_delay = record.give_up_at.since(now).mul_f64(MAX_DEADLINE_FRACTION);
         let spread = 1.0 - RETRY_AFTER_SPREAD / 2.0 + RETRY_AFTER_SPREAD * self.random.next();
-        Duration::from_secs_f64(delay_s * spread)
-            .min(max_delay)
-            .max(pause)
+        let delay = Duration::from_secs_f64(delay_s * spread).min(max_delay);
+        Some(delay.max(pause))
     }
 
     /// Returns the time until a service has an upstream that has not asked for a pause; zero if it
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -71,6 +71,10 @@
     HostLabel, RegionLabel, ServiceLabel, TeamLabel, UpstreamLabel, VersionLabel, ZoneLabel,
 };
 pub use lease::{LeaseShare, MemberLeases};
+pub use limits::{
+    OutageOrder, ReturnCause, ReturnCounters, ReturnKey, ReturnPolicy, ReturnPreference,
+    ReturnPromise, ReturnQuery, ReturnSchedule, ReturningCallers, UsualLoad, WhenFull,
+};
 pub use message::{
     DaemonRole, PeerHeartbeat, PeerPhase, PeerSummary, SlotScope, SlotUpdate, SlotUse, TeamUse,
     VersionTally,
--- a/crates/savorywood-gateway/src/team_limit.rs
+++ b/crates/savorywood-gateway/src/team_limit.rs
@@ -124,6 +124,8 @@
     /// Share of the limit that this daemon keeps to, as it does not receive the use of most others;
     /// `None` otherwise.
     lone_share: Option<f64>,
+    /// Units that the next request checked leaves to returning ones.
+    held: f64,
     /// Peers that have reported use of this team.
     peers: BTreeMap<u64, PeerRecord>,
 }
@@ -167,6 +169,7 @@
             others_recent: 0.0,
             members: None,
             lone_share: None,
+            held: 0.0,
             peers: BTreeMap::new(),
         }
     }
@@ -219,6 +222,12 @@
         }
     }
 
+    /// Sets the units of this daemon's share that requests checked from now on leave to those that
+    /// were promised them.
+    pub(crate) fn set_held(&mut self, units: f64) {
+        self.held = units;
+    }
+
     /// Records that a message has reported all use so far.
     pub fn mark_reported(&mut self) {
         self.unreported = 0.0;
--- a/crates/savorywood-gateway/src/team_limit/fair_share.rs
+++ b/crates/savorywood-gateway/src/team_limit/fair_share.rs
@@ -4,6 +4,7 @@
 //! use one message later.
 
 use super::{LimitQuery, PeerPresence, TeamLimiter, bucket::TokenBucket};
+use std::time::Duration;
 
 /// Fraction of the units that flow into a bucket until the next message which may be spent before
 /// it: the use of other daemons in that time is learned even later.
@@ -38,11 +39,9 @@
     ) -> bool {
         if self.lone_share.is_some() {
             // The bucket holds this daemon's share only.
-            return query.sample * query.units < bucket.level;
+            return query.sample * query.units < bucket.level - self.held;
         }
-        let steps = f64::from(query.rank.min(MAX_RESERVED_RANKS));
-        let size = query.units / (bucket.capacity * SMALL_REQUEST_FRACTION).max(f64::MIN_POSITIVE);
-        let level = bucket.level - bucket.capacity * RANK_RESERVE_FRACTION * steps * size.min(1.0);
+        let level = bucket.level - rank_reserve(bucket, query);
         if level < 0.0 {
             return false;
         }
@@ -60,10 +59,23 @@
         let share = share.max(even);
         let available =
             (level + self.unreported) * (share * SHARE_FACTOR).min(1.0) + inflow * share;
-        let room = available - self.unreported;
+        let room = available - self.unreported - self.held;
         query.sample * self.typical_units.min(query.units) < room
     }
 
+    /// Returns the time until the limit has room for a request, if no other uses it until then.
+    /// `tolerated`: the tolerance on top of the limit may be used.
+    pub(crate) fn room_delay(&self, query: &LimitQuery, tolerated: bool) -> Duration {
+        let bucket = if tolerated {
+            &self.tolerated
+        } else {
+            &self.strict
+        };
+        let needed = rank_reserve(bucket, query) + query.units.min(bucket.capacity) - bucket.level;
+        let wait_s = needed / self.limit.per_second.max(1e-6);
+        Duration::from_secs_f64(wait_s.clamp(0.0, 30.0))
+    }
+
     /// Returns the units that flow into a bucket until the next message and may be spent before it.
     /// Daemons outside the entry set spend none in advance, as callers may reach many of them at
     /// once.
@@ -82,3 +94,10 @@
         1.0 / f64::from(self.members.unwrap_or(daemons).clamp(1, daemons))
     }
 }
+
+/// Returns the units of a bucket that a request leaves to more urgent ones of its team.
+fn rank_reserve(bucket: &TokenBucket, query: &LimitQuery) -> f64 {
+    let steps = f64::from(query.rank.min(MAX_RESERVED_RANKS));
+    let size = query.units / (bucket.capacity * SMALL_REQUEST_FRACTION).max(f64::MIN_POSITIVE);
+    bucket.capacity * RANK_RESERVE_FRACTION * steps * size.min(1.0)
+}
--- a/crates/savorywood-gateway/tests/common/load.rs
+++ b/crates/savorywood-gateway/tests/common/load.rs
@@ -10,10 +10,13 @@
 pub mod calls;
 #[path = "load/engine.rs"]
 pub mod engine;
+#[path = "load/returns.rs"]
+pub mod returns;
 
 use crate::harness::{GatewayHarness, config, options, route, upstream};
 use calls::{CallKind, CallTally, OpenCall, RandomSource};
 use engine::{EngineModel, EngineOutput, EngineRun};
+use returns::{ReturnRecord, ReturnSettings};
 use savorywood_gateway::{
     AttemptOutcome, DispatchOrder, GatewayEffect, GatewayEvent, LocalRequest, PeerContact,
     RequestArrival, RequestSize, ResponseMetadata, RetrySafety, StreamInterruption, UpstreamLabel,
@@ -74,6 +77,8 @@
     pub abandoned_streams: u32,
     /// Whether daemons send slot updates between summaries.
     pub sends_slot_updates: bool,
+    /// Faults of the store, teams, and what refused callers experience.
+    pub returns: ReturnRecord,
     steps: u64,
     random: RandomSource,
     /// Open requests, by daemon and number.
@@ -86,6 +91,18 @@
     /// Creates the environment with one engine for each entry of `slowdown`: 1 is the normal speed,
     /// 2 takes twice the time. Each engine has `slots` slots.
     pub fn new(daemons: usize, slowdown: &[f64], slots: u32, kinds: Vec<CallKind>) -> Self {
+        let settings = ReturnSettings::default();
+        Self::with_settings(daemons, slowdown, slots, kinds, settings)
+    }
+
+    /// Creates the environment with settings of the daemons and of the store.
+    pub fn with_settings(
+        daemons: usize,
+        slowdown: &[f64],
+        slots: u32,
+        kinds: Vec<CallKind>,
+        settings: ReturnSettings,
+    ) -> Self {
         let mut environment = Self {
             now: MonotonicTime(1_000_000),
             daemons: Vec::new(),
@@ -96,6 +113,7 @@
             dispatched: 0,
             abandoned_streams: 0,
             sends_slot_updates: true,
+            returns: ReturnRecord::new(settings),
             steps: 0,
             random: RandomSource(42),
             calls: BTreeMap::new(),
@@ -125,9 +143,14 @@
         // Two daemons per zone: the directory lists all of them.
         options.zone = ZoneLabel::from(format!("zone-{}", number / 2).as_str());
         options.seed = 7 + number as u64;
+        self.returns.settings.apply(&mut options);
         let mut harness = GatewayHarness::unconfigured(options);
         harness.now = self.now;
+        harness
+            .gateway
+            .set_return_policy(self.returns.settings.policy);
         let mut config = config(1, None);
+        self.returns.settings.add_teams(&mut config);
         for kind in &self.kinds {
             let retry_safety = RetrySafety::Stream {
                 resumable: kind.resumable,
@@ -295,6 +318,7 @@
             return;
         };
         let kind = call.kind;
+        self.record_refusal(number, &call, after);
         let left = call.deadline_at.since(self.now);
         let retry_after = after.filter(|_| !call.retried);
         let Some(after) = retry_after else {
@@ -325,8 +349,7 @@
     }
 
     fn send_call(&mut self, mut call: OpenCall) {
-        let daemons = self.daemons.len() as f64;
-        let number = (self.random.next() * daemons) as usize;
+        let number = self.choose_daemon(&call);
         let kind = &self.kinds[call.kind];
         let left = call.deadline_at.since(self.now);
         let mut arrival: RequestArrival = crate::harness::arrival(&format!("{}1", kind.path));
@@ -337,12 +360,15 @@
         });
         arrival.expected_output_tokens = Some(call.output_estimate);
         arrival.prompt_parts = Vec::new();
+        self.set_key(&call, &mut arrival);
         call.received_at = self.now;
         call.give_up_at = call.deadline_at;
         let request = self.daemons[number].next_request();
         self.calls.insert((number, request), call);
         self.daemons[number].now = self.now;
-        self.daemons[number].confirm();
+        if !self.is_cut_off(number) {
+            self.daemons[number].confirm();
+        }
         let arrival = Box::new(arrival);
         self.step(number, GatewayEvent::Arrived { request, arrival });
     }
@@ -400,6 +426,7 @@
         }
         if let Some(call) = self.calls.remove(&key) {
             self.tallies[call.kind].record_served(&call);
+            self.record_served(&call);
             let events = call.events;
             let outcome = AttemptOutcome::Delivered { metadata, events };
             self.step(
