Return times in an outage at which responses are in time; overload promises spare capacity only

Cause: late returns after an outage replace responses in time, and under lasting overload a return finds no more room than before.

Change: in an outage of the store, callers return at a random time at which the response can still be in time. After load shedding, only the dispatch rate beyond the arrivals of the rank and more urgent ones is promised; other callers receive no time. Counters are exported as metrics.

--- a/crates/savorywood-front/src/admin.rs
+++ b/crates/savorywood-front/src/admin.rs
@@ -145,6 +145,10 @@
         let upstreams = gateway.fleet().iter();
         let limited = upstreams.filter(|upstream| upstream.limit.limit().is_some());
         metrics.limited_upstreams.set(count(limited.count()));
+        for (cause, count) in gateway.return_counters().iter() {
+            let metric = metrics.scheduled_returns.with_label_values(&[cause]);
+            metric.inc_by(count.saturating_sub(metric.get()));
+        }
         metrics
             .quarantined
             .set(count(gateway.quarantined_requests()));
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -58,6 +58,8 @@
     pub store_era: IntGauge,
     /// Upstreams that report a rate limit.
     pub limited_upstreams: IntGauge,
+    /// Refusals with a scheduled retry-after delay by cause, and returns that were recognised.
+    pub scheduled_returns: IntCounterVec,
     pub quarantined: IntGauge,
     /// Upstreams that are warming up.
     pub cold_upstreams: IntGauge,
@@ -136,6 +138,11 @@
                 "limited_upstreams",
                 "Upstreams that report a rate limit for all daemons together",
             ),
+            scheduled_returns: counter_vec(
+                "scheduled_returns_total",
+                "Refusals whose retry-after delay was scheduled by cause, and recognised returns",
+                "cause",
+            ),
             quarantined: gauge(
                 "quarantined_requests",
                 "Request fingerprints that are refused because upstreams crashed while executing them",
@@ -202,7 +209,7 @@
 
 impl FrontMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 27] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 28] = [
             Box::new(self.arrived.clone()),
             Box::new(self.ended.clone()),
             Box::new(self.cut.clone()),
@@ -226,6 +233,7 @@
             Box::new(self.evacuated_zones.clone()),
             Box::new(self.store_era.clone()),
             Box::new(self.limited_upstreams.clone()),
+            Box::new(self.scheduled_returns.clone()),
             Box::new(self.quarantined.clone()),
             Box::new(self.cold_upstreams.clone()),
             Box::new(self.unreadable_datagrams.clone()),
--- a/crates/savorywood-gateway/src/demand.rs
+++ b/crates/savorywood-gateway/src/demand.rs
@@ -69,6 +69,13 @@
         counts.map(|count| count.per_second(now)).sum()
     }
 
+    /// Returns the current rate of arrivals of this and all more urgent ranks, in requests per second.
+    #[must_use]
+    pub fn arrival_rate_up_to(&self, now: MonotonicTime, rank: RequestRank) -> f64 {
+        let counts = self.arrivals.range(..=rank);
+        counts.map(|(_, count)| count.per_second(now)).sum()
+    }
+
     /// Returns the arrival rates of all ranks more urgent than `rank`, on the assumption that each
     /// of `daemons` daemons sees as many arrivals as this one.
     #[must_use]
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -3,7 +3,7 @@
 use super::{
     Gateway, GatewayEffects,
     record::{RequestRecord, RequestState},
-    returns::{ReturnInputs, ScheduledReturn, TeamReturn, remaining_time},
+    returns::{ReturnInputs, ScheduledReturn, TeamReturn, in_time_budget, remaining_time},
 };
 use crate::{
     arrival::{LocalRequest, PartList, RequestArrival},
@@ -442,15 +442,12 @@
             if !self.options.overload.return_schedule {
                 return Err(refusal);
             }
-            let prompt_tokens = arrival.size.unwrap_or_default().prompt_tokens;
-            let expected = Duration::from_secs_f64(nominal_first_event_ms(prompt_tokens) / 1e3);
-            let elapsed = since_first_attempt.unwrap_or_default();
             let team_return = TeamReturn {
                 team: &team.name,
                 limit,
                 units,
                 room_delay: limiter.room_delay(&query, queue_is_empty),
-                in_time: route.objective.saturating_sub(expected + elapsed),
+                in_time: in_time_budget(route, arrival, since_first_attempt.unwrap_or_default()),
                 left: remaining_time(route, arrival),
                 returned,
             };
--- a/crates/savorywood-gateway/src/gateway/retry_after.rs
+++ b/crates/savorywood-gateway/src/gateway/retry_after.rs
@@ -40,6 +40,7 @@
         let pause = self.remaining_pause(now, &record.service);
         match reason {
             RefusalReason::Overloaded => {}
+            RefusalReason::ExpiredUnsent if self.schedules_returns() => {}
             RefusalReason::Quarantined => {
                 return Some(self.probe_delay(now, &record.fingerprints));
             }
--- a/crates/savorywood-gateway/src/gateway/returns.rs
+++ b/crates/savorywood-gateway/src/gateway/returns.rs
@@ -5,6 +5,7 @@
     arrival::RequestArrival,
     config::{RouteSpec, TeamLimit},
     label::{ServiceLabel, TeamLabel},
+    latency::nominal_first_event_ms,
     limits::{
         OutageOrder, ReturnCause, ReturnCounters, ReturnKey, ReturnPolicy, ReturnPreference,
         ReturnQuery, ReturnSchedule, ReturningCallers, UsualLoad, WhenFull,
@@ -25,6 +26,9 @@
 const MIN_DELAY: Duration = Duration::from_millis(50);
 /// Fraction of the live daemons that must confirm keys for callers to be sent to them at once.
 const MIN_CONFIRMING_FRACTION: f64 = 0.25;
+/// Fraction of the time for which a response can be in time after which a caller returns at most;
+/// the rest is left for the wait for a slot.
+const IN_TIME_FRACTION: f64 = 0.75;
 /// Interval at which the usual load is observed.
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after an outage in which the remembered capacity counts, as few dispatches were observed.
@@ -264,15 +268,17 @@
         let spare = usual.map(|usual| usual.spare_per_second(rank));
         let policy = self.returns.policy;
         let sample = self.returns.random.next();
-        let uniform = latest.mul_f64(sample);
+        let in_time = in_time_delay(route, arrival, sample).filter(|delay| *delay <= latest);
         // Without an observed load, and for a request that was refused before, nothing is reserved.
-        let per_second = spare.filter(|_| policy.outage != OutageOrder::Uniform && !returned);
-        let fallback = if per_second.is_none() {
-            Some(uniform)
-        } else if policy.when_full == WhenFull::Latest {
-            Some(latest.mul_f64(1.0 - sample / 4.0))
-        } else {
-            None
+        let is_reserved = !matches!(policy.outage, OutageOrder::Uniform | OutageOrder::InTime);
+        let per_second = spare.filter(|_| is_reserved && !returned);
+        let fallback = match (policy.outage, policy.when_full) {
+            (OutageOrder::InTime, _) => in_time,
+            (OutageOrder::Uniform, _) => Some(latest.mul_f64(sample)),
+            _ if per_second.is_none() => Some(latest.mul_f64(sample)),
+            (_, WhenFull::InTime) => in_time,
+            (_, WhenFull::Latest) => Some(latest.mul_f64(1.0 - sample / 4.0)),
+            (_, WhenFull::NoTime) => None,
         };
         let query = ReturnQuery {
             amount: 1.0,
@@ -323,7 +329,7 @@
         let sample = self.returns.random.next();
         let fallback = match self.returns.policy.when_full {
             WhenFull::Latest => Some(max_delay.mul_f64(1.0 - sample / 4.0)),
-            WhenFull::NoTime => None,
+            WhenFull::NoTime | WhenFull::InTime => None,
         };
         let per_second = if request.returned {
             0.0
@@ -382,12 +388,15 @@
             let usual = self.returns.usual_load(&record.service);
             per_second = per_second.max(usual.map_or(0.0, UsualLoad::arrivals_per_second));
         }
+        // Under lasting overload, all slots go to arrivals, and a caller that returns is refused again.
+        let arrivals = demand.map_or(0.0, |demand| demand.arrival_rate_up_to(now, record.rank));
+        let spare = (per_second - arrivals).max(0.0);
         let latest = record.give_up_at.since(now).mul_f64(MAX_DEADLINE_FRACTION);
         let wait_s = ahead as f64 / per_second.max(f64::MIN_POSITIVE);
         let sample = self.returns.random.next();
         let query = ReturnQuery {
             amount: 1.0,
-            per_second: if record.returned { 0.0 } else { per_second },
+            per_second: if record.returned { 0.0 } else { spare },
             earliest: Duration::from_secs_f64(wait_s.min(60.0)).max(MIN_DELAY),
             latest,
             preference: ReturnPreference::Earliest,
@@ -395,7 +404,7 @@
         };
         let fallback = match self.returns.policy.when_full {
             WhenFull::Latest => Some(latest.mul_f64(1.0 - sample / 4.0)),
-            WhenFull::NoTime => None,
+            WhenFull::NoTime | WhenFull::InTime => None,
         };
         let key = ReturnKey::Service {
             service: record.service.clone(),
@@ -406,6 +415,25 @@
     }
 }
 
+/// Returns the time for which the first event of a response can still be in time.
+pub(super) fn in_time_budget(
+    route: &RouteSpec,
+    arrival: &RequestArrival,
+    elapsed: Duration,
+) -> Duration {
+    let prompt_tokens = arrival.size.unwrap_or_default().prompt_tokens;
+    let expected = Duration::from_secs_f64(nominal_first_event_ms(prompt_tokens) / 1e3);
+    route.objective.saturating_sub(expected + elapsed)
+}
+
+/// Returns a random delay after which a request that waits for a slot for a short time can still be
+/// in time; `None` if it can't.
+fn in_time_delay(route: &RouteSpec, arrival: &RequestArrival, sample: f64) -> Option<Duration> {
+    let budget = in_time_budget(route, arrival, Duration::ZERO);
+    let delay = budget.mul_f64(IN_TIME_FRACTION * (0.5 + sample / 2.0));
+    (delay >= MIN_DELAY).then_some(delay)
+}
+
 /// Returns the time that the caller of an arriving request still has.
 pub(super) fn remaining_time(route: &RouteSpec, arrival: &RequestArrival) -> Duration {
     let deadline = arrival
--- a/crates/savorywood-gateway/src/limits/counters.rs
+++ b/crates/savorywood-gateway/src/limits/counters.rs
@@ -36,6 +36,20 @@
 }
 
 impl ReturnCounters {
+    /// Iterates over the counters with their names in metrics.
+    pub fn iter(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        let named = [
+            (ReturnCause::TeamLimit.into(), self.team_limit),
+            (ReturnCause::Overload.into(), self.overload),
+            (ReturnCause::StoreOutage.into(), self.store_outage),
+            (ReturnCause::CutOff.into(), self.cut_off),
+            ("untimed", self.untimed),
+            ("returned", self.returned),
+            ("refused-again", self.refused_again),
+        ];
+        named.into_iter()
+    }
+
     /// Records a refusal; `timed`: the caller was given a time.
     pub fn record(&mut self, cause: ReturnCause, timed: bool) {
         let count = match cause {
--- a/crates/savorywood-gateway/src/limits/policy.rs
+++ b/crates/savorywood-gateway/src/limits/policy.rs
@@ -10,25 +10,30 @@
     NoTime,
     /// Its latest time, without a reservation.
     Latest,
+    /// A time at which the response can still be in time, without a reservation.
+    InTime,
 }
 
 /// Which of the free times a caller receives that was refused during an outage of the store.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum OutageOrder {
-    /// The latest free time. The end of the outage is unknown, and a response is late in any case.
-    #[default]
+    /// The latest free time, at which the outage is most likely to have ended.
     LatestFirst,
     /// The earliest free time.
     EarliestFirst,
     /// A random time, whatever was promised before.
     Uniform,
+    /// A random time at which the response can still be in time, whatever was promised before. A
+    /// late response is worth a tenth to three tenths, and takes a slot from one in time.
+    #[default]
+    InTime,
 }
 
 impl OutageOrder {
     pub(crate) fn preference(self) -> ReturnPreference {
         match self {
             Self::LatestFirst => ReturnPreference::Latest,
-            Self::EarliestFirst | Self::Uniform => ReturnPreference::Earliest,
+            Self::EarliestFirst | Self::Uniform | Self::InTime => ReturnPreference::Earliest,
         }
     }
 }
@@ -50,7 +55,7 @@
     fn default() -> Self {
         Self {
             when_full: WhenFull::NoTime,
-            outage: OutageOrder::LatestFirst,
+            outage: OutageOrder::InTime,
             holds_units: true,
             recognises_returns: true,
         }
--- a/crates/savorywood-gateway/tests/common/load.rs
+++ b/crates/savorywood-gateway/tests/common/load.rs
@@ -242,8 +242,8 @@
             GatewayEffect::WriteRollout(_)
             | GatewayEffect::WriteQuarantine(_)
             | GatewayEffect::CheckUpstreams(_)
-            | GatewayEffect::CloseIdleConnections
-            | GatewayEffect::Log(_) => {}
+            | GatewayEffect::CloseIdleConnections => {}
+            GatewayEffect::Log(line) => self.record_admission(&line),
         }
     }
 
--- a/crates/savorywood-gateway/tests/common/load/returns.rs
+++ b/crates/savorywood-gateway/tests/common/load/returns.rs
@@ -4,6 +4,7 @@
     LoadEnvironment,
     calls::{OpenCall, RandomSource},
 };
+use savorywood_core::LogLine;
 use savorywood_gateway::{
     DeclaredConfig, GatewayOptions, OverloadOptions, RequestArrival, ReturnPolicy, TeamLabel,
     TeamLimit, TeamSpec,
@@ -94,6 +95,8 @@
     pub outage: Option<StoreOutage>,
     pub served: Vec<ServedCall>,
     pub refused: Vec<RefusedCall>,
+    /// Units charged to the team with a limit, and when.
+    pub charges: Vec<(MonotonicTime, f64)>,
     /// Refused callers that were given a time and returned.
     pub returns: u32,
     random: RandomSource,
@@ -106,11 +109,28 @@
             outage: None,
             served: Vec::new(),
             refused: Vec::new(),
+            charges: Vec::new(),
             returns: 0,
             random: RandomSource(settings.seed.unwrap_or_default() ^ 0x5151),
         }
     }
 
+    /// Returns the largest sum of units charged to the team with a limit within `window`.
+    pub fn max_units(&self, window: Duration) -> f64 {
+        let mut sum = 0.0;
+        let mut first = 0;
+        let mut max = 0.0_f64;
+        for (at, units) in &self.charges {
+            sum += units;
+            while at.since(self.charges[first].0) > window {
+                sum -= self.charges[first].1;
+                first += 1;
+            }
+            max = max.max(sum);
+        }
+        max
+    }
+
     /// Returns the value of the responses in each window from `from` on.
     pub fn values(&self, from: MonotonicTime, windows: usize, worth: &[(f64, f64)]) -> Vec<f64> {
         let mut values = vec![0.0; windows];
@@ -182,6 +202,23 @@
         }
     }
 
+    pub(super) fn record_admission(&mut self, line: &LogLine) {
+        if self.returns.settings.limit.is_none() {
+            return;
+        }
+        let line = line.to_string();
+        if !line.starts_with("event=request-admitted ") || !line.contains(" team=limited ") {
+            return;
+        }
+        let units = line
+            .split(' ')
+            .find_map(|field| field.strip_prefix("units="));
+        let units = units.and_then(|units| units.parse().ok());
+        self.returns
+            .charges
+            .push((self.now, units.expect("the units")));
+    }
+
     pub(super) fn set_key(&self, call: &OpenCall, arrival: &mut RequestArrival) {
         let first = self.returns.settings.first_limited_kind;
         if first.is_some_and(|first| call.kind >= first) {
--- a/crates/savorywood-gateway/tests/return_load.rs
+++ b/crates/savorywood-gateway/tests/return_load.rs
@@ -1,6 +1,7 @@
 //! Refused callers under load: an outage of the store, a team over its limit, and overload.
 //!
-//! `SAVORYWOOD_RETURN_SEEDS` sets the number of seeds of the comparison, which is ignored otherwise.
+//! The comparisons of variants are ignored by default; `SAVORYWOOD_RETURN_SEEDS` sets their number of
+//! seeds, and `SAVORYWOOD_RETURN_VARIANTS` selects variants.
 
 #[path = "common/harness.rs"]
 mod harness;
@@ -12,7 +13,7 @@
     calls::CallKind,
     returns::{ReturnSettings, StoreOutage},
 };
-use savorywood_gateway::{OutageOrder, ReturnPolicy, WhenFull};
+use savorywood_gateway::{OutageOrder, ReturnPolicy, TeamLimit, WhenFull};
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
@@ -51,21 +52,19 @@
     environment
 }
 
+type Variant = (&'static str, bool, ReturnPolicy);
+
 /// Variants that are compared: the option off, on, and on with other rules.
-fn variants() -> Vec<(&'static str, bool, ReturnPolicy)> {
+fn variants() -> Vec<Variant> {
     let rules = ReturnPolicy::default();
-    let late = ReturnPolicy {
-        when_full: WhenFull::Latest,
-        ..rules
-    };
-    let early = ReturnPolicy {
-        outage: OutageOrder::EarliestFirst,
-        ..rules
-    };
-    let uniform = ReturnPolicy {
-        outage: OutageOrder::Uniform,
+    let outage = |outage, when_full| ReturnPolicy {
+        outage,
+        when_full,
         ..rules
     };
+    let late = outage(OutageOrder::LatestFirst, WhenFull::NoTime);
+    let or_latest = outage(OutageOrder::LatestFirst, WhenFull::Latest);
+    let or_in_time = outage(OutageOrder::LatestFirst, WhenFull::InTime);
     let unrecognised = ReturnPolicy {
         recognises_returns: false,
         ..rules
@@ -77,14 +76,46 @@
     vec![
         ("off", false, rules),
         ("on", true, rules),
-        ("latest-if-full", true, late),
-        ("earliest-first", true, early),
-        ("uniform", true, uniform),
+        (
+            "on-latest",
+            true,
+            outage(OutageOrder::InTime, WhenFull::Latest),
+        ),
+        ("late-or-none", true, late),
+        ("late-or-latest", true, or_latest),
+        ("late-or-in-time", true, or_in_time),
         ("unrecognised", true, unrecognised),
         ("unheld", true, unheld),
     ]
 }
 
+/// Returns the variants that `SAVORYWOOD_RETURN_VARIANTS` lists, or else all.
+fn selected_variants() -> Vec<Variant> {
+    let selected = std::env::var("SAVORYWOOD_RETURN_VARIANTS").unwrap_or_default();
+    let names: Vec<&str> = selected
+        .split(',')
+        .filter(|name| !name.is_empty())
+        .collect();
+    let mut variants = variants();
+    variants.retain(|variant| names.is_empty() || names.contains(&variant.0));
+    variants
+}
+
+fn seeds() -> u64 {
+    let seeds = std::env::var("SAVORYWOOD_RETURN_SEEDS");
+    seeds.map_or(1, |seeds| seeds.parse().expect("a number"))
+}
+
+fn settings(variant: Variant, seed: u64) -> ReturnSettings {
+    ReturnSettings {
+        return_schedule: variant.1,
+        policy: variant.2,
+        revocation_delay: Some(REVOCATION_DELAY),
+        seed: Some(seed),
+        ..ReturnSettings::default()
+    }
+}
+
 /// Results of one run.
 #[derive(Debug, Clone, Default)]
 struct RunResult {
@@ -97,6 +128,7 @@
     /// Those refused again although the store was available.
     again_with_store: usize,
     untimed: usize,
+    max_delay: Duration,
 }
 
 fn result(environment: &LoadEnvironment, worth: &[(f64, f64)], from: MonotonicTime) -> RunResult {
@@ -113,30 +145,28 @@
             .iter()
             .filter(|call| !call.kept_time && call.retry_after.is_none())
             .count(),
+        max_delay: record
+            .refused
+            .iter()
+            .filter_map(|call| call.retry_after)
+            .max()
+            .unwrap_or_default(),
     }
 }
 
-/// Runs with an outage of the store for `daemons` daemons, or without one.
-fn run_outage(
-    settings: ReturnSettings,
-    load: f64,
-    outage: Duration,
-    daemons: usize,
-) -> (RunResult, RunResult) {
-    let run = |daemons| {
-        let mut environment = environment(kinds(load), settings);
-        environment.advance(WARM_UP, true);
-        let from = environment.now;
-        environment.returns.outage = Some(StoreOutage {
-            from,
-            until: from + outage,
-            daemons,
-        });
-        environment.advance(outage + Duration::from_secs(14), true);
-        environment.advance(Duration::from_secs(6), false);
-        result(&environment, &WORTH, from + outage)
-    };
-    (run(daemons), run(0))
+/// Runs with an outage of the store for `daemons` daemons, or without one if that is 0.
+fn run_outage(settings: ReturnSettings, load: f64, outage: Duration, daemons: usize) -> RunResult {
+    let mut environment = environment(kinds(load), settings);
+    environment.advance(WARM_UP, true);
+    let from = environment.now;
+    environment.returns.outage = Some(StoreOutage {
+        from,
+        until: from + outage,
+        daemons,
+    });
+    environment.advance(outage + Duration::from_secs(12), true);
+    environment.advance(Duration::from_secs(4), false);
+    result(&environment, &WORTH, from + outage)
 }
 
 /// Sums of results over several seeds.
@@ -183,31 +213,30 @@
 #[test]
 #[ignore = "comparison of variants, several minutes"]
 fn compare_variants_under_an_outage() {
-    let seeds = std::env::var("SAVORYWOOD_RETURN_SEEDS");
-    let seeds: u64 = seeds.map_or(1, |seeds| seeds.parse().expect("a number"));
     for (load, outage_s, daemons) in [
-        (1.0, 5, DAEMONS),
         (1.4, 5, DAEMONS),
+        (1.8, 5, DAEMONS),
         (1.4, 8, DAEMONS),
+        (1.4, 3, DAEMONS),
         (1.4, 5, DAEMONS / 3),
     ] {
-        for (name, return_schedule, policy) in variants() {
+        let outage = Duration::from_secs(outage_s);
+        let variants = variants();
+        let base =
+            (1..=seeds()).map(|seed| run_outage(settings(variants[0], seed), load, outage, 0));
+        let base: Vec<RunResult> = base.collect();
+        for variant in &selected_variants() {
             let mut totals = Totals::default();
-            for seed in 1..=seeds {
-                let settings = ReturnSettings {
-                    return_schedule,
-                    policy,
-                    revocation_delay: Some(REVOCATION_DELAY),
-                    seed: Some(seed),
-                    ..ReturnSettings::default()
-                };
-                let outage = Duration::from_secs(outage_s);
-                let (with, without) = run_outage(settings, load, outage, daemons);
-                totals.add(&with, &without);
+            for (seed, base) in (1..).zip(&base) {
+                totals.add(
+                    &run_outage(settings(*variant, seed), load, outage, daemons),
+                    base,
+                );
             }
             println!(
-                "load={load} outage={outage_s} cut={daemons} {name}: completed={:.2?} \
+                "load={load} outage={outage_s} cut={daemons} {}: completed={:.2?} \
                  arrived={:.2?} returns={} again={} again_with_store={} untimed={}",
+                variant.0,
                 ratios(&totals.with, &totals.without),
                 ratios(&totals.arrived_with, &totals.arrived_without),
                 totals.returns,
@@ -218,3 +247,169 @@
         }
     }
 }
+
+/// Limit of the team that sends too much; its usual requests need 24,000 tokens per second.
+const LIMIT: TeamLimit = TeamLimit {
+    per_second: 30_000.0,
+    burst: 30_000.0,
+    in_tokens: true,
+    default_tokens: 1_000,
+};
+const TEAM_RATE: f64 = 8.0;
+const BURST: Duration = Duration::from_secs(8);
+
+/// Runs with a team that sends 7.5 times its usual requests for some time.
+fn run_team(mut settings: ReturnSettings) -> LoadEnvironment {
+    settings.limit = Some(LIMIT);
+    settings.first_limited_kind = Some(3);
+    let mut kinds = kinds(0.8);
+    let mut team = kinds[1].clone();
+    team.path = "/team/";
+    team.per_second = TEAM_RATE;
+    team.prompt = (1_500.0, 1.2, 53_200.0);
+    kinds.push(team);
+    let mut environment = environment(kinds, settings);
+    environment.advance(WARM_UP, true);
+    environment.kinds[3].per_second = TEAM_RATE * 7.5;
+    environment.advance(BURST, true);
+    environment.kinds[3].per_second = TEAM_RATE;
+    environment.advance(Duration::from_secs(8), true);
+    environment.advance(Duration::from_secs(6), false);
+    environment
+}
+
+#[test]
+#[ignore = "comparison of variants, several minutes"]
+fn compare_variants_with_a_team_over_its_limit() {
+    let worth = [WORTH[0], WORTH[1], WORTH[2], WORTH[1]];
+    for variant in selected_variants() {
+        let mut value = [0.0; 2];
+        let mut counts = [0; 5];
+        let mut max_units = 0.0_f64;
+        for seed in 1..=seeds() {
+            let environment = run_team(settings(variant, seed));
+            let record = &environment.returns;
+            for call in &record.served {
+                let (in_time, late) = worth[call.kind];
+                value[usize::from(call.kind == 3)] += if call.late { late } else { in_time };
+            }
+            max_units = max_units.max(record.max_units(Duration::from_secs(8)));
+            let team = record.refused.iter().filter(|call| call.kind == 3);
+            let others = record.refused.iter().filter(|call| call.kind < 3);
+            counts[0] += team
+                .clone()
+                .filter(|call| !call.kept_time && call.retry_after.is_some())
+                .count();
+            counts[1] += team.clone().filter(|call| call.kept_time).count();
+            counts[2] += team
+                .filter(|call| !call.kept_time && call.retry_after.is_none())
+                .count();
+            counts[3] += others.clone().count();
+            counts[4] += record
+                .served
+                .iter()
+                .filter(|call| call.kind == 3)
+                .map(|call| call.units as usize)
+                .sum::<usize>();
+        }
+        println!(
+            "team {}: value others={:.0} team={:.0} returns={} again={} untimed={} others_refused={} units={} max_8s={max_units:.0}",
+            variant.0, value[0], value[1], counts[0], counts[1], counts[2], counts[3], counts[4]
+        );
+    }
+}
+
+#[test]
+#[ignore = "comparison of variants, several minutes"]
+fn compare_variants_under_overload() {
+    for variant in selected_variants() {
+        let mut value = 0.0;
+        let mut counts = [0; 3];
+        for seed in 1..=seeds() {
+            let mut kinds = kinds(2.2);
+            for kind in &mut kinds {
+                kind.caller_idle_timeout = Duration::from_millis(2_500);
+            }
+            let mut environment = environment(kinds, settings(variant, seed));
+            environment.advance(Duration::from_secs(25), true);
+            environment.advance(Duration::from_secs(14), false);
+            let record = &environment.returns;
+            for call in &record.served {
+                let (in_time, late) = WORTH[call.kind];
+                value += if call.late { late } else { in_time };
+            }
+            counts[0] += record.returns as usize;
+            counts[1] += record.refused_again();
+            counts[2] += record
+                .refused
+                .iter()
+                .filter(|call| !call.kept_time && call.retry_after.is_none())
+                .count();
+        }
+        println!(
+            "overload {}: value={value:.0} returns={} again={} untimed={}",
+            variant.0, counts[0], counts[1], counts[2]
+        );
+    }
+}
+
+/// Callers arrive in deployment A at 0.75 of the capacity while the store is unavailable to all
+/// daemons for 5 s. Guards against refused callers whose returns take the capacity of the usual
+/// arrivals when the store is available again, or come too late to be of value.
+#[test]
+fn the_value_served_after_an_outage_of_the_store_is_kept() {
+    let outage = Duration::from_secs(5);
+    let [off, on, ..] = variants()[..] else {
+        panic!("two variants");
+    };
+    let mut totals = Totals::default();
+    for seed in 1..=2 {
+        let with = run_outage(settings(on, seed), 1.4, outage, DAEMONS);
+        let without = run_outage(settings(off, seed), 1.4, outage, 0);
+        totals.add(&with, &without);
+    }
+    assert!(totals.returns > 100, "{totals:?}");
+    for values in [
+        ratios(&totals.with, &totals.without),
+        ratios(&totals.arrived_with, &totals.arrived_without),
+    ] {
+        assert!(values.iter().all(|value| *value >= 0.85), "{values:.2?}");
+    }
+}
+
+/// The store is unavailable to two of six daemons. Guards against callers that wait although other
+/// daemons could serve them, or that are refused there again.
+#[test]
+fn callers_of_daemons_without_the_store_are_served_elsewhere() {
+    let on = variants()[1];
+    let result = run_outage(settings(on, 1), 1.4, Duration::from_secs(5), DAEMONS / 3);
+    assert!(result.returns > 50, "{result:?}");
+    assert_eq!(result.refused_again + result.untimed, 0, "{result:?}");
+    assert!(result.max_delay <= Duration::from_millis(300), "{result:?}");
+}
+
+/// A team sends 7.5 times its usual requests for 8 s, with prompts of very different size. Guards
+/// against returns that are admitted beyond the limit and its tolerance, against refused callers
+/// that are given times at which there is no room, and against refusals of other teams.
+#[test]
+fn returns_of_a_team_over_its_limit_stay_within_it() {
+    let [off, on, ..] = variants()[..] else {
+        panic!("two variants");
+    };
+    let again = |variant| {
+        let environment = run_team(settings(variant, 1));
+        let record = &environment.returns;
+        assert!(record.refused.iter().all(|call| call.kind == 3));
+        let fraction = record.refused_again() as f64 / f64::from(record.returns);
+        (fraction, record.max_units(Duration::from_secs(8)))
+    };
+    let (off, _) = again(off);
+    let (on, units) = again(on);
+    // 8 s of the limit, its burst, and the tolerance of a tenth.
+    let max_units = (LIMIT.per_second * 8.0 + LIMIT.burst) * 1.1;
+    assert!(units <= max_units, "{units} units, at most {max_units}");
+    assert!(
+        on <= off * 0.6,
+        "{on:.2} of the returns were refused, without {off:.2}"
+    );
+}
