--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 mod relay;
 mod resumption;
 mod retry_after;
+mod returns;
 mod stall_detection;
 mod state_updates;
 mod store_reads;
@@ -58,6 +59,7 @@
 };
 use coordination::ZoneCoordination;
 use record::RequestRecord;
+use returns::ReturnState;
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
@@ -147,6 +149,7 @@
     confirmed_at: Option<MonotonicTime>,
     requests: BTreeMap<LocalRequest, RequestRecord>,
     queues: BTreeMap<ServiceLabel, WaitQueue>,
+    returns: ReturnState,
     demand_trackers: BTreeMap<ServiceLabel, DemandTracker>,
     queueing: QueueController,
     prefix_cache: PrefixCacheIndex,
@@ -229,6 +232,7 @@
     /// Creates a gateway without configuration, upstreams or peers.
     #[must_use]
     pub fn new(options: GatewayOptions) -> Self {
+        let returns = ReturnState::new(!options.seed ^ name_digest(options.host.as_str()));
         Self {
             random: RandomSequence(options.seed),
             limit_random: RandomSequence(options.seed ^ name_digest(options.host.as_str())),
@@ -274,6 +278,7 @@
             confirmed_at: None,
             requests: BTreeMap::new(),
             queues: BTreeMap::new(),
+            returns,
             demand_trackers: BTreeMap::new(),
             queueing: QueueController::default(),
             prefix_cache: PrefixCacheIndex::default(),
@@ -454,6 +459,7 @@
         self.refresh_slot_shares(now);
         self.refresh_reservations(now);
         self.store_reads.expire(now);
+        self.refresh_returns(now);
         self.expire_waiting(now, effects);
         self.refuse_early(now, effects);
         self.detect_stalls(now, effects);
--- a/crates/savorywood-gateway/tests/common/load.rs
+++ b/crates/savorywood-gateway/tests/common/load.rs
@@ -14,12 +14,15 @@
 pub mod overload;
 #[path = "load/pace.rs"]
 pub mod pace;
+#[path = "load/returns.rs"]
+pub mod returns;
 #[path = "load/slots.rs"]
 pub mod slots;
 
 use crate::harness::{GatewayHarness, config, options, route, upstream};
 use calls::{CallKind, CallTally, FirstDispatch, OpenCall, RandomSource};
 use engine::{EngineModel, EngineOutput, EngineRun};
+use returns::{ReturnRecord, ReturnSettings};
 use savorywood_gateway::{
     AttemptOutcome, DispatchOrder, GatewayEffect, GatewayEvent, LocalRequest, OverloadOptions,
     PeerContact, ReportedLoad, RequestArrival, RequestSize, ResponseMetadata, RetrySafety,
@@ -83,6 +86,8 @@
     pub sends_slot_updates: bool,
     /// Conditions under which daemons share slots.
     pub conditions: SlotConditions,
+    /// Faults of the store, teams, and what refused callers experience.
+    pub returns: ReturnRecord,
     steps: u64,
     random: RandomSource,
     /// Source for the daemons of retries. Without it they use that of the arrivals, which then depend
@@ -101,6 +106,21 @@
         Self::with_conditions(daemons, slowdown, slots, kinds, SlotConditions::default())
     }
 
+    /// Creates the environment with settings of the daemons and of the store.
+    pub fn with_settings(
+        daemons: usize,
+        slowdown: &[f64],
+        slots: u32,
+        kinds: Vec<CallKind>,
+        settings: ReturnSettings,
+    ) -> Self {
+        let conditions = SlotConditions {
+            returns: settings,
+            ..SlotConditions::default()
+        };
+        Self::with_conditions(daemons, slowdown, slots, kinds, conditions)
+    }
+
     /// Creates the environment with decisions under overload enabled.
     pub fn with_overload(
         daemons: usize,
@@ -134,6 +154,7 @@
             dispatched: 0,
             abandoned_streams: 0,
             sends_slot_updates: true,
+            returns: ReturnRecord::new(conditions.returns),
             steps: 0,
             random: RandomSource(conditions.seed),
             conditions,
@@ -173,9 +194,14 @@
         options.seed = 7 + number as u64;
         options.overload = self.conditions.overload;
         options.incarnation += self.conditions.restarts;
+        self.returns.settings.apply(&mut options);
         let mut harness = GatewayHarness::unconfigured(options);
         harness.now = self.now;
+        harness
+            .gateway
+            .set_return_policy(self.returns.settings.policy);
         let mut config = config(1, None);
+        self.returns.settings.add_teams(&mut config);
         for kind in &self.kinds {
             let retry_safety = RetrySafety::Stream {
                 resumable: kind.resumable,
@@ -271,8 +297,8 @@
             GatewayEffect::WriteRollout(_)
             | GatewayEffect::WriteQuarantine(_)
             | GatewayEffect::CheckUpstreams(_)
-            | GatewayEffect::CloseIdleConnections
-            | GatewayEffect::Log(_) => {}
+            | GatewayEffect::CloseIdleConnections => {}
+            GatewayEffect::Log(line) => self.record_admission(&line),
         }
     }
 
@@ -357,6 +383,7 @@
             return;
         };
         let kind = call.kind;
+        self.record_refusal(number, &call, after);
         let left = call.deadline_at.since(self.now);
         let retry_after = after.filter(|_| !call.retried);
         let Some(after) = retry_after else {
@@ -388,9 +415,7 @@
     }
 
     fn send_call(&mut self, mut call: OpenCall) {
-        let retry_random = self.retry_random.as_mut().filter(|_| call.retried);
-        let random = retry_random.unwrap_or(&mut self.random);
-        let number = self.conditions.choose_daemon(random, self.daemons.len());
+        let number = self.choose_daemon(&call);
         let kind = &self.kinds[call.kind];
         let left = call.deadline_at.since(self.now);
         let mut arrival: RequestArrival = crate::harness::arrival(&format!("{}1", kind.path));
@@ -401,13 +426,16 @@
         });
         arrival.expected_output_tokens = Some(call.output_estimate);
         arrival.prompt_parts = Vec::new();
+        self.set_key(&call, &mut arrival);
         call.received_at = self.now;
         call.sent_at = self.now;
         call.give_up_at = call.deadline_at;
         let request = self.daemons[number].next_request();
         self.calls.insert((number, request), call);
         self.daemons[number].now = self.now;
-        self.daemons[number].confirm();
+        if !self.is_cut_off(number) {
+            self.daemons[number].confirm();
+        }
         let arrival = Box::new(arrival);
         self.step(number, GatewayEvent::Arrived { request, arrival });
     }
@@ -473,6 +501,7 @@
         }
         if let Some(call) = self.calls.remove(&key) {
             self.tallies[call.kind].record_served(&call);
+            self.record_served(&call);
             let events = call.events;
             let outcome = AttemptOutcome::Delivered { metadata, events };
             self.step(
--- a/crates/savorywood-gateway/tests/common/load/slots.rs
+++ b/crates/savorywood-gateway/tests/common/load/slots.rs
@@ -1,7 +1,7 @@
 //! Conditions under which daemons share the slots of engines: uneven demand, daemons that are cut
 //! off from the others or restart, and load reports in responses.
 
-use super::{LoadEnvironment, calls::RandomSource};
+use super::{LoadEnvironment, calls::RandomSource, returns::ReturnSettings};
 use savorywood_gateway::{OverloadOptions, ReportedLoad, ReservationPolicy, ResponseMetadata};
 use savorywood_protocol::MonotonicTime;
 
@@ -21,6 +21,8 @@
 pub struct SlotConditions {
     pub seed: u64,
     pub overload: OverloadOptions,
+    /// Settings of the store, and of teams.
+    pub returns: ReturnSettings,
     pub policy: ReservationPolicy,
     /// Engines report their load with the first event of a response and with each rejection.
     pub reports_load: bool,
@@ -39,6 +41,7 @@
         Self {
             seed: 42,
             overload: OverloadOptions::default(),
+            returns: ReturnSettings::default(),
             policy: ReservationPolicy::default(),
             reports_load: false,
             cut_off: None,
--- a/crates/savorywood-gateway/tests/queue_policy.rs
+++ b/crates/savorywood-gateway/tests/queue_policy.rs
@@ -3,8 +3,8 @@
 use quickcheck::quickcheck;
 use savorywood_gateway::{
     LateWorkRule, LocalRequest, OrderedRequest, QueuePosition, QueueStage, QueuedRequest, RankRate,
-    RefusalCause, RequestRank, SlotReservation, UrgentRank, WaitingWork, WorkRates, early_refusals,
-    expected_wait, order_requests,
+    RefusalCause, RequestRank, UrgentRank, UrgentReservation, WaitingWork, WorkRates,
+    early_refusals, expected_wait, order_requests,
 };
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
@@ -215,8 +215,8 @@
     assert_eq!(most_urgent, idle);
 }
 
-fn reservation(waiting: u32, arrivals_per_s: f64) -> SlotReservation {
-    SlotReservation {
+fn reservation(waiting: u32, arrivals_per_s: f64) -> UrgentReservation {
+    UrgentReservation {
         waiting,
         ranks: vec![UrgentRank {
             arrivals_per_s,
