Input of upstreams, peers and the store is bounded in bytes and time

Cause: an event without an empty line grew until the host ran out of memory, and each read searched the whole buffer. Interim responses, trailers, chunk extensions, events and pages of a table had no limit. A sender that was never slower than the daemon kept its only thread, so neither the deadline of the request nor other connections were served.

Change: one event is at most 1 MiB and each byte is searched once; a stream is at most 16 MiB and 8 events for each token of the maximum output; chunk headers, trailers, interim and stale responses, relayed bytes and pages are limited. Readers yield after 256 KiB. A body that is read only for its connection is discarded, for at most 100 ms. The store's client skips interim responses and does not use a connection again on which bytes follow a response. Each cut is logged with its limit and counted in unbounded_input_total.

--- a/crates/savorywood-front/src/admin.rs
+++ b/crates/savorywood-front/src/admin.rs
@@ -5,7 +5,7 @@
     clock::with_timeout,
     shared::FrontShared,
     sink::ResponseSink,
-    wire::{ByteReader, HeaderLine, RequestHead},
+    wire::{ByteReader, HeadSearch, HeaderLine, RequestHead},
 };
 use async_net::{TcpListener, TcpStream};
 use savorywood_gateway::CallerLocation;
@@ -80,8 +80,9 @@
 }
 
 async fn read_head(reader: &mut ByteReader) -> Option<RequestHead> {
+    let mut search = HeadSearch::default();
     loop {
-        if let Some(end) = reader.head_end() {
+        if let Some(end) = search.end(reader.bytes()) {
             return RequestHead::parse(&reader.take(end)).ok();
         }
         if reader.bytes().len() > MAX_HEAD_BYTES || !matches!(reader.fill().await, Ok(1..)) {
--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -1,17 +1,19 @@
 //! One attempt at an upstream: connects, sends the request, reads the response and forwards it.
 
 mod events;
+mod stream_limit;
 
 use crate::{
     adapter::{DispatchContext, ParsedResponseHead},
+    clock::with_timeout,
     connect::{ConnectFailure, connect},
     metrics,
     peers::{RelayFailure, RelayRequest, open_relay},
     shared::FrontShared,
     sink::ResponseSink,
     wire::{
-        BodyDecoder, BodyFraming, ByteReader, HeaderLine, RequestHead, ResponseHead, read_body,
-        read_response_head,
+        BodyDecoder, BodyFraming, ByteReader, HeaderLine, InputLimit, RequestHead, ResponseHead,
+        discard_body, read_body, read_final_head,
     },
 };
 use async_net::TcpStream;
@@ -21,11 +23,17 @@
 use savorywood_gateway::{AttemptOutcome, DispatchOrder, GatewayEvent, StreamInterruption};
 use savorywood_protocol::MonotonicTime;
 use std::{cell::Cell, io, pin::pin, time::Duration};
+use stream_limit::StreamLimit;
 
 /// Responses to earlier requests that are skipped before the connection is closed.
 const MAX_STALE_RESPONSES: usize = 2;
 /// Maximum size of a response that is not streamed, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Maximum size in bytes of a body that is read only to use the connection again.
+const MAX_DISCARDED_BYTES: usize = 65_536;
+/// Maximum time to read such a body after the response that the request was not executed. Waiting for
+/// longer would delay the next attempt.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 /// Characters of a request's identifier that a relay is told, for its log.
 const MAX_RELAYED_ID_CHARS: usize = 64;
 /// Time after which the kernel closes a connection whose sent data is not acknowledged.
@@ -59,6 +67,13 @@
     pub saved_failure: &'a mut Option<SavedFailure>,
 }
 
+/// Complete events that were received together.
+#[derive(Debug, Default)]
+struct TakenEvents {
+    bytes: Vec<u8>,
+    count: u32,
+}
+
 /// No response head that belongs to the request could be read.
 struct ReadFailure;
 
@@ -235,12 +250,16 @@
             Err(ReadFailure) => return (AttemptOutcome::Broken { stalled: false }, None),
         };
         if parsed.not_executed || parsed.misdirected {
-            let body = read_body(reader, head.framing, MAX_RESPONSE_BYTES).await;
+            let discarded = discard_body(reader, head.framing, MAX_DISCARDED_BYTES);
+            let discarded = with_timeout(DISCARD_TIMEOUT, discarded).await;
+            if let Some(Err(error)) = &discarded {
+                self.report_limit(error.limit());
+            }
             let outcome = AttemptOutcome::NotRun {
                 misdirected: parsed.misdirected,
                 metadata: parsed.metadata,
             };
-            return (outcome, body.ok().map(|_| head));
+            return (outcome, matches!(discarded, Some(Ok(()))).then_some(head));
         }
         let success = (200..300).contains(&head.status);
         // An encoded body does not come from the upstream itself: no content coding was requested.
@@ -273,11 +292,10 @@
     ) -> Result<(ResponseHead, ParsedResponseHead), ReadFailure> {
         let mut stale_responses = 0;
         loop {
-            let head = read_response_head(reader).await;
-            let head = head.map_err(|_| ReadFailure)?;
-            if head.status < 200 {
-                continue;
-            }
+            let head = read_final_head(reader).await.map_err(|error| {
+                self.report_limit(InputLimit::of(&error));
+                ReadFailure
+            })?;
             let parsed = self.shared.adapter.parse_response_head(&head);
             let own_id = self.request_id();
             let upstream = &self.order.upstream;
@@ -286,11 +304,18 @@
                 Some(id) if *id != own_id => {
                     stale_responses += 1;
                     let framed = head.framing != BodyFraming::UntilClose;
-                    if stale_responses > MAX_STALE_RESPONSES || !framed {
+                    if stale_responses > MAX_STALE_RESPONSES {
+                        self.report_limit(Some(InputLimit::StaleResponses));
+                        return Err(ReadFailure);
+                    }
+                    if !framed {
                         return Err(ReadFailure);
                     }
-                    let skipped = read_body(reader, head.framing, MAX_RESPONSE_BYTES).await;
-                    skipped.map_err(|_| ReadFailure)?;
+                    let skipped = discard_body(reader, head.framing, MAX_RESPONSE_BYTES).await;
+                    skipped.map_err(|error| {
+                        self.report_limit(error.limit());
+                        ReadFailure
+                    })?;
                 }
                 Some(_) => return Ok((head, parsed)),
                 None if parsed.not_executed || parsed.misdirected => return Ok((head, parsed)),
@@ -311,8 +336,12 @@
         } else {
             head.framing
         };
-        let Ok(body) = read_body(reader, framing, MAX_RESPONSE_BYTES).await else {
-            return (AttemptOutcome::Broken { stalled: false }, None);
+        let body = match read_body(reader, framing, MAX_RESPONSE_BYTES).await {
+            Ok(body) => body,
+            Err(error) => {
+                self.report_limit(error.limit());
+                return (AttemptOutcome::Broken { stalled: false }, None);
+            }
         };
         let lines = self.forwarded_headers(&head);
         if head.status >= 500 || matches!(head.status, 408 | 421 | 429) {
@@ -349,12 +378,16 @@
     ) -> (AttemptOutcome, Option<ResponseHead>) {
         let mut decoder = BodyDecoder::new(head.framing);
         let mut buffer = EventBuffer::default();
+        let mut limit = StreamLimit::new(self.max_output_tokens());
         let mut started = false;
         loop {
-            if decoder.decode(reader, buffer.input_mut()).is_err() {
+            if let Err(error) = decoder.decode(reader, buffer.input_mut()) {
+                self.report_limit(error.limit());
                 return (self.stream_broken(), None);
             }
-            match self.forward_events(&mut buffer, &head).await {
+            let mut events = TakenEvents::default();
+            let taken = self.take_events(&mut buffer, &mut limit, &mut events);
+            match self.forward_events(events, &head).await {
                 Ok(0) => {}
                 Ok(_) if !started => {
                     started = true;
@@ -366,6 +399,10 @@
                 }),
                 Err(_) => return (AttemptOutcome::CallerDisconnected, None),
             }
+            if let Err(exceeded) = taken {
+                self.report_limit(Some(exceeded));
+                return (self.stream_broken(), None);
+            }
             if decoder.is_done() {
                 break;
             }
@@ -388,34 +425,59 @@
         (outcome, Some(head))
     }
 
-    /// Forwards the complete events of the buffer; returns how many there were.
-    async fn forward_events(
+    /// Moves the complete events of the buffer that the caller does not have yet to `taken`. Those
+    /// before an error are recorded as forwarded, and have to be.
+    fn take_events(
         &mut self,
         buffer: &mut EventBuffer,
-        head: &ResponseHead,
-    ) -> io::Result<u32> {
-        let mut bytes = Vec::new();
-        let mut events = 0;
-        while let Some(event) = buffer.take_event() {
+        limit: &mut StreamLimit,
+        taken: &mut TakenEvents,
+    ) -> Result<(), InputLimit> {
+        while let Some(event) = buffer.take_event()? {
+            limit.record(event.bytes.len())?;
             if self.is_duplicate(&event) {
                 continue;
             }
-            bytes.extend_from_slice(&event.bytes);
+            taken.bytes.extend_from_slice(&event.bytes);
+            taken.count += 1;
             self.sink.record_event(event.id);
-            events += 1;
         }
-        if bytes.is_empty() {
+        Ok(())
+    }
+
+    /// Forwards events to the caller; returns how many there were.
+    async fn forward_events(
+        &mut self,
+        events: TakenEvents,
+        head: &ResponseHead,
+    ) -> io::Result<u32> {
+        if events.bytes.is_empty() {
             return Ok(0);
         }
         if self.sink.has_started() {
-            self.sink.write_events(&bytes).await?;
+            self.sink.write_events(&events.bytes).await?;
         } else {
             let lines = self.forwarded_headers(head);
             self.sink
-                .start_stream(head.status, &head.reason, &lines, &bytes)
+                .start_stream(head.status, &head.reason, &lines, &events.bytes)
                 .await?;
         }
-        Ok(events)
+        Ok(events.count)
+    }
+
+    /// Reports that the connection to the upstream is closed because of a limit.
+    fn report_limit(&self, limit: Option<InputLimit>) {
+        if let Some(limit) = limit {
+            let upstream = &self.order.upstream;
+            self.shared
+                .report_unbounded(limit, upstream, &self.request_id());
+        }
+    }
+
+    /// Returns the maximum output that the caller named.
+    fn max_output_tokens(&self) -> Option<u32> {
+        let arrival = self.shared.adapter.parse_arrival(self.head).ok()?;
+        arrival.size.map(|size| size.max_output_tokens)
     }
 
     /// Reports whether the caller already has the event: an upstream that resumes a stream may
--- a/crates/savorywood-front/src/attempt/events.rs
+++ b/crates/savorywood-front/src/attempt/events.rs
@@ -1,9 +1,23 @@
 //! Splits a `text/event-stream` body into events.
 
+use crate::wire::InputLimit;
+
+/// Maximum size of one event in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Bytes of events already taken after which the buffer is compacted. Compacting at each event would
+/// move the bytes after it once for each event.
+const COMPACT_BYTES: usize = 16_384;
+
 /// Bytes of a stream that do not yet form a complete event.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     bytes: Vec<u8>,
+    /// Start of the first event that has not been taken.
+    start: usize,
+    /// Bytes before this position have been searched for the end of that event.
+    searched: usize,
+    /// Start of the line that contains `searched`.
+    line_start: usize,
 }
 
 /// One complete event, including its closing empty line.
@@ -17,6 +31,12 @@
 impl EventBuffer {
     /// Returns the buffer to which received bytes are appended.
     pub fn input_mut(&mut self) -> &mut Vec<u8> {
+        if self.start >= COMPACT_BYTES || self.start == self.bytes.len() {
+            self.bytes.drain(..self.start);
+            self.searched -= self.start;
+            self.line_start -= self.start;
+            self.start = 0;
+        }
         &mut self.bytes
     }
 
@@ -24,34 +44,48 @@
     ///
     /// Only complete events are forwarded: the first half of an event from an upstream that failed
     /// would otherwise be joined with the first bytes of the upstream that resumes the stream.
-    pub fn take_event(&mut self) -> Option<StreamEvent> {
-        let end = event_end(&self.bytes)?;
-        let rest = self.bytes.split_off(end);
-        let bytes = std::mem::replace(&mut self.bytes, rest);
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the event exceeds its maximum size, complete or not.
+    pub fn take_event(&mut self) -> Result<Option<StreamEvent>, InputLimit> {
+        let end = self.search_end();
+        let size = end.unwrap_or(self.bytes.len()) - self.start;
+        if size > MAX_EVENT_BYTES {
+            return Err(InputLimit::Event);
+        }
+        let Some(end) = end else {
+            return Ok(None);
+        };
+        let bytes = self.bytes[self.start..end].to_vec();
+        self.start = end;
         let id = event_id(&bytes);
-        Some(StreamEvent { bytes, id })
+        Ok(Some(StreamEvent { bytes, id }))
     }
 
     /// Reports whether no incomplete event is left.
     pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+        self.start == self.bytes.len()
     }
-}
 
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        let is_empty = line.is_empty() || line == b"\r";
-        if is_empty {
-            return Some(index + 1);
+    /// Returns the end of the first event once it is complete. Each byte is searched once.
+    fn search_end(&mut self) -> Option<usize> {
+        while let Some(offset) = self.bytes[self.searched..]
+            .iter()
+            .position(|byte| *byte == b'\n')
+        {
+            let line_end = self.searched + offset;
+            let line = &self.bytes[self.line_start..line_end];
+            let is_empty = line.is_empty() || line == b"\r";
+            self.searched = line_end + 1;
+            self.line_start = self.searched;
+            if is_empty {
+                return Some(self.searched);
+            }
         }
-        line_start = index + 1;
+        self.searched = self.bytes.len();
+        None
     }
-    None
 }
 
 fn event_id(event: &[u8]) -> Option<String> {
--- a/crates/savorywood-front/src/attempt/events/tests.rs
+++ b/crates/savorywood-front/src/attempt/events/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use quickcheck::quickcheck;
+use std::time::{Duration, Instant};
 
 fn stream(count: u8, line_end: &str) -> String {
     let events = (1..=count).map(|id| format!("id: {id}{line_end}data: x{id}{line_end}{line_end}"));
@@ -19,7 +20,7 @@
             let (piece, after) = rest.split_at(cut.min(rest.len()));
             buffer.input_mut().extend_from_slice(piece);
             rest = after;
-            while let Some(event) = buffer.take_event() {
+            while let Ok(Some(event)) = buffer.take_event() {
                 ids.extend(event.id.and_then(|id| id.parse::<u8>().ok()));
                 bytes.extend(event.bytes);
             }
@@ -35,7 +36,58 @@
     buffer
         .input_mut()
         .extend_from_slice(b"id: 1\ndata: a\n\nid: 2\ndata: hal");
-    assert!(buffer.take_event().is_some());
-    assert_eq!(buffer.take_event(), None);
+    assert!(matches!(buffer.take_event(), Ok(Some(_))));
+    assert_eq!(buffer.take_event(), Ok(None));
     assert!(!buffer.is_empty());
 }
+
+/// Guards against an event without an end that fills the memory, and against a search of the whole
+/// buffer at each read, which took minutes for one event in small pieces.
+#[test]
+fn endless_event_is_cut_in_linear_time() {
+    let started = Instant::now();
+    let mut buffer = EventBuffer::default();
+    let mut received = 0;
+    let cut = loop {
+        buffer.input_mut().extend_from_slice(b"data: x\n");
+        received += 8;
+        match buffer.take_event() {
+            Ok(event) => assert_eq!(event, None),
+            Err(limit) => break limit,
+        }
+    };
+    assert_eq!(cut, InputLimit::Event);
+    assert!(received <= MAX_EVENT_BYTES + 8, "{received}");
+    assert!(started.elapsed() < Duration::from_secs(5));
+}
+
+/// Guards against an event of the maximum size that is cut, and against a complete one above it that
+/// is not, as it arrived in one read.
+#[test]
+fn event_size_is_limited_complete_or_not() {
+    for (size, fits) in [(MAX_EVENT_BYTES, true), (MAX_EVENT_BYTES + 1, false)] {
+        let mut buffer = EventBuffer::default();
+        let mut event = vec![b'x'; size - 2];
+        event.extend_from_slice(b"\n\n");
+        buffer.input_mut().extend_from_slice(&event);
+        assert_eq!(matches!(buffer.take_event(), Ok(Some(_))), fits, "{size}");
+    }
+}
+
+/// Guards against a copy of all following bytes for each of many small events received together.
+#[test]
+fn many_events_are_taken_in_linear_time() {
+    let started = Instant::now();
+    let mut buffer = EventBuffer::default();
+    buffer
+        .input_mut()
+        .extend_from_slice(&b"a\n\n".repeat(1_000_000));
+    let mut count = 0;
+    while let Ok(Some(event)) = buffer.take_event() {
+        assert_eq!(event.bytes, b"a\n\n");
+        count += 1;
+    }
+    assert_eq!(count, 1_000_000);
+    assert!(buffer.input_mut().is_empty());
+    assert!(started.elapsed() < Duration::from_secs(5));
+}
--- a/crates/savorywood-front/src/caller/request_reader.rs
+++ b/crates/savorywood-front/src/caller/request_reader.rs
@@ -3,7 +3,7 @@
 use crate::{
     clock::with_timeout,
     shared::FrontShared,
-    wire::{BodyError, BodyFraming, ByteReader, HeadError, RequestHead, read_body},
+    wire::{BodyError, BodyFraming, ByteReader, HeadError, HeadSearch, RequestHead, read_body},
 };
 use futures_lite::AsyncWriteExt;
 use savorywood_gateway::CallerLimits;
@@ -69,7 +69,7 @@
         Some(Err(BodyError::TooLarge)) => {
             RequestRead::Rejected(413, "the request body exceeds the size limit")
         }
-        Some(Err(BodyError::BadChunk)) => {
+        Some(Err(BodyError::BadChunk | BodyError::ChunkCodingTooLarge)) => {
             RequestRead::Rejected(400, "the chunked coding of the body is malformed")
         }
         Some(Err(BodyError::CutOff | BodyError::Broken { .. })) => RequestRead::Closed,
@@ -103,9 +103,10 @@
     reader: &mut ByteReader,
     limits: &CallerLimits,
 ) -> Result<Option<RequestHead>, HeadError> {
+    let mut search = HeadSearch::default();
     loop {
         skip_empty_lines(reader);
-        if let Some(end) = reader.head_end() {
+        if let Some(end) = search.end(reader.bytes()) {
             if end > limits.header_bytes {
                 return Err(HeadError::TooLarge);
             }
--- a/crates/savorywood-front/src/feeds.rs
+++ b/crates/savorywood-front/src/feeds.rs
@@ -2,6 +2,7 @@
 //! feed, and reads it completely again after a gap in the feed.
 
 mod members;
+mod page_limit;
 mod quarantine;
 mod rollouts;
 mod row_cache;
--- a/crates/savorywood-front/src/feeds/members.rs
+++ b/crates/savorywood-front/src/feeds/members.rs
@@ -1,11 +1,12 @@
 //! The table of members, in which daemons find each other at the start.
 
-use super::{CALL_TIMEOUT, MAX_BACKOFF};
+use super::{CALL_TIMEOUT, MAX_BACKOFF, page_limit::PageLimit};
 use crate::{
     adapter::{RowRange, StoreTable, TableWrite},
     peers::PeerSocket,
     shared::FrontShared,
     store::StoreConnection,
+    wire::InputLimit,
 };
 use async_io::Timer;
 use savorywood_gateway::{
@@ -246,6 +247,7 @@
         lists_self: false,
     };
     let mut after: Option<String> = None;
+    let mut limit = PageLimit::default();
     loop {
         let range = RowRange {
             prefix,
@@ -256,10 +258,15 @@
         if response.status != 200 {
             return None;
         }
+        let size = response.body.len();
         let page = shared
             .adapter
             .parse_page(shared.observe_store_era(&response), &response.body)?;
         after = page.rows.last().map(|row| row.key.clone());
+        if page.truncated && limit.record(size, after.as_deref()).is_err() {
+            shared.report_unbounded(InputLimit::Pages, "store", "-");
+            return None;
+        }
         for row in page.rows {
             let Some(value) = row.value else { continue };
             members.lists_self |= row.key == own_key && value == own_text;
--- a/crates/savorywood-front/src/feeds/quarantine.rs
+++ b/crates/savorywood-front/src/feeds/quarantine.rs
@@ -1,10 +1,11 @@
 //! Quarantined requests in the store, which survive a restart of all daemons.
 
-use super::{CALL_TIMEOUT, MAX_BACKOFF};
+use super::{CALL_TIMEOUT, MAX_BACKOFF, page_limit::PageLimit};
 use crate::{
     adapter::{RowRange, StoreRow, StoreTable, TableWrite},
     shared::FrontShared,
     store::StoreConnection,
+    wire::InputLimit,
 };
 use async_channel::Receiver;
 use async_io::Timer;
@@ -39,17 +40,23 @@
 ) -> Option<Vec<QuarantineRow>> {
     let mut rows = Vec::new();
     let mut after: Option<String> = None;
+    let mut limit = PageLimit::default();
     loop {
         let table = StoreTable::Quarantine;
         let range = RowRange::after(after.as_deref());
         let call = shared.adapter.read_rows_call(table, range);
         let response = connection.call(&call, CALL_TIMEOUT).await.ok()?;
+        let size = response.body.len();
         let page = Some(response).filter(|response| response.status == 200);
         let page = page.and_then(|response| {
             let era = shared.observe_store_era(&response);
             shared.adapter.parse_page(era, &response.body)
         })?;
         after = page.rows.last().map(|row| row.key.clone());
+        if page.truncated && limit.record(size, after.as_deref()).is_err() {
+            shared.report_unbounded(InputLimit::Pages, "store", "-");
+            return None;
+        }
         rows.extend(page.rows.iter().filter_map(read_row));
         if !page.truncated || after.is_none() {
             return Some(rows);
--- a/crates/savorywood-front/src/feeds/table_reads.rs
+++ b/crates/savorywood-front/src/feeds/table_reads.rs
@@ -2,6 +2,7 @@
 
 use super::{
     CALL_TIMEOUT, CHANGE_BATCH_DELAY, FEED_TIMEOUT_MARGIN, MAX_CHANGE_BATCH_DELAY, TableReader,
+    page_limit::PageLimit,
 };
 use crate::{
     adapter::{RowRange, StorePage, StoreRow, StoreTable},
@@ -19,6 +20,7 @@
         let mut rows = Vec::new();
         let mut first: Option<(StorePage, StoreResponse)> = None;
         let mut after: Option<String> = None;
+        let mut limit = PageLimit::default();
         loop {
             let call = self
                 .shared
@@ -36,6 +38,13 @@
             rows.append(&mut page.rows);
             after = rows.last().map(|row: &StoreRow| row.key.clone());
             let truncated = page.truncated;
+            if truncated {
+                let read = limit.record(response.body.len(), after.as_deref());
+                read.map_err(|limit| {
+                    self.shared.report_unbounded(limit, "store", "-");
+                    limit.to_string()
+                })?;
+            }
             first.get_or_insert((page, response));
             if !truncated || after.is_none() {
                 break;
@@ -151,7 +160,12 @@
                 "the store responded with status {}",
                 response.status
             )),
-            Err(error) => Err(error.to_string()),
+            Err(error) => {
+                if let Some(limit) = error.limit() {
+                    self.shared.report_unbounded(limit, "store", "-");
+                }
+                Err(error.to_string())
+            }
         }
     }
 
--- a/crates/savorywood-front/src/lib.rs
+++ b/crates/savorywood-front/src/lib.rs
@@ -13,6 +13,7 @@
 mod content;
 mod count;
 mod feeds;
+mod held;
 mod load;
 mod logging;
 mod metrics;
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics of a front daemon.
 
-use crate::logging::OmittedLines;
+use crate::{held::HeldMetrics, logging::OmittedLines};
 use prometheus::{
     Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     Opts, Registry, TextEncoder,
@@ -63,6 +63,8 @@
     pub cold_upstreams: IntGauge,
     /// Datagrams that could not be decoded.
     pub unreadable_datagrams: IntCounter,
+    /// Memory held for slow readers, and unbounded input.
+    pub held: HeldMetrics,
     log_omitted: IntCounterVec,
 }
 
@@ -152,6 +154,7 @@
                 "entry_members",
                 "Members of the entry set of this availability zone",
             ),
+            held: HeldMetrics::default(),
             log_omitted: counter_vec("log_lines_omitted_total", "Log lines dropped", "cause"),
             registry,
         };
@@ -160,20 +163,20 @@
     }
 }
 
-fn metric_name(name: &str) -> String {
+pub fn metric_name(name: &str) -> String {
     format!("savorywood_{name}")
 }
 
-fn counter(name: &str, help: &str) -> IntCounter {
+pub fn counter(name: &str, help: &str) -> IntCounter {
     IntCounter::new(metric_name(name), help).expect("the name is a constant and valid")
 }
 
-fn counter_vec(name: &str, help: &str, label: &str) -> IntCounterVec {
+pub fn counter_vec(name: &str, help: &str, label: &str) -> IntCounterVec {
     let opts = Opts::new(metric_name(name), help);
     IntCounterVec::new(opts, &[label]).expect("the name is a constant and valid")
 }
 
-fn gauge(name: &str, help: &str) -> IntGauge {
+pub fn gauge(name: &str, help: &str) -> IntGauge {
     IntGauge::new(metric_name(name), help).expect("the name is a constant and valid")
 }
 
@@ -236,6 +239,7 @@
                 .register(collector)
                 .expect("each metric is registered once");
         }
+        self.held.register(&self.registry);
     }
 
     /// Returns all metrics in the Prometheus text format, including the numbers of dropped log
--- a/crates/savorywood-front/src/peers/relay.rs
+++ b/crates/savorywood-front/src/peers/relay.rs
@@ -14,8 +14,8 @@
     count::CountGuard,
     shared::FrontShared,
     wire::{
-        ByteReader, FRAME_HEADER_BYTES, MAX_FRAME_BYTES, MAX_RESPONSE_HEAD_BYTES, ResponseHead,
-        frame_header, head_end,
+        ByteReader, FRAME_HEADER_BYTES, HeadSearch, InputLimit, MAX_FRAME_BYTES,
+        MAX_RESPONSE_HEAD_BYTES, ResponseHead, frame_header,
     },
 };
 use async_net::TcpStream;
@@ -32,6 +32,12 @@
 const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
 /// Maximum size of a reply in bytes.
 const MAX_REPLY_BYTES: usize = 64;
+/// Maximum number of bytes of an upstream that are relayed for one request. The requesting daemon
+/// accepts 16 MiB of a response; the rest is for heads, chunk headers and stale responses.
+const MAX_RELAYED_BYTES: usize = 64 << 20;
+/// Bytes after which a relay lets other tasks run, because an upstream and a requesting daemon that
+/// are never slower than this one would otherwise keep its only thread.
+const YIELD_BYTES: usize = 262_144;
 
 /// Request to connect to an upstream and to forward bytes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -132,6 +138,11 @@
     let time = Duration::from_millis(request.time_left_ms.into()) + DEADLINE_MARGIN;
     let mut observer = HeadObserver::new(shared, &upstream, &request.request_id);
     let forwarded = with_timeout(time, forward(origin, target, &mut observer)).await;
+    if let Some(Err(error)) = &forwarded
+        && let Some(limit) = InputLimit::of(error)
+    {
+        shared.report_unbounded(limit, &upstream, &request.request_id);
+    }
     forwarded.unwrap_or(Ok("expired"))
 }
 
@@ -143,6 +154,7 @@
     request_id: &'a str,
     /// Bytes of the head received so far; `None` once it was read.
     head: Option<Vec<u8>>,
+    search: HeadSearch,
 }
 
 impl<'a> HeadObserver<'a> {
@@ -152,13 +164,14 @@
             upstream,
             request_id,
             head: Some(Vec::new()),
+            search: HeadSearch::default(),
         }
     }
 
     fn observe(&mut self, bytes: &[u8]) {
         let Some(head) = &mut self.head else { return };
         head.extend_from_slice(bytes);
-        let Some(end) = head_end(head) else {
+        let Some(end) = self.search.end(head) else {
             if head.len() > MAX_RESPONSE_HEAD_BYTES {
                 self.head = None;
             }
@@ -193,8 +206,19 @@
     let back = async {
         let (mut origin, mut target) = (origin.clone(), target.clone());
         let mut frame = vec![0; FRAME_HEADER_BYTES + MAX_FRAME_BYTES];
+        let (mut relayed, mut unyielded) = (0, 0);
         loop {
             let count = target.read(&mut frame[FRAME_HEADER_BYTES..]).await?;
+            relayed += count;
+            if relayed > MAX_RELAYED_BYTES {
+                // Without the last frame, the requesting daemon takes the response as incomplete.
+                return Err(InputLimit::Relay.into());
+            }
+            unyielded += count;
+            if unyielded >= YIELD_BYTES {
+                unyielded = 0;
+                future::yield_now().await;
+            }
             observer.observe(&frame[FRAME_HEADER_BYTES..FRAME_HEADER_BYTES + count]);
             let header = frame_header(count)?;
             frame[..FRAME_HEADER_BYTES].copy_from_slice(&header);
--- a/crates/savorywood-front/src/pool.rs
+++ b/crates/savorywood-front/src/pool.rs
@@ -57,7 +57,7 @@
             }
             let mut reader = newest.reader;
             // A closed connection, or one with bytes that belong to no request, is discarded.
-            if future::poll_once(reader.fill()).await.is_none() {
+            if future::poll_once(reader.fill()).await.is_none() && reader.bytes().is_empty() {
                 return Some(reader);
             }
         }
--- a/crates/savorywood-front/src/reachability.rs
+++ b/crates/savorywood-front/src/reachability.rs
@@ -2,6 +2,7 @@
 
 use crate::{connect::connect, shared::FrontShared};
 use async_channel::Receiver;
+use async_executor::LocalExecutor;
 use savorywood_gateway::GatewayEvent;
 use std::{net::SocketAddr, rc::Rc};
 
@@ -9,14 +10,23 @@
 /// time and closes it again.
 pub async fn run_checks(shared: Rc<FrontShared>, checks: Receiver<Vec<SocketAddr>>) {
     while let Ok(addresses) = checks.recv().await {
-        let connects: Vec<_> = addresses
-            .into_iter()
-            .map(|address| shared.executor.spawn(connect(address)))
-            .collect();
-        let mut reached = 0;
-        for connecting in connects {
-            reached += usize::from(connecting.await.is_ok());
-        }
+        let reached = count_reached(&shared.executor, addresses).await;
         shared.step(GatewayEvent::UpstreamsChecked { reached });
     }
 }
+
+/// Returns the number of addresses to which a connection could be opened. Nothing is read from them.
+async fn count_reached(executor: &LocalExecutor<'static>, addresses: Vec<SocketAddr>) -> usize {
+    let connects: Vec<_> = addresses
+        .into_iter()
+        .map(|address| executor.spawn(connect(address)))
+        .collect();
+    let mut reached = 0;
+    for connecting in connects {
+        reached += usize::from(connecting.await.is_ok());
+    }
+    reached
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/savorywood-front/src/store.rs
+++ b/crates/savorywood-front/src/store.rs
@@ -3,7 +3,7 @@
 use crate::{
     attempt::configure_socket,
     clock::{BootClock, with_timeout},
-    wire::{ByteReader, HeaderList, StoreCall, read_body, read_response_head},
+    wire::{ByteReader, HeaderList, InputLimit, StoreCall, read_body, read_final_head},
 };
 use async_net::TcpStream;
 use futures_lite::AsyncWriteExt;
@@ -37,6 +37,17 @@
     },
 }
 
+impl StoreError {
+    /// Returns the limit that the response exceeded, if it did.
+    #[must_use]
+    pub fn limit(&self) -> Option<InputLimit> {
+        match self {
+            Self::Broken { source, .. } => InputLimit::of(source),
+            Self::TimedOut { .. } => None,
+        }
+    }
+}
+
 /// A response of the store.
 #[derive(Debug)]
 pub struct StoreResponse {
@@ -127,11 +138,16 @@
             .await
             .context(BrokenSnafu { step, address })?;
         let step = "reading";
-        let head = read_response_head(&mut reader).await;
+        let head = read_final_head(&mut reader).await;
         let head = head.context(BrokenSnafu { step, address })?;
         let body = read_body(&mut reader, head.framing, MAX_RESPONSE_BYTES).await;
-        let body = body.map_err(io::Error::other);
+        let body = body.map_err(|error| match error.limit() {
+            Some(limit) => limit.into(),
+            None => io::Error::other(error),
+        });
         let body = body.context(BrokenSnafu { step, address })?;
+        // Bytes after the response would be taken for the response to the next call.
+        let is_reusable = !head.closes_connection && reader.bytes().is_empty();
         let response = StoreResponse {
             status: head.status,
             headers: head.headers,
@@ -139,7 +155,7 @@
             sent,
             received: self.clock.now(),
         };
-        Ok((response, (!head.closes_connection).then_some(reader)))
+        Ok((response, is_reusable.then_some(reader)))
     }
 
     async fn connect(&self) -> Result<ByteReader, StoreError> {
@@ -170,3 +186,6 @@
         bytes
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/savorywood-front/src/wire.rs
+++ b/crates/savorywood-front/src/wire.rs
@@ -8,14 +8,16 @@
 mod body;
 mod frames;
 mod head;
+mod limit;
 mod reader;
 
-pub use body::{BodyDecoder, BodyError, read_body};
+pub use body::{BodyDecoder, BodyError, discard_body, read_body};
 pub use frames::{FRAME_HEADER_BYTES, MAX_FRAME_BYTES, frame_header};
 pub use head::{
     BodyFraming, HeadError, HeaderLine, HeaderList, RequestHead, ResponseHead, is_hop_by_hop_header,
 };
-pub use reader::{ByteReader, MAX_RESPONSE_HEAD_BYTES, bytes_read, head_end, read_response_head};
+pub use limit::InputLimit;
+pub use reader::{ByteReader, HeadSearch, MAX_RESPONSE_HEAD_BYTES, bytes_read, read_final_head};
 
 /// One call to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/savorywood-front/src/wire/body.rs
+++ b/crates/savorywood-front/src/wire/body.rs
@@ -1,13 +1,18 @@
 //! Incremental decoding of HTTP/1.1 bodies.
 
-use super::{head::BodyFraming, reader::ByteReader};
+use super::{head::BodyFraming, limit::InputLimit, reader::ByteReader};
 use snafu::Snafu;
 use std::io;
 
 /// Maximum length in bytes of a line that holds a chunk size.
 const MAX_CHUNK_LINE: usize = 256;
-/// Maximum size of a trailer line in bytes.
+/// Maximum size of all trailer lines in bytes.
 const MAX_TRAILERS: usize = 8_192;
+/// Bytes of chunk headers that a body may have besides `MAX_CODING_RATIO`.
+const MAX_CODING_BYTES: u64 = 65_536;
+/// Bytes of chunk headers allowed for each byte of the body. Chunks of one byte with a short extension
+/// stay within it.
+const MAX_CODING_RATIO: u64 = 16;
 
 /// A body could not be read completely.
 #[derive(Debug, Snafu)]
@@ -24,6 +29,21 @@
     /// The body exceeds the size limit.
     #[snafu(display("the body exceeds the size limit"))]
     TooLarge,
+    /// Chunk headers or trailers exceed their size limit.
+    #[snafu(display("the chunk headers or trailers of the body exceed the size limit"))]
+    ChunkCodingTooLarge,
+}
+
+impl BodyError {
+    /// Returns the limit that the body exceeded, if it did.
+    #[must_use]
+    pub fn limit(&self) -> Option<InputLimit> {
+        match self {
+            Self::TooLarge => Some(InputLimit::Body),
+            Self::ChunkCodingTooLarge => Some(InputLimit::ChunkCoding),
+            Self::Broken { .. } | Self::CutOff | Self::BadChunk => None,
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +61,12 @@
 #[derive(Debug, Clone)]
 pub struct BodyDecoder {
     state: DecodeState,
+    /// Bytes of the body that were decoded.
+    content_bytes: u64,
+    /// Bytes of chunk headers.
+    coding_bytes: u64,
+    /// Bytes of trailers.
+    trailer_bytes: usize,
 }
 
 impl BodyDecoder {
@@ -52,7 +78,12 @@
             BodyFraming::Chunked => DecodeState::ChunkSize,
             BodyFraming::UntilClose => DecodeState::UntilClose,
         };
-        Self { state }
+        Self {
+            state,
+            content_bytes: 0,
+            coding_bytes: 0,
+            trailer_bytes: 0,
+        }
     }
 
     /// Reports whether the body is complete.
@@ -65,7 +96,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the chunked coding is malformed.
+    /// Returns an error when the chunked coding is malformed or exceeds its size limit.
     pub fn decode(&mut self, reader: &mut ByteReader, out: &mut Vec<u8>) -> Result<(), BodyError> {
         while !self.is_done() && self.advance(reader, out)? {}
         Ok(())
@@ -112,9 +143,15 @@
                     0 => DecodeState::Trailers,
                     size => DecodeState::ChunkData(size),
                 };
+                self.coding_bytes += line.len() as u64;
+                let allowed = self.content_bytes.saturating_mul(MAX_CODING_RATIO);
+                if self.coding_bytes > allowed.saturating_add(MAX_CODING_BYTES) {
+                    return Err(BodyError::ChunkCodingTooLarge);
+                }
             }
-            DecodeState::ChunkData(remaining) => {
-                let remaining = move_bytes(reader, out, remaining);
+            DecodeState::ChunkData(size) => {
+                let remaining = move_bytes(reader, out, size);
+                self.content_bytes += size - remaining;
                 self.state = if remaining == 0 {
                     DecodeState::ChunkEnd
                 } else {
@@ -136,6 +173,11 @@
                 };
                 if line.is_empty() {
                     self.state = DecodeState::Done;
+                    return Ok(true);
+                }
+                self.trailer_bytes += line.len();
+                if self.trailer_bytes > MAX_TRAILERS {
+                    return Err(BodyError::ChunkCodingTooLarge);
                 }
             }
         }
@@ -154,15 +196,17 @@
 }
 
 fn take_line(reader: &mut ByteReader, max_length: usize) -> Result<Option<Vec<u8>>, BodyError> {
-    let end = reader.bytes().windows(2).position(|pair| pair == b"\r\n");
-    match end {
-        Some(end) if end <= max_length => {
-            let line = reader.bytes()[..end].to_vec();
+    let bytes = reader.bytes();
+    // Bytes after the maximum are not searched: the line is too long if it does not end before.
+    let searched = &bytes[..bytes.len().min(max_length + 2)];
+    match searched.windows(2).position(|pair| pair == b"\r\n") {
+        Some(end) => {
+            let line = searched[..end].to_vec();
             reader.consume(end + 2);
             Ok(Some(line))
         }
-        None if reader.bytes().len() <= max_length => Ok(None),
-        _ => Err(BodyError::BadChunk),
+        None if bytes.len() < max_length + 2 => Ok(None),
+        None => Err(BodyError::ChunkCodingTooLarge),
     }
 }
 
@@ -211,5 +255,38 @@
     }
 }
 
+/// Reads a body of at most `limit` bytes and discards it.
+///
+/// # Errors
+///
+/// Returns an error under the same conditions as `read_body`.
+pub async fn discard_body(
+    reader: &mut ByteReader,
+    framing: BodyFraming,
+    limit: usize,
+) -> Result<(), BodyError> {
+    if matches!(framing, BodyFraming::Length(length) if length > limit as u64) {
+        return Err(BodyError::TooLarge);
+    }
+    let mut decoder = BodyDecoder::new(framing);
+    let (mut discarded, mut piece) = (0, Vec::new());
+    loop {
+        decoder.decode(reader, &mut piece)?;
+        discarded += piece.len();
+        piece.clear();
+        if discarded > limit {
+            return Err(BodyError::TooLarge);
+        }
+        if decoder.is_done() {
+            return Ok(());
+        }
+        match reader.fill().await {
+            Ok(0) => return decoder.ended(),
+            Ok(_) => {}
+            Err(source) => return Err(BodyError::Broken { source }),
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/savorywood-front/src/wire/body/tests.rs
+++ b/crates/savorywood-front/src/wire/body/tests.rs
@@ -87,3 +87,25 @@
         );
     }
 }
+
+/// Guards against chunk extensions and trailers without an end: each line is short, and the body stays
+/// within its limit.
+#[test]
+fn endless_chunk_coding_is_rejected() {
+    let extended = format!("1;{}\r\nx\r\n", "e".repeat(200)).repeat(2_000);
+    let trailers = format!("0\r\n{}", "x: y\r\n".repeat(20_000));
+    let line = format!("5;{}", "e".repeat(1_000));
+    for text in [extended, trailers, line] {
+        let read = read_split(text.as_bytes(), &[], BodyFraming::Chunked);
+        let limit = read.err().and_then(|error| error.limit());
+        assert_eq!(limit, Some(InputLimit::ChunkCoding));
+    }
+}
+
+/// Guards against a limit of the chunk coding that rejects a valid body in chunks of one byte.
+#[test]
+fn chunks_of_one_byte_are_accepted() {
+    let pieces: Vec<Vec<u8>> = (0..50_000).map(|_| vec![b'x']).collect();
+    let read = read_split(&chunked(&pieces), &[], BodyFraming::Chunked);
+    assert!(read.is_ok_and(|body| body.len() == 50_000));
+}
--- a/crates/savorywood-front/src/wire/reader.rs
+++ b/crates/savorywood-front/src/wire/reader.rs
@@ -3,9 +3,10 @@
 use super::{
     frames::FrameDecoder,
     head::{HeadError, ResponseHead},
+    limit::InputLimit,
 };
 use async_net::TcpStream;
-use futures_lite::AsyncReadExt;
+use futures_lite::{AsyncReadExt, future};
 use std::{
     io,
     sync::atomic::{AtomicU64, Ordering},
@@ -15,6 +16,11 @@
 const READ_BUFFER_BYTES: usize = 16_384;
 /// Maximum size of a response head in bytes.
 pub const MAX_RESPONSE_HEAD_BYTES: usize = 65_536;
+/// Maximum number of interim responses (status 1xx) before a final one.
+const MAX_INTERIM_HEADS: usize = 16;
+/// Bytes after which a reader lets other tasks run. A sender that is never slower than this process
+/// would otherwise keep the only thread: neither time-outs nor other connections would be served.
+const YIELD_BYTES: usize = 262_144;
 
 /// Bytes that this process has read from connections of callers and upstreams.
 static LOAD_BYTES_READ: AtomicU64 = AtomicU64::new(0);
@@ -39,6 +45,8 @@
     counts_as_load: bool,
     /// Decoder of a connection on which a peer relays bytes in frames.
     frames: Option<FrameDecoder>,
+    /// Bytes read since other tasks could last run.
+    unyielded: usize,
 }
 
 impl ByteReader {
@@ -52,6 +60,7 @@
             scratch: vec![0; READ_BUFFER_BYTES].into_boxed_slice(),
             counts_as_load: true,
             frames: None,
+            unyielded: 0,
         }
     }
 
@@ -111,22 +120,29 @@
             let received = &self.scratch[..count];
             let Some(frames) = &mut self.frames else {
                 self.buffer.extend_from_slice(received);
+                self.yield_after(count).await;
                 return Ok(count);
             };
             if count == 0 && !frames.has_ended() {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
             let content = frames.decode(received, &mut self.buffer)?;
-            if content > 0 || frames.has_ended() {
+            let is_read = content > 0 || frames.has_ended();
+            self.yield_after(count).await;
+            if is_read {
                 return Ok(content);
             }
         }
     }
 
-    /// Returns the length of the head at the front of the buffer once it is complete.
-    #[must_use]
-    pub fn head_end(&self) -> Option<usize> {
-        head_end(self.bytes())
+    /// Lets other tasks run after `YIELD_BYTES`. The bytes read are already in the buffer, so a
+    /// caller that is cancelled here loses none.
+    async fn yield_after(&mut self, count: usize) {
+        self.unyielded += count;
+        if self.unyielded >= YIELD_BYTES {
+            self.unyielded = 0;
+            future::yield_now().await;
+        }
     }
 
     /// Removes and returns the bytes before `end`.
@@ -137,11 +153,45 @@
     }
 }
 
-/// Returns the length of the head at the start of `bytes` once it is complete.
-#[must_use]
-pub fn head_end(bytes: &[u8]) -> Option<usize> {
-    let end = bytes.windows(4).position(|window| window == b"\r\n\r\n")?;
-    Some(end + 4)
+/// Search for the end of a head that continues where the last one ended, so that a head that arrives
+/// in single bytes takes time linear in its length.
+#[derive(Debug, Default)]
+pub struct HeadSearch {
+    /// Bytes in which the end does not begin.
+    searched: usize,
+}
+
+impl HeadSearch {
+    /// Returns the length of the head at the start of `bytes` once it is complete. Each call passes
+    /// the bytes of the last one, and those received since.
+    pub fn end(&mut self, bytes: &[u8]) -> Option<usize> {
+        const HEAD_END: &[u8] = b"\r\n\r\n";
+        let unsearched = &bytes[self.searched.min(bytes.len())..];
+        let found = unsearched
+            .windows(HEAD_END.len())
+            .position(|window| window == HEAD_END);
+        if let Some(start) = found {
+            return Some(self.searched + start + HEAD_END.len());
+        }
+        self.searched = bytes.len().saturating_sub(HEAD_END.len() - 1);
+        None
+    }
+}
+
+/// Reads the head of the final response after at most `MAX_INTERIM_HEADS` interim ones.
+///
+/// # Errors
+///
+/// Returns an error when the connection fails or ends early, or the bytes are not the head of a
+/// response within the limits.
+pub async fn read_final_head(reader: &mut ByteReader) -> io::Result<ResponseHead> {
+    for _ in 0..=MAX_INTERIM_HEADS {
+        let head = read_response_head(reader).await?;
+        if head.status >= 200 {
+            return Ok(head);
+        }
+    }
+    Err(InputLimit::InterimHeads.into())
 }
 
 /// Reads the head of a response.
@@ -149,9 +199,13 @@
 /// # Errors
 ///
 /// Returns an error when the connection fails or ends early, or the bytes are not a response head.
-pub async fn read_response_head(reader: &mut ByteReader) -> io::Result<ResponseHead> {
+async fn read_response_head(reader: &mut ByteReader) -> io::Result<ResponseHead> {
+    let mut search = HeadSearch::default();
     loop {
-        if let Some(end) = reader.head_end() {
+        if let Some(end) = search.end(reader.bytes()) {
+            if end > MAX_RESPONSE_HEAD_BYTES {
+                return Err(InputLimit::Head.into());
+            }
             let bytes = reader.take(end);
             return ResponseHead::parse(&bytes).map_err(invalid);
         }
@@ -168,7 +222,7 @@
             }));
         }
         if reader.bytes().len() > MAX_RESPONSE_HEAD_BYTES {
-            return Err(invalid(HeadError::TooLarge));
+            return Err(InputLimit::Head.into());
         }
         if reader.fill().await? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
