One memory budget for request bodies and responses

Cause: nothing limited the total of held responses and request bodies, a response was copied once more to be written, and a caller that read slowly kept the slot of an upstream that had finished.

Change: request bodies, responses and unwritten events are charged to held_memory_share of limits.memory_mb, whose range is checked. The decision (held/table.rs) has no I/O: below a mark every reader continues; the reserve above it, as large as the largest response, is for the response that has received the most and for small requests. A response that finds no room is passed on as its caller reads it; at the bound, the caller that has read nothing for the longest is disconnected, and requests whose body has no room are refused as not executed with a retry-after time. An attempt ends when its response is complete, not when the caller has read it; events that are not read are held, up to 1 MiB for each stream.

--- a/crates/savorywood-front/src/admin.rs
+++ b/crates/savorywood-front/src/admin.rs
@@ -121,6 +121,7 @@
     if head.path() == "/metrics" {
         let view = gateway.status(now);
         let metrics = &shared.metrics;
+        metrics.held.update(&shared.held);
         metrics.waiting.set(count(gateway.waiting_requests()));
         metrics.running.set(count(gateway.running_requests()));
         metrics
--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -1,39 +1,42 @@
 //! One attempt at an upstream: connects, sends the request, reads the response and forwards it.
 
+mod delivery;
 mod events;
+mod passing;
+mod stream;
 mod stream_limit;
 
 use crate::{
     adapter::{DispatchContext, ParsedResponseHead},
     clock::with_timeout,
     connect::{ConnectFailure, connect},
-    metrics,
+    held::{MAX_RESPONSE_BYTES, ResponseBody},
     peers::{RelayFailure, RelayRequest, open_relay},
     shared::FrontShared,
     sink::ResponseSink,
     wire::{
-        BodyDecoder, BodyFraming, ByteReader, HeaderLine, InputLimit, RequestHead, ResponseHead,
-        discard_body, read_body, read_final_head,
+        BodyFraming, ByteReader, HeaderLine, InputLimit, RequestHead, ResponseHead, discard_body,
+        read_final_head,
     },
 };
 use async_net::TcpStream;
-use events::{EventBuffer, StreamEvent};
+use delivery::{Delivery, WholeResponse};
 use futures_lite::{AsyncWriteExt, future};
+use passing::WholeRead;
 use savorywood_core::{LogLevel, LogLine};
-use savorywood_gateway::{AttemptOutcome, DispatchOrder, GatewayEvent, StreamInterruption};
+use savorywood_gateway::{AttemptOutcome, DispatchOrder, StreamInterruption};
 use savorywood_protocol::MonotonicTime;
-use std::{cell::Cell, io, pin::pin, time::Duration};
-use stream_limit::StreamLimit;
+use std::{cell::Cell, pin::pin, time::Duration};
 
 /// Responses to earlier requests that are skipped before the connection is closed.
 const MAX_STALE_RESPONSES: usize = 2;
-/// Maximum size of a response that is not streamed, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Maximum size in bytes of a body that is read only to use the connection again.
 const MAX_DISCARDED_BYTES: usize = 65_536;
 /// Maximum time to read such a body after the response that the request was not executed. Waiting for
 /// longer would delay the next attempt.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
+/// Bytes of a request body that are written together with its head.
+const FIRST_BODY_BYTES: usize = 16_384;
 /// Characters of a request's identifier that a relay is told, for its log.
 const MAX_RELAYED_ID_CHARS: usize = 64;
 /// Time after which the kernel closes a connection whose sent data is not acknowledged.
@@ -48,7 +51,7 @@
     pub reason: String,
     /// Headers that are forwarded to the caller.
     pub lines: Vec<HeaderLine>,
-    pub body: Vec<u8>,
+    pub body: ResponseBody,
 }
 
 /// One attempt and what it needs.
@@ -65,19 +68,14 @@
     pub sink: &'a mut ResponseSink,
     /// Set to the upstream's response when it reports a failure.
     pub saved_failure: &'a mut Option<SavedFailure>,
-}
-
-/// Complete events that were received together.
-#[derive(Debug, Default)]
-struct TakenEvents {
-    bytes: Vec<u8>,
-    count: u32,
+    /// Complete response that is not written to the caller yet.
+    pub delivery: Option<Delivery>,
 }
 
 /// No response head that belongs to the request could be read.
 struct ReadFailure;
 
-impl UpstreamAttempt<'_> {
+impl<'a> UpstreamAttempt<'a> {
     /// Runs the attempt until it ends or the deadline of the request passes.
     pub async fn run(mut self) -> AttemptOutcome {
         let clock = self.shared.clock;
@@ -103,16 +101,19 @@
             Ok(reader) => reader,
             Err(outcome) => return outcome,
         };
-        let bytes = self.request_bytes();
+        let (bytes, body) = self.request_bytes();
         let mut writer = reader.stream().clone();
         let first = match writer.write(&bytes).await {
             Ok(count) if count > 0 => count,
             // The upstream closed the connection before any byte of the request was written.
             Ok(_) | Err(_) => return AttemptOutcome::NotSent,
         };
-        let written = Cell::new(first == bytes.len());
+        let written = Cell::new(first == bytes.len() && body.is_empty());
         let write_rest = async {
-            if !written.get() && writer.write_all(&bytes[first..]).await.is_ok() {
+            if !written.get()
+                && writer.write_all(&bytes[first..]).await.is_ok()
+                && writer.write_all(body).await.is_ok()
+            {
                 written.set(true);
             }
             future::pending::<AttemptOutcome>().await
@@ -134,8 +135,13 @@
             self.shared
                 .pool
                 .put(&self.order.upstream, reader, head.keep_alive);
+        } else {
+            drop(reader);
+        }
+        match self.delivery.take() {
+            Some(delivery) => self.deliver(delivery, outcome).await,
+            None => outcome,
         }
-        outcome
     }
 
     /// Takes a connection to the upstream from the pool, or opens one.
@@ -215,7 +221,8 @@
             .unwrap_or_default()
     }
 
-    fn request_bytes(&self) -> Vec<u8> {
+    /// Returns the first bytes of the request, and the rest of its body, which is not copied.
+    fn request_bytes(&self) -> (Vec<u8>, &'a [u8]) {
         let time_left = self.order.give_up_at.since(self.shared.clock.now());
         let context = DispatchContext {
             upstream: &self.order.upstream,
@@ -236,8 +243,9 @@
         }
         text.push_str("\r\n");
         let mut bytes = text.into_bytes();
-        bytes.extend_from_slice(self.body);
-        bytes
+        let (first, rest) = self.body.split_at(self.body.len().min(FIRST_BODY_BYTES));
+        bytes.extend_from_slice(first);
+        (bytes, rest)
     }
 
     /// Reads the response. Returns its head too when the connection can be used again.
@@ -336,15 +344,20 @@
         } else {
             head.framing
         };
-        let body = match read_body(reader, framing, MAX_RESPONSE_BYTES).await {
-            Ok(body) => body,
+        let is_failure = head.status >= 500 || matches!(head.status, 408 | 421 | 429);
+        let body = match self.read_whole(reader, framing, !is_failure).await {
+            Ok(WholeRead::Complete(body)) => body,
+            Ok(WholeRead::Paused(response)) => {
+                return self.pass_on(reader, head, parsed, response).await;
+            }
             Err(error) => {
                 self.report_limit(error.limit());
                 return (AttemptOutcome::Broken { stalled: false }, None);
             }
         };
         let lines = self.forwarded_headers(&head);
-        if head.status >= 500 || matches!(head.status, 408 | 421 | 429) {
+        if is_failure {
+            body.charge().keep();
             *self.saved_failure = Some(SavedFailure {
                 status: head.status,
                 reason: head.reason.clone(),
@@ -356,13 +369,12 @@
             };
             return (outcome, Some(head));
         }
-        let written = self
-            .sink
-            .write_response(head.status, &head.reason, &lines, &body)
-            .await;
-        if written.is_err() {
-            return (AttemptOutcome::CallerDisconnected, Some(head));
-        }
+        self.delivery = Some(Delivery::Whole(WholeResponse {
+            status: head.status,
+            reason: head.reason.clone(),
+            lines,
+            body,
+        }));
         let outcome = AttemptOutcome::Delivered {
             metadata: parsed.metadata,
             events: 0,
@@ -370,101 +382,6 @@
         (outcome, Some(head))
     }
 
-    async fn relay_stream(
-        &mut self,
-        reader: &mut ByteReader,
-        head: ResponseHead,
-        parsed: &ParsedResponseHead,
-    ) -> (AttemptOutcome, Option<ResponseHead>) {
-        let mut decoder = BodyDecoder::new(head.framing);
-        let mut buffer = EventBuffer::default();
-        let mut limit = StreamLimit::new(self.max_output_tokens());
-        let mut started = false;
-        loop {
-            if let Err(error) = decoder.decode(reader, buffer.input_mut()) {
-                self.report_limit(error.limit());
-                return (self.stream_broken(), None);
-            }
-            let mut events = TakenEvents::default();
-            let taken = self.take_events(&mut buffer, &mut limit, &mut events);
-            match self.forward_events(events, &head).await {
-                Ok(0) => {}
-                Ok(_) if !started => {
-                    started = true;
-                    self.report_started(parsed);
-                }
-                Ok(events) => self.shared.step(GatewayEvent::ResponseProgressed {
-                    request: self.order.request,
-                    events,
-                }),
-                Err(_) => return (AttemptOutcome::CallerDisconnected, None),
-            }
-            if let Err(exceeded) = taken {
-                self.report_limit(Some(exceeded));
-                return (self.stream_broken(), None);
-            }
-            if decoder.is_done() {
-                break;
-            }
-            match reader.fill().await {
-                Ok(0) if decoder.ended().is_ok() && buffer.is_empty() => break,
-                Ok(0) | Err(_) => return (self.stream_broken(), None),
-                Ok(_) => {}
-            }
-        }
-        if !buffer.is_empty() || !self.sink.has_started() {
-            return (self.stream_broken(), None);
-        }
-        if self.sink.end_stream().await.is_err() {
-            return (AttemptOutcome::CallerDisconnected, None);
-        }
-        let outcome = AttemptOutcome::Delivered {
-            metadata: parsed.metadata,
-            events: self.sink.events(),
-        };
-        (outcome, Some(head))
-    }
-
-    /// Moves the complete events of the buffer that the caller does not have yet to `taken`. Those
-    /// before an error are recorded as forwarded, and have to be.
-    fn take_events(
-        &mut self,
-        buffer: &mut EventBuffer,
-        limit: &mut StreamLimit,
-        taken: &mut TakenEvents,
-    ) -> Result<(), InputLimit> {
-        while let Some(event) = buffer.take_event()? {
-            limit.record(event.bytes.len())?;
-            if self.is_duplicate(&event) {
-                continue;
-            }
-            taken.bytes.extend_from_slice(&event.bytes);
-            taken.count += 1;
-            self.sink.record_event(event.id);
-        }
-        Ok(())
-    }
-
-    /// Forwards events to the caller; returns how many there were.
-    async fn forward_events(
-        &mut self,
-        events: TakenEvents,
-        head: &ResponseHead,
-    ) -> io::Result<u32> {
-        if events.bytes.is_empty() {
-            return Ok(0);
-        }
-        if self.sink.has_started() {
-            self.sink.write_events(&events.bytes).await?;
-        } else {
-            let lines = self.forwarded_headers(head);
-            self.sink
-                .start_stream(head.status, &head.reason, &lines, &events.bytes)
-                .await?;
-        }
-        Ok(events.count)
-    }
-
     /// Reports that the connection to the upstream is closed because of a limit.
     fn report_limit(&self, limit: Option<InputLimit>) {
         if let Some(limit) = limit {
@@ -480,26 +397,6 @@
         arrival.size.map(|size| size.max_output_tokens)
     }
 
-    /// Reports whether the caller already has the event: an upstream that resumes a stream may
-    /// repeat the last ones.
-    fn is_duplicate(&self, event: &StreamEvent) -> bool {
-        let known = self
-            .sink
-            .last_event_id()
-            .and_then(|id| id.parse::<u64>().ok());
-        let new = event.id.as_ref().and_then(|id| id.parse::<u64>().ok());
-        matches!((known, new), (Some(known), Some(new)) if new <= known)
-    }
-
-    fn report_started(&self, parsed: &ParsedResponseHead) {
-        let elapsed = self.shared.clock.now().since(self.arrived_at);
-        metrics::observe(&self.shared.metrics.first_event, self.order, elapsed);
-        self.shared.step(GatewayEvent::ResponseStarted {
-            request: self.order.request,
-            metadata: parsed.metadata,
-        });
-    }
-
     fn stream_broken(&self) -> AttemptOutcome {
         broken_outcome(self.sink, false)
     }
--- a/crates/savorywood-front/src/attempt/events.rs
+++ b/crates/savorywood-front/src/attempt/events.rs
@@ -68,6 +68,11 @@
         self.start == self.bytes.len()
     }
 
+    /// Returns the number of bytes that have not been taken.
+    pub fn len(&self) -> usize {
+        self.bytes.len() - self.start
+    }
+
     /// Returns the end of the first event once it is complete. Each byte is searched once.
     fn search_end(&mut self) -> Option<usize> {
         while let Some(offset) = self.bytes[self.searched..]
--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -7,10 +7,11 @@
     clock::with_timeout,
     content::content_digest,
     count::CountGuard,
+    held::MAX_PAUSE,
     metrics,
     shared::{FrontShared, RequestDecision},
     sink::ResponseSink,
-    wire::{ByteReader, HeaderLine},
+    wire::{ByteReader, HeaderLine, RequestHead},
 };
 use async_channel::Receiver;
 use async_net::TcpStream;
@@ -21,7 +22,7 @@
     AttemptOutcome, DispatchOrder, GatewayEvent, LocalRequest, RefusalReason, RequestArrival,
 };
 use savorywood_protocol::MonotonicTime;
-use std::{cell::Cell, net::Shutdown, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net::Shutdown, rc::Rc, time::Duration};
 use strum::IntoStaticStr;
 
 /// Time for which input is still read after a connection's last response. Closing a connection with
@@ -52,6 +53,12 @@
     GivenUp(RefusalReason),
     /// The gateway removed the request without a decision.
     DecisionMissing,
+    /// The caller read nothing of a complete response while its memory was needed.
+    ResponseUnread,
+    /// The deadline passed before the caller had read a complete response.
+    ReadTooSlowly,
+    /// The upstream failed, or the deadline passed, within a response that was passed on.
+    PassedOnIncomplete,
 }
 
 /// Removes the request when dropped, also when its caller disconnects.
@@ -82,6 +89,14 @@
                 }
             }
             RequestRead::Closed => return,
+            RequestRead::Exhausted(head) => {
+                let _active = CountGuard::new(&shared.active_requests);
+                let mut sink = ResponseSink::new(reader.stream().clone(), true);
+                if refuse_unread(&shared, &mut sink, &head).await.is_ok() {
+                    linger(reader).await;
+                }
+                return;
+            }
             RequestRead::Rejected(status, reason) => {
                 let _active = CountGuard::new(&shared.active_requests);
                 let mut sink = ResponseSink::new(reader.stream().clone(), true);
@@ -98,6 +113,34 @@
     }
 }
 
+/// Refuses a request whose body has no room in the memory budget, as not executed.
+async fn refuse_unread(
+    shared: &FrontShared,
+    sink: &mut ResponseSink,
+    head: &RequestHead,
+) -> io::Result<()> {
+    let reason = RefusalReason::Overloaded;
+    shared
+        .metrics
+        .ended
+        .with_label_values(&[<&str>::from(reason)])
+        .inc();
+    shared.report_body_refused(head);
+    let mut lines = shared.adapter.local_response_headers(head);
+    // Callers without progress are disconnected within `MAX_PAUSE`. The second half is random, so that
+    // those refused together do not return together.
+    let after = MAX_PAUSE.mul_f64(1.0 + fastrand::f64());
+    lines.push(HeaderLine::new(
+        "Retry-After",
+        format!("{:.2}", after.as_secs_f64()),
+    ));
+    lines.push(HeaderLine::new("Content-Type", "application/json"));
+    let status = refusal_status(reason);
+    let body = format!("{{\"error\":\"{reason}\"}}");
+    sink.write_response(status, status_text(status), &lines, body.as_bytes())
+        .await
+}
+
 async fn linger(mut reader: ByteReader) {
     if reader.stream().shutdown(Shutdown::Write).is_err() {
         return;
@@ -135,7 +178,7 @@
     let mut sink = ResponseSink::new(reader.stream().clone(), closes);
     let arrival = match shared.adapter.parse_arrival(&request.head) {
         Ok(arrival) => RequestArrival {
-            content_digest: content_digest(&request.head, &request.body),
+            content_digest: content_digest(&request.head, &request.body.bytes),
             ..arrival
         },
         Err(error) => {
@@ -268,9 +311,10 @@
             arrived_at: self.arrived_at,
             order,
             head: &self.request.head,
-            body: &self.request.body,
+            body: &self.request.body.bytes,
             sink: &mut *sink,
             saved_failure,
+            delivery: None,
         };
         let cause = Cell::new(CutCause::CallerFailed);
         let disconnected = async {
@@ -287,8 +331,15 @@
         let ran = async { Some(attempt.run().await) };
         let outcome = future::or(ran, future::or(disconnected, ended)).await;
         let outcome = outcome.unwrap_or_else(|| broken_outcome(sink, true));
-        if matches!(outcome, AttemptOutcome::CallerDisconnected) {
-            self.report_cut(cause.get(), sink);
+        match &outcome {
+            AttemptOutcome::CallerDisconnected if sink.is_cut => {
+                self.report_cut(CutCause::ResponseUnread, sink);
+            }
+            AttemptOutcome::CallerDisconnected => self.report_cut(cause.get(), sink),
+            AttemptOutcome::Expired if sink.delivering.get() => {
+                self.report_cut(CutCause::ReadTooSlowly, sink);
+            }
+            _ => {}
         }
         outcome
     }
@@ -311,6 +362,16 @@
                 self.count_end("caller-left");
                 Some(NextStep::Abort)
             }
+            _ if sink.is_passed_on => {
+                self.count_end("broken-off");
+                self.report_cut(CutCause::PassedOnIncomplete, sink);
+                Some(NextStep::Abort)
+            }
+            // The gateway has counted the request as served and makes no further decision.
+            _ if sink.delivering.get() => {
+                self.count_end("caller-left");
+                Some(NextStep::Abort)
+            }
             _ => None,
         }
     }
@@ -383,18 +444,23 @@
     ) -> bool {
         let saved_failure = saved_failure
             .filter(|saved_failure| !matches!(saved_failure.status, 408 | 421 | 429 | 503));
-        let Some(saved_failure) = saved_failure else {
+        let Some(mut saved_failure) = saved_failure else {
             return self
                 .refuse(sink, RefusalReason::IncompleteResponse, None)
                 .await;
         };
-        let written = sink.write_response(
+        let cut = saved_failure.body.charge().cut_signal();
+        let written = sink.write_held(
             saved_failure.status,
             &saved_failure.reason,
             &saved_failure.lines,
-            &saved_failure.body,
+            &mut saved_failure.body,
         );
-        written.await.is_ok()
+        let cut = async {
+            cut.wait().await;
+            Err(io::ErrorKind::ConnectionAborted.into())
+        };
+        future::or(written, cut).await.is_ok()
     }
 }
 
--- a/crates/savorywood-front/src/caller/request_reader.rs
+++ b/crates/savorywood-front/src/caller/request_reader.rs
@@ -2,8 +2,9 @@
 
 use crate::{
     clock::with_timeout,
+    held::{HeldBodyError, RequestBody},
     shared::FrontShared,
-    wire::{BodyError, BodyFraming, ByteReader, HeadError, HeadSearch, RequestHead, read_body},
+    wire::{BodyError, BodyFraming, ByteReader, HeadError, HeadSearch, RequestHead},
 };
 use futures_lite::AsyncWriteExt;
 use savorywood_gateway::CallerLimits;
@@ -20,7 +21,7 @@
 /// A request with its complete body.
 pub struct CompleteRequest {
     pub head: RequestHead,
-    pub body: Vec<u8>,
+    pub body: RequestBody,
 }
 
 /// What was read from a connection that may have a next request.
@@ -28,6 +29,8 @@
     Request(Box<CompleteRequest>),
     /// The connection has ended, or was idle for too long.
     Closed,
+    /// The memory budget has no room for the body of the request with this head.
+    Exhausted(Box<RequestHead>),
     /// Status and reason of the response to a request that can't be read.
     Rejected(u16, &'static str),
 }
@@ -57,23 +60,37 @@
     if matches!(head.framing, BodyFraming::Length(length) if length > limits.body_bytes as u64) {
         return RequestRead::Rejected(413, "the request body exceeds the size limit");
     }
+    let size = match head.framing {
+        BodyFraming::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
+        BodyFraming::Empty | BodyFraming::Chunked | BodyFraming::UntilClose => 0,
+    };
+    if size > 0 && shared.held.admit_body(shared, size).is_err() {
+        return RequestRead::Exhausted(Box::new(head));
+    }
     if head.expects_continue {
         let mut stream = reader.stream().clone();
         if stream.write_all(CONTINUE).await.is_err() {
             return RequestRead::Closed;
         }
     }
-    let body = read_body(reader, head.framing, limits.body_bytes);
-    match with_timeout(BODY_TIMEOUT, body).await {
-        Some(Ok(body)) => RequestRead::Request(Box::new(CompleteRequest { head, body })),
-        Some(Err(BodyError::TooLarge)) => {
+    let body = RequestBody::read(shared, reader, head.framing, limits.body_bytes);
+    let error = match with_timeout(BODY_TIMEOUT, body).await {
+        Some(Ok(body)) => return RequestRead::Request(Box::new(CompleteRequest { head, body })),
+        Some(Err(error)) => error,
+        None => return RequestRead::Rejected(408, "the body did not arrive in time"),
+    };
+    match error {
+        HeldBodyError::Exhausted => RequestRead::Exhausted(Box::new(head)),
+        HeldBodyError::Stalled => {
+            RequestRead::Rejected(408, "the body did not arrive while its memory was needed")
+        }
+        HeldBodyError::Body(BodyError::TooLarge) => {
             RequestRead::Rejected(413, "the request body exceeds the size limit")
         }
-        Some(Err(BodyError::BadChunk | BodyError::ChunkCodingTooLarge)) => {
+        HeldBodyError::Body(BodyError::BadChunk | BodyError::ChunkCodingTooLarge) => {
             RequestRead::Rejected(400, "the chunked coding of the body is malformed")
         }
-        Some(Err(BodyError::CutOff | BodyError::Broken { .. })) => RequestRead::Closed,
-        None => RequestRead::Rejected(408, "the body did not arrive in time"),
+        HeldBodyError::Body(BodyError::CutOff | BodyError::Broken { .. }) => RequestRead::Closed,
     }
 }
 
--- a/crates/savorywood-front/src/held/report.rs
+++ b/crates/savorywood-front/src/held/report.rs
@@ -1,6 +1,10 @@
 //! Log lines of cuts and of unbounded input.
 
-use crate::{shared::FrontShared, wire::InputLimit};
+use super::HeldKind;
+use crate::{
+    shared::FrontShared,
+    wire::{BodyFraming, InputLimit, RequestHead},
+};
 use savorywood_core::{LogLevel, LogLine};
 use std::fmt::Display;
 
@@ -16,4 +20,23 @@
             .with("request", request_id);
         self.log.write_line(&line);
     }
+
+    /// Reports that a request is refused because the budget has no room for its body.
+    pub fn report_body_refused(&self, head: &RequestHead) {
+        let metric = &self.metrics.held.cuts;
+        metric.with_label_values(&["request-refused"]).inc();
+        let request_id = self.adapter.parse_arrival(head);
+        let request_id = request_id.map(|arrival| arrival.request_id);
+        let line = LogLine::new(LogLevel::Warn, "body-refused")
+            .with("request", request_id.unwrap_or_default())
+            .with("bodies", self.held.held(HeldKind::RequestBody))
+            .with("responses", self.held.held(HeldKind::Response))
+            .with("events", self.held.held(HeldKind::Events))
+            .with("budget", self.held.budget());
+        let line = match head.framing {
+            BodyFraming::Length(length) => line.with("length", length),
+            _ => line,
+        };
+        self.log.write_line(&line);
+    }
 }
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -3,7 +3,7 @@
 use crate::{held::HeldMetrics, logging::OmittedLines};
 use prometheus::{
     Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    Opts, Registry, TextEncoder,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use savorywood_gateway::DispatchOrder;
 use std::{sync::atomic::Ordering, time::Duration};
@@ -163,11 +163,11 @@
     }
 }
 
-pub fn metric_name(name: &str) -> String {
+fn metric_name(name: &str) -> String {
     format!("savorywood_{name}")
 }
 
-pub fn counter(name: &str, help: &str) -> IntCounter {
+fn counter(name: &str, help: &str) -> IntCounter {
     IntCounter::new(metric_name(name), help).expect("the name is a constant and valid")
 }
 
@@ -176,10 +176,15 @@
     IntCounterVec::new(opts, &[label]).expect("the name is a constant and valid")
 }
 
-pub fn gauge(name: &str, help: &str) -> IntGauge {
+fn gauge(name: &str, help: &str) -> IntGauge {
     IntGauge::new(metric_name(name), help).expect("the name is a constant and valid")
 }
 
+pub fn gauge_vec(name: &str, help: &str, label: &str) -> IntGaugeVec {
+    let opts = Opts::new(metric_name(name), help);
+    IntGaugeVec::new(opts, &[label]).expect("the name is a constant and valid")
+}
+
 fn float_gauge(name: &str, help: &str) -> Gauge {
     Gauge::new(metric_name(name), help).expect("the name is a constant and valid")
 }
--- a/crates/savorywood-front/src/settings.rs
+++ b/crates/savorywood-front/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a front daemon: a file of JSON with comments, checked at the start.
 
+use crate::held::check_share;
 use savorywood_gateway::{
     GatewayBounds, HostResources, LimitTolerance, OverloadOptions, RegionLabel, RegionMap,
     RetryBudgetOptions, RoutingPolicy, WarmupTolerance, ZoneLabel,
@@ -235,8 +236,12 @@
         if !errors.is_empty() {
             return Err(FaultReport::locate(source, errors));
         }
-        decode::decode(&node, &MemberPath::default())
-            .map_err(|errors| FaultReport::locate(source, errors))
+        let settings: Self = decode::decode(&node, &MemberPath::default())
+            .map_err(|errors| FaultReport::locate(source, errors))?;
+        match check_share(&node, &settings.overload) {
+            Some(fault) => Err(FaultReport::locate(source, vec![fault])),
+            None => Ok(settings),
+        }
     }
 
     /// Returns the bounds as options of the gateway.
--- a/crates/savorywood-front/src/shared.rs
+++ b/crates/savorywood-front/src/shared.rs
@@ -4,6 +4,7 @@
     adapter::{FrontAdapter, ParsedResponseHead},
     clock::BootClock,
     feeds::TableSnapshot,
+    held::HeldMemory,
     logging::LogQueue,
     metrics::FrontMetrics,
     peers::RowsPush,
@@ -77,6 +78,8 @@
     /// State machine that makes all decisions.
     pub gateway: RefCell<Gateway>,
     pub pool: UpstreamPool,
+    /// Budget of the memory that request bodies and responses take.
+    pub held: Rc<HeldMemory>,
     pub metrics: FrontMetrics,
     pub log: LogQueue,
     /// Executor of all tasks.
@@ -115,6 +118,7 @@
         senders: EffectSenders,
     ) -> Rc<Self> {
         Rc::new(Self {
+            held: HeldMemory::from_settings(&settings),
             settings,
             adapter,
             clock: BootClock,
--- a/crates/savorywood-front/src/sink.rs
+++ b/crates/savorywood-front/src/sink.rs
@@ -1,6 +1,9 @@
 //! Writes a response to the caller's connection.
 
-use crate::wire::HeaderLine;
+use crate::{
+    held::{HeldCharge, ResponseBody},
+    wire::HeaderLine,
+};
 use async_net::TcpStream;
 use futures_lite::AsyncWriteExt;
 use std::{cell::Cell, fmt::Write, io, rc::Rc};
@@ -17,8 +20,23 @@
     events: u32,
     /// A write is in progress: ending the attempt now would leave a truncated chunk.
     writing: Rc<Cell<bool>>,
+    /// Bytes of a stream that are not written yet.
+    unwritten: Vec<u8>,
+    /// Bytes of `unwritten` that were written.
+    written: usize,
+    /// The upstream's response is complete and was reported to the gateway, but not all of it is
+    /// written.
+    pub delivering: Rc<Cell<bool>>,
+    /// The response ends because its memory is needed otherwise.
+    pub is_cut: bool,
+    /// A response that is not a stream is written before it is complete, so that no other attempt can
+    /// continue it.
+    pub is_passed_on: bool,
 }
 
+/// Written bytes of a stream after which the rest is moved to the front of its buffer.
+const COMPACT_BYTES: usize = 65_536;
+
 impl ResponseSink {
     #[must_use]
     pub fn new(stream: TcpStream, closes_connection: bool) -> Self {
@@ -29,6 +47,11 @@
             last_event_id: None,
             events: 0,
             writing: Rc::default(),
+            unwritten: Vec::new(),
+            written: 0,
+            delivering: Rc::default(),
+            is_cut: false,
+            is_passed_on: false,
         }
     }
 
@@ -105,44 +128,130 @@
         self.write(&bytes).await
     }
 
-    /// Writes the head of a stream together with its first events.
+    /// Writes a complete response whose body is held, and releases the memory of what was written.
     ///
     /// # Errors
     ///
     /// Returns an error when the caller's connection fails.
-    pub async fn start_stream(
+    pub async fn write_held(
         &mut self,
         status: u16,
         reason: &str,
         lines: &[HeaderLine],
-        events: &[u8],
+        body: &mut ResponseBody,
     ) -> io::Result<()> {
         let mut head = self.head(status, reason, lines);
-        head.push_str("Transfer-Encoding: chunked\r\n\r\n");
+        if !matches!(status, 204 | 304) {
+            let written = write!(head, "Content-Length: {}\r\n", body.len());
+            debug_assert!(written.is_ok());
+        }
+        head.push_str("\r\n");
         let mut bytes = head.into_bytes();
-        push_chunk(&mut bytes, events);
+        bytes.extend(body.next_segment().unwrap_or_default());
         self.started.set(true);
-        self.write(&bytes).await
+        self.writing.set(true);
+        body.charge().begin_delivery();
+        loop {
+            let mut rest = bytes.as_slice();
+            while !rest.is_empty() {
+                let count = write_some(&mut self.stream, rest).await?;
+                body.charge().shrink(count);
+                rest = &rest[count..];
+            }
+            match body.next_segment() {
+                Some(segment) => bytes = segment,
+                None => break,
+            }
+        }
+        self.writing.set(false);
+        Ok(())
     }
 
-    /// Writes further events of the stream as one chunk.
+    /// Appends the head of a stream to what is to be written.
+    pub fn queue_stream_head(&mut self, status: u16, reason: &str, lines: &[HeaderLine]) {
+        let mut head = self.head(status, reason, lines);
+        head.push_str("Transfer-Encoding: chunked\r\n\r\n");
+        self.started.set(true);
+        self.writing.set(true);
+        self.unwritten.extend_from_slice(head.as_bytes());
+    }
+
+    /// Appends the head of a response that is passed on before it is complete. Without a length, its
+    /// body is written in chunks.
+    pub fn queue_passed_head(
+        &mut self,
+        status: u16,
+        reason: &str,
+        lines: &[HeaderLine],
+        length: Option<u64>,
+    ) {
+        let mut head = self.head(status, reason, lines);
+        match length {
+            Some(length) => head.push_str(&format!("Content-Length: {length}\r\n\r\n")),
+            None => head.push_str("Transfer-Encoding: chunked\r\n\r\n"),
+        }
+        self.started.set(true);
+        self.writing.set(true);
+        self.is_passed_on = true;
+        self.unwritten.extend_from_slice(head.as_bytes());
+    }
+
+    /// Appends a part of a body with a length to what is to be written.
+    pub fn queue_bytes(&mut self, bytes: &[u8]) {
+        self.unwritten.extend_from_slice(bytes);
+    }
+
+    /// Appends events of a stream, as one chunk, to what is to be written.
+    pub fn queue_events(&mut self, events: &[u8]) {
+        self.writing.set(true);
+        push_chunk(&mut self.unwritten, events);
+    }
+
+    /// Appends the final chunk, which marks a stream as complete, to what is to be written.
+    pub fn queue_stream_end(&mut self) {
+        self.writing.set(true);
+        self.unwritten.extend_from_slice(b"0\r\n\r\n");
+    }
+
+    /// Returns the number of queued bytes that are not written yet.
+    #[must_use]
+    pub fn unwritten_bytes(&self) -> usize {
+        self.unwritten.len() - self.written
+    }
+
+    /// Writes some of the queued bytes; returns at once if there are none. Bytes stay queued if the
+    /// call is cancelled.
     ///
     /// # Errors
     ///
     /// Returns an error when the caller's connection fails.
-    pub async fn write_events(&mut self, events: &[u8]) -> io::Result<()> {
-        let mut bytes = Vec::with_capacity(events.len() + 16);
-        push_chunk(&mut bytes, events);
-        self.write(&bytes).await
+    pub async fn flush_some(&mut self) -> io::Result<()> {
+        if self.unwritten_bytes() > 0 {
+            self.written += write_some(&mut self.stream, &self.unwritten[self.written..]).await?;
+        }
+        if self.unwritten_bytes() == 0 {
+            self.unwritten.clear();
+            self.written = 0;
+            self.writing.set(false);
+        } else if self.written >= COMPACT_BYTES {
+            self.unwritten.drain(..self.written);
+            self.written = 0;
+        }
+        Ok(())
     }
 
-    /// Ends the stream with the final chunk, which marks it as complete.
+    /// Writes all queued bytes and releases their memory.
     ///
     /// # Errors
     ///
     /// Returns an error when the caller's connection fails.
-    pub async fn end_stream(&mut self) -> io::Result<()> {
-        self.write(b"0\r\n\r\n").await
+    pub async fn flush(&mut self, charge: &HeldCharge) -> io::Result<()> {
+        while self.unwritten_bytes() > 0 {
+            let before = self.unwritten_bytes();
+            self.flush_some().await?;
+            charge.shrink(before - self.unwritten_bytes());
+        }
+        Ok(())
     }
 
     /// Records an event that is forwarded to the caller.
@@ -162,3 +271,11 @@
     bytes.extend_from_slice(piece);
     bytes.extend_from_slice(b"\r\n");
 }
+
+/// Writes at least one byte.
+async fn write_some(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<usize> {
+    match stream.write(bytes).await? {
+        0 => Err(io::ErrorKind::WriteZero.into()),
+        count => Ok(count),
+    }
+}
