--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -1,31 +1,42 @@
 //! One attempt at an upstream: connects, sends the request, reads the response and forwards it.
 
+mod delivery;
 mod events;
+mod passing;
+mod stream;
+mod stream_limit;
 
 use crate::{
     adapter::{DispatchContext, ParsedResponseHead},
+    clock::with_timeout,
     connect::{ConnectFailure, connect},
-    metrics,
+    held::{MAX_RESPONSE_BYTES, ResponseBody},
     peers::{RelayFailure, RelayRequest, open_first_relay},
     shared::FrontShared,
     sink::ResponseSink,
     wire::{
-        BodyDecoder, BodyFraming, ByteReader, HeaderLine, RequestHead, ResponseHead, read_body,
-        read_response_head,
+        BodyFraming, ByteReader, HeaderLine, InputLimit, RequestHead, ResponseHead, discard_body,
+        read_final_head,
     },
 };
 use async_net::TcpStream;
-use events::{EventBuffer, StreamEvent};
+use delivery::{Delivery, WholeResponse};
 use futures_lite::{AsyncWriteExt, future};
+use passing::WholeRead;
 use savorywood_core::{LogLevel, LogLine};
-use savorywood_gateway::{AttemptOutcome, DispatchOrder, GatewayEvent, StreamInterruption};
+use savorywood_gateway::{AttemptOutcome, DispatchOrder, StreamInterruption};
 use savorywood_protocol::MonotonicTime;
-use std::{cell::Cell, io, pin::pin, time::Duration};
+use std::{cell::Cell, pin::pin, time::Duration};
 
 /// Responses to earlier requests that are skipped before the connection is closed.
 const MAX_STALE_RESPONSES: usize = 2;
-/// Maximum size of a response that is not streamed, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Maximum size in bytes of a body that is read only to use the connection again.
+const MAX_DISCARDED_BYTES: usize = 65_536;
+/// Maximum time to read such a body after the response that the request was not executed. Waiting for
+/// longer would delay the next attempt.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
+/// Bytes of a request body that are written together with its head.
+const FIRST_BODY_BYTES: usize = 16_384;
 /// Characters of a request's identifier that a relay is told, for its log.
 const MAX_RELAYED_ID_CHARS: usize = 64;
 /// Time after which the kernel closes a connection whose sent data is not acknowledged.
@@ -40,7 +51,7 @@
     pub reason: String,
     /// Headers that are forwarded to the caller.
     pub lines: Vec<HeaderLine>,
-    pub body: Vec<u8>,
+    pub body: ResponseBody,
 }
 
 /// One attempt and what it needs.
@@ -57,12 +68,14 @@
     pub sink: &'a mut ResponseSink,
     /// Set to the upstream's response when it reports a failure.
     pub saved_failure: &'a mut Option<SavedFailure>,
+    /// Complete response that is not written to the caller yet.
+    pub delivery: Option<Delivery>,
 }
 
 /// No response head that belongs to the request could be read.
 struct ReadFailure;
 
-impl UpstreamAttempt<'_> {
+impl<'a> UpstreamAttempt<'a> {
     /// Runs the attempt until it ends or the deadline of the request passes.
     pub async fn run(mut self) -> AttemptOutcome {
         let clock = self.shared.clock;
@@ -88,16 +101,19 @@
             Ok(reader) => reader,
             Err(outcome) => return outcome,
         };
-        let bytes = self.request_bytes();
+        let (bytes, body) = self.request_bytes();
         let mut writer = reader.stream().clone();
         let first = match writer.write(&bytes).await {
             Ok(count) if count > 0 => count,
             // The upstream closed the connection before any byte of the request was written.
             Ok(_) | Err(_) => return AttemptOutcome::NotSent,
         };
-        let written = Cell::new(first == bytes.len());
+        let written = Cell::new(first == bytes.len() && body.is_empty());
         let write_rest = async {
-            if !written.get() && writer.write_all(&bytes[first..]).await.is_ok() {
+            if !written.get()
+                && writer.write_all(&bytes[first..]).await.is_ok()
+                && writer.write_all(body).await.is_ok()
+            {
                 written.set(true);
             }
             future::pending::<AttemptOutcome>().await
@@ -119,8 +135,13 @@
             self.shared
                 .pool
                 .put(&self.order.upstream, reader, head.keep_alive);
+        } else {
+            drop(reader);
+        }
+        match self.delivery.take() {
+            Some(delivery) => self.deliver(delivery, outcome).await,
+            None => outcome,
         }
-        outcome
     }
 
     /// Takes a connection to the upstream from the pool, or opens one.
@@ -200,7 +221,8 @@
             .unwrap_or_default()
     }
 
-    fn request_bytes(&self) -> Vec<u8> {
+    /// Returns the first bytes of the request, and the rest of its body, which is not copied.
+    fn request_bytes(&self) -> (Vec<u8>, &'a [u8]) {
         let time_left = self.order.give_up_at.since(self.shared.clock.now());
         let context = DispatchContext {
             upstream: &self.order.upstream,
@@ -221,8 +243,9 @@
         }
         text.push_str("\r\n");
         let mut bytes = text.into_bytes();
-        bytes.extend_from_slice(self.body);
-        bytes
+        let (first, rest) = self.body.split_at(self.body.len().min(FIRST_BODY_BYTES));
+        bytes.extend_from_slice(first);
+        (bytes, rest)
     }
 
     /// Reads the response. Returns its head too when the connection can be used again.
@@ -235,12 +258,16 @@
             Err(ReadFailure) => return (AttemptOutcome::Broken { stalled: false }, None),
         };
         if parsed.not_executed || parsed.misdirected {
-            let body = read_body(reader, head.framing, MAX_RESPONSE_BYTES).await;
+            let discarded = discard_body(reader, head.framing, MAX_DISCARDED_BYTES);
+            let discarded = with_timeout(DISCARD_TIMEOUT, discarded).await;
+            if let Some(Err(error)) = &discarded {
+                self.report_limit(error.limit());
+            }
             let outcome = AttemptOutcome::NotRun {
                 misdirected: parsed.misdirected,
                 metadata: parsed.metadata,
             };
-            return (outcome, body.ok().map(|_| head));
+            return (outcome, matches!(discarded, Some(Ok(()))).then_some(head));
         }
         let success = (200..300).contains(&head.status);
         // An encoded body does not come from the upstream itself: no content coding was requested.
@@ -273,11 +300,10 @@
     ) -> Result<(ResponseHead, ParsedResponseHead), ReadFailure> {
         let mut stale_responses = 0;
         loop {
-            let head = read_response_head(reader).await;
-            let head = head.map_err(|_| ReadFailure)?;
-            if head.status < 200 {
-                continue;
-            }
+            let head = read_final_head(reader).await.map_err(|error| {
+                self.report_limit(InputLimit::of(&error));
+                ReadFailure
+            })?;
             let parsed = self.shared.adapter.parse_response_head(&head);
             if let Some(load) = parsed.metadata.load {
                 self.shared.metrics.record_reported_pace(load.pace);
@@ -289,11 +315,18 @@
                 Some(id) if *id != own_id => {
                     stale_responses += 1;
                     let framed = head.framing != BodyFraming::UntilClose;
-                    if stale_responses > MAX_STALE_RESPONSES || !framed {
+                    if stale_responses > MAX_STALE_RESPONSES {
+                        self.report_limit(Some(InputLimit::StaleResponses));
+                        return Err(ReadFailure);
+                    }
+                    if !framed {
                         return Err(ReadFailure);
                     }
-                    let skipped = read_body(reader, head.framing, MAX_RESPONSE_BYTES).await;
-                    skipped.map_err(|_| ReadFailure)?;
+                    let skipped = discard_body(reader, head.framing, MAX_RESPONSE_BYTES).await;
+                    skipped.map_err(|error| {
+                        self.report_limit(error.limit());
+                        ReadFailure
+                    })?;
                 }
                 Some(_) => return Ok((head, parsed)),
                 None if parsed.not_executed || parsed.misdirected => return Ok((head, parsed)),
@@ -314,11 +347,20 @@
         } else {
             head.framing
         };
-        let Ok(body) = read_body(reader, framing, MAX_RESPONSE_BYTES).await else {
-            return (AttemptOutcome::Broken { stalled: false }, None);
+        let is_failure = head.status >= 500 || matches!(head.status, 408 | 421 | 429);
+        let body = match self.read_whole(reader, framing, !is_failure).await {
+            Ok(WholeRead::Complete(body)) => body,
+            Ok(WholeRead::Paused(response)) => {
+                return self.pass_on(reader, head, parsed, response).await;
+            }
+            Err(error) => {
+                self.report_limit(error.limit());
+                return (AttemptOutcome::Broken { stalled: false }, None);
+            }
         };
         let lines = self.forwarded_headers(&head);
-        if head.status >= 500 || matches!(head.status, 408 | 421 | 429) {
+        if is_failure {
+            body.charge().keep();
             *self.saved_failure = Some(SavedFailure {
                 status: head.status,
                 reason: head.reason.clone(),
@@ -330,13 +372,12 @@
             };
             return (outcome, Some(head));
         }
-        let written = self
-            .sink
-            .write_response(head.status, &head.reason, &lines, &body)
-            .await;
-        if written.is_err() {
-            return (AttemptOutcome::CallerDisconnected, Some(head));
-        }
+        self.delivery = Some(Delivery::Whole(WholeResponse {
+            status: head.status,
+            reason: head.reason.clone(),
+            lines,
+            body,
+        }));
         let outcome = AttemptOutcome::Delivered {
             metadata: parsed.metadata,
             events: 0,
@@ -344,101 +385,19 @@
         (outcome, Some(head))
     }
 
-    async fn relay_stream(
-        &mut self,
-        reader: &mut ByteReader,
-        head: ResponseHead,
-        parsed: &ParsedResponseHead,
-    ) -> (AttemptOutcome, Option<ResponseHead>) {
-        let mut decoder = BodyDecoder::new(head.framing);
-        let mut buffer = EventBuffer::default();
-        let mut started = false;
-        loop {
-            if decoder.decode(reader, buffer.input_mut()).is_err() {
-                return (self.stream_broken(), None);
-            }
-            match self.forward_events(&mut buffer, &head).await {
-                Ok(0) => {}
-                Ok(_) if !started => {
-                    started = true;
-                    self.report_started(parsed);
-                }
-                Ok(events) => self.shared.step(GatewayEvent::ResponseProgressed {
-                    request: self.order.request,
-                    events,
-                }),
-                Err(_) => return (AttemptOutcome::CallerDisconnected, None),
-            }
-            if decoder.is_done() {
-                break;
-            }
-            match reader.fill().await {
-                Ok(0) if decoder.ended().is_ok() && buffer.is_empty() => break,
-                Ok(0) | Err(_) => return (self.stream_broken(), None),
-                Ok(_) => {}
-            }
-        }
-        if !buffer.is_empty() || !self.sink.has_started() {
-            return (self.stream_broken(), None);
-        }
-        if self.sink.end_stream().await.is_err() {
-            return (AttemptOutcome::CallerDisconnected, None);
-        }
-        let outcome = AttemptOutcome::Delivered {
-            metadata: parsed.metadata,
-            events: self.sink.events(),
-        };
-        (outcome, Some(head))
-    }
-
-    /// Forwards the complete events of the buffer; returns how many there were.
-    async fn forward_events(
-        &mut self,
-        buffer: &mut EventBuffer,
-        head: &ResponseHead,
-    ) -> io::Result<u32> {
-        let mut bytes = Vec::new();
-        let mut events = 0;
-        while let Some(event) = buffer.take_event() {
-            if self.is_duplicate(&event) {
-                continue;
-            }
-            bytes.extend_from_slice(&event.bytes);
-            self.sink.record_event(event.id);
-            events += 1;
-        }
-        if bytes.is_empty() {
-            return Ok(0);
-        }
-        if self.sink.has_started() {
-            self.sink.write_events(&bytes).await?;
-        } else {
-            let lines = self.forwarded_headers(head);
-            self.sink
-                .start_stream(head.status, &head.reason, &lines, &bytes)
-                .await?;
+    /// Reports that the connection to the upstream is closed because of a limit.
+    fn report_limit(&self, limit: Option<InputLimit>) {
+        if let Some(limit) = limit {
+            let upstream = &self.order.upstream;
+            self.shared
+                .report_unbounded(limit, upstream, &self.request_id());
         }
-        Ok(events)
     }
 
-    /// Reports whether the caller already has the event: an upstream that resumes a stream may
-    /// repeat the last ones.
-    fn is_duplicate(&self, event: &StreamEvent) -> bool {
-        let known = self
-            .sink
-            .last_event_id()
-            .and_then(|id| id.parse::<u64>().ok());
-        let new = event.id.as_ref().and_then(|id| id.parse::<u64>().ok());
-        matches!((known, new), (Some(known), Some(new)) if new <= known)
-    }
-
-    fn report_started(&self, parsed: &ParsedResponseHead) {
-        let elapsed = self.shared.clock.now().since(self.arrived_at);
-        metrics::observe(&self.shared.metrics.first_event, self.order, elapsed);
-        self.shared.step(GatewayEvent::ResponseStarted {
-            request: self.order.request,
-            metadata: parsed.metadata,
-        });
+    /// Returns the maximum output that the caller named.
+    fn max_output_tokens(&self) -> Option<u32> {
+        let arrival = self.shared.adapter.parse_arrival(self.head).ok()?;
+        arrival.size.map(|size| size.max_output_tokens)
     }
 
     fn stream_broken(&self) -> AttemptOutcome {
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -1,9 +1,9 @@
 //! Prometheus metrics of a front daemon.
 
-use crate::logging::OmittedLines;
+use crate::{held::HeldMetrics, logging::OmittedLines};
 use prometheus::{
     Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    Opts, Registry, TextEncoder,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use savorywood_gateway::{DispatchOrder, PaceReport};
 use std::{sync::atomic::Ordering, time::Duration};
@@ -69,6 +69,8 @@
     pub unreadable_datagrams: IntCounter,
     /// Selections that a slot reservation held back, by cause.
     pub reservation_holds: IntCounterVec,
+    /// Memory held for slow readers, and unbounded input.
+    pub held: HeldMetrics,
     log_omitted: IntCounterVec,
 }
 
@@ -173,6 +175,7 @@
                 "Selections that a slot reservation held back by cause",
                 "cause",
             ),
+            held: HeldMetrics::default(),
             log_omitted: counter_vec("log_lines_omitted_total", "Log lines dropped", "cause"),
             registry,
         };
@@ -189,7 +192,7 @@
     IntCounter::new(metric_name(name), help).expect("the name is a constant and valid")
 }
 
-fn counter_vec(name: &str, help: &str, label: &str) -> IntCounterVec {
+pub fn counter_vec(name: &str, help: &str, label: &str) -> IntCounterVec {
     let opts = Opts::new(metric_name(name), help);
     IntCounterVec::new(opts, &[label]).expect("the name is a constant and valid")
 }
@@ -198,6 +201,11 @@
     IntGauge::new(metric_name(name), help).expect("the name is a constant and valid")
 }
 
+pub fn gauge_vec(name: &str, help: &str, label: &str) -> IntGaugeVec {
+    let opts = Opts::new(metric_name(name), help);
+    IntGaugeVec::new(opts, &[label]).expect("the name is a constant and valid")
+}
+
 fn float_gauge(name: &str, help: &str) -> Gauge {
     Gauge::new(metric_name(name), help).expect("the name is a constant and valid")
 }
@@ -270,6 +278,7 @@
                 .register(collector)
                 .expect("each metric is registered once");
         }
+        self.held.register(&self.registry);
     }
 
     /// Returns all metrics in the Prometheus text format, including the numbers of dropped log
--- a/crates/savorywood-front/src/peers/relay/tests.rs
+++ b/crates/savorywood-front/src/peers/relay/tests.rs
@@ -1,7 +1,7 @@
 //! Relaying through peers that fail at any step.
 
 use super::*;
-use crate::wire::read_response_head;
+use crate::wire::read_final_head;
 use async_executor::LocalExecutor;
 use async_io::{Timer, block_on};
 use async_net::TcpListener;
@@ -172,7 +172,7 @@
             Ok(mut reader) => {
                 let mut writer = reader.stream().clone();
                 writer.write_all(&vec![b'x'; REQUEST_BYTES]).await.ok();
-                read_response_head(&mut reader).await.is_ok()
+                read_final_head(&mut reader).await.is_ok()
             }
             Err(_) if counts.executed.get() > 0 => {
                 return Err("executed though no peer relayed the request".to_owned());
