Requests are placed within the declared memory of upstreams

Cause: EngineSpec::cache_tokens was declared and not used. An upstream crashes when the tokens of its requests exceed its memory, and the quarantine attributed such a crash to each of them.

Change: selection adds the prompt and maximum output of this daemon's requests in progress and the unread prompt tokens of peers, and places no request beyond the memory; one that exceeds it alone has no upstream. A crash while the known tokens exceed the memory is logged and does not count for the quarantine, nor do the attempts at that upstream that break within two seconds after it. Zero, or no engine, is no limit.

--- a/crates/savorywood-gateway/src/gateway/completion.rs
+++ b/crates/savorywood-gateway/src/gateway/completion.rs
@@ -59,8 +59,11 @@
         };
         self.log_interruption(ended, effects);
         self.record_reachability(now, &attempt, outcome, effects);
+        let memory_exceeded = self.record_exceeded_memory(now, ended, effects);
         self.release_slot(now, ended, effects);
-        self.record_crash(now, ended, effects);
+        if !memory_exceeded {
+            self.record_crash(now, ended, effects);
+        }
         let had_successor = self.release_successor(request);
         self.retry_or_finish(now, ended, effects);
         if had_successor {
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -125,6 +125,7 @@
         let query = SelectionQuery {
             service: &record.service,
             prompt_tokens: record.size.prompt_tokens,
+            max_output_tokens: record.size.max_output_tokens,
             expected_tokens: record.expected_output_tokens,
             first_event_budget_ms: record.route.objective.as_secs_f64() * 1e3
                 - waited.as_secs_f64() * 1e3,
@@ -193,6 +194,7 @@
         };
         state.running += 1;
         state.unread_prompt_tokens += record.size.prompt_tokens;
+        state.memory.record_dispatch(record.size);
         self.dispatches += 1;
         state.last_dispatch_number = self.dispatches;
         state.outlier.record_dispatch();
--- a/crates/savorywood-gateway/src/gateway/feedback.rs
+++ b/crates/savorywood-gateway/src/gateway/feedback.rs
@@ -158,6 +158,9 @@
         };
         let service = record.service.clone();
         let stream = record.route.retry_safety.is_stream();
+        if let Some(state) = self.fleet.get_mut(&attempt.upstream) {
+            state.memory.record_end(record.size);
+        }
         if attempt.first_event_at.is_none()
             && let Some(state) = self.fleet.get_mut(&attempt.upstream)
         {
--- a/crates/savorywood-gateway/src/gateway/quarantine.rs
+++ b/crates/savorywood-gateway/src/gateway/quarantine.rs
@@ -11,6 +11,7 @@
         REPEATED_REPORTS, ReportScope, RequestFingerprint, RequestFingerprints,
     },
     refusal::RefusalReason,
+    upstream_memory::BrokenAttempt,
 };
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
@@ -114,8 +115,7 @@
             return;
         };
         let is_crash = match outcome {
-            AttemptOutcome::Broken { stalled: false }
-            | AttemptOutcome::StreamBroken(StreamInterruption { stalled: false, .. }) => true,
+            _ if is_broken(outcome) => true,
             AttemptOutcome::Delivered { .. } => false,
             _ => return,
         };
@@ -136,6 +136,48 @@
         }
     }
 
+    /// Records a broken attempt before its tokens are released. Returns whether the tokens at the
+    /// upstream exceeded its memory, so that the crash is not attributed to the request. Each of the
+    /// requests is placed by its tokens again, so that they do not come together at the next upstream.
+    pub(super) fn record_exceeded_memory(
+        &mut self,
+        now: MonotonicTime,
+        ended: EndedAttempt<'_>,
+        effects: &mut GatewayEffects,
+    ) -> bool {
+        let EndedAttempt {
+            request,
+            attempt,
+            outcome,
+        } = ended;
+        let Some(record) = self.requests.get(&request) else {
+            return false;
+        };
+        let Some(capacity) = self.fleet.memory(&record.service) else {
+            return false;
+        };
+        let Some(state) = self.fleet.get_mut(&attempt.upstream) else {
+            return false;
+        };
+        let others = self.peers.slots_by_digest(state.digest);
+        let broken = BrokenAttempt {
+            size: record.size,
+            dispatched_at: attempt.dispatched_at,
+        };
+        let others = others.unread_prompt_tokens;
+        if !is_broken(outcome) || !state.memory.record_broken(now, broken, others, capacity) {
+            return false;
+        }
+        let line = LogLine::new(LogLevel::Warn, "upstream-memory-exceeded")
+            .with("request", &record.request_id)
+            .with("upstream", &attempt.upstream)
+            .with("own_tokens", state.memory.own_tokens())
+            .with("peer_tokens", others)
+            .with("capacity", capacity);
+        effects.push(GatewayEffect::Log(line));
+        true
+    }
+
     /// Records that an upstream responded to a request dispatched at `sent_at`, which shows that it
     /// was running then.
     pub(super) fn record_response(
@@ -207,6 +249,15 @@
     }
 }
 
+/// Returns whether the connection of an attempt broke, as in a crash of the upstream.
+fn is_broken(outcome: &AttemptOutcome) -> bool {
+    matches!(
+        outcome,
+        AttemptOutcome::Broken { stalled: false }
+            | AttemptOutcome::StreamBroken(StreamInterruption { stalled: false, .. })
+    )
+}
+
 /// Logs a change with the request of this daemon that led to it, or else a report of a peer.
 fn log_change(
     fingerprint: RequestFingerprint,
--- a/crates/savorywood-gateway/src/gateway/state_updates.rs
+++ b/crates/savorywood-gateway/src/gateway/state_updates.rs
@@ -44,6 +44,12 @@
         let services = config.services.iter();
         let warmups = services.filter_map(|(name, service)| Some((name.clone(), service.warmup?)));
         self.fleet.set_warmups(warmups.collect());
+        let services = config.services.iter();
+        let memories = services.filter_map(|(name, service)| {
+            let tokens = service.engine.as_ref()?.cache_tokens;
+            (tokens > 0).then(|| (name.clone(), tokens))
+        });
+        self.fleet.set_memories(memories.collect());
         self.config = Some(config);
         self.log_readiness_change(now, effects);
     }
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod team_limit;
 mod upstream;
 mod upstream_limit;
+mod upstream_memory;
 mod warmup;
 mod zone;
 
--- a/crates/savorywood-gateway/src/selection.rs
+++ b/crates/savorywood-gateway/src/selection.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     affinity::PrefixCacheIndex,
-    arrival::PromptPart,
+    arrival::{PromptPart, RequestSize},
     demand::UrgentArrivals,
     estimate::ResponseEstimate,
     label::{RegionLabel, ServiceLabel, UpstreamLabel, VersionLabel, ZoneLabel},
@@ -12,6 +12,7 @@
     region::RegionMap,
     rejection_limit::SlotUsage,
     upstream::{UpstreamFleet, UpstreamState},
+    upstream_memory::request_tokens,
     warmup::WarmupTolerance,
 };
 use savorywood_protocol::MonotonicTime;
@@ -95,6 +96,8 @@
     pub service: &'a ServiceLabel,
     /// Prompt tokens; zero for requests without a prompt.
     pub prompt_tokens: u32,
+    /// Maximum tokens of the response; zero when the request does not report it.
+    pub max_output_tokens: u32,
     /// Expected response tokens by the caller's hint; zero without a hint.
     pub expected_tokens: u32,
     /// Time in milliseconds within which the first event counts as in time.
@@ -117,6 +120,15 @@
     pub allow_probe: bool,
 }
 
+impl SelectionQuery<'_> {
+    fn size(&self) -> RequestSize {
+        RequestSize {
+            prompt_tokens: self.prompt_tokens,
+            max_output_tokens: self.max_output_tokens,
+        }
+    }
+}
+
 /// State that the selection is based on.
 #[derive(Debug, Clone, Copy)]
 pub struct SelectionContext<'a> {
@@ -171,6 +183,8 @@
     state: &'a UpstreamState,
     /// Number of requests of all daemons at the upstream.
     slots_in_use: u32,
+    /// Prompt tokens of requests of other daemons that wait for their first event.
+    others_unread: u32,
     /// Responses per second of one slot, up to a common factor.
     throughput: f64,
     estimate: ResponseEstimate,
@@ -243,6 +257,7 @@
                 Candidate {
                     state,
                     slots_in_use: state.running + others.running,
+                    others_unread: others.unread_prompt_tokens,
                     throughput: state.latency.throughput(&service_latency),
                     estimate: self.estimate(
                         state,
@@ -302,7 +317,20 @@
         } else {
             usage.all < usage.slots
         };
-        has_slot && !candidate.state.is_paused(self.now) && self.rate_allows(candidate.state)
+        has_slot
+            && !candidate.state.is_paused(self.now)
+            && self.rate_allows(candidate.state)
+            && self.memory_allows(candidate, query)
+    }
+
+    /// Returns true if the tokens of the request fit into the upstream's memory beside those of the
+    /// requests in progress.
+    fn memory_allows(&self, candidate: &Candidate<'_>, query: &SelectionQuery<'_>) -> bool {
+        let Some(capacity) = self.fleet.memory(query.service) else {
+            return true;
+        };
+        let memory = candidate.state.memory;
+        memory.allows(query.size(), candidate.others_unread, capacity)
     }
 
     /// Returns true if the upstream's rate limit and, while it is cold, its warm-up allow this
@@ -344,6 +372,14 @@
             && self.is_in_home_regions(state, query)
             && query.versions.allows(&state.entry.version)
             && !query.attempted.contains(&state.entry.name)
+            && self.fits_alone(query)
+    }
+
+    /// Returns true unless the request exceeds the memory of every upstream on its own: it would wait
+    /// for an upstream until its deadline.
+    fn fits_alone(&self, query: &SelectionQuery<'_>) -> bool {
+        let capacity = self.fleet.memory(query.service);
+        capacity.is_none_or(|capacity| request_tokens(query.size()) <= capacity)
     }
 
     fn is_in_home_regions(&self, state: &UpstreamState, query: &SelectionQuery<'_>) -> bool {
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -9,6 +9,7 @@
     peer::name_digest,
     rejection_limit::{RejectionLimits, SlotShare},
     upstream_limit::UpstreamLimit,
+    upstream_memory::UpstreamMemory,
     warmup::WarmupSpec,
 };
 use savorywood_protocol::MonotonicTime;
@@ -62,6 +63,8 @@
     pub running: u32,
     /// Prompt tokens of these requests that wait for their first event.
     pub unread_prompt_tokens: u32,
+    /// Tokens that requests hold of its memory.
+    pub memory: UpstreamMemory,
     /// Sequence number of this daemon's last dispatch to the upstream.
     pub last_dispatch_number: u64,
     /// Failures and ejection.
@@ -97,6 +100,7 @@
             entry,
             running: 0,
             unread_prompt_tokens: 0,
+            memory: UpstreamMemory::default(),
             last_dispatch_number: 0,
             outlier: OutlierState::default(),
             latency: LatencyModel::default(),
@@ -176,6 +180,8 @@
     states: BTreeMap<UpstreamLabel, UpstreamState>,
     service_latencies: BTreeMap<ServiceLabel, LatencyModel>,
     warmups: BTreeMap<ServiceLabel, WarmupSpec>,
+    /// Declared memory of each upstream of a service, in tokens.
+    memories: BTreeMap<ServiceLabel, u64>,
     rejection_limits: RejectionLimits,
     evacuations: EvacuationTable,
     store_failed_at: Option<MonotonicTime>,
@@ -310,14 +316,16 @@
         };
         state.removed_at = None;
         if state.entry.incarnation != entry.incarnation && entry.incarnation != 0 {
-            let (running, unread, sent_at) = (
+            let (running, unread, sent_at, memory) = (
                 state.running,
                 state.unread_prompt_tokens,
                 state.last_dispatch_at,
+                state.memory,
             );
             let restarted = UpstreamState {
                 running,
                 unread_prompt_tokens: unread,
+                memory,
                 last_dispatch_at: sent_at,
                 limit: UpstreamLimit::for_new_incarnation(now),
                 ..self.new_state(now, entry)
@@ -347,6 +355,18 @@
         self.warmups = warmups;
     }
 
+    /// Sets the declared memory of each upstream of a service, in tokens; services that are not in the
+    /// map have none.
+    pub fn set_memories(&mut self, memories: BTreeMap<ServiceLabel, u64>) {
+        self.memories = memories;
+    }
+
+    /// Returns the declared memory of each upstream of a service, in tokens.
+    #[must_use]
+    pub fn memory(&self, service: &ServiceLabel) -> Option<u64> {
+        self.memories.get(service).copied()
+    }
+
     /// Returns true if any service has a slow start.
     #[must_use]
     pub fn has_warmups(&self) -> bool {
