Types of the memory budget and the refusal of bodies in files of their own

Change: holders and verdicts are in held/verdict.rs, the refusal of a body without room in caller/unread_body.rs.

--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -1,17 +1,17 @@
 //! Serves a caller's connection: reads requests and writes responses.
 
 mod request_reader;
+mod unread_body;
 
 use crate::{
     attempt::{SavedFailure, UpstreamAttempt, broken_outcome, configure_socket},
     clock::with_timeout,
     content::content_digest,
     count::CountGuard,
-    held::MAX_PAUSE,
     metrics,
     shared::{FrontShared, RequestDecision},
     sink::ResponseSink,
-    wire::{ByteReader, HeaderLine, RequestHead},
+    wire::{ByteReader, HeaderLine},
 };
 use async_channel::Receiver;
 use async_net::TcpStream;
@@ -24,6 +24,7 @@
 use savorywood_protocol::MonotonicTime;
 use std::{cell::Cell, io, net::Shutdown, rc::Rc, time::Duration};
 use strum::IntoStaticStr;
+use unread_body::refuse_unread;
 
 /// Time for which input is still read after a connection's last response. Closing a connection with
 /// unread input resets it, and the reset can discard the response before the caller reads it.
@@ -113,34 +114,6 @@
     }
 }
 
-/// Refuses a request whose body has no room in the memory budget, as not executed.
-async fn refuse_unread(
-    shared: &FrontShared,
-    sink: &mut ResponseSink,
-    head: &RequestHead,
-) -> io::Result<()> {
-    let reason = RefusalReason::Overloaded;
-    shared
-        .metrics
-        .ended
-        .with_label_values(&[<&str>::from(reason)])
-        .inc();
-    shared.report_body_refused(head);
-    let mut lines = shared.adapter.local_response_headers(head);
-    // Callers without progress are disconnected within `MAX_PAUSE`. The second half is random, so that
-    // those refused together do not return together.
-    let after = MAX_PAUSE.mul_f64(1.0 + fastrand::f64());
-    lines.push(HeaderLine::new(
-        "Retry-After",
-        format!("{:.2}", after.as_secs_f64()),
-    ));
-    lines.push(HeaderLine::new("Content-Type", "application/json"));
-    let status = refusal_status(reason);
-    let body = format!("{{\"error\":\"{reason}\"}}");
-    sink.write_response(status, status_text(status), &lines, body.as_bytes())
-        .await
-}
-
 async fn linger(mut reader: ByteReader) {
     if reader.stream().shutdown(Shutdown::Write).is_err() {
         return;
--- a/crates/savorywood-front/src/held.rs
+++ b/crates/savorywood-front/src/held.rs
@@ -10,9 +10,11 @@
 mod report;
 mod settings;
 mod table;
+mod verdict;
 
 pub use body::{HeldBodyError, ReadEnd, RequestBody, ResponseBody, ResponseReader};
 pub use memory::{HeldCharge, HeldMemory};
 pub use metrics::HeldMetrics;
 pub use settings::check_share;
-pub use table::{HeldKind, HeldVerdict, MAX_PAUSE, MAX_RESPONSE_BYTES};
+pub use table::{MAX_PAUSE, MAX_RESPONSE_BYTES};
+pub use verdict::{HeldKind, HeldVerdict};
--- a/crates/savorywood-front/src/held/body.rs
+++ b/crates/savorywood-front/src/held/body.rs
@@ -2,7 +2,7 @@
 
 use super::{
     memory::{BudgetExhausted, HeldCharge, HeldMemory},
-    table::{HeldKind, HeldVerdict},
+    verdict::{HeldKind, HeldVerdict},
 };
 use crate::{
     shared::FrontShared,
--- a/crates/savorywood-front/src/held/memory.rs
+++ b/crates/savorywood-front/src/held/memory.rs
@@ -1,7 +1,8 @@
 //! The memory budget of the process, and the charges that tasks hold of it.
 
-use super::table::{
-    CutOutcome, HeldKind, HeldVerdict, HolderCut, HolderId, HolderTable, MAX_PAUSE,
+use super::{
+    table::{HolderTable, MAX_PAUSE},
+    verdict::{CutOutcome, HeldKind, HeldVerdict, HolderCut, HolderId},
 };
 use crate::{clock::BootClock, settings::FrontSettings, shared::FrontShared};
 use async_channel::{Receiver, Sender};
--- a/crates/savorywood-front/src/held/metrics.rs
+++ b/crates/savorywood-front/src/held/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of held memory and of unbounded input.
 
-use super::{memory::HeldMemory, table::HeldKind};
+use super::{memory::HeldMemory, verdict::HeldKind};
 use crate::metrics::{counter_vec, gauge_vec};
 use prometheus::{IntCounterVec, IntGaugeVec, Registry, core::Collector};
 use strum::IntoEnumIterator;
