--- a/crates/savorywood-front/src/held/table.rs
+++ b/crates/savorywood-front/src/held/table.rs
@@ -1,8 +1,8 @@
 //! The decision who may hold memory of the budget, and who is disconnected when it is exhausted.
 
+use super::verdict::{CutOutcome, HeldKind, HeldVerdict, HolderCut, HolderId};
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, time::Duration};
-use strum::{EnumIter, IntoStaticStr};
 
 /// Maximum size of a response that is not streamed, in bytes.
 pub const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -14,26 +14,10 @@
 /// Bytes that a holder has to deliver or receive within `STALL_TIME`. Without a minimum, a caller that
 /// reads one byte per second would count as reading.
 const MIN_PROGRESS: usize = 4_096;
-/// Bytes that a request or a stream may hold of the reserve, so that small requests are served while
+/// Bytes that any holder may have of the reserve, so that small requests and responses are served while
 /// large ones wait.
 const SMALL_HOLDER: usize = 65_536;
 
-/// Identifier of a holder, unique in the process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct HolderId(u64);
-
-/// What the bytes of a holder are. The text form is part of the log and the metrics.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr, EnumIter)]
-#[strum(serialize_all = "kebab-case")]
-pub enum HeldKind {
-    /// Body of a caller's request.
-    RequestBody,
-    /// Response that is not streamed, held until it is complete and delivered.
-    Response,
-    /// Events that are incomplete or not written yet.
-    Events,
-}
-
 /// What a holder waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum HolderStage {
@@ -45,40 +29,6 @@
     Delivering,
 }
 
-/// How a holder is disconnected.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-pub enum CutOutcome {
-    /// The caller has not read its response, and its connection is closed. The request was executed.
-    ResponseUnread,
-    /// The caller has not sent the rest of its request, and is told that the request was not executed.
-    RequestIncomplete,
-}
-
-/// A holder to be disconnected, with the inputs of the decision.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct HolderCut {
-    pub holder: HolderId,
-    pub outcome: CutOutcome,
-    /// Bytes that the holder has.
-    pub bytes: usize,
-    /// Time since its last progress.
-    pub stalled: Duration,
-}
-
-/// Decision on further bytes of a holder.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum HeldVerdict {
-    /// The bytes are charged, and reading continues.
-    Allow,
-    /// Nothing is charged; the sender is not read from for now.
-    Pause,
-    /// The same, and another holder is disconnected.
-    Cut(HolderCut),
-    /// The request is refused as not executed.
-    Refuse,
-}
-
 #[derive(Debug, Clone)]
 struct Holder {
     kind: HeldKind,
@@ -116,7 +66,7 @@
 ///
 /// The budget has a mark below which everyone may hold more. The reserve above it is as large as the
 /// largest response: it is used by the response that has received the most, so that always one of
-/// them becomes complete, and by small requests.
+/// them becomes complete, and by small holders.
 #[derive(Debug)]
 pub struct HolderTable {
     budget: usize,
@@ -267,8 +217,9 @@
         let Some(holder) = self.holders.get(&id) else {
             return false;
         };
-        if holder.kind != HeldKind::Response {
-            return holder.bytes + bytes <= SMALL_HOLDER;
+        let is_small = holder.bytes.saturating_add(bytes) <= SMALL_HOLDER;
+        if is_small || holder.kind != HeldKind::Response {
+            return is_small;
         }
         let receiving = self.holders.iter().filter(|(_, other)| {
             other.kind == HeldKind::Response && other.stage == HolderStage::Receiving
