--- a/crates/savorywood-gateway/tests/return_load.rs
+++ b/crates/savorywood-gateway/tests/return_load.rs
@@ -8,14 +8,17 @@
 #[path = "common/load.rs"]
 mod load;
 
+use harness::{GatewayHarness, arrival, config, options, peer_summary, upstream};
 use load::{
     LoadEnvironment,
     calls::CallKind,
     returns::{ReturnSettings, StoreOutage},
 };
-use savorywood_gateway::{OutageOrder, ReturnPolicy, TeamLimit, WhenFull};
+use savorywood_gateway::{
+    GatewayEffect, GatewayEvent, OutageOrder, ReturnPolicy, TeamLimit, WhenFull,
+};
 use savorywood_protocol::MonotonicTime;
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 const DAEMONS: usize = 6;
 const SLOTS: u32 = 4;
@@ -413,3 +416,41 @@
         "{on:.2} of the returns were refused, without {off:.2}"
     );
 }
+
+/// Returns the log line of a refusal at a daemon that has confirmed no keys for 5 s.
+fn refusal_without_keys(return_schedule: bool, has_ready_peer: bool) -> String {
+    let mut options = options("host-a");
+    options.overload.return_schedule = return_schedule;
+    let mut harness = GatewayHarness::unconfigured(options);
+    harness.step(GatewayEvent::ConfigRead(Arc::new(config(1, None))));
+    harness.step(GatewayEvent::UpstreamsRead(vec![upstream(1, 1)]));
+    harness.confirm();
+    harness.advance(Duration::from_secs(5));
+    if has_ready_peer {
+        let summary = Box::new(peer_summary(2, "zone-a", 1));
+        harness.step(GatewayEvent::SummaryReceived(summary));
+    }
+    harness.effects.clear();
+    harness.arrive(arrival("/safe/1"));
+    let lines = harness.effects.iter().filter_map(|effect| match effect {
+        GatewayEffect::Log(line) => Some(line.to_string()),
+        _ => None,
+    });
+    let mut refused = lines.filter(|line| line.starts_with("event=request-refused"));
+    refused.next().expect("a refusal")
+}
+
+/// Guards against delays in the log that can't be explained, and against other delays with the
+/// option off.
+#[test]
+fn refusals_log_the_inputs_of_their_delay() {
+    let alone = refusal_without_keys(true, false);
+    assert!(alone.contains(" cause=store-outage capacity="), "{alone}");
+    let cut_off = refusal_without_keys(true, true);
+    assert!(cut_off.contains(" cause=cut-off capacity="), "{cut_off}");
+    let off = refusal_without_keys(false, false);
+    assert!(
+        off.contains(" retry_ms=200 ") && !off.contains("cause="),
+        "{off}"
+    );
+}
