Deadline queue: large requests, free slots and late work of other daemons

Cause: a large request was refused earlier than its kind, as its own slot time counted; its latest start did not count the margin by which upstreams are selected; late work took slots that requests in time of other daemons could use; a free slot of an upstream that is too slow for urgent work did not prevent an early refusal.

Change: a request's own time counts at most as the mean of its rank; the latest start counts the margin; late work that is held back leaves slots free for the arrivals of all ranks; free slots that urgent work cannot use prevent a refusal. The load has slow intervals and counts responses that are late by a gap alone.

--- a/crates/savorywood-gateway/src/estimate.rs
+++ b/crates/savorywood-gateway/src/estimate.rs
@@ -3,7 +3,7 @@
 /// Factor by which a response may exceed the length hint and still has to be complete in time.
 /// Hints of callers are accurate at the median only, and a response that is cut off near its end
 /// has held a slot for nothing.
-const LENGTH_MARGIN: f64 = 1.8;
+pub const LENGTH_MARGIN: f64 = 1.8;
 
 /// Expected duration of the phases of one response at one upstream, in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 mod completion;
 mod coordination;
 mod dispatch;
+mod early_refusal;
 mod entry;
 mod evacuation;
 mod feedback;
--- a/crates/savorywood-gateway/src/gateway/queue_decisions.rs
+++ b/crates/savorywood-gateway/src/gateway/queue_decisions.rs
@@ -1,35 +1,36 @@
 //! Application of the deadline queue to the requests of this daemon.
 
 use super::{
-    Gateway, GatewayEffects,
+    Gateway,
     record::{RequestRecord, RequestState},
 };
 use crate::{
     arrival::LocalRequest,
-    effect::GatewayEffect,
+    estimate::LENGTH_MARGIN,
     label::ServiceLabel,
     latency::LatencyModel,
     queue::{QueuePosition, QueueStage, RequestRank, WaitQueue},
     queueing::{
-        ArrivedWork, DispatchedWork, EarlyRefusal, OrderedRequest, QueueCounters, QueuePolicy,
-        QueuedRequest, RefusalCause, ReservationRule, SlotReservation, WaitingWork, WorkRates,
-        early_refusals, expected_wait, order_requests,
+        ArrivedWork, DispatchedWork, OrderedRequest, QueueCounters, QueuePolicy, QueuedRequest,
+        ReservationRule, SlotReservation, WorkRates, expected_wait, order_requests,
     },
-    refusal::RefusalReason,
 };
-use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
 /// Expected times of one request, from the latency model of its service.
 #[derive(Debug, Clone, Copy)]
-struct ExpectedTimes {
-    first_event: Duration,
-    slot_time: Duration,
+pub(super) struct ExpectedTimes {
+    /// Time from dispatch to the first event, or to the complete response if it is not a stream.
+    pub first_event: Duration,
+    /// Time for which the request holds a slot.
+    pub slot_time: Duration,
+    /// Slot time of a response that is as much longer than its hint as upstreams are selected for.
+    pub longest: Duration,
 }
 
 impl ExpectedTimes {
-    fn of(record: &RequestRecord, latency: &LatencyModel) -> Self {
+    pub(super) fn of(record: &RequestRecord, latency: &LatencyModel) -> Self {
         let (first_event_ms, streaming_ms) = if record.route.retry_safety.is_stream() {
             (
                 latency.first_event_ms(latency, record.size.prompt_tokens),
@@ -41,6 +42,7 @@
         Self {
             first_event: Duration::from_secs_f64(first_event_ms / 1e3),
             slot_time: Duration::from_secs_f64((first_event_ms + streaming_ms) / 1e3),
+            longest: Duration::from_secs_f64((first_event_ms + streaming_ms * LENGTH_MARGIN) / 1e3),
         }
     }
 }
@@ -74,7 +76,7 @@
         expected_wait(ahead.sum(), &rates, rank, false)
     }
 
-    fn waiting_records<'a>(
+    pub(super) fn waiting_records<'a>(
         &'a self,
         service: &ServiceLabel,
     ) -> impl Iterator<Item = (&'a QueuePosition, &'a RequestRecord)> {
@@ -85,7 +87,11 @@
         })
     }
 
-    fn work_rates(&self, now: MonotonicTime, service: &ServiceLabel) -> Option<WorkRates> {
+    pub(super) fn work_rates(
+        &self,
+        now: MonotonicTime,
+        service: &ServiceLabel,
+    ) -> Option<WorkRates> {
         let members = self.fleet.members(service);
         let running = members.map(|state| state.running.saturating_sub(state.held_slots));
         self.queueing.loads.get(service)?.rates(now, running.sum())
@@ -99,10 +105,10 @@
     ) -> Vec<OrderedRequest> {
         let latency = self.fleet.service_latency(service);
         let waiting = self.waiting_records(service).map(|(position, record)| {
-            let slot_time = ExpectedTimes::of(record, &latency).slot_time;
+            let longest = ExpectedTimes::of(record, &latency).longest;
             QueuedRequest {
                 position: *position,
-                latest_start: now + record.give_up_at.since(now).saturating_sub(slot_time),
+                latest_start: now + record.give_up_at.since(now).saturating_sub(longest),
             }
         });
         let load = self.queueing.loads.get(service);
@@ -110,8 +116,8 @@
         order_requests(now, waiting, self.queueing.policy.late_work, admits_late)
     }
 
-    /// Returns the demand for which a request leaves slots free. One that is held back leaves them also
-    /// to waiting requests in time of its own and of less urgent ranks.
+    /// Returns the demand for which a request leaves slots free. One that is held back leaves them to
+    /// requests in time of all ranks, those that other daemons receive included.
     pub(super) fn slot_reservation(
         &self,
         now: MonotonicTime,
@@ -128,7 +134,8 @@
             ReservationRule::PooledArrivals | ReservationRule::PooledDemand => {}
         }
         let load = self.queueing.loads.get(&record.service);
-        let ranks = load.map(|load| load.urgent_ranks(now, record.rank, self.entry_daemons));
+        let end = (!held_back).then_some(record.rank);
+        let ranks = load.map(|load| load.urgent_ranks(now, end, self.entry_daemons));
         let waiting = if rule == ReservationRule::PooledDemand {
             let waiting = self.waiting_records(&record.service);
             let urgent = waiting.filter(|(position, _)| {
@@ -185,99 +192,4 @@
         load.record_dispatch(now, work);
         self.queueing.counters.late_dispatches += u64::from(late);
     }
-
-    /// Refuses waiting requests that cannot be completed by their deadline, while no slot is free.
-    pub(super) fn refuse_early(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
-        if !self.options.overload.deadline_queue || !self.queueing.policy.refuses_early {
-            return;
-        }
-        let waiting = self.queues.iter().filter(|(_, queue)| queue.len() > 0);
-        let services: Vec<ServiceLabel> = waiting.map(|(service, _)| service.clone()).collect();
-        for service in services {
-            for refusal in self.find_early_refusals(now, &service) {
-                self.log_early_refusal(&service, &refusal, effects);
-                let counters = &mut self.queueing.counters;
-                match refusal.cause {
-                    RefusalCause::Deadline => counters.refused_for_deadline += 1,
-                    RefusalCause::FirstEvent => counters.refused_for_first_event += 1,
-                }
-                self.finish(now, refusal.request, RefusalReason::Overloaded, effects);
-            }
-        }
-    }
-
-    fn find_early_refusals(&self, now: MonotonicTime, service: &ServiceLabel) -> Vec<EarlyRefusal> {
-        let Some(rates) = self.work_rates(now, service) else {
-            return Vec::new();
-        };
-        let latency = self.fleet.service_latency(service);
-        let mut work: Vec<WaitingWork> = self
-            .waiting_records(service)
-            .map(|(position, record)| {
-                let times = ExpectedTimes::of(record, &latency);
-                let is_new = position.stage == QueueStage::New && !record.has_upstream_failure;
-                WaitingWork {
-                    request: position.request,
-                    rank: position.rank,
-                    late: position.stage == QueueStage::New && position.start_by < now,
-                    refusable: is_new && record.executions == 0 && !record.is_probe,
-                    slot_time: times.slot_time,
-                    first_event: times.first_event,
-                    complete_by: record.give_up_at,
-                    first_event_by: record.caller_timeout_at,
-                }
-            })
-            .collect();
-        // The queue is in order of rank; late requests are behind those in time of their rank.
-        work.sort_by_key(|work| (work.rank, work.late));
-        let refusals = early_refusals(now, &work, &rates);
-        let is_refused_while_free = |refusal: &EarlyRefusal| {
-            let record = self.requests.get(&refusal.request);
-            record.is_some_and(|record| self.has_unreserved_slot(now, record))
-        };
-        let refusals = refusals.into_iter();
-        refusals
-            .filter(|refusal| !is_refused_while_free(refusal))
-            .collect()
-    }
-
-    /// Returns whether any upstream of the service has a free slot that is not reserved for more
-    /// urgent work, even if the request would be late there.
-    fn has_unreserved_slot(&self, now: MonotonicTime, record: &RequestRecord) -> bool {
-        let members = self.fleet.members(&record.service);
-        let usable = members.filter(|state| {
-            state.accepts_requests(now) && !state.is_paused(now) && !state.outlier.is_ejected()
-        });
-        let (mut free, mut slots) = (0, 0);
-        for state in usable {
-            let used = state.running + self.peers.slots_by_digest(state.digest).running;
-            free += state.entry.slots.saturating_sub(used);
-            slots += state.entry.slots;
-        }
-        let latency = self.fleet.service_latency(&record.service);
-        let hold = ExpectedTimes::of(record, &latency).slot_time;
-        let reservation = self.slot_reservation(now, record, false);
-        free > reservation.map_or(0, |reservation| reservation.reserved_slots(hold, slots))
-    }
-
-    fn log_early_refusal(
-        &self,
-        service: &ServiceLabel,
-        refusal: &EarlyRefusal,
-        effects: &mut GatewayEffects,
-    ) {
-        let Some(record) = self.requests.get(&refusal.request) else {
-            return;
-        };
-        let line = LogLine::new(LogLevel::Info, "early-refusal")
-            .with("request", &record.request_id)
-            .with("service", service)
-            .with("rank", record.rank.route)
-            .with("cause", refusal.cause)
-            .with("ahead_ms", refusal.ahead.as_millis())
-            .with("turnover", format_args!("{:.2}", refusal.turnover))
-            .with("wait_ms", refusal.wait.as_millis())
-            .with("left_ms", refusal.remaining.as_millis());
-        effects.push(GatewayEffect::Log(line));
-    }
 }
--- a/crates/savorywood-gateway/src/queueing/early_refusal.rs
+++ b/crates/savorywood-gateway/src/queueing/early_refusal.rs
@@ -104,8 +104,15 @@
 ) -> Vec<EarlyRefusal> {
     let mut ahead = Duration::ZERO;
     let mut candidates = Vec::new();
+    let mut rank_mean = None;
     for request in work {
-        let refusal = check(now, request, ahead, rates);
+        let (rank, mean) = match rank_mean {
+            Some((rank, mean)) if rank == request.rank => (rank, mean),
+            _ => (request.rank, mean_slot_time(work, request.rank)),
+        };
+        rank_mean = Some((rank, mean));
+        let own = request.slot_time.min(mean);
+        let refusal = check(now, request, ahead, own, rates);
         if refusal.is_none() {
             ahead += request.slot_time;
         }
@@ -120,10 +127,19 @@
     refusals.filter_map(|(_, refusal)| refusal).collect()
 }
 
+/// Returns the mean slot time of the waiting requests of a rank. A large request counts no more than
+/// this for its own refusal: it would otherwise be refused more often than the others of its kind.
+fn mean_slot_time(work: &[WaitingWork], rank: RequestRank) -> Duration {
+    let same = work.iter().filter(|work| work.rank == rank);
+    let total: Duration = same.clone().map(|work| work.slot_time).sum();
+    total / u32::try_from(same.count().max(1)).unwrap_or(u32::MAX)
+}
+
 fn check(
     now: MonotonicTime,
     work: &WaitingWork,
     ahead: Duration,
+    own: Duration,
     rates: &WorkRates,
 ) -> Option<EarlyRefusal> {
     if !work.refusable {
@@ -133,9 +149,9 @@
     let counted = wait.mul_f64(WAIT_CONFIDENCE);
     let remaining = work.complete_by.since(now);
     let until_first_event = work.first_event_by.since(now);
-    let (cause, remaining) = if counted + work.slot_time >= remaining {
+    let (cause, remaining) = if counted + own >= remaining {
         (RefusalCause::Deadline, remaining)
-    } else if counted + work.first_event >= until_first_event {
+    } else if counted + work.first_event.min(own) >= until_first_event {
         (RefusalCause::FirstEvent, until_first_event)
     } else {
         return None;
--- a/crates/savorywood-gateway/src/queueing/load.rs
+++ b/crates/savorywood-gateway/src/queueing/load.rs
@@ -157,16 +157,17 @@
         })
     }
 
-    /// Returns the arrivals of the ranks before `end`, on the assumption that each of `daemons`
+    /// Returns the arrivals of the ranks before `end`, or of all ranks, on the assumption that each of `daemons`
     /// daemons sees as many as this one.
     #[must_use]
     pub fn urgent_ranks(
         &self,
         now: MonotonicTime,
-        end: RequestRank,
+        end: Option<RequestRank>,
         daemons: usize,
     ) -> Vec<UrgentRank> {
-        let urgent = self.ranks.range(..end);
+        let ranks = self.ranks.iter();
+        let urgent = ranks.filter(|(rank, _)| end.is_none_or(|end| **rank < end));
         let ranks = urgent.map(|(_, load)| {
             let count = load.arrivals.value_at(now).max(f64::MIN_POSITIVE);
             UrgentRank {
--- a/crates/savorywood-gateway/tests/common/load.rs
+++ b/crates/savorywood-gateway/tests/common/load.rs
@@ -420,7 +420,8 @@
         let gap = self.now.since(call.received_at);
         if call.events == 0 {
             let time_to_first_event = self.now.since(call.arrived_at);
-            call.late |= time_to_first_event > self.kinds[call.kind].objective;
+            call.first_late = time_to_first_event > self.kinds[call.kind].objective;
+            call.late |= call.first_late;
             call.time_to_first_event = Some(time_to_first_event);
         } else {
             call.late |= gap > self.kinds[call.kind].gap_objective;
--- a/crates/savorywood-gateway/tests/common/load/calls.rs
+++ b/crates/savorywood-gateway/tests/common/load/calls.rs
@@ -79,6 +79,7 @@
             time_to_first_event: None,
             max_event_gap: Duration::ZERO,
             late: false,
+            first_late: false,
             retried: false,
             redispatches: 0,
         }
@@ -112,6 +113,8 @@
     pub max_event_gap: Duration,
     /// Whether an event was later than the objectives allow.
     pub late: bool,
+    /// Whether the first event was.
+    pub first_late: bool,
     /// Whether the caller has retried after a refusal.
     pub retried: bool,
     /// Attempts that the daemon abandoned in order to dispatch the request again.
@@ -139,6 +142,8 @@
     pub requests: u32,
     pub in_time: u32,
     pub late: u32,
+    /// Of these, with the first event in time.
+    pub late_by_gap: u32,
     /// Refused, and not retried.
     pub refused: u32,
     /// Of these, refused for the second time.
@@ -185,6 +190,7 @@
         self.sizes.push((call.size(), true));
         if call.late {
             self.late += 1;
+            self.late_by_gap += u32::from(!call.first_late);
         } else {
             self.in_time += 1;
         }
--- a/crates/savorywood-gateway/tests/common/load/overload.rs
+++ b/crates/savorywood-gateway/tests/common/load/overload.rs
@@ -3,7 +3,7 @@
 
 use super::{
     LoadEnvironment,
-    calls::{CallKind, CallTally},
+    calls::{CallKind, CallTally, RandomSource},
 };
 use savorywood_gateway::{OverloadOptions, QueuePolicy};
 use savorywood_protocol::MonotonicTime;
@@ -17,6 +17,9 @@
 /// Milliseconds of a step, and prompt tokens processed per millisecond.
 const STEP_MS: f64 = 4.63;
 const PREFILL_TOKENS_PER_MS: f64 = 37.9;
+/// Length of the intervals in which an engine may be slow, and its slowdown.
+const SLOW_INTERVAL: Duration = Duration::from_millis(600);
+const INTERVAL_SLOWDOWN: f64 = 2.5;
 /// Slots of an engine.
 pub const SLOTS: u32 = 4;
 /// A less urgent dispatch this close to a request's wait counts as beside it.
@@ -32,6 +35,8 @@
     gap_objective_ms: u64,
     in_time: [f64; 3],
     late: [f64; 3],
+    /// Fraction of intervals in which an engine is slow.
+    slow_intervals: f64,
 }
 
 pub const DEPLOYMENT_A: Deployment = Deployment {
@@ -41,6 +46,7 @@
     gap_objective_ms: 800,
     in_time: [5.1, 2.6, 0.33],
     late: [0.51, 0.26, 0.033],
+    slow_intervals: 0.0,
 };
 
 pub const DEPLOYMENT_B: Deployment = Deployment {
@@ -50,6 +56,7 @@
     gap_objective_ms: 500,
     in_time: [6.8, 1.6, 0.3],
     late: [2.0, 0.47, 0.088],
+    slow_intervals: 0.15,
 };
 
 const PATHS: [&str; 3] = ["/first/", "/second/", "/third/"];
@@ -78,7 +85,9 @@
 impl OverloadRun {
     fn kinds(&self) -> Vec<CallKind> {
         let engine_ms: f64 = (0..3).map(|rank| self.engine_ms(rank)).sum();
-        let speed: f64 = self.slowdown.iter().map(|slowdown| 1.0 / slowdown).sum();
+        let slow = self.deployment.slow_intervals;
+        let normal: f64 = self.slowdown.iter().map(|slowdown| 1.0 / slowdown).sum();
+        let speed = normal * (1.0 - slow + slow / INTERVAL_SLOWDOWN);
         let factor = self.load * speed * 1e3 / engine_ms;
         let kinds = (0..3).map(|rank| CallKind {
             path: PATHS[rank],
@@ -135,7 +144,16 @@
                 daemon.gateway.set_queue_policy(policy);
             }
         }
-        environment.run(self.time);
+        let mut random = RandomSource(self.seed + 2);
+        let end = environment.now + self.time;
+        while environment.now < end {
+            for (engine, normal) in environment.engines.iter_mut().zip(&self.slowdown) {
+                let is_slow = random.next() < self.deployment.slow_intervals;
+                engine.slowdown = if is_slow { INTERVAL_SLOWDOWN } else { 1.0 } * normal;
+            }
+            environment.advance(SLOW_INTERVAL.min(end.since(environment.now)), true);
+        }
+        environment.run(Duration::ZERO);
         let counters = environment.daemons.iter();
         let counters = counters.map(|daemon| daemon.gateway.queue_counters());
         let refused_early = counters
@@ -174,6 +192,7 @@
         RankResult {
             in_time: tally.fraction(tally.in_time),
             late: tally.fraction(tally.late),
+            late_by_gap: tally.fraction(tally.late_by_gap),
             refused: tally.fraction(tally.refused),
             refused_twice: tally.fraction(tally.refused_twice),
             unfinished: tally.fraction(tally.left + tally.broken_off),
@@ -193,6 +212,8 @@
 pub struct RankResult {
     pub in_time: f64,
     pub late: f64,
+    /// Of these, with the first event in time and a gap that was too long.
+    pub late_by_gap: f64,
     pub refused: f64,
     pub refused_twice: f64,
     /// The caller left, or the response was broken off.
@@ -235,9 +256,10 @@
         for rank in &self.ranks {
             write!(
                 formatter,
-                " | {:.3} {:.3} {:.3} {:.3} {:.3} {:4} {:4} {:.2} {:.2}",
+                " | {:.3} {:.3} {:.3} {:.3} {:.3} {:.3} {:4} {:4} {:.2} {:.2}",
                 rank.in_time,
                 rank.late,
+                rank.late_by_gap,
                 rank.refused,
                 rank.refused_twice,
                 rank.unfinished,
--- a/crates/savorywood-gateway/tests/overload_queue.rs
+++ b/crates/savorywood-gateway/tests/overload_queue.rs
@@ -7,16 +7,29 @@
 #[path = "common/load.rs"]
 mod load;
 
-use load::overload::{DEPLOYMENT_A, DEPLOYMENT_B, Deployment, OverloadResult, OverloadRun};
+use load::overload::{DEPLOYMENT_A, DEPLOYMENT_B, Deployment, OverloadRun};
 use savorywood_gateway::{LateWorkRule, QueuePolicy, ReservationRule};
-use std::{env, thread, time::Duration};
+use std::{
+    env,
+    sync::atomic::{AtomicUsize, Ordering},
+    thread,
+    time::Duration,
+};
 
 const DAEMONS: usize = 6;
+/// Threads of the comparison.
+const THREADS: usize = 4;
 /// Engines of normal speed.
 const EQUAL: [f64; 8] = [1.0; 8];
 /// Engines whose speeds differ by a factor of 4.4.
 const UNEQUAL: [f64; 8] = [0.5, 0.6, 0.8, 1.0, 1.0, 1.3, 1.7, 2.2];
 
+/// Returns the length of a run.
+fn seconds() -> u64 {
+    let seconds = env::var("SAVORYWOOD_OVERLOAD_SECONDS").unwrap_or("20".to_owned());
+    seconds.parse().expect("a number of seconds")
+}
+
 fn run(deployment: Deployment, load: f64, policy: Option<QueuePolicy>) -> OverloadRun {
     OverloadRun {
         deployment,
@@ -24,7 +37,7 @@
         seed: 42,
         slowdown: EQUAL.to_vec(),
         daemons: DAEMONS,
-        time: Duration::from_secs(20),
+        time: Duration::from_secs(seconds()),
         policy,
     }
 }
@@ -98,18 +111,27 @@
     };
     let seeds: u64 = seeds.parse().expect("a number of seeds");
     let only = env::var("SAVORYWOOD_OVERLOAD_POLICY").ok();
+    let loads = env::var("SAVORYWOOD_OVERLOAD_LOADS").unwrap_or("0.9,1.2,1.5".to_owned());
+    let loads = loads.split(',').map(|load| load.parse().expect("a load"));
+    let loads: Vec<f64> = loads.collect();
+    let scale = env::var("SAVORYWOOD_OVERLOAD_SCALE").unwrap_or("1".to_owned());
+    let scale: usize = scale.parse().expect("a factor");
     let mut runs = Vec::new();
     for deployment in [DEPLOYMENT_A, DEPLOYMENT_B] {
-        for load in [0.9, 1.2, 1.5] {
+        for &load in &loads {
             for (engines, slowdown) in [("equal", &EQUAL), ("unequal", &UNEQUAL)] {
                 for (name, policy) in policies() {
-                    if only.as_ref().is_some_and(|only| *only != name) {
+                    if only
+                        .as_ref()
+                        .is_some_and(|only| !only.split(',').any(|only| only == name))
+                    {
                         continue;
                     }
                     for seed in 1..=seeds {
                         let run = OverloadRun {
                             seed,
-                            slowdown: slowdown.to_vec(),
+                            slowdown: slowdown.repeat(scale),
+                            daemons: DAEMONS * scale,
                             ..run(deployment, load, policy)
                         };
                         runs.push((name, engines, run));
@@ -118,29 +140,19 @@
             }
         }
     }
-    let chunk = runs.len().div_ceil(3);
-    let results: Vec<String> = thread::scope(|scope| {
-        let threads: Vec<_> = runs
-            .chunks(chunk)
-            .map(|runs| {
-                scope.spawn(move || {
-                    let lines = runs.iter().map(|(name, engines, run)| {
-                        let result: OverloadResult = run.run();
-                        format!(
-                            "{} {:.1} {engines:8} {name:20} {} {result}",
-                            run.deployment.name, run.load, run.seed
-                        )
-                    });
-                    lines.collect::<Vec<_>>()
-                })
-            })
-            .collect();
-        let results = threads.into_iter();
-        results
-            .flat_map(|thread| thread.join().expect("results"))
-            .collect()
+    let next = AtomicUsize::new(0);
+    thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                while let Some((name, engines, run)) =
+                    runs.get(next.fetch_add(1, Ordering::Relaxed))
+                {
+                    let result = run.run();
+                    let deployment = run.deployment.name;
+                    let (load, seed) = (run.load, run.seed);
+                    println!("{deployment} {load:.1} {engines:8} {name:20} {seed} {result}");
+                }
+            });
+        }
     });
-    for line in results {
-        println!("{line}");
-    }
 }
--- a/crates/savorywood-gateway/tests/queue_policy.rs
+++ b/crates/savorywood-gateway/tests/queue_policy.rs
@@ -246,3 +246,14 @@
     let short = Duration::from_millis(20);
     assert_eq!(reservation(0, 30.0).reserved_slots(short, 36), 1);
 }
+
+/// Guards against large requests that are refused while smaller ones of their kind go on waiting.
+#[test]
+fn a_large_request_is_refused_no_earlier_than_its_kind() {
+    let mut work: Vec<WaitingWork> = (1..=20).map(|number| waiting(number, 0, 60_000)).collect();
+    work.extend((21..=29).map(|number| waiting(number, 1, 60_000)));
+    let mut large = waiting(30, 1, 25_000);
+    large.slot_time = Duration::from_secs(20);
+    work.push(large);
+    assert_eq!(refused(&work, &rates()), Vec::<u64>::new());
+}
