--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -179,6 +179,8 @@
     /// Daemons among which slots are reserved.
     slot_members: MemberHistory,
     slot_members_at: MonotonicTime,
+    /// Number of live peers then.
+    slot_live_peers: usize,
     /// Time at which the free slots of upstreams were last looked at.
     vacancies_at: MonotonicTime,
     /// Selections that a reservation held back.
@@ -253,6 +255,7 @@
             reservation_policy: ReservationPolicy::default(),
             slot_members: MemberHistory::default(),
             slot_members_at: MonotonicTime::default(),
+            slot_live_peers: 0,
             vacancies_at: MonotonicTime::default(),
             reservation_holds: HoldCounters::default(),
             quarantine: QuarantineTable::default(),
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -206,6 +206,7 @@
         state.last_dispatch_number = self.dispatches;
         state.outlier.record_dispatch();
         state.last_dispatch_at = now;
+        state.reservation.released_at = None;
         state.limit.record_dispatch();
         if let RequestState::Waiting(position) = &record.state
             && let Some(queue) = self.queues.get_mut(&record.service)
--- a/crates/savorywood-gateway/src/gateway/feedback.rs
+++ b/crates/savorywood-gateway/src/gateway/feedback.rs
@@ -245,6 +245,9 @@
             return;
         };
         state.running = state.running.saturating_sub(1);
+        if !matches!(outcome, AttemptOutcome::NotRun { .. }) {
+            state.reservation.released_at = Some(now);
+        }
         // A single response may be lost while others continue; an upstream that sends no data at
         // all is ejected at once.
         let no_data_since =
--- a/crates/savorywood-gateway/src/gateway/placing.rs
+++ b/crates/savorywood-gateway/src/gateway/placing.rs
@@ -4,17 +4,24 @@
 use crate::{
     label::ZoneLabel,
     message::{DaemonRole, PeerPhase},
-    placing::{HoldCause, ReservationPolicy, rank_claim},
+    placing::{HoldCause, ReservationPolicy, is_group, rank_claim},
     rendezvous::address_hash,
 };
 use savorywood_protocol::MonotonicTime;
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 /// Interval between two looks at the free slots of all upstreams.
 const VACANCY_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between two looks at the members. Claims are computed only if they have changed: with
 /// 1,000 members and 3,000 upstreams that takes about 10 ms.
 const MEMBER_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest interval between two looks at the members while the number of live peers changes.
+const MIN_MEMBER_INTERVAL: Duration = Duration::from_millis(100);
+/// Intervals between summaries after which a peer's message is overdue.
+const OVERDUE_FACTOR: f64 = 2.4;
 /// Uptime before which the members are not known, and peers have not reported the slots they use.
 const DISCOVERY_UPTIME: Duration = Duration::from_millis(1_100);
 
@@ -47,16 +54,30 @@
                 state.reservation.vacancies.update(now, free);
             }
         }
-        if now.since(self.slot_members_at) < MEMBER_INTERVAL || self.uptime(now) < DISCOVERY_UPTIME
-        {
+        self.refresh_slot_members(now);
+    }
+
+    /// Updates the members and the claims, at once if the number of live peers has changed: the slots
+    /// of lost peers would otherwise appear free until the next look.
+    fn refresh_slot_members(&mut self, now: MonotonicTime) {
+        let since_refresh = now.since(self.slot_members_at);
+        if since_refresh < MIN_MEMBER_INTERVAL || self.uptime(now) < DISCOVERY_UPTIME {
+            return;
+        }
+        let overdue = self.overdue_group(now);
+        let live_count = self.peers.live_peers(now).count() - overdue.len();
+        if since_refresh < MEMBER_INTERVAL && live_count == self.slot_live_peers {
             return;
         }
         self.slot_members_at = now;
+        self.slot_live_peers = live_count;
         let members = self.members_by_zone(now, self.entry.members());
-        let present: Vec<u64> = members.into_values().flatten().collect();
+        let present = members.into_values().flatten();
+        let present: Vec<u64> = present.filter(|member| !overdue.contains(member)).collect();
         let live = self.peers.live_peers(now);
-        let live: Vec<u64> = live
+        let live: BTreeSet<u64> = live
             .map(|peer| address_hash(peer.summary.peer_address))
+            .filter(|member| !overdue.contains(member))
             .collect();
         let is_changed = self
             .slot_members
@@ -70,6 +91,22 @@
         }
     }
 
+    /// Returns the members whose messages are overdue, if they are so many that a partition is
+    /// likely. Until they count as not live, they and this daemon would take the same slots.
+    fn overdue_group(&self, now: MonotonicTime) -> BTreeSet<u64> {
+        let max_age = self.contacts.gossip_interval().mul_f64(OVERDUE_FACTOR);
+        let live = self.peers.live_peers(now);
+        let overdue = live.filter(|peer| now.since(peer.received_at) > max_age);
+        let overdue: BTreeSet<u64> = overdue
+            .map(|peer| address_hash(peer.summary.peer_address))
+            .collect();
+        if is_group(overdue.len(), self.slot_members.present().len()) {
+            overdue
+        } else {
+            BTreeSet::new()
+        }
+    }
+
     /// Returns the address hashes of the entry set members of all zones; `own_members` are those of
     /// the own zone.
     pub(super) fn members_by_zone(
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -79,8 +79,8 @@
 pub use overload::OverloadOptions;
 pub use peer::{PeerTable, SlotTotal, name_digest};
 pub use placing::{
-    HoldCause, LoadRecord, MemberHistory, ReservationPolicy, SlotClaim, SlotReservation, Vacancies,
-    rank_claim,
+    HoldCause, LoadRecord, MemberHistory, ReservationPolicy, ServiceUse, SlotClaim,
+    SlotReservation, Vacancies, rank_claim,
 };
 pub use position::StorePosition;
 pub use quarantine::{
--- a/crates/savorywood-gateway/src/placing.rs
+++ b/crates/savorywood-gateway/src/placing.rs
@@ -12,7 +12,9 @@
 mod vacancy;
 
 pub use claim::{SlotClaim, rank_claim};
-pub use decision::{HoldCause, HoldCounters, ReservationPolicy, ReservationView, SlotReservation};
-pub use members::MemberHistory;
+pub use decision::{
+    HoldCause, HoldCounters, ReservationPolicy, ReservationView, ServiceUse, SlotReservation,
+};
+pub use members::{MemberHistory, is_group};
 pub use report::LoadRecord;
 pub use vacancy::Vacancies;
--- a/crates/savorywood-gateway/src/placing/decision.rs
+++ b/crates/savorywood-gateway/src/placing/decision.rs
@@ -3,9 +3,13 @@
 use super::{claim::SlotClaim, report::LoadRecord, vacancy::Vacancies};
 use crate::rejection_limit::SlotUsage;
 use savorywood_protocol::MonotonicTime;
-use std::cell::Cell;
+use std::{cell::Cell, time::Duration};
 use strum::{Display, EnumCount, FromRepr};
 
+/// Time for which a daemon may take a slot again that it has released. Its peers see the slot free
+/// after 80 ms at the earliest, so that none of them takes it before.
+const REUSE_PERIOD: Duration = Duration::from_millis(80);
+
 /// Rule by which daemons divide free slots. All but the default serve for comparison.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum ReservationPolicy {
@@ -35,6 +39,24 @@
     MembersUnknown,
 }
 
+/// Use of a service's slots by this daemon.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ServiceUse {
+    /// Slots that this daemon uses.
+    pub own: u32,
+    /// Slots of the eligible upstreams.
+    pub slots: u32,
+    /// Slots of them that the members in contact with this daemon own.
+    pub group_slots: u32,
+}
+
+impl ServiceUse {
+    /// Returns the use relative to an equal share of the slots among some members.
+    fn relative_to_share(self, members: u32) -> f64 {
+        f64::from(self.own) * f64::from(members) / f64::from(self.slots.max(1))
+    }
+}
+
 /// State of the reservation of one upstream's slots.
 #[derive(Debug, Clone, Default)]
 pub struct SlotReservation {
@@ -44,6 +66,8 @@
     pub vacancies: Vacancies,
     /// Load that the upstream reported.
     pub report: LoadRecord,
+    /// Time at which this daemon released a slot that it has not taken again.
+    pub released_at: Option<MonotonicTime>,
 }
 
 /// Inputs of a decision, for the log.
@@ -81,6 +105,7 @@
         &self,
         now: MonotonicTime,
         usage: SlotUsage,
+        service: ServiceUse,
         policy: ReservationPolicy,
     ) -> Result<(), HoldCause> {
         let others = usage.all.saturating_sub(usage.own);
@@ -96,12 +121,23 @@
             let is_free = usage.own == 0 && used < usage.slots.saturating_sub(1).max(1);
             return is_free.then_some(()).ok_or(HoldCause::MembersUnknown);
         };
+        if service.group_slots == 0 {
+            // A small service has fewer slots than daemons. Without this slot, a partitioned daemon
+            // could not serve it at all.
+            let is_first = service.own == 0;
+            return is_first.then_some(()).ok_or(HoldCause::LostMembers);
+        }
         if used >= claim.group_slots {
             return Err(HoldCause::LostMembers);
         }
         let free = claim.group_slots - used;
         let may_borrow = match policy {
-            ReservationPolicy::Widening => claim.rank < self.vacancies.reach(now, free),
+            ReservationPolicy::Widening => {
+                let demand = service.relative_to_share(claim.members);
+                let is_unseen = |at| now.since(at) < REUSE_PERIOD;
+                self.released_at.is_some_and(is_unseen)
+                    || claim.rank < self.vacancies.reach(now, free, demand)
+            }
             ReservationPolicy::Margin(margin) => free > margin,
             ReservationPolicy::FixedShares | ReservationPolicy::ReportedLoadOnly => false,
         };
--- a/crates/savorywood-gateway/src/placing/members.rs
+++ b/crates/savorywood-gateway/src/placing/members.rs
@@ -14,6 +14,13 @@
 /// One of this many members, if lost, is a group.
 const GROUP_DIVISOR: usize = 8;
 
+/// Returns true if `lost` daemons, lost at the same time as others are `present`, are more likely
+/// partitioned than crashed.
+#[must_use]
+pub fn is_group(lost: usize, present: usize) -> bool {
+    lost >= MIN_GROUP.max(present / GROUP_DIVISOR)
+}
+
 /// Members of the entry sets of all zones, with the time at which others were lost.
 #[derive(Debug, Clone, Default)]
 pub struct MemberHistory {
@@ -40,8 +47,7 @@
         for member in self.present.iter().filter(|member| !has_returned(member)) {
             self.lost.entry(*member).or_insert(now);
         }
-        let is_group = self.lost.len() >= MIN_GROUP.max(present.len() / GROUP_DIVISOR);
-        let retention = if is_group {
+        let retention = if is_group(self.lost.len(), present.len()) {
             LOST_GROUP_RETENTION
         } else {
             LOST_MEMBER_RETENTION
--- a/crates/savorywood-gateway/src/selection.rs
+++ b/crates/savorywood-gateway/src/selection.rs
@@ -9,7 +9,7 @@
     latency::LatencyModel,
     lease::MemberLeases,
     peer::PeerTable,
-    placing::{HoldCause, HoldCounters, ReservationPolicy, ReservationView},
+    placing::{HoldCause, HoldCounters, ReservationPolicy, ReservationView, ServiceUse},
     region::RegionMap,
     rejection_limit::SlotUsage,
     upstream::{UpstreamFleet, UpstreamState},
@@ -199,6 +199,19 @@
     estimate: ResponseEstimate,
 }
 
+/// Sums up the slots of the candidates.
+fn service_use(candidates: &[Candidate<'_>]) -> ServiceUse {
+    let mut sum = ServiceUse::default();
+    for candidate in candidates {
+        let state = candidate.state;
+        sum.own += state.running;
+        sum.slots += state.entry.slots;
+        let claim = state.reservation.claim;
+        sum.group_slots += claim.map_or(state.entry.slots, |claim| claim.group_slots);
+    }
+    sum
+}
+
 impl SelectionContext<'_> {
     /// Selects the upstream with the lowest expected cost among those with a free slot.
     ///
@@ -231,6 +244,7 @@
             .sum();
         let mut best: Option<SelectedUpstream> = None;
         let mut held = None;
+        let service_use = service_use(&candidates);
         for candidate in &candidates {
             let noise = sample();
             let estimate = &candidate.estimate;
@@ -241,7 +255,7 @@
             if !fits || !in_time {
                 continue;
             }
-            match self.has_free_slot(candidate, query, share) {
+            match self.has_free_slot(candidate, query, share, service_use) {
                 SlotAvailability::Free => {}
                 SlotAvailability::Full => continue,
                 SlotAvailability::Held(cause) => {
@@ -324,6 +338,7 @@
         candidate: &Candidate<'_>,
         query: &SelectionQuery<'_>,
         share: f64,
+        service_use: ServiceUse,
     ) -> SlotAvailability {
         let slots = candidate.state.entry.slots;
         let slot = Duration::from_secs_f64(candidate.estimate.slot_hold_ms() / 1e3);
@@ -346,7 +361,7 @@
             return SlotAvailability::Free;
         };
         let reservation = &candidate.state.reservation;
-        match reservation.check(self.now, usage, reservations.policy) {
+        match reservation.check(self.now, usage, service_use, reservations.policy) {
             Ok(()) => SlotAvailability::Free,
             Err(cause) => SlotAvailability::Held(cause),
         }
