--- a/crates/savorywood-gateway/src/selection.rs
+++ b/crates/savorywood-gateway/src/selection.rs
@@ -9,7 +9,7 @@
     latency::LatencyModel,
     lease::MemberLeases,
     peer::PeerTable,
-    placing::{HoldCause, HoldCounters, ReservationPolicy, ReservationView},
+    placing::{HoldCause, HoldCounters, ReservationPolicy, ReservationView, ServiceUse},
     queueing::UrgentReservation,
     region::RegionMap,
     rejection_limit::SlotUsage,
@@ -261,6 +261,19 @@
     }
 }
 
+/// Sums up the slots of the candidates.
+fn service_use(candidates: &[Candidate<'_>]) -> ServiceUse {
+    let mut sum = ServiceUse::default();
+    for candidate in candidates {
+        let state = candidate.state;
+        sum.own += state.running;
+        sum.slots += state.entry.slots;
+        let claim = state.reservation.claim;
+        sum.group_slots += claim.map_or(state.entry.slots, |claim| claim.group_slots);
+    }
+    sum
+}
+
 impl SelectionContext<'_> {
     /// Selects the upstream with the lowest expected cost among those with a free slot.
     ///
@@ -298,6 +311,7 @@
             .map(|reservation| SlotPool::new(reservation, &candidates, &service_latency));
         let mut best: Option<SelectedUpstream> = None;
         let mut held = None;
+        let service_use = service_use(&candidates);
         for candidate in &candidates {
             let noise = sample();
             let estimate = &candidate.estimate;
@@ -311,7 +325,7 @@
             if pool.as_ref().is_some_and(|pool| !pool.allows(candidate)) {
                 continue;
             }
-            match self.has_free_slot(candidate, query, share) {
+            match self.has_free_slot(candidate, query, share, service_use) {
                 SlotAvailability::Free => {}
                 SlotAvailability::Full => continue,
                 SlotAvailability::Held(cause) => {
@@ -410,6 +424,7 @@
         candidate: &Candidate<'_>,
         query: &SelectionQuery<'_>,
         share: f64,
+        service_use: ServiceUse,
     ) -> SlotAvailability {
         let slots = candidate.state.entry.slots;
         let slot = Duration::from_secs_f64(candidate.estimate.slot_hold_ms() / 1e3);
@@ -436,7 +451,7 @@
             return SlotAvailability::Free;
         };
         let reservation = &candidate.state.reservation;
-        match reservation.check(self.now, usage, reservations.policy) {
+        match reservation.check(self.now, usage, service_use, reservations.policy) {
             Ok(()) => SlotAvailability::Free,
             Err(cause) => SlotAvailability::Held(cause),
         }
