--- a/crates/savorywood-front/src/admin.rs
+++ b/crates/savorywood-front/src/admin.rs
@@ -151,6 +151,10 @@
             let metric = metrics.scheduled_returns.with_label_values(&[cause]);
             metric.inc_by(count.saturating_sub(metric.get()));
         }
+        for (cause, count) in gateway.queue_counters().iter() {
+            let metric = metrics.queue_decisions.with_label_values(&[cause]);
+            metric.inc_by(count.saturating_sub(metric.get()));
+        }
         metrics
             .quarantined
             .set(count(gateway.quarantined_requests()));
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -62,6 +62,8 @@
     pub limited_upstreams: IntGauge,
     /// Refusals with a scheduled retry-after delay by cause, and returns that were recognised.
     pub scheduled_returns: IntCounterVec,
+    /// Decisions of the deadline queue, by cause.
+    pub queue_decisions: IntCounterVec,
     pub quarantined: IntGauge,
     /// Upstreams that are warming up.
     pub cold_upstreams: IntGauge,
@@ -154,6 +156,11 @@
                 "Refusals whose retry-after delay was scheduled by cause, and recognised returns",
                 "cause",
             ),
+            queue_decisions: counter_vec(
+                "queue_decisions_total",
+                "Decisions of the deadline queue by cause",
+                "cause",
+            ),
             quarantined: gauge(
                 "quarantined_requests",
                 "Request fingerprints that are refused because upstreams crashed while executing them",
@@ -267,6 +274,7 @@
             Box::new(self.limited_upstreams.clone()),
             Box::new(self.reported_paces.clone()),
             Box::new(self.scheduled_returns.clone()),
+            Box::new(self.queue_decisions.clone()),
             Box::new(self.quarantined.clone()),
             Box::new(self.cold_upstreams.clone()),
             Box::new(self.unreadable_datagrams.clone()),
--- a/crates/savorywood-front/src/metrics/tests.rs
+++ b/crates/savorywood-front/src/metrics/tests.rs
@@ -25,6 +25,13 @@
         &metrics.store_calls,
         &metrics.connect_failures,
         &metrics.relays,
+        &metrics.reported_paces,
+        &metrics.scheduled_returns,
+        &metrics.queue_decisions,
+        &metrics.reservation_holds,
+        &metrics.held.unbounded,
+        &metrics.held.cuts,
+        &metrics.held.pauses,
     ];
     for family in counted {
         family.with_label_values(&["x"]).inc();
--- a/crates/savorywood-gateway/src/queueing.rs
+++ b/crates/savorywood-gateway/src/queueing.rs
@@ -48,6 +48,18 @@
     pub late_dispatches: u64,
 }
 
+impl QueueCounters {
+    /// Iterates over the causes, as they appear in metrics, and their counts.
+    pub fn iter(self) -> impl Iterator<Item = (&'static str, u64)> {
+        [
+            ("refused-for-deadline", self.refused_for_deadline),
+            ("refused-for-first-event", self.refused_for_first_event),
+            ("late-dispatch", self.late_dispatches),
+        ]
+        .into_iter()
+    }
+}
+
 /// State of the queue decisions: the load of each service and the counters.
 #[derive(Debug, Clone, Default)]
 pub struct QueueController {
