Decisions on retries are logged and counted

A retry left no line that says what the budget held, for how many daemons, and how long the process had run; retries without a charge were not counted.

The budget's use is a type of its own. Nothing is decided differently.

--- a/crates/savorywood-front/src/admin.rs
+++ b/crates/savorywood-front/src/admin.rs
@@ -155,6 +155,11 @@
             let metric = metrics.queue_decisions.with_label_values(&[cause]);
             metric.inc_by(count.saturating_sub(metric.get()));
         }
+        for (decision, count) in gateway.retry_counters().iter() {
+            let decision: &str = decision.into();
+            let metric = metrics.retry_decisions.with_label_values(&[decision]);
+            metric.inc_by(count.saturating_sub(metric.get()));
+        }
         metrics
             .quarantined
             .set(count(gateway.quarantined_requests()));
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -64,6 +64,8 @@
     pub scheduled_returns: IntCounterVec,
     /// Decisions of the deadline queue, by cause.
     pub queue_decisions: IntCounterVec,
+    /// Decisions on retries, by the decision.
+    pub retry_decisions: IntCounterVec,
     pub quarantined: IntGauge,
     /// Upstreams that are warming up.
     pub cold_upstreams: IntGauge,
@@ -161,6 +163,11 @@
                 "Decisions of the deadline queue by cause",
                 "cause",
             ),
+            retry_decisions: counter_vec(
+                "retry_decisions_total",
+                "Decisions on retries by the budget of their service",
+                "decision",
+            ),
             quarantined: gauge(
                 "quarantined_requests",
                 "Request fingerprints that are refused because upstreams crashed while executing them",
@@ -275,6 +282,7 @@
             Box::new(self.reported_paces.clone()),
             Box::new(self.scheduled_returns.clone()),
             Box::new(self.queue_decisions.clone()),
+            Box::new(self.retry_decisions.clone()),
             Box::new(self.quarantined.clone()),
             Box::new(self.cold_upstreams.clone()),
             Box::new(self.unreadable_datagrams.clone()),
--- a/crates/savorywood-front/src/metrics/tests.rs
+++ b/crates/savorywood-front/src/metrics/tests.rs
@@ -28,6 +28,7 @@
         &metrics.reported_paces,
         &metrics.scheduled_returns,
         &metrics.queue_decisions,
+        &metrics.retry_decisions,
         &metrics.reservation_holds,
         &metrics.held.unbounded,
         &metrics.held.cuts,
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 mod registration;
 mod relay;
 mod resumption;
+mod retries;
 mod retry_after;
 mod returns;
 mod stall_detection;
@@ -50,7 +51,7 @@
     reachability::UpstreamReachability,
     region::RegionMap,
     registration::RegistrationQueue,
-    retry_budget::{RetryBudget, RetryBudgetOptions},
+    retry_budget::{RetryBudget, RetryBudgetOptions, RetryCounters},
     rollout::{CanaryOptions, RolloutTable},
     selection::RoutingPolicy,
     store_reads::StoreReadTracker,
@@ -210,6 +211,7 @@
     presence: PeerPresence,
     team_limiters: BTreeMap<TeamLabel, TeamLimiter>,
     retry_budgets: BTreeMap<ServiceLabel, RetryBudget>,
+    retry_counters: RetryCounters,
     rollouts: RolloutTable,
     stopping: bool,
     /// Time until which requests are admitted; present once the daemon stops.
@@ -289,6 +291,7 @@
             presence: PeerPresence::default(),
             team_limiters: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
+            retry_counters: RetryCounters::default(),
             rollouts: RolloutTable::default(),
             stopping: false,
             admits_until: None,
--- a/crates/savorywood-gateway/src/gateway/completion.rs
+++ b/crates/savorywood-gateway/src/gateway/completion.rs
@@ -13,6 +13,7 @@
     quarantine::QuarantineVerdict,
     queue::{QueuePosition, QueueStage},
     refusal::RefusalReason,
+    retry_budget::RetryDecision,
 };
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
@@ -125,6 +126,7 @@
             }
             AttemptOutcome::NotSent | AttemptOutcome::NotRelayed => {
                 if record.attempts < MAX_ATTEMPTS {
+                    self.retry_counters.record(RetryDecision::Uncharged);
                     return self.requeue(request, outcome, effects);
                 }
                 if self.resume_later(now, ended, effects) {
@@ -133,7 +135,7 @@
                 return self.finish(now, request, RefusalReason::NoUpstream, effects);
             }
             AttemptOutcome::NotRun { .. } => {
-                if record.attempts < MAX_ATTEMPTS && self.spend_retry(now, request) {
+                if record.attempts < MAX_ATTEMPTS && self.spend_retry(now, request, effects) {
                     return self.requeue(request, outcome, effects);
                 }
                 if self.resume_later(now, ended, effects) {
@@ -156,7 +158,7 @@
         let may_retry = record.allows_another_execution() && record.attempts < MAX_ATTEMPTS;
         let is_quarantined =
             self.quarantine.verdict_on(&record.fingerprints) != QuarantineVerdict::Clear;
-        if may_retry && !is_quarantined && self.spend_retry(now, request) {
+        if may_retry && !is_quarantined && self.spend_retry(now, request, effects) {
             return self.requeue(request, outcome, effects);
         }
         if !is_quarantined && self.resume_later(now, ended, effects) {
@@ -165,21 +167,6 @@
         self.finish(now, request, RefusalReason::IncompleteResponse, effects);
     }
 
-    pub(super) fn spend_retry(&mut self, now: MonotonicTime, request: LocalRequest) -> bool {
-        let Some(record) = self.requests.get_mut(&request) else {
-            return false;
-        };
-        if std::mem::take(&mut record.has_reserved_retry) {
-            return true;
-        }
-        let daemons = self.peers.peer_count(now) + 1;
-        let budget = self
-            .retry_budgets
-            .entry(record.service.clone())
-            .or_default();
-        budget.try_acquire(now, &self.options.bounds.retry_budget, daemons)
-    }
-
     /// Returns a request to its queue with its original start time. While it can be in time, it goes
     /// ahead of the requests of its rank that have not been attempted.
     pub(super) fn requeue(
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -80,7 +80,7 @@
             let reservation = self.slot_reservation(now, record, held_back);
             match self.select_with_reservation(now, record, reservation) {
                 Ok(selected) => {
-                    if self.pay_owed_retry(now, position.request) {
+                    if self.pay_owed_retry(now, position.request, effects) {
                         self.dispatch(now, position.request, &selected, effects);
                     }
                 }
--- a/crates/savorywood-gateway/src/gateway/resumption.rs
+++ b/crates/savorywood-gateway/src/gateway/resumption.rs
@@ -151,12 +151,17 @@
 
     /// Charges the retry that the next attempt of a request owes. Returns whether the attempt may
     /// be made.
-    pub(super) fn pay_owed_retry(&mut self, now: MonotonicTime, request: LocalRequest) -> bool {
+    pub(super) fn pay_owed_retry(
+        &mut self,
+        now: MonotonicTime,
+        request: LocalRequest,
+        effects: &mut GatewayEffects,
+    ) -> bool {
         let owes_retry = self
             .requests
             .get(&request)
             .is_some_and(|record| record.owes_retry);
-        if owes_retry && !self.spend_retry(now, request) {
+        if owes_retry && !self.spend_retry(now, request, effects) {
             return false;
         }
         if let Some(record) = self.requests.get_mut(&request) {
--- a/crates/savorywood-gateway/src/gateway/stall_detection.rs
+++ b/crates/savorywood-gateway/src/gateway/stall_detection.rs
@@ -188,7 +188,7 @@
         let Some(successor) = self.find_successor(now, record, &attempt) else {
             return;
         };
-        if !self.spend_retry(now, request) {
+        if !self.spend_retry(now, request, effects) {
             return;
         }
         self.hold_successor(request, successor);
--- a/crates/savorywood-gateway/src/retry_budget.rs
+++ b/crates/savorywood-gateway/src/retry_budget.rs
@@ -2,6 +2,35 @@
 
 use savorywood_protocol::MonotonicTime;
 use std::{collections::VecDeque, time::Duration};
+use strum::{Display, EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
+
+/// Decision on a retry. The text form is part of the log and of the metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumCount, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RetryDecision {
+    /// The budget allows the retry, which is charged to it.
+    Granted,
+    /// The budget is spent.
+    Denied,
+    /// The attempt before did not reach an upstream, so the retry is not charged.
+    Uncharged,
+}
+
+/// Number of decisions since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RetryCounters([u64; RetryDecision::COUNT]);
+
+impl RetryCounters {
+    /// Counts a decision.
+    pub fn record(&mut self, decision: RetryDecision) {
+        self.0[decision as usize] += 1;
+    }
+
+    /// Iterates over the decisions and their counts.
+    pub fn iter(&self) -> impl Iterator<Item = (RetryDecision, u64)> + '_ {
+        RetryDecision::iter().zip(self.0)
+    }
+}
 
 /// Bounds on retries of one service, over all daemons.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -30,6 +59,25 @@
 /// when it does.
 const USABLE_RATIO_FRACTION: f64 = 0.9;
 
+/// Use of a budget and what it allows now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetUse {
+    /// Retries charged within the window.
+    pub spent: usize,
+    /// Retries allowed for the requests of the window.
+    pub earned: f64,
+    /// Retries allowed in addition: this daemon's share of the slack.
+    pub share: f64,
+}
+
+impl BudgetUse {
+    /// Returns whether another retry is within the budget.
+    #[must_use]
+    pub fn allows_retry(&self) -> bool {
+        self.spent as f64 + 1.0 <= self.earned + self.share
+    }
+}
+
 /// Requests and retries of one service at this daemon within the window.
 ///
 /// Each daemon earns retries with its own requests and holds an equal share of the slack, so the
@@ -46,6 +94,21 @@
         self.requests.push_back(now);
     }
 
+    /// Returns the use of the budget by this daemon, one of `daemons`.
+    pub fn usage(
+        &mut self,
+        now: MonotonicTime,
+        options: &RetryBudgetOptions,
+        daemons: usize,
+    ) -> BudgetUse {
+        self.evict_expired(now, options.window);
+        BudgetUse {
+            spent: self.retries.len(),
+            earned: self.requests.len() as f64 * options.ratio * USABLE_RATIO_FRACTION,
+            share: options.slack * USABLE_SLACK_FRACTION / daemons.max(1) as f64,
+        }
+    }
+
     /// Records a retry and returns true if the budget of this daemon, one of `daemons`, allows it.
     pub fn try_acquire(
         &mut self,
@@ -53,14 +116,11 @@
         options: &RetryBudgetOptions,
         daemons: usize,
     ) -> bool {
-        self.evict_expired(now, options.window);
-        let earned = self.requests.len() as f64 * options.ratio * USABLE_RATIO_FRACTION;
-        let share = options.slack * USABLE_SLACK_FRACTION / daemons.max(1) as f64;
-        if self.retries.len() as f64 + 1.0 > earned + share {
-            return false;
+        let is_allowed = self.usage(now, options, daemons).allows_retry();
+        if is_allowed {
+            self.retries.push_back(now);
         }
-        self.retries.push_back(now);
-        true
+        is_allowed
     }
 
     fn evict_expired(&mut self, now: MonotonicTime, window: Duration) {
