Retry budget: retries are saved, and a process starts with none

Callers saw nothing of it at first; the upstreams of a service that was already failing got more second arrivals than the operator allows, for seconds after every restart of daemons.

Cause: each daemon counted requests and retries of the last window and allowed what the difference left. A process that starts has an empty count. Its predecessor may have spent a window's budget at once, for requests before the window too, and the successor spends again for its own requests and its share of the slack. The class: a bound over a window is kept in memory that does not outlive the process. The number of daemons came from the peers that are heard of, so a partition raised the share as well.

What a window can bring is then what its own requests and time add, and what was saved before it; restarts add nothing. Only on the first start of a deployment is the budget full, as nobody can have spent it.

--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -152,10 +152,7 @@
                 };
                 effects.push(GatewayEffect::Log(line));
                 let service = record.service.clone();
-                self.retry_budgets
-                    .entry(service.clone())
-                    .or_default()
-                    .record_request(now);
+                self.record_budget_request(now, &service);
                 self.record_usual_arrival(&service, record.rank);
                 let demand = self.demand_trackers.entry(service.clone()).or_default();
                 demand.record_arrival(now, record.rank);
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -105,7 +105,9 @@
 pub use registration::MemberRegistration;
 pub use rejection_limit::SlotUsage;
 pub use relay::RelayRefusal;
-pub use retry_budget::{BudgetUse, RetryBudget, RetryBudgetOptions, RetryCounters, RetryDecision};
+pub use retry_budget::{
+    BudgetLevel, RetryBudget, RetryBudgetOptions, RetryCounters, RetryDecision,
+};
 pub use rollout::{RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite};
 pub use selection::RoutingPolicy;
 pub use store_reads::{
--- a/crates/savorywood-gateway/src/retry_budget.rs
+++ b/crates/savorywood-gateway/src/retry_budget.rs
@@ -53,72 +53,109 @@
     }
 }
 
-/// Fraction of the slack that daemons use; the rest covers what daemons that have left had spent.
-const USABLE_SLACK_FRACTION: f64 = 0.6;
-/// Fraction of the ratio that daemons use. A caller that retries later is counted as a request only
-/// when it does.
-const USABLE_RATIO_FRACTION: f64 = 0.9;
+/// Fraction of the ratio by which each request adds to the budget.
+const ACCRUED_RATIO_FRACTION: f64 = 0.825;
+/// Fraction of the ratio up to which retries are saved for each request of the last window.
+const SAVED_RATIO_FRACTION: f64 = 0.125;
+/// Fraction of the slack up to which all daemons together save retries.
+const SAVED_SLACK_FRACTION: f64 = 0.8;
+/// Fraction of the slack that is added in the course of each window.
+const REFILLED_SLACK_FRACTION: f64 = 0.15;
 
-/// Use of a budget and what it allows now.
+/// Level of a budget at one time.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct BudgetUse {
-    /// Retries charged within the window.
-    pub spent: usize,
-    /// Retries allowed for the requests of the window.
-    pub earned: f64,
-    /// Retries allowed in addition: this daemon's share of the slack.
-    pub share: f64,
+pub struct BudgetLevel {
+    /// Retries saved.
+    pub saved: f64,
+    /// Retries that may be saved at most.
+    pub capacity: f64,
 }
 
-impl BudgetUse {
-    /// Returns whether another retry is within the budget.
+impl BudgetLevel {
+    /// Returns whether a retry is within the budget.
     #[must_use]
     pub fn allows_retry(&self) -> bool {
-        self.spent as f64 + 1.0 <= self.earned + self.share
+        self.saved >= 1.0
     }
 }
 
-/// Requests and retries of one service at this daemon within the window.
+/// Retries of one service that this daemon has saved.
 ///
-/// Each daemon earns retries with its own requests and holds an equal share of the slack, so the
-/// sum over all daemons stays within the bound even while they are partitioned from each other.
+/// The retries of a window are at most what its requests and its time add, and what daemons had
+/// saved before. What they can save is bounded by the requests of the window before and by equal
+/// shares of the slack, so the sum over all daemons stays within the bound while they are
+/// partitioned. A process starts with nothing saved, so it also holds however often they restart.
 #[derive(Debug, Clone, Default)]
 pub struct RetryBudget {
     requests: VecDeque<MonotonicTime>,
-    retries: VecDeque<MonotonicTime>,
+    saved: f64,
+    /// Time of the last addition; `None` before the first.
+    refilled_at: Option<MonotonicTime>,
+    /// No earlier process can have spent any of the slack.
+    starts_full: bool,
 }
 
 impl RetryBudget {
-    /// Records an incoming request, which adds to the budget.
-    pub fn record_request(&mut self, now: MonotonicTime) {
+    /// Creates a budget that holds this daemon's share of the slack, for a deployment that has not
+    /// run before.
+    #[must_use]
+    pub fn full() -> Self {
+        Self {
+            starts_full: true,
+            ..Self::default()
+        }
+    }
+
+    /// Records an incoming request, which adds to the budget of this daemon, one of `daemons`.
+    pub fn record_request(
+        &mut self,
+        now: MonotonicTime,
+        options: &RetryBudgetOptions,
+        daemons: usize,
+    ) {
         self.requests.push_back(now);
+        let capacity = self.refill(now, options, daemons).capacity;
+        self.saved = (self.saved + options.ratio * ACCRUED_RATIO_FRACTION).min(capacity);
     }
 
-    /// Returns the use of the budget by this daemon, one of `daemons`.
-    pub fn usage(
+    /// Returns the level of the budget of this daemon, one of `daemons`, after adding what the time
+    /// since the last call is worth.
+    pub fn refill(
         &mut self,
         now: MonotonicTime,
         options: &RetryBudgetOptions,
         daemons: usize,
-    ) -> BudgetUse {
+    ) -> BudgetLevel {
         self.evict_expired(now, options.window);
-        BudgetUse {
-            spent: self.retries.len(),
-            earned: self.requests.len() as f64 * options.ratio * USABLE_RATIO_FRACTION,
-            share: options.slack * USABLE_SLACK_FRACTION / daemons.max(1) as f64,
+        let share = options.slack / daemons.max(1) as f64;
+        let requests = self.requests.len() as f64;
+        let capacity =
+            share * SAVED_SLACK_FRACTION + requests * options.ratio * SAVED_RATIO_FRACTION;
+        let added = match self.refilled_at.replace(now) {
+            Some(before) => {
+                let windows = now.since(before).as_secs_f64() / options.window.as_secs_f64();
+                share * REFILLED_SLACK_FRACTION * windows
+            }
+            None if self.starts_full => capacity,
+            None => 0.0,
+        };
+        self.saved = (self.saved + added).min(capacity);
+        BudgetLevel {
+            saved: self.saved,
+            capacity,
         }
     }
 
-    /// Records a retry and returns true if the budget of this daemon, one of `daemons`, allows it.
-    pub fn try_acquire(
+    /// Spends a retry and returns true if the budget of this daemon, one of `daemons`, allows it.
+    pub fn try_spend(
         &mut self,
         now: MonotonicTime,
         options: &RetryBudgetOptions,
         daemons: usize,
     ) -> bool {
-        let is_allowed = self.usage(now, options, daemons).allows_retry();
+        let is_allowed = self.refill(now, options, daemons).allows_retry();
         if is_allowed {
-            self.retries.push_back(now);
+            self.saved -= 1.0;
         }
         is_allowed
     }
@@ -128,8 +165,5 @@
         while self.requests.front().is_some_and(|at| *at < window_start) {
             self.requests.pop_front();
         }
-        while self.retries.front().is_some_and(|at| *at < window_start) {
-            self.retries.pop_front();
-        }
     }
 }
--- a/crates/savorywood-gateway/tests/fleet_limits.rs
+++ b/crates/savorywood-gateway/tests/fleet_limits.rs
@@ -152,10 +152,10 @@
         let now = MonotonicTime(step * 10_000);
         for budget in &mut budgets {
             if step % 10 == 0 {
-                budget.record_request(now);
+                budget.record_request(now, &options, DAEMONS);
                 requests += 1;
             }
-            spent += u32::from(budget.try_acquire(now, &options, DAEMONS));
+            spent += u32::from(budget.try_spend(now, &options, DAEMONS));
         }
     }
     let most = f64::from(requests) * options.ratio + options.slack;
