Announced limits of rejections are logged with the use of slots

Cause: a rejection by an upstream that can bear few of them left no line that tells whether the daemon knew its share of the slots, and what it believed to be in use.

Nothing is decided differently.

Conclusion: share=unknown beside others=0 shows the first hypothesis, a number the second.

--- a/crates/savorywood-gateway/src/gateway/announcements.rs
+++ b/crates/savorywood-gateway/src/gateway/announcements.rs
@@ -49,6 +49,7 @@
         }
         if let Some(per_second) = announcement.max_rejections {
             line = line.with("max_rejections", per_second.per_second());
+            line = self.with_slot_use(line, upstream);
         }
         effects.push(GatewayEffect::Log(line));
         if starts_draining {
@@ -57,6 +58,20 @@
     }
 }
 
+impl Gateway {
+    /// Adds what this daemon knew of the slots of an upstream with a limit of rejections.
+    fn with_slot_use(&self, line: LogLine, upstream: &UpstreamLabel) -> LogLine {
+        let Some(state) = self.fleet.get(upstream) else {
+            return line;
+        };
+        let others = self.peers.slots_by_digest(state.digest).running;
+        line.with("slots", state.entry.slots)
+            .with("share", state.slot_share)
+            .with("own", state.running)
+            .with("others", others)
+    }
+}
+
 /// Returns the time for which a daemon sends nothing to an upstream that turned a request of it away
 /// and can bear few rejections: each daemon with a share of its `slots` makes its part of them.
 fn rejection_pause(announcement: UpstreamAnnouncement, slots: u32, daemons: usize) -> Duration {
--- a/crates/savorywood-gateway/src/rejection_limit.rs
+++ b/crates/savorywood-gateway/src/rejection_limit.rs
@@ -8,6 +8,7 @@
 use crate::{label::ServiceLabel, lease::MemberLeases, upstream_limit::ObservationSource};
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, time::Duration};
+use strum::Display;
 
 /// Time after an announcement for which it holds; upstreams repeat it in each response.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(5);
@@ -23,13 +24,16 @@
     pub all: u32,
 }
 
-/// Slots of an upstream that this daemon may use while rejections are limited.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+/// Slots of an upstream that this daemon may use while rejections are limited. The text form is part
+/// of the log.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum SlotShare {
     /// The daemons that share the slots are not known for certain.
     #[default]
     Unknown,
     /// A fixed number, which may be zero.
+    #[strum(to_string = "{0}")]
     Fixed(u32),
 }
 
