Limited rejections: daemons that are lost keep their share of the slots

Callers saw requests broken off with the upstreams that fell over, and refusals while these were down.

Cause: while an upstream announces how few rejections it can bear, the slots are divided among the members of the entry sets. A daemon that was cut off from its peers gave up its leases and with them its share, and took all but one slot by counts from which the others had disappeared; the others divided all slots, its own too. Both used the same slots for as long as the partition lasted, and each upstream that ran again fell over again. The class: a silent peer is taken for one that is gone.

Change: shares come from the same history of members as slot reservations, in which a lost member keeps its share for 15 s, and longer while most daemons are not seen. Leases are no longer asked. Slots of a daemon that is really down stay unused that long, only while the limit is announced.

--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -44,7 +44,7 @@
     message::SlotUse,
     overload::OverloadOptions,
     peer::{PeerTable, name_digest},
-    placing::{HoldCounters, MemberHistory, ReservationPolicy},
+    placing::{HoldCounters, LossRetention, MemberHistory, ReservationPolicy},
     quarantine::QuarantineTable,
     queue::WaitQueue,
     queueing::QueueController,
@@ -181,8 +181,11 @@
     leases_refreshed_at: MonotonicTime,
     /// Time at which the shares of slots were last computed.
     slot_shares_at: MonotonicTime,
-    /// The leases were settled then.
-    slot_shares_settled: bool,
+    /// The daemons that divide them have changed since.
+    slot_shares_stale: bool,
+    /// Daemons that divide the slots of upstreams with limited rejections.
+    limit_members: MemberHistory,
+    limit_members_at: MonotonicTime,
     reservation_policy: ReservationPolicy,
     /// Daemons among which slots are reserved.
     slot_members: MemberHistory,
@@ -261,7 +264,9 @@
             leases: MemberLeases::default(),
             leases_refreshed_at: MonotonicTime::default(),
             slot_shares_at: MonotonicTime::default(),
-            slot_shares_settled: false,
+            slot_shares_stale: false,
+            limit_members: MemberHistory::new(LossRetention::cautious()),
+            limit_members_at: MonotonicTime::default(),
             reservation_policy: ReservationPolicy::default(),
             slot_members: MemberHistory::default(),
             slot_members_at: MonotonicTime::default(),
--- a/crates/savorywood-gateway/src/gateway/entry.rs
+++ b/crates/savorywood-gateway/src/gateway/entry.rs
@@ -23,7 +23,7 @@
 const OVERDUE_FACTOR: f64 = 1.4;
 /// Minimum uptime for holding leases. A younger daemon has no record of what its previous
 /// incarnation dispatched to cold upstreams within the second over which their rate is counted.
-const MIN_LEASE_UPTIME: Duration = Duration::from_millis(1_100);
+pub(super) const MIN_LEASE_UPTIME: Duration = Duration::from_millis(1_100);
 /// Interval between two computations of leases while nothing needs them. It is not longer because
 /// the members must have been known for a while once something does.
 const IDLE_LEASE_INTERVAL: Duration = Duration::from_millis(500);
@@ -70,6 +70,7 @@
         let was_member = self.is_entry_member();
         let count = members.len();
         self.refresh_leases(now, &members);
+        self.refresh_limit_members(now, &members);
         let entry_daemons = self.count_entry_daemons(now, count);
         let previous_entry_daemons = std::mem::replace(&mut self.entry_daemons, entry_daemons);
         let is_changed = self.entry.replace(members);
@@ -104,7 +105,6 @@
         }
         let is_needed = self.fleet.has_warmups()
             || self.fleet.has_limits()
-            || self.fleet.rejection_limits().is_any_active(now)
             || self.quarantine.quarantined_count() > 0;
         if !is_needed && now.since(self.leases_refreshed_at) < IDLE_LEASE_INTERVAL {
             return;
--- a/crates/savorywood-gateway/src/gateway/placing.rs
+++ b/crates/savorywood-gateway/src/gateway/placing.rs
@@ -4,7 +4,7 @@
 use crate::{
     label::ZoneLabel,
     message::{DaemonRole, PeerPhase},
-    placing::{HoldCause, ReservationPolicy, is_group, rank_claim},
+    placing::{HoldCause, MemberHistory, ReservationPolicy, is_group, rank_claim},
     rendezvous::address_hash,
 };
 use savorywood_protocol::MonotonicTime;
@@ -63,9 +63,7 @@
     /// of lost peers would otherwise appear free until the next look.
     fn refresh_slot_members(&mut self, now: MonotonicTime) {
         let since_refresh = now.since(self.slot_members_at);
-        let pairs = self.slot_members.present().len() * self.fleet.iter().count();
-        let pairs = u32::try_from(pairs).unwrap_or(u32::MAX);
-        let least = MIN_MEMBER_INTERVAL.max(INTERVAL_PER_PAIR.saturating_mul(pairs));
+        let least = self.min_claim_interval(&self.slot_members);
         if since_refresh < least || self.uptime(now) < DISCOVERY_UPTIME {
             return;
         }
@@ -79,11 +77,8 @@
         let members = self.members_by_zone(now, self.entry.members());
         let present = members.into_values().flatten();
         let present: Vec<u64> = present.filter(|member| !overdue.contains(member)).collect();
-        let live = self.peers.live_peers(now);
-        let live: BTreeSet<u64> = live
-            .map(|peer| address_hash(peer.summary.peer_address))
-            .filter(|member| !overdue.contains(member))
-            .collect();
+        let live = self.live_address_hashes(now);
+        let live: BTreeSet<u64> = live.difference(&overdue).copied().collect();
         let is_changed = self
             .slot_members
             .update(now, present, |member| live.contains(&member));
@@ -96,6 +91,20 @@
         }
     }
 
+    /// Returns the shortest interval between two computations of the shares of all upstreams.
+    pub(super) fn min_claim_interval(&self, members: &MemberHistory) -> Duration {
+        let pairs = members.present().len() * self.fleet.iter().count();
+        let pairs = u32::try_from(pairs).unwrap_or(u32::MAX);
+        MIN_MEMBER_INTERVAL.max(INTERVAL_PER_PAIR.saturating_mul(pairs))
+    }
+
+    /// Returns the address hashes of the live peers.
+    pub(super) fn live_address_hashes(&self, now: MonotonicTime) -> BTreeSet<u64> {
+        let live = self.peers.live_peers(now);
+        live.map(|peer| address_hash(peer.summary.peer_address))
+            .collect()
+    }
+
     /// Returns the members whose messages are overdue, if they are so many that a partition is
     /// likely. Until they count as not live, they and this daemon would take the same slots.
     fn overdue_group(&self, now: MonotonicTime) -> BTreeSet<u64> {
--- a/crates/savorywood-gateway/src/gateway/rate_limits.rs
+++ b/crates/savorywood-gateway/src/gateway/rate_limits.rs
@@ -1,11 +1,12 @@
 //! Rate limits that upstreams report, and this daemon's share of them.
 
-use super::{Gateway, GatewayEffects};
+use super::{Gateway, GatewayEffects, entry::MIN_LEASE_UPTIME};
 use crate::{
     effect::GatewayEffect,
     label::UpstreamLabel,
     peer::name_digest,
     quarantine::ReportScope,
+    rendezvous::address_hash,
     upstream_limit::{LimitGossip, LimitObservation, LimitReport, ObservationSource, RateLimit},
 };
 use savorywood_core::{LogLevel, LogLine};
@@ -18,6 +19,8 @@
 const MAX_REPORTS: usize = 64;
 /// Interval at which shares of slots are recomputed; a change of the members takes effect at once.
 const SLOT_SHARE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between two looks at the members while no rejections are limited.
+const IDLE_MEMBERS_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Gateway {
     /// Records the limit in a response to a request dispatched at `sent_at`; `None` when the
@@ -132,20 +135,45 @@
         }
     }
 
+    /// Records the members among which the slots of upstreams with limited rejections are divided.
+    ///
+    /// Daemons that are lost keep their shares, and do so for as long as this daemon does not see
+    /// most daemons: both sides of a partition would otherwise use the same slots.
+    pub(super) fn refresh_limit_members(&mut self, now: MonotonicTime, own_members: &[u64]) {
+        let is_active = self.fleet.rejection_limits().is_any_active(now);
+        let since_refresh = now.since(self.limit_members_at);
+        let is_due = since_refresh >= IDLE_MEMBERS_INTERVAL
+            || is_active && since_refresh >= self.min_claim_interval(&self.limit_members);
+        if self.uptime(now) < MIN_LEASE_UPTIME || !is_due {
+            return;
+        }
+        self.limit_members_at = now;
+        let members = self.members_by_zone(now, own_members);
+        let present = members.into_values().flatten().collect();
+        let live = self.live_address_hashes(now);
+        if !self.peers.sees_majority(now) {
+            self.limit_members.keep_lost(now);
+        }
+        let is_changed = self
+            .limit_members
+            .update(now, present, |member| live.contains(&member));
+        self.slot_shares_stale |= is_changed;
+    }
+
     /// Recomputes this daemon's shares of slots while rejections are limited. Each takes a look at
     /// all members, so it is not done in each tick.
     pub(super) fn refresh_slot_shares(&mut self, now: MonotonicTime) {
         if !self.fleet.rejection_limits().is_any_active(now) {
             return;
         }
-        let is_settled = self.leases.is_settled(now);
         let is_recent = now.since(self.slot_shares_at) < SLOT_SHARE_INTERVAL;
-        if is_recent && is_settled == self.slot_shares_settled {
+        if is_recent && !self.slot_shares_stale {
             return;
         }
         self.slot_shares_at = now;
-        self.slot_shares_settled = is_settled;
-        self.fleet.refresh_slot_shares(now, &self.leases);
+        self.slot_shares_stale = false;
+        let own = address_hash(self.options.peer_address);
+        self.fleet.refresh_slot_shares(own, &self.limit_members);
     }
 }
 
--- a/crates/savorywood-gateway/src/placing.rs
+++ b/crates/savorywood-gateway/src/placing.rs
@@ -15,6 +15,6 @@
 pub use decision::{
     HoldCause, HoldCounters, ReservationPolicy, ReservationView, ServiceUse, SlotReservation,
 };
-pub use members::{MemberHistory, is_group};
+pub use members::{LossRetention, MemberHistory, is_group};
 pub use report::LoadRecord;
 pub use vacancy::Vacancies;
--- a/crates/savorywood-gateway/src/placing/members.rs
+++ b/crates/savorywood-gateway/src/placing/members.rs
@@ -9,6 +9,36 @@
 /// Time for which the shares of many daemons that were lost together are kept. They are more likely
 /// partitioned than crashed, and continue to use upstreams; partitions of 12 s have been observed.
 const LOST_GROUP_RETENTION: Duration = Duration::from_secs(15);
+
+/// Times for which the shares of lost daemons are kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LossRetention {
+    /// For few daemons, which have most likely crashed.
+    pub single: Duration,
+    /// For many daemons that were lost together.
+    pub group: Duration,
+}
+
+impl LossRetention {
+    /// Keeps the share of every lost daemon as long as that of a partitioned one. An unused share
+    /// costs some slots, one that is used twice may cost the upstream.
+    #[must_use]
+    pub fn cautious() -> Self {
+        Self {
+            single: LOST_GROUP_RETENTION,
+            group: LOST_GROUP_RETENTION,
+        }
+    }
+}
+
+impl Default for LossRetention {
+    fn default() -> Self {
+        Self {
+            single: LOST_MEMBER_RETENTION,
+            group: LOST_GROUP_RETENTION,
+        }
+    }
+}
 /// At least this many lost daemons are a group.
 const MIN_GROUP: usize = 3;
 /// One of this many members, if lost, is a group.
@@ -24,11 +54,28 @@
 /// Members of the entry sets of all zones, with the time at which others were lost.
 #[derive(Debug, Clone, Default)]
 pub struct MemberHistory {
+    retention: LossRetention,
     present: Vec<u64>,
     lost: BTreeMap<u64, MonotonicTime>,
 }
 
 impl MemberHistory {
+    /// Creates an empty history.
+    #[must_use]
+    pub fn new(retention: LossRetention) -> Self {
+        Self {
+            retention,
+            ..Self::default()
+        }
+    }
+
+    /// Restarts the time for which the shares of lost members are kept.
+    pub fn keep_lost(&mut self, now: MonotonicTime) {
+        for at in self.lost.values_mut() {
+            *at = now;
+        }
+    }
+
     /// Records the present members. A member that has disappeared is lost, except if `is_live`: it
     /// then has left the entry set, and others know the slots that it uses. Returns true if the
     /// members or the lost ones have changed.
@@ -48,9 +95,9 @@
             self.lost.entry(*member).or_insert(now);
         }
         let retention = if is_group(self.lost.len(), present.len()) {
-            LOST_GROUP_RETENTION
+            self.retention.group
         } else {
-            LOST_MEMBER_RETENTION
+            self.retention.single
         };
         self.lost.retain(|_, at| now.since(*at) < retention);
         let is_changed = self.present != present || self.lost.len() != lost_before;
--- a/crates/savorywood-gateway/src/rejection_limit.rs
+++ b/crates/savorywood-gateway/src/rejection_limit.rs
@@ -3,9 +3,14 @@
 //! Daemons learn of each other's slots with a delay, so that several may use the last one at the same
 //! time. While an upstream announces how few rejections it can bear, the slots of its service are
 //! therefore divided among a few daemons for each upstream, which all daemons select in the same
-//! way, and each counts its own.
+//! way, and each counts its own. Daemons that are not heard of keep their share for a while, as they
+//! may only be partitioned.
 
-use crate::{label::ServiceLabel, lease::MemberLeases, upstream_limit::ObservationSource};
+use crate::{
+    label::ServiceLabel,
+    placing::{MemberHistory, rank_claim},
+    upstream_limit::ObservationSource,
+};
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, time::Duration};
 use strum::Display;
@@ -38,18 +43,15 @@
 }
 
 impl SlotShare {
-    /// Computes this daemon's share of the slots of the upstream whose name has the digest `key`.
+    /// Computes the share of the daemon `own` of the slots of the upstream whose name has the digest
+    /// `key`.
     #[must_use]
-    pub fn compute(now: MonotonicTime, key: u64, slots: u32, leases: &MemberLeases) -> Self {
-        if !leases.is_settled(now) {
+    pub fn compute(own: u64, key: u64, slots: u32, members: &MemberHistory) -> Self {
+        if members.present().is_empty() {
             return Self::Unknown;
         }
-        let share = leases.share(now, key, slots as usize);
-        Self::Fixed(share.map_or(0, |share| {
-            let holders = u32::try_from(share.holders).unwrap_or(u32::MAX).max(1);
-            let has_extra = (share.rank as u32) < slots % holders;
-            slots / holders + u32::from(has_extra)
-        }))
+        let claim = rank_claim(own, key, slots, members);
+        Self::Fixed(claim.map_or(0, |claim| claim.owned))
     }
 
     /// Returns whether this daemon may use another slot. While its share is not known, one slot
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -5,10 +5,9 @@
     health::UpstreamPace,
     label::{ServiceLabel, UpstreamLabel, VersionLabel, ZoneLabel},
     latency::LatencyModel,
-    lease::MemberLeases,
     outlier::OutlierState,
     peer::name_digest,
-    placing::SlotReservation,
+    placing::{MemberHistory, SlotReservation},
     rejection_limit::{RejectionLimits, SlotShare},
     upstream_limit::UpstreamLimit,
     upstream_memory::UpstreamMemory,
@@ -260,11 +259,11 @@
         &mut self.rejection_limits
     }
 
-    /// Recomputes this daemon's share of the slots of all upstreams.
-    pub fn refresh_slot_shares(&mut self, now: MonotonicTime, leases: &MemberLeases) {
+    /// Recomputes the share of the daemon `own` of the slots of all upstreams.
+    pub fn refresh_slot_shares(&mut self, own: u64, members: &MemberHistory) {
         for state in self.states.values_mut() {
             let slots = state.entry.slots;
-            state.slot_share = SlotShare::compute(now, state.digest, slots, leases);
+            state.slot_share = SlotShare::compute(own, state.digest, slots, members);
         }
     }
 
