Limited rejections: the pause grows with each rejection, and ends with the limit

Callers saw requests broken off with upstreams that fell over, again and again, without any disruption between daemons.

Cause: an upstream may have less room than the slots that it registers. Each owner of a slot that finds no room comes back after a pause of one length, so that the owners meet there again and again; the pause also outlived the limit.

Change: the pause doubles with each rejection in a row, up to 20 s, and is extended at random; another response resets it, and it counts only while the limit is announced.

Conclusion: better, not mended. What is left are the first rejections of all owners when the room shrinks. Whether upstreams of the report ever had less room than slots is not known.

--- a/crates/savorywood-gateway/src/gateway/announcements.rs
+++ b/crates/savorywood-gateway/src/gateway/announcements.rs
@@ -7,11 +7,6 @@
 };
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
-use std::time::Duration;
-
-/// Range of the pause after an upstream with a limit of rejections turned a request away.
-const MIN_REJECTION_PAUSE: Duration = Duration::from_secs(1);
-const MAX_REJECTION_PAUSE: Duration = Duration::from_secs(10);
 
 impl Gateway {
     /// Applies what an upstream announced, and logs what is new of it.
@@ -25,15 +20,21 @@
     ) {
         let mut pause = announcement.pause.unwrap_or_default();
         let mut is_newly_limited = false;
+        let sample = self.random.next();
         if let Some(state) = self.fleet.get_mut(upstream) {
-            let slots = state.entry.slots;
-            let service = state.entry.service.clone();
-            pause = pause.max(rejection_pause(announcement, slots, self.entry_daemons));
             state.extend_pause(now + pause);
-            if announcement.max_rejections.is_some() {
-                let source = ObservationSource::Own;
+            if let Some(limit) = announcement.max_rejections {
+                let service = state.entry.service.clone();
+                let senders = self.entry_daemons.min(state.entry.slots as usize);
+                let backoff = &mut state.rejection_backoff;
+                if announcement.turned_away {
+                    let after_rejection = backoff.record_rejection(now, limit, senders, sample);
+                    pause = pause.max(after_rejection);
+                } else {
+                    backoff.record_response();
+                }
                 let limits = self.fleet.rejection_limits_mut();
-                is_newly_limited = limits.announce(now, &service, source);
+                is_newly_limited = limits.announce(now, &service, ObservationSource::Own);
             }
         }
         let starts_draining = announcement.leaving && self.fleet.record_leaving(upstream);
@@ -71,18 +72,3 @@
             .with("others", others)
     }
 }
-
-/// Returns the time for which a daemon sends nothing to an upstream that turned a request of it away
-/// and can bear few rejections: each daemon with a share of its `slots` makes its part of them.
-fn rejection_pause(announcement: UpstreamAnnouncement, slots: u32, daemons: usize) -> Duration {
-    let Some(limit) = announcement
-        .max_rejections
-        .filter(|_| announcement.turned_away)
-    else {
-        return Duration::ZERO;
-    };
-    let senders = daemons.min(slots as usize).max(1);
-    let seconds = senders as f64 / limit.per_second().max(f64::MIN_POSITIVE);
-    let (min, max) = (MIN_REJECTION_PAUSE, MAX_REJECTION_PAUSE);
-    Duration::from_secs_f64(seconds.clamp(min.as_secs_f64(), max.as_secs_f64()))
-}
--- a/crates/savorywood-gateway/src/rejection_limit.rs
+++ b/crates/savorywood-gateway/src/rejection_limit.rs
@@ -9,7 +9,7 @@
 use crate::{
     label::ServiceLabel,
     placing::{MemberHistory, rank_claim},
-    upstream_limit::ObservationSource,
+    upstream_limit::{ObservationSource, RateLimit},
 };
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, time::Duration};
@@ -18,6 +18,67 @@
 /// Time after an announcement for which it holds; upstreams repeat it in each response.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(5);
 
+/// Range of the first pause after a rejection.
+const MIN_REJECTION_PAUSE: Duration = Duration::from_secs(1);
+const MAX_REJECTION_PAUSE: Duration = Duration::from_secs(10);
+/// Longest pause after a series of rejections.
+const MAX_BACKOFF: Duration = Duration::from_secs(20);
+/// Fraction by which later pauses are extended at random at most, so that daemons that were turned
+/// away at the same time do not return at the same time.
+const BACKOFF_JITTER: f64 = 0.5;
+
+/// Pauses of this daemon after rejections by one upstream that can bear few of them.
+///
+/// An upstream may have less room than slots. The daemons that find no room there try again more and
+/// more seldom, until a response shows that there is some.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RejectionBackoff {
+    /// Rejections since the last other response.
+    rejections: u32,
+    paused_until: MonotonicTime,
+}
+
+impl RejectionBackoff {
+    /// Records another rejection by an upstream with this limit, of which `senders` daemons own
+    /// slots, and returns the pause after it. `sample` is a random number from 0 up to 1.
+    pub fn record_rejection(
+        &mut self,
+        now: MonotonicTime,
+        limit: RateLimit,
+        senders: usize,
+        sample: f64,
+    ) -> Duration {
+        let pause = self.next_pause(limit, senders, sample);
+        self.rejections = self.rejections.saturating_add(1);
+        self.paused_until = self.paused_until.max(now + pause);
+        pause
+    }
+
+    fn next_pause(&self, limit: RateLimit, senders: usize, sample: f64) -> Duration {
+        let seconds = senders.max(1) as f64 / limit.per_second().max(f64::MIN_POSITIVE);
+        let (min, max) = (MIN_REJECTION_PAUSE, MAX_REJECTION_PAUSE);
+        let first = Duration::from_secs_f64(seconds.clamp(min.as_secs_f64(), max.as_secs_f64()));
+        if self.rejections == 0 {
+            return first;
+        }
+        let pause = first.saturating_mul(2u32.saturating_pow(self.rejections));
+        pause
+            .min(MAX_BACKOFF)
+            .mul_f64(1.0 + sample * BACKOFF_JITTER)
+    }
+
+    /// Records a response that is no rejection.
+    pub fn record_response(&mut self) {
+        self.rejections = 0;
+    }
+
+    /// Returns whether the upstream is to be left alone, while its rejections are limited.
+    #[must_use]
+    pub fn is_paused(&self, now: MonotonicTime) -> bool {
+        now < self.paused_until
+    }
+}
+
 /// Use of the slots of one upstream, by this daemon and by all.
 #[derive(Debug, Clone, Copy)]
 pub struct SlotUsage {
--- a/crates/savorywood-gateway/src/selection.rs
+++ b/crates/savorywood-gateway/src/selection.rs
@@ -436,7 +436,8 @@
         };
         let limits = self.fleet.rejection_limits();
         let has_slot = if limits.is_active(self.now, query.service) {
-            candidate.state.slot_share.allows_dispatch(usage)
+            let backoff = &candidate.state.rejection_backoff;
+            candidate.state.slot_share.allows_dispatch(usage) && !backoff.is_paused(self.now)
         } else {
             usage.all < usage.slots
         };
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -8,7 +8,7 @@
     outlier::OutlierState,
     peer::name_digest,
     placing::{MemberHistory, SlotReservation},
-    rejection_limit::{RejectionLimits, SlotShare},
+    rejection_limit::{RejectionBackoff, RejectionLimits, SlotShare},
     upstream_limit::UpstreamLimit,
     upstream_memory::UpstreamMemory,
     warmup::WarmupSpec,
@@ -88,6 +88,8 @@
     pub paused_until: MonotonicTime,
     /// Slots that this daemon may use while rejections are limited.
     pub slot_share: SlotShare,
+    /// Pauses after rejections while they are limited.
+    pub rejection_backoff: RejectionBackoff,
     /// Reservation of its slots, if they are enabled.
     pub reservation: SlotReservation,
     /// Time of this daemon's last dispatch to the upstream.
@@ -117,6 +119,7 @@
             limit: UpstreamLimit::default(),
             paused_until: MonotonicTime::default(),
             slot_share: SlotShare::default(),
+            rejection_backoff: RejectionBackoff::default(),
             reservation: SlotReservation::default(),
             last_dispatch_at: MonotonicTime::default(),
             held_slots: 0,
--- a/crates/savorywood-gateway/tests/rejection_limits.rs
+++ b/crates/savorywood-gateway/tests/rejection_limits.rs
@@ -308,6 +308,25 @@
     }
 }
 
+/// Guards against upstreams that fail because all daemons find out at once that they have less room
+/// than slots.
+#[test]
+fn upstreams_that_can_bear_few_rejections_seldom_fail_with_less_room_than_slots() {
+    for max_rejections in [3, 2, 1] {
+        for seed in 1..=4 {
+            let mut environment = RejectionEnvironment::new(7, 12, seed);
+            environment.max_rejections = max_rejections;
+            environment.advance(Duration::from_secs(4), 9);
+            for room in [3, 2, 1] {
+                environment.room = room;
+                environment.advance(Duration::from_secs(6), 9);
+            }
+            let label = format!("{max_rejections} rejections a second, seed {seed}");
+            environment.assert_few_falls(&label);
+        }
+    }
+}
+
 /// Guards against upstreams that fail one after another because daemons take their last slots at
 /// the same time and try full ones again.
 #[test]
