Steps of a roll-out are logged with their evidence

Cause: the log of a completed roll-out did not tell on how many responses it was decided.

Nothing is decided differently.

--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 mod retries;
 mod retry_after;
 mod returns;
+mod rollouts;
 mod stall_detection;
 mod state_updates;
 mod store_reads;
@@ -483,11 +484,7 @@
         self.apply_withdrawals(now, effects);
         let is_leader = self.is_leader(now);
         for write in self.rollouts.advance(now, is_leader) {
-            let line = LogLine::new(LogLevel::Info, "rollout-step")
-                .with("service", &write.service)
-                .with("to", &write.target_version)
-                .with("state", write.phase);
-            effects.push(GatewayEffect::Log(line));
+            effects.push(GatewayEffect::Log(self.rollout_line(&write)));
             effects.push(GatewayEffect::WriteRollout(write));
         }
     }
--- a/crates/savorywood-gateway/src/rollout.rs
+++ b/crates/savorywood-gateway/src/rollout.rs
@@ -305,6 +305,12 @@
         }
     }
 
+    /// Returns the tally over all daemons of a service's roll-out.
+    #[must_use]
+    pub fn total(&self, service: &ServiceLabel) -> Option<VersionTally> {
+        self.states.get(service).map(RolloutState::total)
+    }
+
     /// Returns this daemon's tallies of the roll-outs in progress.
     #[must_use]
     pub fn tallies(&self) -> Vec<VersionTally> {
