Roll-outs: a daemon that has rejected a version tells its peers

Callers kept being sent to a version that one daemon had already rejected, until the store told the others.

Cause: a daemon stops reporting its tally when the roll-out is over for it, and the rejection is a part of the tally. With the store out or slow the others never heard of it; the leader might complete what another daemon had rejected.

Evidence: a_rejection_reaches_peers_without_the_store failed before: 4 of 20 requests at the new version.

Change: a rejected roll-out stays in the reports.

Conclusion: found while the slow version was looked into; it would hide any evidence against a version.

--- a/crates/savorywood-gateway/src/rollout.rs
+++ b/crates/savorywood-gateway/src/rollout.rs
@@ -127,6 +127,12 @@
             && current.time_limit == order.time_limit
     }
 
+    /// Returns whether peers are told this daemon's tally. A rejection reaches them while the store
+    /// is out, too.
+    fn is_reported(&self) -> bool {
+        self.phase == RolloutPhase::Running || self.own.rejected
+    }
+
     fn progress(&self, now: MonotonicTime) -> f64 {
         let elapsed = now.since(self.started_at).as_secs_f64();
         elapsed / self.order.time_limit.as_secs_f64().max(0.001)
@@ -311,20 +317,17 @@
         self.states.get(service).map(RolloutState::total)
     }
 
-    /// Returns this daemon's tallies of the roll-outs in progress.
+    /// Returns this daemon's tallies of the roll-outs in progress and of those that it has rejected.
     #[must_use]
     pub fn tallies(&self) -> Vec<VersionTally> {
-        let running = |state: &&RolloutState| state.phase == RolloutPhase::Running;
-        let states = self.states.values().filter(running);
+        let states = self.states.values().filter(|state| state.is_reported());
         states.map(|state| state.own).collect()
     }
 
-    /// Returns the sum of the tallies of this daemon and the given peers, for the roll-outs in
-    /// progress.
+    /// Returns the sum of the tallies of this daemon and the given peers, for the same roll-outs.
     #[must_use]
     pub fn tallies_with(&self, peers: &[u64]) -> Vec<VersionTally> {
-        let running = |state: &&RolloutState| state.phase == RolloutPhase::Running;
-        let states = self.states.values().filter(running);
+        let states = self.states.values().filter(|state| state.is_reported());
         let sums = states.map(|state| state.sum(|peer| peers.contains(&peer)));
         sums.collect()
     }
--- a/crates/savorywood-gateway/tests/rollouts.rs
+++ b/crates/savorywood-gateway/tests/rollouts.rs
@@ -249,3 +249,36 @@
     );
     assert!(run.writes.len() <= 6, "{} writes", run.writes.len());
 }
+
+/// Guards against a rejected version that other daemons go on using while the store is out.
+#[test]
+fn a_rejection_reaches_peers_without_the_store() {
+    let start = MonotonicTime(1_000_000);
+    let mut daemons: Vec<GatewayHarness> =
+        (0..2).map(|number| start_daemon(number, start)).collect();
+    for _ in 0..40 {
+        let request = daemons[0].arrive(arrival("/once/1"));
+        let is_new = daemons[0].orders(request)[0]
+            .upstream
+            .as_str()
+            .starts_with("new-");
+        if is_new {
+            let metadata = ResponseMetadata::default();
+            daemons[0].end(request, AttemptOutcome::Failed { metadata });
+        } else {
+            daemons[0].deliver(request);
+        }
+    }
+    daemons[0].advance(Duration::from_millis(100));
+    let now = daemons[0].now;
+    let summary = daemons[0].gateway.summary(now);
+    daemons[1].step(GatewayEvent::SummaryReceived(Box::new(summary)));
+    let upstreams = (0..20).map(|_| {
+        let request = daemons[1].arrive(arrival("/once/1"));
+        let upstream = daemons[1].orders(request)[0].upstream.clone();
+        daemons[1].deliver(request);
+        upstream
+    });
+    let new = upstreams.filter(|upstream| upstream.as_str().starts_with("new-"));
+    assert_eq!(new.count(), 0);
+}
