Roll-outs: the pace of responses is evidence against a version

Cause: only failed and interrupted responses counted against a new version. Expected times are learned from the responses of all versions, so that nothing of the slow one was overdue. The class: what is still running, or ends well but late, is no evidence.

Change: each stream counts once, at its sixth event, with the time between its events but for the longest gap; other responses with their time. The version is rejected when its mean exceeds the old one's by 1.5 and three standard errors, with six responses or more; by 2.5 once all requests go to it, as it then bears more load than the old one did. Warm-up does not count. Above 1.5 it is not verified.

--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -270,6 +270,7 @@
             last_event_at: None,
             max_event_gap: Duration::ZERO,
             events: 0,
+            pace_recorded: false,
             abandoned: false,
         });
         self.prefix_cache
--- a/crates/savorywood-gateway/src/gateway/feedback.rs
+++ b/crates/savorywood-gateway/src/gateway/feedback.rs
@@ -15,10 +15,6 @@
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
-/// Factor over the expected duration above which a non-stream response counts against its version.
-const SLOW_FACTOR: f64 = 3.0;
-/// Margin, in milliseconds, that must be exceeded in addition to the factor.
-const SLOW_MARGIN_MS: f64 = 200.0;
 /// Factor over the expected time to the first event above which a missing response counts against
 /// its upstream.
 const OVERDUE_FACTOR: f64 = 4.0;
@@ -58,7 +54,7 @@
 
 /// Returns whether the first event is so late that the upstream is at fault rather than the size of
 /// the request.
-fn is_past_expected(now: MonotonicTime, attempt: &RunningAttempt) -> bool {
+pub(super) fn is_past_expected(now: MonotonicTime, attempt: &RunningAttempt) -> bool {
     let millis = now.since(attempt.dispatched_at).as_secs_f64() * 1e3;
     let exceeds_limit =
         millis > attempt.expected_first_event_ms * OVERDUE_FACTOR + OVERDUE_MARGIN_MS;
@@ -130,6 +126,7 @@
             attempt.record_events(now, events);
             self.fleet.record_received(now, &attempt.upstream);
             self.keep_attempt(request);
+            self.record_running_pace(request);
         }
     }
 
@@ -367,34 +364,4 @@
             effects.push(GatewayEffect::Log(line));
         }
     }
-
-    /// Records the outcome for the version that the upstream runs, while a roll-out is in progress.
-    fn record_rollout_result(
-        &mut self,
-        now: MonotonicTime,
-        service: &ServiceLabel,
-        attempt: &RunningAttempt,
-        outcome: &AttemptOutcome,
-        stream: bool,
-    ) {
-        let is_failure = match outcome {
-            AttemptOutcome::Failed { .. }
-            | AttemptOutcome::Broken { .. }
-            | AttemptOutcome::StreamBroken(_) => true,
-            AttemptOutcome::Expired if is_past_expected(now, attempt) => true,
-            AttemptOutcome::Delivered { .. } => {
-                let millis = now.since(attempt.dispatched_at).as_secs_f64() * 1e3;
-                !stream && millis > attempt.expected_first_event_ms * SLOW_FACTOR + SLOW_MARGIN_MS
-            }
-            AttemptOutcome::NotSent
-            | AttemptOutcome::NotRelayed
-            | AttemptOutcome::NotRun { .. }
-            | AttemptOutcome::Expired
-            | AttemptOutcome::CallerDisconnected => return,
-        };
-        if let Some(state) = self.fleet.get(&attempt.upstream) {
-            self.rollouts
-                .record_response(service, &state.entry.version, is_failure);
-        }
-    }
 }
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -31,6 +31,8 @@
     pub max_event_gap: Duration,
     /// Events received.
     pub events: u32,
+    /// Its pace was compared with that of other versions.
+    pub pace_recorded: bool,
     /// The attempt is being cancelled because its upstream is stalled.
     pub abandoned: bool,
 }
@@ -55,6 +57,14 @@
         self.last_event_at = Some(now);
         self.events += events;
     }
+
+    /// Returns the mean time between the events so far, without the longest gap, which may be due
+    /// to the prompt of another request.
+    pub fn event_pace(&self) -> Option<Duration> {
+        let streaming = self.last_event_at?.since(self.first_event_at?);
+        let gaps = self.events.checked_sub(2).filter(|gaps| *gaps > 0)?;
+        Some(streaming.saturating_sub(self.max_event_gap) / gaps)
+    }
 }
 
 /// State of an open request.
--- a/crates/savorywood-gateway/src/gateway/rollouts.rs
+++ b/crates/savorywood-gateway/src/gateway/rollouts.rs
@@ -1,10 +1,95 @@
-//! Logs of roll-outs.
+//! Evidence of responses for roll-outs in progress.
 
-use super::Gateway;
-use crate::rollout::RolloutWrite;
+use super::{
+    Gateway,
+    feedback::is_past_expected,
+    record::{RequestState, RunningAttempt},
+};
+use crate::{
+    arrival::LocalRequest, event::AttemptOutcome, label::ServiceLabel, rollout::RolloutWrite,
+};
 use savorywood_core::{LogLevel, LogLine};
+use savorywood_protocol::MonotonicTime;
+
+/// Factor over the expected duration above which a non-stream response counts against its version.
+const SLOW_FACTOR: f64 = 3.0;
+/// Margin, in milliseconds, that must be exceeded in addition to the factor.
+const SLOW_MARGIN_MS: f64 = 200.0;
+/// Events of a stream after which its pace is known. Those that are quick would otherwise count
+/// before those that are not.
+const PACE_EVENTS: u32 = 6;
+/// Events that a shorter stream must have had at its end.
+const MIN_PACE_EVENTS: u32 = 4;
 
 impl Gateway {
+    /// Records the pace of a stream that has had enough events.
+    pub(super) fn record_running_pace(&mut self, request: LocalRequest) {
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let service = record.service.clone();
+        let RequestState::Running(attempt) = &mut record.state else {
+            return;
+        };
+        if attempt.events < PACE_EVENTS || attempt.pace_recorded {
+            return;
+        }
+        attempt.pace_recorded = true;
+        let attempt = attempt.clone();
+        self.record_pace_of(&service, &attempt);
+    }
+
+    fn record_pace_of(&mut self, service: &ServiceLabel, attempt: &RunningAttempt) {
+        let Some(state) = self.fleet.get(&attempt.upstream) else {
+            return;
+        };
+        // An upstream that warms up is slow whatever its version.
+        let was_warm = state.cold_until <= attempt.dispatched_at;
+        if let Some(pace) = attempt.event_pace().filter(|_| was_warm) {
+            self.rollouts
+                .record_pace(service, &state.entry.version, pace);
+        }
+    }
+
+    /// Records the outcome for the version that the upstream runs, while a roll-out is in progress.
+    pub(super) fn record_rollout_result(
+        &mut self,
+        now: MonotonicTime,
+        service: &ServiceLabel,
+        attempt: &RunningAttempt,
+        outcome: &AttemptOutcome,
+        stream: bool,
+    ) {
+        if stream && !attempt.pace_recorded && attempt.events >= MIN_PACE_EVENTS {
+            self.record_pace_of(service, attempt);
+        }
+        let is_failure = match outcome {
+            AttemptOutcome::Failed { .. }
+            | AttemptOutcome::Broken { .. }
+            | AttemptOutcome::StreamBroken(_) => true,
+            AttemptOutcome::Expired if is_past_expected(now, attempt) => true,
+            AttemptOutcome::Delivered { .. } => {
+                let millis = now.since(attempt.dispatched_at).as_secs_f64() * 1e3;
+                !stream && millis > attempt.expected_first_event_ms * SLOW_FACTOR + SLOW_MARGIN_MS
+            }
+            AttemptOutcome::NotSent
+            | AttemptOutcome::NotRelayed
+            | AttemptOutcome::NotRun { .. }
+            | AttemptOutcome::Expired
+            | AttemptOutcome::CallerDisconnected => return,
+        };
+        let Some(state) = self.fleet.get(&attempt.upstream) else {
+            return;
+        };
+        let version = &state.entry.version;
+        let was_warm = state.cold_until <= attempt.dispatched_at;
+        if !stream && was_warm && matches!(outcome, AttemptOutcome::Delivered { .. }) {
+            let elapsed = now.since(attempt.dispatched_at);
+            self.rollouts.record_pace(service, version, elapsed);
+        }
+        self.rollouts.record_response(service, version, is_failure);
+    }
+
     /// Returns the log line of a step with the evidence on which it was decided.
     pub(super) fn rollout_line(&self, write: &RolloutWrite) -> LogLine {
         let line = LogLine::new(LogLevel::Info, "rollout-step")
@@ -14,11 +99,15 @@
         let Some(total) = self.rollouts.total(&write.service) else {
             return line;
         };
+        let slowdown = total.new_paces.slowdown(&total.old_paces).unwrap_or(1.0);
         line.with("sent", total.dispatched)
             .with("sent_new", total.dispatched_new)
             .with("responses_new", total.new_responses)
             .with("bad_new", total.new_bad)
             .with("responses_old", total.old_responses)
             .with("bad_old", total.old_bad)
+            .with("paces_new", total.new_paces.count())
+            .with("paces_old", total.old_paces.count())
+            .with("slowdown", format_args!("{slowdown:.2}"))
     }
 }
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -108,7 +108,7 @@
 pub use retry_budget::{
     BudgetLevel, RetryBudget, RetryBudgetOptions, RetryCounters, RetryDecision,
 };
-pub use rollout::{RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite};
+pub use rollout::{PaceSums, RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite};
 pub use selection::RoutingPolicy;
 pub use store_reads::{
     PeerEcho, ReadPlan, SharedTable, StoreAttestation, TableAttestation, TablePosition,
--- a/crates/savorywood-gateway/src/message.rs
+++ b/crates/savorywood-gateway/src/message.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     entry_set::HostResources,
+    rollout::PaceSums,
     store_reads::{PeerEcho, StoreAttestation},
     team_limit::BucketLevels,
 };
@@ -102,6 +103,10 @@
     pub dispatched: u32,
     /// Requests dispatched to the new version.
     pub dispatched_new: u32,
+    /// Paces of responses of the new version.
+    pub new_paces: PaceSums,
+    /// Paces of responses of the old versions in the same period.
+    pub old_paces: PaceSums,
     /// The daemon has rejected the new version.
     pub rejected: bool,
 }
--- a/crates/savorywood-gateway/src/rollout.rs
+++ b/crates/savorywood-gateway/src/rollout.rs
@@ -1,5 +1,7 @@
 //! Roll-outs: traffic of a service moves to a new version within a time limit, or is rolled back.
 
+mod pace;
+
 use crate::{
     label::{ServiceLabel, VersionLabel},
     message::VersionTally,
@@ -7,6 +9,7 @@
     position::StorePosition,
     selection::VersionFilter,
 };
+pub use pace::PaceSums;
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, time::Duration};
 use strum::{Display, EnumString, IntoStaticStr};
@@ -77,6 +80,11 @@
 /// Fraction of the time limit after which the roll-out is completed.
 const COMPLETION_FRACTION: f64 = 0.85;
 
+/// Factor by which the responses of a new version may be slower than those of the old ones.
+const MAX_SLOWDOWN: f64 = 1.5;
+/// The same once the old versions receive no traffic: the new one then bears more load than they did.
+const MAX_LOADED_SLOWDOWN: f64 = 2.5;
+
 /// Bounds for the canary phase of roll-outs; set by operators.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CanaryOptions {
@@ -113,6 +121,8 @@
             total.old_bad += tally.old_bad;
             total.dispatched += tally.dispatched;
             total.dispatched_new += tally.dispatched_new;
+            total.new_paces.add(&tally.new_paces);
+            total.old_paces.add(&tally.old_paces);
             total.rejected |= tally.rejected;
         }
         total
@@ -133,6 +143,18 @@
         self.phase == RolloutPhase::Running || self.own.rejected
     }
 
+    /// Returns whether the evidence of all daemons is against the new version.
+    fn is_rejected(&self, now: MonotonicTime, total: &VersionTally) -> bool {
+        let max_slowdown = if self.progress(now) < SWITCH_FRACTION {
+            MAX_SLOWDOWN
+        } else {
+            MAX_LOADED_SLOWDOWN
+        };
+        total.rejected
+            || is_significantly_worse(total)
+            || total.new_paces.is_slower(&total.old_paces, max_slowdown)
+    }
+
     fn progress(&self, now: MonotonicTime) -> f64 {
         let elapsed = now.since(self.started_at).as_secs_f64();
         elapsed / self.order.time_limit.as_secs_f64().max(0.001)
@@ -182,6 +204,8 @@
             old_bad: 0,
             dispatched: 0,
             dispatched_new: 0,
+            new_paces: PaceSums::default(),
+            old_paces: PaceSums::default(),
             rejected: false,
         };
         let position = current.map_or(StorePosition::default(), |state| state.position);
@@ -261,14 +285,16 @@
             RolloutPhase::Running => {}
         }
         let total = state.total();
-        if total.rejected || is_significantly_worse(&total) {
+        if state.is_rejected(now, &total) {
             return VersionFilter::Except(to);
         }
         let progress = state.progress(now);
         if progress >= SWITCH_FRACTION {
             return VersionFilter::Only(to);
         }
-        let is_verified = total.new_responses >= MIN_RESPONSES;
+        let slowdown = total.new_paces.slowdown(&total.old_paces);
+        let is_verified = total.new_responses >= MIN_RESPONSES
+            && slowdown.is_none_or(|slowdown| slowdown <= MAX_SLOWDOWN);
         if progress >= CANARY_END_FRACTION && is_verified {
             return VersionFilter::Any;
         }
@@ -301,6 +327,17 @@
         }
     }
 
+    /// Records the time of a response of the given version, or between its events.
+    pub fn record_pace(&mut self, service: &ServiceLabel, version: &VersionLabel, time: Duration) {
+        if let Some(state) = self.states.get_mut(service) {
+            if state.order.target_version == *version {
+                state.own.new_paces.record(time);
+            } else {
+                state.own.old_paces.record(time);
+            }
+        }
+    }
+
     /// Records the tallies that a peer reports.
     pub fn record_peer_tallies(&mut self, peer: u64, tallies: &[VersionTally]) {
         for state in self.states.values_mut() {
@@ -346,7 +383,7 @@
         for state in self.states.values_mut() {
             let total = state.total();
             if state.phase == RolloutPhase::Running {
-                if total.rejected || is_significantly_worse(&total) {
+                if state.is_rejected(now, &total) {
                     state.own.rejected = true;
                     state.phase = RolloutPhase::RolledBack;
                     state.written = false;
