Roll-outs: sound versions are not judged by one upstream, nor by a queue that daemons make there

Callers saw nothing; a sound version was rolled back, so that its roll-out had to be ordered again.

Cause: two sides of one fault, evidence of a single upstream taken for that of a version. Each daemon may send two requests before it hears of the others', so that all of them sent their first ones to the first upstream of the new version at once; what queued there was taken from it as silent, and three such are enough to reject. And upstreams of one service differ in speed whatever their version.

Change: a daemon also keeps to the share of its own requests, with a head start that differs between daemons; the leader's is the two requests of before. The comparison of paces adds the variance between the old version's upstreams, divided by the number of new ones.

--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -53,7 +53,7 @@
     region::RegionMap,
     registration::RegistrationQueue,
     retry_budget::{RetryBudget, RetryBudgetOptions, RetryCounters},
-    rollout::{CanaryOptions, RolloutTable},
+    rollout::{CANARY_HEAD_START, CanaryOptions, RolloutTable},
     selection::RoutingPolicy,
     store_reads::StoreReadTracker,
     team_limit::{LimitTolerance, PeerPresence, TeamLimiter},
@@ -217,6 +217,8 @@
     retry_budgets: BTreeMap<ServiceLabel, RetryBudget>,
     retry_counters: RetryCounters,
     rollouts: RolloutTable,
+    /// This daemon writes the status of roll-outs, as of the last tick.
+    leads_rollouts: bool,
     stopping: bool,
     /// Time until which requests are admitted; present once the daemon stops.
     admits_until: Option<MonotonicTime>,
@@ -299,6 +301,7 @@
             retry_budgets: BTreeMap::new(),
             retry_counters: RetryCounters::default(),
             rollouts: RolloutTable::default(),
+            leads_rollouts: false,
             stopping: false,
             admits_until: None,
             ready_logged: false,
@@ -460,6 +463,11 @@
     fn canary_options(&self) -> CanaryOptions {
         CanaryOptions {
             share: self.options.bounds.max_canary_fraction,
+            head_start: if self.leads_rollouts {
+                CANARY_HEAD_START
+            } else {
+                self.spread()
+            },
         }
     }
 
@@ -482,10 +490,6 @@
         self.quarantine.evict_expired(now);
         self.write_quarantine(now, effects);
         self.apply_withdrawals(now, effects);
-        let is_leader = self.is_leader(now);
-        for write in self.rollouts.advance(now, is_leader) {
-            effects.push(GatewayEffect::Log(self.rollout_line(&write)));
-            effects.push(GatewayEffect::WriteRollout(write));
-        }
+        self.advance_rollouts(now, effects);
     }
 }
--- a/crates/savorywood-gateway/src/gateway/coordination/reads.rs
+++ b/crates/savorywood-gateway/src/gateway/coordination/reads.rs
@@ -89,7 +89,7 @@
     }
 
     /// Returns a number from 0 up to 1 that differs between hosts.
-    fn spread(&self) -> f64 {
+    pub(in crate::gateway) fn spread(&self) -> f64 {
         f64::from(self.own_digest() as u32) / (f64::from(u32::MAX) + 1.0)
     }
 
--- a/crates/savorywood-gateway/src/gateway/rollouts.rs
+++ b/crates/savorywood-gateway/src/gateway/rollouts.rs
@@ -1,12 +1,17 @@
-//! Evidence of responses for roll-outs in progress.
+//! Roll-outs: evidence of responses, decisions and their log.
 
 use super::{
-    Gateway,
+    Gateway, GatewayEffects,
     feedback::is_past_expected,
     record::{RequestState, RunningAttempt},
 };
 use crate::{
-    arrival::LocalRequest, event::AttemptOutcome, label::ServiceLabel, rollout::RolloutWrite,
+    arrival::LocalRequest,
+    effect::GatewayEffect,
+    event::AttemptOutcome,
+    label::{ServiceLabel, VersionLabel},
+    rollout::{RolloutWrite, VersionUpstreams},
+    upstream::UpstreamFleet,
 };
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
@@ -21,7 +26,36 @@
 /// Events that a shorter stream must have had at its end.
 const MIN_PACE_EVENTS: u32 = 4;
 
+fn version_upstreams(
+    fleet: &UpstreamFleet,
+    service: &ServiceLabel,
+    new_version: &VersionLabel,
+) -> VersionUpstreams {
+    let mut upstreams = VersionUpstreams::default();
+    let service_latency = fleet.service_latency(service);
+    for state in fleet.members(service) {
+        if state.entry.version == *new_version {
+            upstreams.new += 1;
+        } else {
+            upstreams.add_old(state.latency.throughput(&service_latency));
+        }
+    }
+    upstreams
+}
+
 impl Gateway {
+    /// Decides on roll-outs, and writes their status if this daemon leads them.
+    pub(super) fn advance_rollouts(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
+        let fleet = &self.fleet;
+        self.rollouts
+            .record_upstreams(|service, version| version_upstreams(fleet, service, version));
+        self.leads_rollouts = self.is_leader(now);
+        for write in self.rollouts.advance(now, self.leads_rollouts) {
+            effects.push(GatewayEffect::Log(self.rollout_line(&write)));
+            effects.push(GatewayEffect::WriteRollout(write));
+        }
+    }
+
     /// Records the pace of a stream that has had enough events.
     pub(super) fn record_running_pace(&mut self, request: LocalRequest) {
         let Some(record) = self.requests.get_mut(&request) else {
--- a/crates/savorywood-gateway/src/rollout.rs
+++ b/crates/savorywood-gateway/src/rollout.rs
@@ -9,7 +9,7 @@
     position::StorePosition,
     selection::VersionFilter,
 };
-pub use pace::PaceSums;
+pub use pace::{PaceSums, VersionUpstreams};
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, time::Duration};
 use strum::{Display, EnumString, IntoStaticStr};
@@ -90,14 +90,20 @@
 pub struct CanaryOptions {
     /// Fraction of a service's traffic that a new version may receive in the canary phase.
     pub share: f64,
+    /// Requests that this daemon may send to it ahead of its own share.
+    pub head_start: f64,
 }
 
+/// Requests that a new version may receive ahead of its share, over all daemons.
+pub const CANARY_HEAD_START: f64 = 2.0;
+
 #[derive(Debug, Clone)]
 struct RolloutState {
     order: RolloutOrder,
     started_at: MonotonicTime,
     own: VersionTally,
     peers: BTreeMap<u64, VersionTally>,
+    upstreams: VersionUpstreams,
     phase: RolloutPhase,
     /// Position of the status row.
     position: StorePosition,
@@ -143,6 +149,19 @@
         self.phase == RolloutPhase::Running || self.own.rejected
     }
 
+    /// Returns whether the next request may go to the new version in the canary phase.
+    ///
+    /// The tallies of other daemons are older than a round of gossip. Each daemon therefore keeps to a
+    /// share of its own requests, too: all of them together would otherwise send their first ones to
+    /// the first upstream of the new version at once, and take its queue for the version's fault.
+    fn allows_canary(&self, total: &VersionTally, options: CanaryOptions) -> bool {
+        let share = options.share * CANARY_SHARE_FRACTION;
+        let allowed = f64::from(total.dispatched) * share + CANARY_HEAD_START;
+        let own_allowed = f64::from(self.own.dispatched) * share + options.head_start;
+        f64::from(total.dispatched_new) < allowed
+            && f64::from(self.own.dispatched_new) + 1.0 <= own_allowed
+    }
+
     /// Returns whether the evidence of all daemons is against the new version.
     fn is_rejected(&self, now: MonotonicTime, total: &VersionTally) -> bool {
         let max_slowdown = if self.progress(now) < SWITCH_FRACTION {
@@ -152,7 +171,9 @@
         };
         total.rejected
             || is_significantly_worse(total)
-            || total.new_paces.is_slower(&total.old_paces, max_slowdown)
+            || total
+                .new_paces
+                .is_slower(&total.old_paces, max_slowdown, self.upstreams)
     }
 
     fn progress(&self, now: MonotonicTime) -> f64 {
@@ -213,6 +234,7 @@
             started_at: now,
             own,
             peers: BTreeMap::new(),
+            upstreams: VersionUpstreams::default(),
             phase: RolloutPhase::Running,
             position,
             written: false,
@@ -298,8 +320,7 @@
         if progress >= CANARY_END_FRACTION && is_verified {
             return VersionFilter::Any;
         }
-        let allowed = f64::from(total.dispatched) * options.share * CANARY_SHARE_FRACTION + 2.0;
-        if f64::from(total.dispatched_new) < allowed {
+        if state.allows_canary(&total, options) {
             VersionFilter::Only(to)
         } else {
             VersionFilter::Except(to)
@@ -348,6 +369,19 @@
         }
     }
 
+    /// Records the upstreams of the roll-outs in progress; `find` returns those of a service, where
+    /// the given version is the new one.
+    pub fn record_upstreams(
+        &mut self,
+        find: impl Fn(&ServiceLabel, &VersionLabel) -> VersionUpstreams,
+    ) {
+        for state in self.states.values_mut() {
+            if state.phase == RolloutPhase::Running {
+                state.upstreams = find(&state.order.service, &state.order.target_version);
+            }
+        }
+    }
+
     /// Returns the tally over all daemons of a service's roll-out.
     #[must_use]
     pub fn total(&self, service: &ServiceLabel) -> Option<VersionTally> {
--- a/crates/savorywood-gateway/src/rollout/pace.rs
+++ b/crates/savorywood-gateway/src/rollout/pace.rs
@@ -11,6 +11,8 @@
 const CONFIDENCE: f64 = 3.0;
 /// Least standard deviation of the logarithms that is assumed: few responses may be alike by chance.
 const MIN_DEVIATION: f64 = 0.3;
+/// The same for the speeds of upstreams of one version.
+const MIN_UPSTREAM_DEVIATION: f64 = 0.15;
 
 /// Sums over the logarithms of the times of responses, or of the times between their events.
 ///
@@ -53,12 +55,10 @@
         self.sum as f64 / UNITS / f64::from(self.count.max(1))
     }
 
-    /// Returns the square of the standard error of the mean.
-    fn mean_variance(&self) -> f64 {
-        let count = f64::from(self.count.max(1));
+    fn variance(&self) -> f64 {
         let mean = self.mean();
-        let variance = self.squares as f64 / (UNITS * UNITS) / count - mean * mean;
-        variance.max(MIN_DEVIATION * MIN_DEVIATION) / count
+        let squares = self.squares as f64 / (UNITS * UNITS) / f64::from(self.count.max(1));
+        (squares - mean * mean).max(MIN_DEVIATION * MIN_DEVIATION)
     }
 
     /// Returns the factor by which these responses are slower than others, at the geometric mean;
@@ -69,12 +69,46 @@
         has_enough.then(|| (self.mean() - others.mean()).exp())
     }
 
-    /// Returns whether these responses are significantly slower than others by more than `factor`.
+    /// Returns whether these responses, of the given upstreams, are significantly slower than others
+    /// by more than `factor`.
     #[must_use]
-    pub fn is_slower(&self, others: &Self, factor: f64) -> bool {
-        let error = (self.mean_variance() + others.mean_variance()).sqrt();
-        let bound = factor * (CONFIDENCE * error).exp();
+    pub fn is_slower(&self, others: &Self, factor: f64, upstreams: VersionUpstreams) -> bool {
+        let variance = self.variance() / f64::from(self.count.max(1))
+            + others.variance() / f64::from(others.count.max(1))
+            + upstreams.variance() / f64::from(upstreams.new.max(1));
+        let bound = factor * (CONFIDENCE * variance.sqrt()).exp();
         self.slowdown(others)
             .is_some_and(|slowdown| slowdown > bound)
     }
 }
+
+/// Upstreams of the versions of a roll-out.
+///
+/// Upstreams differ in speed whatever their version, so that responses of a single one are not as much
+/// evidence as those of several.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct VersionUpstreams {
+    /// Registered upstreams of the new version.
+    pub new: u32,
+    old: u32,
+    sum: f64,
+    squares: f64,
+}
+
+impl VersionUpstreams {
+    /// Adds an upstream of an old version, with its throughput up to a factor common to all.
+    pub fn add_old(&mut self, throughput: f64) {
+        let value = throughput.ln();
+        self.old += 1;
+        self.sum += value;
+        self.squares += value * value;
+    }
+
+    /// Returns the variance of the logarithms of the speed of upstreams of one version.
+    fn variance(&self) -> f64 {
+        let count = f64::from(self.old.max(1));
+        let mean = self.sum / count;
+        let least = MIN_UPSTREAM_DEVIATION * MIN_UPSTREAM_DEVIATION;
+        (self.squares / count - mean * mean).max(least)
+    }
+}
--- a/crates/savorywood-gateway/tests/common/versions.rs
+++ b/crates/savorywood-gateway/tests/common/versions.rs
@@ -25,6 +25,9 @@
 /// Milliseconds until the first event of a stream at such an upstream.
 const FIRST_EVENT_MS: f64 = 60.0;
 
+/// Mean number of events of a stream.
+const MEAN_EVENTS: f64 = 30.0;
+
 /// What happens during a simulated roll-out.
 #[derive(Debug, Clone, Copy)]
 pub struct VersionScenario {
@@ -137,6 +140,7 @@
         for number in 0..scenario.daemons {
             let daemon = environment.start_daemon(number);
             environment.daemons.push(daemon);
+            environment.read_upstreams(number);
         }
         environment
     }
@@ -187,8 +191,15 @@
         self.read_upstreams(number);
     }
 
+    /// Lets a daemon read the upstreams; those of the new version start one after the other.
     fn read_upstreams(&mut self, daemon: usize) {
-        let entries = self.entries.clone();
+        let since_order = self.ordered_at.map(|at| self.now.since(at));
+        let started = since_order.map_or(0, |time| 1 + time.as_secs());
+        let is_started = |entry: &&UpstreamEntry| {
+            (1..=started).any(|number| entry.name.as_str() == format!("new-{number}"))
+                || entry.version.as_str() == "v1"
+        };
+        let entries = self.entries.iter().filter(is_started).cloned().collect();
         self.step(daemon, GatewayEvent::UpstreamsRead(entries));
     }
 
@@ -245,6 +256,17 @@
         Duration::from_secs_f64(millis * self.slowness[upstream] * load * noise / 1e3)
     }
 
+    /// Returns the time for which a further request waits for a slot of an upstream.
+    fn wait_at(&self, upstream: &UpstreamLabel) -> Duration {
+        let streams = self.streams.iter();
+        let busy = streams
+            .filter(|stream| stream.upstream == *upstream)
+            .count();
+        let ahead = (busy + 1).saturating_sub(SLOTS as usize) as f64;
+        let stream_ms = EVENT_MS * MEAN_EVENTS * 2.0 * self.slowness[upstream];
+        Duration::from_secs_f64(ahead * stream_ms / f64::from(SLOTS) / 1e3)
+    }
+
     fn advance_streams(&mut self) {
         let mut streams = std::mem::take(&mut self.streams);
         let mut due: Vec<OpenStream> = streams
@@ -299,8 +321,9 @@
             .is_some_and(|at| self.now.since(at) < TIME_LIMIT);
         self.result.dispatched += u32::from(in_time);
         self.result.dispatched_new += u32::from(in_time && is_new);
-        let first_event_in = self.time_at(&order.upstream, FIRST_EVENT_MS);
-        let events_left = 2 + self.random.below(60) as u32;
+        let first_event_in =
+            self.time_at(&order.upstream, FIRST_EVENT_MS) + self.wait_at(&order.upstream);
+        let events_left = 2 + self.random.below(2 * MEAN_EVENTS as usize) as u32;
         self.streams.push(OpenStream {
             daemon,
             request: order.request,
@@ -357,6 +380,7 @@
             self.daemons[index].confirm();
             self.step(index, GatewayEvent::Tick);
             self.step(index, GatewayEvent::RolloutStatusRead(status));
+            self.read_upstreams(index);
             let summary = self.daemons[index].gateway.summary(self.now);
             for other in (0..self.daemons.len()).filter(|other| *other != index) {
                 let summary = Box::new(summary.clone());
--- a/crates/savorywood-gateway/tests/rollouts.rs
+++ b/crates/savorywood-gateway/tests/rollouts.rs
@@ -256,7 +256,7 @@
     let start = MonotonicTime(1_000_000);
     let mut daemons: Vec<GatewayHarness> =
         (0..2).map(|number| start_daemon(number, start)).collect();
-    for _ in 0..40 {
+    for _ in 0..200 {
         let request = daemons[0].arrive(arrival("/once/1"));
         let is_new = daemons[0].orders(request)[0]
             .upstream
