Shares of limited rejections and reports of rejected versions cost no more in large deployments

Change: only entry members keep the history of members; one that leaves the set has no known share, as before. A rejection is reported until the store holds it, and for 10 s at least.

--- a/crates/savorywood-gateway/src/gateway/gossip.rs
+++ b/crates/savorywood-gateway/src/gateway/gossip.rs
@@ -122,7 +122,7 @@
             slots: self.own_slots(),
             ejected_upstreams: self.own_ejected(now),
             usage: usage.filter(|used| used.total > 0).collect(),
-            tallies: self.rollouts.tallies(),
+            tallies: self.rollouts.tallies(now),
             role: self.role(),
             keeps_member_callers: self.keeps_member_callers(now),
             capacity: self.options.capacity,
@@ -339,7 +339,7 @@
                 Vec::new()
             },
             usage: usage.filter(|used| used.total > 0).collect(),
-            tallies: self.rollouts.tallies_with(&neighbour_digests),
+            tallies: self.rollouts.tallies_with(now, &neighbour_digests),
         }
     }
 
--- a/crates/savorywood-gateway/src/gateway/rate_limits.rs
+++ b/crates/savorywood-gateway/src/gateway/rate_limits.rs
@@ -5,6 +5,7 @@
     effect::GatewayEffect,
     label::UpstreamLabel,
     peer::name_digest,
+    placing::{LossRetention, MemberHistory},
     quarantine::ReportScope,
     rendezvous::address_hash,
     upstream_limit::{LimitGossip, LimitObservation, LimitReport, ObservationSource, RateLimit},
@@ -140,6 +141,12 @@
     /// Daemons that are lost keep their shares, and do so for as long as this daemon does not see
     /// most daemons: both sides of a partition would otherwise use the same slots.
     pub(super) fn refresh_limit_members(&mut self, now: MonotonicTime, own_members: &[u64]) {
+        if !own_members.contains(&self.own_digest()) {
+            // Other members divide the slots now.
+            self.slot_shares_stale |= !self.limit_members.present().is_empty();
+            self.limit_members = MemberHistory::new(LossRetention::cautious());
+            return;
+        }
         let is_active = self.fleet.rejection_limits().is_any_active(now);
         let since_refresh = now.since(self.limit_members_at);
         let is_due = since_refresh >= IDLE_MEMBERS_INTERVAL
--- a/crates/savorywood-gateway/src/rollout.rs
+++ b/crates/savorywood-gateway/src/rollout.rs
@@ -85,6 +85,9 @@
 /// The same once the old versions receive no traffic: the new one then bears more load than they did.
 const MAX_LOADED_SLOWDOWN: f64 = 2.5;
 
+/// Time for which peers are told of a rejection at least.
+const REJECTION_REPORT_PERIOD: Duration = Duration::from_secs(10);
+
 /// Bounds for the canary phase of roll-outs; set by operators.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CanaryOptions {
@@ -105,6 +108,8 @@
     peers: BTreeMap<u64, VersionTally>,
     upstreams: VersionUpstreams,
     phase: RolloutPhase,
+    /// Time at which this daemon rejected the version.
+    rejected_at: Option<MonotonicTime>,
     /// Position of the status row.
     position: StorePosition,
     written: bool,
@@ -143,10 +148,12 @@
             && current.time_limit == order.time_limit
     }
 
-    /// Returns whether peers are told this daemon's tally. A rejection reaches them while the store
-    /// is out, too.
-    fn is_reported(&self) -> bool {
-        self.phase == RolloutPhase::Running || self.own.rejected
+    /// Returns whether peers are told this daemon's tally. They are told of a rejection until they
+    /// have had the time to read it in the store.
+    fn is_reported(&self, now: MonotonicTime) -> bool {
+        let is_recent = |at: MonotonicTime| now.since(at) < REJECTION_REPORT_PERIOD;
+        let is_read = self.written && !self.rejected_at.is_some_and(is_recent);
+        self.phase == RolloutPhase::Running || (self.own.rejected && !is_read)
     }
 
     /// Returns whether the next request may go to the new version in the canary phase.
@@ -236,6 +243,7 @@
             peers: BTreeMap::new(),
             upstreams: VersionUpstreams::default(),
             phase: RolloutPhase::Running,
+            rejected_at: None,
             position,
             written: false,
             write_pending: false,
@@ -390,15 +398,15 @@
 
     /// Returns this daemon's tallies of the roll-outs in progress and of those that it has rejected.
     #[must_use]
-    pub fn tallies(&self) -> Vec<VersionTally> {
-        let states = self.states.values().filter(|state| state.is_reported());
+    pub fn tallies(&self, now: MonotonicTime) -> Vec<VersionTally> {
+        let states = self.states.values().filter(|state| state.is_reported(now));
         states.map(|state| state.own).collect()
     }
 
     /// Returns the sum of the tallies of this daemon and the given peers, for the same roll-outs.
     #[must_use]
-    pub fn tallies_with(&self, peers: &[u64]) -> Vec<VersionTally> {
-        let states = self.states.values().filter(|state| state.is_reported());
+    pub fn tallies_with(&self, now: MonotonicTime, peers: &[u64]) -> Vec<VersionTally> {
+        let states = self.states.values().filter(|state| state.is_reported(now));
         let sums = states.map(|state| state.sum(|peer| peers.contains(&peer)));
         sums.collect()
     }
@@ -419,6 +427,7 @@
             if state.phase == RolloutPhase::Running {
                 if state.is_rejected(now, &total) {
                     state.own.rejected = true;
+                    state.rejected_at = Some(now);
                     state.phase = RolloutPhase::RolledBack;
                     state.written = false;
                 } else if state.progress(now) >= COMPLETION_FRACTION {
