Roll-outs: their time limit runs on when daemons restart

Callers of a service whose version moved saw the move end after its deadline, or not at all while daemons restarted in turn.

Cause: a daemon measures the time limit from when it first reads the order, and a restarted one reads it again. The leader is one daemon, and after its restart it began anew. The class is that of the retry budget: time kept in memory that does not outlive the process.

Conclusion: holds as long as one daemon that knows the order lives on; if all restart at once the time begins anew.

--- a/crates/savorywood-gateway/src/gateway/state_updates.rs
+++ b/crates/savorywood-gateway/src/gateway/state_updates.rs
@@ -212,7 +212,8 @@
                 same_zone: summary.zone == self.options.zone.as_str(),
             };
             self.usage_received(now, &source, &summary.usage);
-            self.rollouts.record_peer_tallies(peer, &summary.tallies);
+            self.rollouts
+                .record_peer_tallies(now, peer, &summary.tallies);
         }
         if summary.phase == PeerPhase::Leaving {
             self.presence.remove(now, peer);
@@ -288,7 +289,7 @@
         };
         self.usage_received(now, &source, &digest.usage);
         self.rollouts
-            .record_peer_tallies(name_digest(zone.as_str()), &digest.tallies);
+            .record_peer_tallies(now, name_digest(zone.as_str()), &digest.tallies);
         self.dispatch_all_waiting(now, effects);
     }
 
--- a/crates/savorywood-gateway/src/message.rs
+++ b/crates/savorywood-gateway/src/message.rs
@@ -91,6 +91,8 @@
 pub struct VersionTally {
     /// Digest of the service's name and the new version.
     pub rollout: u64,
+    /// Time since the order, in milliseconds, as far as the daemon knows.
+    pub age_ms: u32,
     /// Responses of the new version.
     pub new_responses: u32,
     /// Failed or far too slow responses among them.
--- a/crates/savorywood-gateway/src/rollout.rs
+++ b/crates/savorywood-gateway/src/rollout.rs
@@ -183,6 +183,10 @@
                 .is_slower(&total.old_paces, max_slowdown, self.upstreams)
     }
 
+    fn age_ms(&self, now: MonotonicTime) -> u32 {
+        u32::try_from(now.since(self.started_at).as_millis()).unwrap_or(u32::MAX)
+    }
+
     fn progress(&self, now: MonotonicTime) -> f64 {
         let elapsed = now.since(self.started_at).as_secs_f64();
         elapsed / self.order.time_limit.as_secs_f64().max(0.001)
@@ -226,6 +230,7 @@
         let current = self.states.get(&order.service);
         let own = VersionTally {
             rollout: digest(&order),
+            age_ms: 0,
             new_responses: 0,
             new_bad: 0,
             old_responses: 0,
@@ -367,11 +372,14 @@
         }
     }
 
-    /// Records the tallies that a peer reports.
-    pub fn record_peer_tallies(&mut self, peer: u64, tallies: &[VersionTally]) {
+    /// Records the tallies that a peer reports. A roll-out is as old as the daemon knows that has
+    /// known it for longest: the time limit runs on when daemons restart.
+    pub fn record_peer_tallies(&mut self, now: MonotonicTime, peer: u64, tallies: &[VersionTally]) {
         for state in self.states.values_mut() {
             let own = state.own.rollout;
             if let Some(tally) = tallies.iter().find(|tally| tally.rollout == own) {
+                let ordered_at = now - Duration::from_millis(tally.age_ms.into());
+                state.started_at = state.started_at.min(ordered_at);
                 state.peers.insert(peer, *tally);
             }
         }
@@ -400,14 +408,21 @@
     #[must_use]
     pub fn tallies(&self, now: MonotonicTime) -> Vec<VersionTally> {
         let states = self.states.values().filter(|state| state.is_reported(now));
-        states.map(|state| state.own).collect()
+        let tallies = states.map(|state| VersionTally {
+            age_ms: state.age_ms(now),
+            ..state.own
+        });
+        tallies.collect()
     }
 
     /// Returns the sum of the tallies of this daemon and the given peers, for the same roll-outs.
     #[must_use]
     pub fn tallies_with(&self, now: MonotonicTime, peers: &[u64]) -> Vec<VersionTally> {
         let states = self.states.values().filter(|state| state.is_reported(now));
-        let sums = states.map(|state| state.sum(|peer| peers.contains(&peer)));
+        let sums = states.map(|state| VersionTally {
+            age_ms: state.age_ms(now),
+            ..state.sum(|peer| peers.contains(&peer))
+        });
         sums.collect()
     }
 
--- a/crates/savorywood-gateway/tests/rollout_pace.rs
+++ b/crates/savorywood-gateway/tests/rollout_pace.rs
@@ -118,3 +118,12 @@
         }
     }
 }
+
+/// Guards against a roll-out that ends late because a daemon that starts counts its time anew.
+#[test]
+fn a_roll_out_ends_in_time_while_daemons_restart() {
+    assert_completed(VersionScenario {
+        restart_interval: Some(RESTART_INTERVAL),
+        ..VersionScenario::default()
+    });
+}
