--- a/crates/savorywood-gateway/src/gateway/announcements.rs
+++ b/crates/savorywood-gateway/src/gateway/announcements.rs
@@ -57,9 +57,7 @@
             log_change(upstream, FleetChange::Draining, effects);
         }
     }
-}
 
-impl Gateway {
     /// Adds what this daemon knew of the slots of an upstream with a limit of rejections.
     fn with_slot_use(&self, line: LogLine, upstream: &UpstreamLabel) -> LogLine {
         let Some(state) = self.fleet.get(upstream) else {
--- a/crates/savorywood-gateway/src/gateway/rollouts.rs
+++ b/crates/savorywood-gateway/src/gateway/rollouts.rs
@@ -26,6 +26,7 @@
 /// Events that a shorter stream must have had at its end.
 const MIN_PACE_EVENTS: u32 = 4;
 
+/// Returns the upstreams of a service by version.
 fn version_upstreams(
     fleet: &UpstreamFleet,
     service: &ServiceLabel,
@@ -61,7 +62,6 @@
         let Some(record) = self.requests.get_mut(&request) else {
             return;
         };
-        let service = record.service.clone();
         let RequestState::Running(attempt) = &mut record.state else {
             return;
         };
@@ -70,6 +70,7 @@
         }
         attempt.pace_recorded = true;
         let attempt = attempt.clone();
+        let service = record.service.clone();
         self.record_pace_of(&service, &attempt);
     }
 
