Rejections are recorded by upstream, logged and counted

Cause: the logs did not tell what a daemon had outstanding at an upstream that rejected a request, nor how many rejections it had there within the last second, so that the hypotheses on failing upstreams could not be told apart.

Change: a history of dispatches that may yet be rejected and of rejections, for each upstream; the line request-rejected and the counter limited_rejections_total. Nothing is decided by it yet.

Conclusion: a rejection tells the part of its daemon in what the upstream can bear.

--- a/crates/savorywood-front/src/admin.rs
+++ b/crates/savorywood-front/src/admin.rs
@@ -160,6 +160,12 @@
             let metric = metrics.retry_decisions.with_label_values(&[decision]);
             metric.inc_by(count.saturating_sub(metric.get()));
         }
+        let rejections = &metrics.limited_rejections;
+        rejections.inc_by(
+            gateway
+                .limited_rejections()
+                .saturating_sub(rejections.get()),
+        );
         metrics
             .quarantined
             .set(count(gateway.quarantined_requests()));
--- a/crates/savorywood-front/src/metrics.rs
+++ b/crates/savorywood-front/src/metrics.rs
@@ -66,6 +66,8 @@
     pub queue_decisions: IntCounterVec,
     /// Decisions on retries, by the decision.
     pub retry_decisions: IntCounterVec,
+    /// Rejections by upstreams that announce how few they can bear.
+    pub limited_rejections: IntCounter,
     pub quarantined: IntGauge,
     /// Upstreams that are warming up.
     pub cold_upstreams: IntGauge,
@@ -168,6 +170,10 @@
                 "Decisions on retries by the budget of their service",
                 "decision",
             ),
+            limited_rejections: counter(
+                "limited_rejections_total",
+                "Rejections by upstreams that announce how few they can bear",
+            ),
             quarantined: gauge(
                 "quarantined_requests",
                 "Request fingerprints that are refused because upstreams crashed while executing them",
@@ -283,6 +289,7 @@
             Box::new(self.scheduled_returns.clone()),
             Box::new(self.queue_decisions.clone()),
             Box::new(self.retry_decisions.clone()),
+            Box::new(self.limited_rejections.clone()),
             Box::new(self.quarantined.clone()),
             Box::new(self.cold_upstreams.clone()),
             Box::new(self.unreadable_datagrams.clone()),
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 mod reachability;
 mod record;
 mod registration;
+mod rejections;
 mod relay;
 mod resumption;
 mod retries;
@@ -216,6 +217,7 @@
     team_limiters: BTreeMap<TeamLabel, TeamLimiter>,
     retry_budgets: BTreeMap<ServiceLabel, RetryBudget>,
     retry_counters: RetryCounters,
+    limited_rejections: u64,
     rollouts: RolloutTable,
     /// This daemon writes the status of roll-outs, as of the last tick.
     leads_rollouts: bool,
@@ -300,6 +302,7 @@
             team_limiters: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             retry_counters: RetryCounters::default(),
+            limited_rejections: 0,
             rollouts: RolloutTable::default(),
             leads_rollouts: false,
             stopping: false,
--- a/crates/savorywood-gateway/src/gateway/announcements.rs
+++ b/crates/savorywood-gateway/src/gateway/announcements.rs
@@ -34,7 +34,7 @@
                     backoff.record_response();
                 }
                 let limits = self.fleet.rejection_limits_mut();
-                is_newly_limited = limits.announce(now, &service, ObservationSource::Own);
+                is_newly_limited = limits.announce(now, &service, limit, ObservationSource::Own);
             }
         }
         let starts_draining = announcement.leaving && self.fleet.record_leaving(upstream);
@@ -59,7 +59,7 @@
     }
 
     /// Adds what this daemon knew of the slots of an upstream with a limit of rejections.
-    fn with_slot_use(&self, line: LogLine, upstream: &UpstreamLabel) -> LogLine {
+    pub(super) fn with_slot_use(&self, line: LogLine, upstream: &UpstreamLabel) -> LogLine {
         let Some(state) = self.fleet.get(upstream) else {
             return line;
         };
--- a/crates/savorywood-gateway/src/gateway/completion.rs
+++ b/crates/savorywood-gateway/src/gateway/completion.rs
@@ -61,6 +61,7 @@
         self.log_interruption(ended, effects);
         self.record_reachability(now, &attempt, outcome, effects);
         let memory_exceeded = self.record_exceeded_memory(now, ended, effects);
+        self.record_rejection_outcome(now, ended, effects);
         self.release_slot(now, ended, effects);
         if !memory_exceeded {
             self.record_crash(now, ended, effects);
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -250,6 +250,9 @@
         state.last_dispatch_at = now;
         state.reservation.released_at = None;
         state.limit.record_dispatch();
+        state
+            .rejection_history
+            .record_dispatch(now, self.dispatches);
         if let RequestState::Waiting(position) = &record.state
             && let Some(queue) = self.queues.get_mut(&record.service)
         {
@@ -262,6 +265,7 @@
         demand.record_dispatch(now, record.rank);
         record.attempts += 1;
         record.state = RequestState::Running(RunningAttempt {
+            number: self.dispatches,
             upstream: selected.name.clone(),
             relayed: !relays.is_empty(),
             dispatched_at: now,
--- a/crates/savorywood-gateway/src/gateway/feedback.rs
+++ b/crates/savorywood-gateway/src/gateway/feedback.rs
@@ -82,6 +82,7 @@
         let elapsed = now.since(attempt.dispatched_at);
         let upstream = attempt.upstream.clone();
         let dispatched_at = attempt.dispatched_at;
+        let number = attempt.number;
         self.fleet.record_received(now, &upstream);
         self.keep_attempt(request);
         self.record_pace(now, &upstream, metadata);
@@ -107,6 +108,7 @@
                 state.latency.record_first_event(prompt, elapsed);
             }
         }
+        self.record_acceptance(&upstream, number);
         self.record_response(now, &upstream, dispatched_at);
         self.record_limit(now, &upstream, dispatched_at, metadata.rate_limit, effects);
         self.apply_metadata(now, &upstream, metadata, 0);
--- a/crates/savorywood-gateway/src/gateway/rate_limits.rs
+++ b/crates/savorywood-gateway/src/gateway/rate_limits.rs
@@ -8,7 +8,10 @@
     placing::{LossRetention, MemberHistory},
     quarantine::ReportScope,
     rendezvous::address_hash,
-    upstream_limit::{LimitGossip, LimitObservation, LimitReport, ObservationSource, RateLimit},
+    upstream_limit::{
+        LimitGossip, LimitObservation, LimitReport, ObservationSource, RateLimit,
+        RejectionLimitReport,
+    },
 };
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
@@ -84,10 +87,11 @@
         let services = self.config.iter().flat_map(|config| config.services.keys());
         for service in services {
             let digest = name_digest(service.as_str());
-            if gossip.rejection_limits.contains(&digest) {
+            let mut reports = gossip.rejection_limits.iter();
+            if let Some(report) = reports.find(|report| report.service == digest) {
                 self.fleet
                     .rejection_limits_mut()
-                    .announce(now, service, source);
+                    .announce(now, service, report.limit, source);
             }
         }
         if is_lifted {
@@ -115,8 +119,11 @@
         let reports: Vec<LimitReport> = reports.take(MAX_REPORTS).collect();
         let limits = self.fleet.rejection_limits();
         let announced = limits.announced(now, window, for_zone);
-        let digests = announced.map(|service| name_digest(service.as_str()));
-        let rejection_limits: Vec<u64> = digests.collect();
+        let reports_of_services = announced.map(|(service, limit)| RejectionLimitReport {
+            service: name_digest(service.as_str()),
+            limit,
+        });
+        let rejection_limits: Vec<RejectionLimitReport> = reports_of_services.collect();
         let is_empty = reports.is_empty() && rejection_limits.is_empty();
         (!is_empty).then(|| LimitGossip {
             zone: name_digest(self.options.zone.as_str()),
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -14,6 +14,8 @@
 /// An attempt in progress at an upstream.
 #[derive(Debug, Clone)]
 pub struct RunningAttempt {
+    /// Number of the dispatch, unique within the process.
+    pub number: u64,
     /// Upstream that received the request.
     pub upstream: UpstreamLabel,
     /// The request goes through a peer.
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -119,7 +119,8 @@
 };
 pub use upstream::{UpstreamEntry, UpstreamFleet};
 pub use upstream_limit::{
-    LimitGossip, LimitObservation, LimitReport, ObservationSource, RateLimit, UpstreamLimit,
+    LimitGossip, LimitObservation, LimitReport, ObservationSource, RateLimit, RejectionLimitReport,
+    UpstreamLimit,
 };
 pub use warmup::{WarmupSpec, WarmupTolerance};
 pub use zone::{ZoneDigest, ZoneMember};
--- a/crates/savorywood-gateway/src/rejection_limit.rs
+++ b/crates/savorywood-gateway/src/rejection_limit.rs
@@ -6,6 +6,10 @@
 //! way, and each counts its own. Daemons that are not heard of keep their share for a while, as they
 //! may only be partitioned.
 
+mod history;
+
+pub use history::RejectionHistory;
+
 use crate::{
     label::ServiceLabel,
     placing::{MemberHistory, rank_claim},
@@ -15,6 +19,8 @@
 use std::{collections::BTreeMap, time::Duration};
 use strum::Display;
 
+/// Period over which upstreams count rejections.
+pub const SECOND: Duration = Duration::from_secs(1);
 /// Time after an announcement for which it holds; upstreams repeat it in each response.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(5);
 
@@ -130,6 +136,8 @@
 #[derive(Debug, Clone, Default)]
 struct RejectionLimit {
     until: MonotonicTime,
+    /// The lowest rate that was announced since the limit has been in force.
+    rate: RateLimit,
     /// Time of the last announcement to this daemon.
     own_announced_at: Option<MonotonicTime>,
     /// Time of the last announcement that a daemon of this zone reported.
@@ -155,10 +163,12 @@
         &mut self,
         now: MonotonicTime,
         service: &ServiceLabel,
+        rate: RateLimit,
         source: ObservationSource,
     ) -> bool {
         let limit = self.limits.entry(service.clone()).or_default();
         let is_new = !limit.is_active(now);
+        limit.rate = if is_new { rate } else { limit.rate.min(rate) };
         limit.until = now + ANNOUNCEMENT_TTL;
         match source {
             ObservationSource::Own => limit.own_announced_at = Some(now),
@@ -175,6 +185,14 @@
         limit.is_some_and(|limit| limit.is_active(now))
     }
 
+    /// Returns how many rejections a second each upstream of a service can bear; `None` while that
+    /// is not limited.
+    #[must_use]
+    pub fn limit(&self, now: MonotonicTime, service: &ServiceLabel) -> Option<RateLimit> {
+        let limit = self.limits.get(service)?;
+        limit.is_active(now).then_some(limit.rate)
+    }
+
     /// Returns true if the upstreams of any service can bear few rejections.
     #[must_use]
     pub fn is_any_active(&self, now: MonotonicTime) -> bool {
@@ -188,7 +206,7 @@
         now: MonotonicTime,
         within: Duration,
         of_zone: bool,
-    ) -> impl Iterator<Item = &ServiceLabel> {
+    ) -> impl Iterator<Item = (&ServiceLabel, RateLimit)> {
         let is_recent = move |limit: &RejectionLimit| {
             let announced_at = if of_zone {
                 limit.own_announced_at.max(limit.zone_announced_at)
@@ -199,6 +217,6 @@
         };
         let limits = self.limits.iter();
         let recent = limits.filter(move |(_, limit)| is_recent(limit));
-        recent.map(|(service, _)| service)
+        recent.map(|(service, limit)| (service, limit.rate))
     }
 }
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -8,7 +8,7 @@
     outlier::OutlierState,
     peer::name_digest,
     placing::{MemberHistory, SlotReservation},
-    rejection_limit::{RejectionBackoff, RejectionLimits, SlotShare},
+    rejection_limit::{RejectionBackoff, RejectionHistory, RejectionLimits, SlotShare},
     upstream_limit::UpstreamLimit,
     upstream_memory::UpstreamMemory,
     warmup::WarmupSpec,
@@ -90,6 +90,8 @@
     pub slot_share: SlotShare,
     /// Pauses after rejections while they are limited.
     pub rejection_backoff: RejectionBackoff,
+    /// Dispatches that it may yet reject, and recent rejections.
+    pub rejection_history: RejectionHistory,
     /// Reservation of its slots, if they are enabled.
     pub reservation: SlotReservation,
     /// Time of this daemon's last dispatch to the upstream.
@@ -120,6 +122,7 @@
             paused_until: MonotonicTime::default(),
             slot_share: SlotShare::default(),
             rejection_backoff: RejectionBackoff::default(),
+            rejection_history: RejectionHistory::default(),
             reservation: SlotReservation::default(),
             last_dispatch_at: MonotonicTime::default(),
             held_slots: 0,
--- a/crates/savorywood-gateway/src/upstream_limit.rs
+++ b/crates/savorywood-gateway/src/upstream_limit.rs
@@ -25,7 +25,7 @@
 const MIN_RATE_PER_S: f64 = 0.1;
 
 /// Requests per 1000 seconds that an upstream accepts from all daemons together.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RateLimit(pub u32);
 
 impl RateLimit {
@@ -82,9 +82,18 @@
     pub zone: u64,
     /// Reported observations.
     pub reports: Vec<LimitReport>,
-    /// Digests of services whose upstreams limit the rejections that they can bear. A daemon without
-    /// a share of their slots sends nothing there and hears of the limit from others only.
-    pub rejection_limits: Vec<u64>,
+    /// Services whose upstreams limit the rejections that they can bear. A daemon without a share of
+    /// their slots sends nothing there and hears of the limit from others only.
+    pub rejection_limits: Vec<RejectionLimitReport>,
+}
+
+/// Limit of the rejections that each upstream of a service can bear.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RejectionLimitReport {
+    /// Digest of the service's name.
+    pub service: u64,
+    /// Rejections a second, of all daemons together.
+    pub limit: RateLimit,
 }
 
 /// Daemon that made an observation.
