Rejections are divided among owners, who send no more than may be rejected

What callers saw: their requests broke off and failed while upstreams that can bear few rejections a second fell, were back with as little room as before, and fell again.

Cause: the slots of such an upstream were divided, its rejections were not. Each owner of a slot could be rejected on its own, so that as many rejections as owners came together whenever there was less room than slots.

Change: at most as many owners as rejections a second, each with its part. An owner sends only while what may yet be rejected, and what was rejected within the last second, is less than its part; an upstream has accepted what it does not reject within 100 ms. What it has room for is learned from rejections and grows by one probe at a time. New owners wait 1.5 s for those before them, new processes for 2 s of uptime. Others send through an owner (RelayRefusal::NoRoom says that it has no room; that is no attempt of the request). While most daemons are not seen the limit holds on; after 12 s of that a daemon pauses an upstream after each rejection.

Why it works: the parts add up to what the upstream named, whatever its room, and each owner hears of its own rejections at once.

--- a/crates/savorywood-front/src/peers/relay.rs
+++ b/crates/savorywood-front/src/peers/relay.rs
@@ -140,6 +140,11 @@
     let address = match admitted {
         Ok(address) => address,
         Err(refusal) => {
+            if refusal == RelayRefusal::NoRoom {
+                let now = shared.clock.now();
+                let mut gateway = shared.gateway.borrow_mut();
+                gateway.record_refused_relay(now, &upstream);
+            }
             shared.log.write_line(&line.with("outcome", refusal));
             write_message(&mut origin, &RelayReply::Refused(refusal)).await?;
             return Ok(refusal.into());
@@ -148,45 +153,82 @@
     let _relayed = CountGuard::new(&shared.relayed_requests);
     // A daemon that stops waits for the requests that it relays as for its own.
     let _active = CountGuard::new(&shared.active_requests);
+    let number = {
+        let now = shared.clock.now();
+        let mut gateway = shared.gateway.borrow_mut();
+        gateway.begin_relay(now, &upstream)
+    };
+    let relay = AdmittedRelay {
+        shared,
+        upstream: &upstream,
+        request: &request,
+        number,
+    };
     let Ok(target) = connect(address).await else {
         let outcome = "upstream-unreachable";
         shared.log.write_line(&line.with("outcome", outcome));
-        shared.step(GatewayEvent::RelayConnectFailed(upstream));
+        shared.step(GatewayEvent::RelayConnectFailed(upstream.clone()));
+        relay.end(false);
         write_message(&mut origin, &RelayReply::UpstreamUnreachable).await?;
         return Ok(outcome);
     };
     configure_socket(&target);
     shared.log.write_line(&line.with("outcome", "connected"));
-    write_message(&mut origin, &RelayReply::Connected).await?;
-    let time = Duration::from_millis(request.time_left_ms.into()) + DEADLINE_MARGIN;
-    let mut observer = HeadObserver::new(shared, &upstream, &request.request_id);
-    let observe = |bytes: &[u8]| observer.observe(bytes);
-    let forwarded = with_timeout(time, forward(origin, target, observe)).await;
-    if let Some(Err(error)) = &forwarded
-        && let Some(limit) = InputLimit::of(error)
-    {
-        shared.report_unbounded(limit, &upstream, &request.request_id);
+    let forwarded = relay.forward(origin, target).await;
+    relay.end(true);
+    forwarded
+}
+
+/// A request of a peer that this daemon relays.
+struct AdmittedRelay<'a> {
+    shared: &'a Rc<FrontShared>,
+    upstream: &'a UpstreamLabel,
+    request: &'a RelayRequest,
+    /// Number by which events refer to it.
+    number: u64,
+}
+
+impl AdmittedRelay<'_> {
+    /// Confirms the connection to the peer and forwards bytes until one side ends or the deadline
+    /// passes.
+    async fn forward(&self, mut origin: TcpStream, target: TcpStream) -> io::Result<&'static str> {
+        write_message(&mut origin, &RelayReply::Connected).await?;
+        let time = Duration::from_millis(self.request.time_left_ms.into()) + DEADLINE_MARGIN;
+        let mut observer = HeadObserver::new(self);
+        let observe = |bytes: &[u8]| observer.observe(bytes);
+        let forwarded = with_timeout(time, forward(origin, target, observe)).await;
+        if let Some(Err(error)) = &forwarded
+            && let Some(limit) = InputLimit::of(error)
+        {
+            let id = &self.request.request_id;
+            self.shared.report_unbounded(limit, self.upstream, id);
+        }
+        forwarded.unwrap_or(Ok("expired"))
+    }
+
+    /// Reports that the request has ended; `sent`: the upstream may have received it.
+    fn end(&self, sent: bool) {
+        self.shared.step(GatewayEvent::RelayEnded {
+            upstream: self.upstream.clone(),
+            number: self.number,
+            sent,
+        });
     }
-    forwarded.unwrap_or(Ok("expired"))
 }
 
 /// Reads the head of a relayed response, as its announcements bind the relay as well: to the
 /// upstream, the relay is the daemon that sends the request.
 struct HeadObserver<'a> {
-    shared: &'a FrontShared,
-    upstream: &'a UpstreamLabel,
-    request_id: &'a str,
+    relay: &'a AdmittedRelay<'a>,
     /// Bytes of the head received so far; `None` once it was read.
     head: Option<Vec<u8>>,
     search: HeadSearch,
 }
 
 impl<'a> HeadObserver<'a> {
-    fn new(shared: &'a FrontShared, upstream: &'a UpstreamLabel, request_id: &'a str) -> Self {
+    fn new(relay: &'a AdmittedRelay<'a>) -> Self {
         Self {
-            shared,
-            upstream,
-            request_id,
+            relay,
             head: Some(Vec::new()),
             search: HeadSearch::default(),
         }
@@ -202,9 +244,20 @@
             return;
         };
         if let Ok(head) = ResponseHead::parse(&head[..end]) {
-            let parsed = self.shared.adapter.parse_response_head(&head);
-            self.shared
-                .report_announcement(self.upstream, self.request_id, &parsed);
+            let AdmittedRelay {
+                shared,
+                upstream,
+                request,
+                number,
+            } = self.relay;
+            let parsed = shared.adapter.parse_response_head(&head);
+            shared.report_announcement(upstream, &request.request_id, &parsed);
+            shared.step(GatewayEvent::RelayDecided {
+                upstream: (*upstream).clone(),
+                request_id: request.request_id.clone(),
+                number: *number,
+                rejected: parsed.not_executed && !parsed.misdirected,
+            });
         }
         self.head = None;
     }
--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -276,6 +276,26 @@
     },
     /// A connection to an upstream could not be opened for a request of a peer.
     RelayConnectFailed(UpstreamLabel),
+    /// An upstream began to respond to a request of a peer.
+    RelayDecided {
+        /// Upstream that responded.
+        upstream: UpstreamLabel,
+        /// Identifier that the caller gave the request, for the log.
+        request_id: String,
+        /// Number of the relayed request.
+        number: u64,
+        /// The upstream turned the request away.
+        rejected: bool,
+    },
+    /// A request of a peer has ended.
+    RelayEnded {
+        /// Its upstream.
+        upstream: UpstreamLabel,
+        /// Number of the relayed request.
+        number: u64,
+        /// The upstream may have received it.
+        sent: bool,
+    },
     /// Resources of the host that this process uses were measured.
     LoadMeasured(HostResources),
     /// Another daemon has ended and is removed from the table of peers.
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -188,6 +188,8 @@
     /// Daemons that divide the slots of upstreams with limited rejections.
     limit_members: MemberHistory,
     limit_members_at: MonotonicTime,
+    /// Time at which this daemon last saw most others.
+    majority_seen_at: MonotonicTime,
     reservation_policy: ReservationPolicy,
     /// Daemons among which slots are reserved.
     slot_members: MemberHistory,
@@ -272,6 +274,7 @@
             slot_shares_stale: false,
             limit_members: MemberHistory::new(LossRetention::cautious()),
             limit_members_at: MonotonicTime::default(),
+            majority_seen_at: MonotonicTime::default(),
             reservation_policy: ReservationPolicy::default(),
             slot_members: MemberHistory::default(),
             slot_members_at: MonotonicTime::default(),
@@ -406,6 +409,24 @@
             GatewayEvent::RelayConnectFailed(upstream) => {
                 self.connection_failed(now, &upstream, effects);
             }
+            GatewayEvent::RelayDecided {
+                upstream,
+                request_id,
+                number,
+                rejected,
+            } => {
+                let request = rejections::SentRequest {
+                    upstream: &upstream,
+                    request_id: &request_id,
+                    number,
+                };
+                self.relay_decided(now, request, rejected, effects);
+            }
+            GatewayEvent::RelayEnded {
+                upstream,
+                number,
+                sent,
+            } => self.relay_ended(now, &upstream, number, sent, effects),
             GatewayEvent::SeedsRead(contacts) => self.seeds_read(now, contacts),
             GatewayEvent::ContactsRead(contacts) => self.contacts_read(now, contacts, effects),
             GatewayEvent::PeerEnded(host) => self.peers.remove(&host),
@@ -480,7 +501,7 @@
         self.expire_presence(now);
         self.refresh_entry(now, effects);
         self.refill_limits(now);
-        self.refresh_slot_shares(now);
+        self.refresh_rejection_budgets(now);
         self.refresh_reservations(now);
         self.store_reads.expire(now);
         self.refresh_returns(now);
--- a/crates/savorywood-gateway/src/gateway/announcements.rs
+++ b/crates/savorywood-gateway/src/gateway/announcements.rs
@@ -18,21 +18,12 @@
         announcement: UpstreamAnnouncement,
         effects: &mut GatewayEffects,
     ) {
-        let mut pause = announcement.pause.unwrap_or_default();
+        let pause = announcement.pause.unwrap_or_default();
         let mut is_newly_limited = false;
-        let sample = self.random.next();
         if let Some(state) = self.fleet.get_mut(upstream) {
             state.extend_pause(now + pause);
             if let Some(limit) = announcement.max_rejections {
                 let service = state.entry.service.clone();
-                let senders = self.entry_daemons.min(state.entry.slots as usize);
-                let backoff = &mut state.rejection_backoff;
-                if announcement.turned_away {
-                    let after_rejection = backoff.record_rejection(now, limit, senders, sample);
-                    pause = pause.max(after_rejection);
-                } else {
-                    backoff.record_response();
-                }
                 let limits = self.fleet.rejection_limits_mut();
                 is_newly_limited = limits.announce(now, &service, limit, ObservationSource::Own);
             }
@@ -64,8 +55,12 @@
             return line;
         };
         let others = self.peers.slots_by_digest(state.digest).running;
+        let share = state
+            .rejections
+            .part()
+            .map_or_else(|| "unknown".to_owned(), |part| part.slots.to_string());
         line.with("slots", state.entry.slots)
-            .with("share", state.slot_share)
+            .with("share", share)
             .with("own", state.running)
             .with("others", others)
     }
--- a/crates/savorywood-gateway/src/gateway/completion.rs
+++ b/crates/savorywood-gateway/src/gateway/completion.rs
@@ -116,10 +116,18 @@
             attempt,
             outcome,
         } = ended;
+        let upstream = self.fleet.get(&attempt.upstream);
+        let is_refused_by_owners = *outcome == AttemptOutcome::NotRelayed
+            && upstream.is_some_and(|state| state.rejections.owner_relay.has_owners());
         let Some(record) = self.requests.get_mut(&request) else {
             return;
         };
-        record.attempted_upstreams.push(attempt.upstream.clone());
+        if is_refused_by_owners {
+            // This daemon pauses its requests to them.
+            record.attempts -= 1;
+        } else {
+            record.attempted_upstreams.push(attempt.upstream.clone());
+        }
         match outcome {
             AttemptOutcome::Delivered { .. } => return self.close(now, request, "served", effects),
             AttemptOutcome::CallerDisconnected => {
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -233,7 +233,11 @@
         else {
             return;
         };
-        let relays = self.choose_relays(now, &zone);
+        let relays = if selected.owners.is_empty() {
+            self.choose_relays(now, &zone)
+        } else {
+            selected.owners.clone()
+        };
         self.record_queue_dispatch(now, request);
         let Some(record) = self.requests.get_mut(&request) else {
             return;
@@ -250,9 +254,10 @@
         state.last_dispatch_at = now;
         state.reservation.released_at = None;
         state.limit.record_dispatch();
-        state
-            .rejection_history
-            .record_dispatch(now, self.dispatches);
+        if relays.is_empty() {
+            let own = state.running;
+            state.rejections.record_dispatch(now, self.dispatches, own);
+        }
         if let RequestState::Waiting(position) = &record.state
             && let Some(queue) = self.queues.get_mut(&record.service)
         {
--- a/crates/savorywood-gateway/src/gateway/rate_limits.rs
+++ b/crates/savorywood-gateway/src/gateway/rate_limits.rs
@@ -8,6 +8,7 @@
     placing::{LossRetention, MemberHistory},
     quarantine::ReportScope,
     rendezvous::address_hash,
+    upstream::RejectionDivision,
     upstream_limit::{
         LimitGossip, LimitObservation, LimitReport, ObservationSource, RateLimit,
         RejectionLimitReport,
@@ -15,7 +16,7 @@
 };
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 /// Rounds of gossip in which a reading is reported, as messages may be lost.
 const REPORT_ROUNDS: u32 = 4;
@@ -23,6 +24,14 @@
 const MAX_REPORTS: usize = 64;
 /// Interval at which shares of slots are recomputed; a change of the members takes effect at once.
 const SLOT_SHARE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which a division is not continued: the limit had ended.
+const DIVISION_TTL: Duration = Duration::from_secs(2);
+/// Uptime from which on the daemon uses its parts: the others know it by then, and what they or its
+/// previous process caused before counts no more.
+const SETTLED_UPTIME: Duration = Duration::from_secs(2);
+/// Time without contact to most daemons after which these may have taken over the parts of this one:
+/// less than the time for which lost members keep them.
+const CONTESTED_AFTER: Duration = Duration::from_secs(12);
 /// Interval between two looks at the members while no rejections are limited.
 const IDLE_MEMBERS_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -148,7 +157,7 @@
     /// Daemons that are lost keep their shares, and do so for as long as this daemon does not see
     /// most daemons: both sides of a partition would otherwise use the same slots.
     pub(super) fn refresh_limit_members(&mut self, now: MonotonicTime, own_members: &[u64]) {
-        if !own_members.contains(&self.own_digest()) {
+        if !own_members.contains(&self.own_digest()) && !self.has_callers() {
             // Other members divide the slots now.
             self.slot_shares_stale |= !self.limit_members.present().is_empty();
             self.limit_members = MemberHistory::new(LossRetention::cautious());
@@ -163,10 +172,16 @@
         }
         self.limit_members_at = now;
         let members = self.members_by_zone(now, own_members);
-        let present = members.into_values().flatten().collect();
+        // A daemon that reaches no upstream sends its requests through others.
+        let unable = self.partitioned_address_hashes(now);
+        let present = members.into_values().flatten();
+        let present = present.filter(|member| !unable.contains(member)).collect();
         let live = self.live_address_hashes(now);
-        if !self.peers.sees_majority(now) {
+        if self.peers.sees_majority(now) {
+            self.majority_seen_at = now;
+        } else {
             self.limit_members.keep_lost(now);
+            self.fleet.rejection_limits_mut().hold(now);
         }
         let is_changed = self
             .limit_members
@@ -174,20 +189,45 @@
         self.slot_shares_stale |= is_changed;
     }
 
-    /// Recomputes this daemon's shares of slots while rejections are limited. Each takes a look at
+    /// Returns the address hashes of the daemons that reach no upstream, this one included.
+    fn partitioned_address_hashes(&self, now: MonotonicTime) -> BTreeSet<u64> {
+        let live = self.peers.live_peers(now);
+        let direct = live.filter(|peer| peer.summary.partitioned);
+        let direct = direct.map(|peer| peer.summary.peer_address);
+        let digests = self.peers.zone_digests(now);
+        let members = digests.flat_map(|digest| &digest.members);
+        let remote = members.filter(|member| member.partitioned);
+        let remote = remote.map(|member| member.peer_address);
+        let own = self.is_partitioned().then_some(self.options.peer_address);
+        let all = direct.chain(remote).chain(own);
+        all.map(address_hash).collect()
+    }
+
+    /// Recomputes this daemon's parts of upstreams while rejections are limited. Each takes a look at
     /// all members, so it is not done in each tick.
-    pub(super) fn refresh_slot_shares(&mut self, now: MonotonicTime) {
+    pub(super) fn refresh_rejection_budgets(&mut self, now: MonotonicTime) {
         if !self.fleet.rejection_limits().is_any_active(now) {
             return;
         }
-        let is_recent = now.since(self.slot_shares_at) < SLOT_SHARE_INTERVAL;
-        if is_recent && !self.slot_shares_stale {
+        self.fleet.settle_rejections(now);
+        let since_refresh = now.since(self.slot_shares_at);
+        if since_refresh < SLOT_SHARE_INTERVAL && !self.slot_shares_stale {
             return;
         }
         self.slot_shares_at = now;
         self.slot_shares_stale = false;
-        let own = address_hash(self.options.peer_address);
-        self.fleet.refresh_slot_shares(own, &self.limit_members);
+        let relays = self.relays_by_hash(now);
+        let settles_in = SETTLED_UPTIME.saturating_sub(self.uptime(now));
+        let is_first = since_refresh >= DIVISION_TTL || !settles_in.is_zero();
+        let first_at = is_first.then_some(now + settles_in);
+        let division = RejectionDivision {
+            own: address_hash(self.options.peer_address),
+            members: &self.limit_members,
+            relays: &relays,
+            first_at,
+            is_contested: now.since(self.majority_seen_at) >= CONTESTED_AFTER,
+        };
+        self.fleet.refresh_owned_parts(now, &division);
     }
 }
 
--- a/crates/savorywood-gateway/src/gateway/relay.rs
+++ b/crates/savorywood-gateway/src/gateway/relay.rs
@@ -4,10 +4,12 @@
 use crate::{
     label::{UpstreamLabel, ZoneLabel},
     message::PeerPhase,
+    rejection_limit::SlotUsage,
     relay::{RelayCandidate, RelayPreference, RelayRefusal, max_relayed},
+    rendezvous::address_hash,
 };
 use savorywood_protocol::MonotonicTime;
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 /// Peers that are tried in turn for one attempt.
 const RELAYS_PER_ATTEMPT: usize = 3;
@@ -101,6 +103,46 @@
         if open >= max_relayed(self.options.capacity.descriptors) {
             return Err(RelayRefusal::Full);
         }
+        if let Some(limit) = self
+            .fleet
+            .rejection_limits()
+            .limit(now, &state.entry.service)
+        {
+            let usage = SlotUsage {
+                slots: state.entry.slots,
+                own: state.running,
+                all: state.running + self.peers.slots_by_digest(state.digest).running,
+            };
+            if !state.rejections.allows_relay(now, limit.into(), usage) {
+                return Err(RelayRefusal::NoRoom);
+            }
+        }
         Ok(state.entry.address)
     }
+
+    /// Records that a request which was admitted is relayed to an upstream. Returns the number by
+    /// which its events refer to it.
+    pub fn begin_relay(&mut self, now: MonotonicTime, upstream: &UpstreamLabel) -> u64 {
+        self.dispatches += 1;
+        if let Some(state) = self.fleet.get_mut(upstream) {
+            let own = state.running;
+            state.rejections.record_relay(now, self.dispatches, own);
+        }
+        self.dispatches
+    }
+
+    /// Records that a request was not relayed for lack of room.
+    pub fn record_refused_relay(&mut self, now: MonotonicTime, upstream: &UpstreamLabel) {
+        if let Some(state) = self.fleet.get_mut(upstream) {
+            state.rejections.record_refused_relay(now);
+        }
+    }
+
+    /// Returns the addresses of the peers that may relay requests, by their hashes.
+    pub(super) fn relays_by_hash(&self, now: MonotonicTime) -> BTreeMap<u64, SocketAddr> {
+        let candidates = self.relay_candidates(now).into_iter();
+        candidates
+            .map(|candidate| (address_hash(candidate.address), candidate.address))
+            .collect()
+    }
 }
--- a/crates/savorywood-gateway/src/placing.rs
+++ b/crates/savorywood-gateway/src/placing.rs
@@ -11,7 +11,7 @@
 mod report;
 mod vacancy;
 
-pub use claim::{SlotClaim, rank_claim};
+pub use claim::{SlotClaim, rank_claim, rank_owners};
 pub use decision::{
     HoldCause, HoldCounters, ReservationPolicy, ReservationView, ServiceUse, SlotReservation,
 };
--- a/crates/savorywood-gateway/src/placing/claim.rs
+++ b/crates/savorywood-gateway/src/placing/claim.rs
@@ -17,6 +17,49 @@
     pub group_slots: u32,
 }
 
+/// Members with the highest weights for an upstream, in descending order.
+struct OwnerList {
+    max_owners: usize,
+    /// Weights and members.
+    owners: Vec<(u64, u64)>,
+}
+
+impl OwnerList {
+    fn new(max_owners: u32) -> Self {
+        Self {
+            max_owners: max_owners as usize,
+            owners: Vec::with_capacity(max_owners as usize + 1),
+        }
+    }
+
+    /// Adds a member if its weight is among the highest. There are few owners, so insertion is faster
+    /// than sorting all members, of which there may be a thousand.
+    fn offer(&mut self, weight: u64, member: u64) {
+        let owners = &mut self.owners;
+        let is_among = owners.last().is_some_and(|last| weight > last.0);
+        if owners.len() < self.max_owners || is_among {
+            let position = owners.partition_point(|owner| owner.0 > weight);
+            owners.insert(position, (weight, member));
+            owners.truncate(self.max_owners);
+        }
+    }
+}
+
+/// Returns the present and lost members, `max_owners` at most, that own the upstream whose name has
+/// the digest `key`, in the order in which they are preferred.
+#[must_use]
+pub fn rank_owners(key: u64, max_owners: u32, history: &MemberHistory) -> Vec<u64> {
+    let mut owners = OwnerList::new(max_owners);
+    for member in history.present().iter().copied().chain(history.lost()) {
+        owners.offer(rendezvous_weight(member, key), member);
+    }
+    owners
+        .owners
+        .into_iter()
+        .map(|(_, member)| member)
+        .collect()
+}
+
 /// Computes the claim of the member `own` to the upstream whose name has the digest `key`; `None` if
 /// it is not among the present members.
 #[must_use]
@@ -24,19 +67,14 @@
     let present = history.present();
     present.binary_search(&own).ok()?;
     let own_weight = rendezvous_weight(own, key);
-    // The owners, with the highest weights in descending order. There are few slots, so insertion is
-    // faster than sorting all members, of which there may be a thousand.
-    let mut owners: Vec<(u64, u64)> = Vec::with_capacity(slots as usize + 1);
+    let mut owners = OwnerList::new(slots);
     let mut rank = 0;
     for member in present.iter().copied().chain(history.lost()) {
         let weight = rendezvous_weight(member, key);
         rank += u32::from(weight > own_weight && !history.is_lost(member));
-        if owners.len() < slots as usize || owners.last().is_some_and(|last| weight > last.0) {
-            let position = owners.partition_point(|owner| owner.0 > weight);
-            owners.insert(position, (weight, member));
-            owners.truncate(slots as usize);
-        }
+        owners.offer(weight, member);
     }
+    let owners = owners.owners;
     let mut claim = SlotClaim {
         owned: 0,
         rank,
--- a/crates/savorywood-gateway/src/relay.rs
+++ b/crates/savorywood-gateway/src/relay.rs
@@ -37,6 +37,8 @@
     Paused,
     /// It relays as many requests as it may.
     Full,
+    /// The upstream can bear few rejections, and may have no room.
+    NoRoom,
 }
 
 /// Daemon that may relay requests.
--- a/crates/savorywood-gateway/src/selection.rs
+++ b/crates/savorywood-gateway/src/selection.rs
@@ -19,12 +19,15 @@
 };
 use savorywood_protocol::MonotonicTime;
 use serde::Deserialize;
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 use strum::{Display, EnumString};
 
 /// Cost of sending a request to another zone, in milliseconds, which accounts for the transferred
 /// bytes.
 const ZONE_PENALTY_MS: f64 = 35.0;
+/// Cost of sending a request through the owner of an upstream, in milliseconds: another connection and
+/// the use of two daemons.
+const RELAY_PENALTY_MS: f64 = 35.0;
 /// Relative slowdown of a non-streaming response by each concurrent request at the upstream.
 const CONCURRENCY_SLOWDOWN: f64 = 0.3;
 /// Cost of a failure that is certain, in milliseconds.
@@ -193,6 +196,8 @@
     pub score: f64,
     /// Inputs of the reservation's decision, if reservations are enabled.
     pub reservation: Option<ReservationView>,
+    /// Owners of the upstream, one of which relays the request; empty if it is sent directly.
+    pub owners: Vec<SocketAddr>,
 }
 
 /// Whether an upstream has a slot for the request.
@@ -435,11 +440,13 @@
             all: candidate.slots_in_use + reserved,
         };
         let limits = self.fleet.rejection_limits();
-        let has_slot = if limits.is_active(self.now, query.service) {
-            let backoff = &candidate.state.rejection_backoff;
-            candidate.state.slot_share.allows_dispatch(usage) && !backoff.is_paused(self.now)
-        } else {
-            usage.all < usage.slots
+        let has_slot = match limits.limit(self.now, query.service) {
+            Some(limit) => {
+                let budget = &candidate.state.rejections;
+                budget.allows_dispatch(self.now, limit.into(), usage)
+                    || usage.all < usage.slots && !self.owners(candidate.state).is_empty()
+            }
+            None => usage.all < usage.slots,
         };
         if !has_slot
             || candidate.state.is_paused(self.now)
@@ -458,6 +465,16 @@
         }
     }
 
+    /// Returns the owners that may relay a request to an upstream whose rejections are limited; none
+    /// if this daemon is one of them.
+    fn owners<'s>(&self, state: &'s UpstreamState) -> &'s [SocketAddr] {
+        let limits = self.fleet.rejection_limits();
+        if !limits.is_active(self.now, &state.entry.service) {
+            return &[];
+        }
+        state.rejections.owner_relay.usable(self.now)
+    }
+
     /// Returns true if the tokens of the request fit into the upstream's memory beside those of the
     /// requests in progress.
     fn memory_allows(&self, candidate: &Candidate<'_>, query: &SelectionQuery<'_>) -> bool {
@@ -564,6 +581,10 @@
                 PROBE_PENALTY_MS
             };
         }
+        let owners = self.owners(state).to_vec();
+        if !owners.is_empty() {
+            score += RELAY_PENALTY_MS;
+        }
         let score = match self.policy {
             RoutingPolicy::LowestCost | RoutingPolicy::LowestCostIgnoringZones => {
                 score + score.abs() * noise * self.jitter
@@ -582,6 +603,7 @@
                     .reservation
                     .view(self.now, state.running, *slots_in_use)
             }),
+            owners,
         }
     }
 }
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -8,8 +8,8 @@
     outlier::OutlierState,
     peer::name_digest,
     placing::{MemberHistory, SlotReservation},
-    rejection_limit::{RejectionBackoff, RejectionHistory, RejectionLimits, SlotShare},
-    upstream_limit::UpstreamLimit,
+    rejection_limit::{OwnedPart, RejectionBudget, RejectionLimits},
+    upstream_limit::{RateLimit, UpstreamLimit},
     upstream_memory::UpstreamMemory,
     warmup::WarmupSpec,
 };
@@ -25,6 +25,9 @@
 /// The store counts as failing for this long after a failed call.
 const STORE_FAILURE_WINDOW: Duration = Duration::from_secs(4);
 
+/// Owners of an upstream that are asked in turn to relay a request.
+const MAX_OWNERS_ASKED: usize = 3;
+
 /// Time for which an incarnation that ended after draining is recorded, as a store that is restored
 /// from an older backup would register it again.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
@@ -86,12 +89,8 @@
     pub limit: UpstreamLimit,
     /// Time until which the upstream wants no requests of this daemon.
     pub paused_until: MonotonicTime,
-    /// Slots that this daemon may use while rejections are limited.
-    pub slot_share: SlotShare,
-    /// Pauses after rejections while they are limited.
-    pub rejection_backoff: RejectionBackoff,
-    /// Dispatches that it may yet reject, and recent rejections.
-    pub rejection_history: RejectionHistory,
+    /// What this daemon may cause of its rejections while they are limited.
+    pub rejections: RejectionBudget,
     /// Reservation of its slots, if they are enabled.
     pub reservation: SlotReservation,
     /// Time of this daemon's last dispatch to the upstream.
@@ -120,9 +119,7 @@
             cold_until: MonotonicTime::default(),
             limit: UpstreamLimit::default(),
             paused_until: MonotonicTime::default(),
-            slot_share: SlotShare::default(),
-            rejection_backoff: RejectionBackoff::default(),
-            rejection_history: RejectionHistory::default(),
+            rejections: RejectionBudget::default(),
             reservation: SlotReservation::default(),
             last_dispatch_at: MonotonicTime::default(),
             held_slots: 0,
@@ -187,6 +184,29 @@
     Cold,
 }
 
+/// Daemons that divide upstreams with limited rejections, as seen by one of them.
+#[derive(Debug, Clone, Copy)]
+pub struct RejectionDivision<'a> {
+    /// Hash of the address of this daemon.
+    pub own: u64,
+    /// Daemons that divide them; none while they are not known.
+    pub members: &'a MemberHistory,
+    /// Addresses of the peers that may relay requests, by their hashes.
+    pub relays: &'a BTreeMap<u64, SocketAddr>,
+    /// Time from which on the parts are effective if nothing was divided until now.
+    pub first_at: Option<MonotonicTime>,
+    /// Other daemons may have taken over the parts of this one.
+    pub is_contested: bool,
+}
+
+impl RejectionDivision<'_> {
+    fn owner_addresses(&self, key: u64, slots: u32, limit: RateLimit) -> Vec<SocketAddr> {
+        let owners = OwnedPart::owners(key, slots, limit.into(), self.members);
+        let addresses = owners.iter().filter_map(|owner| self.relays.get(owner));
+        addresses.copied().take(MAX_OWNERS_ASKED).collect()
+    }
+}
+
 /// All registered upstreams, with the state of their services and zones.
 #[derive(Debug, Clone, Default)]
 pub struct UpstreamFleet {
@@ -265,11 +285,37 @@
         &mut self.rejection_limits
     }
 
-    /// Recomputes the share of the daemon `own` of the slots of all upstreams.
-    pub fn refresh_slot_shares(&mut self, own: u64, members: &MemberHistory) {
+    /// Takes dispatches to upstreams with limited rejections as accepted that have been pending for
+    /// long enough.
+    pub fn settle_rejections(&mut self, now: MonotonicTime) {
         for state in self.states.values_mut() {
-            let slots = state.entry.slots;
-            state.slot_share = SlotShare::compute(own, state.digest, slots, members);
+            if self.rejection_limits.is_active(now, &state.entry.service) {
+                state.rejections.settle(now);
+            }
+        }
+    }
+
+    /// Recomputes the parts of the daemon `own` of all upstreams with limited rejections.
+    pub fn refresh_owned_parts(&mut self, now: MonotonicTime, division: &RejectionDivision<'_>) {
+        for state in self.states.values_mut() {
+            let service = &state.entry.service;
+            let Some(limit) = self.rejection_limits.limit(now, service) else {
+                continue;
+            };
+            let members = division.members;
+            let part = (!members.present().is_empty()).then(|| {
+                let (key, slots) = (state.digest, state.entry.slots);
+                OwnedPart::compute(division.own, key, slots, limit.into(), members)
+            });
+            let is_owner = part.is_some_and(|part| part.slots > 0);
+            let owners = if is_owner || part.is_none() {
+                Vec::new()
+            } else {
+                division.owner_addresses(state.digest, state.entry.slots, limit)
+            };
+            let budget = &mut state.rejections;
+            budget.set_part(now, part, division.first_at, division.is_contested);
+            budget.owner_relay.set_owners(owners);
         }
     }
 
@@ -335,11 +381,14 @@
                 state.last_dispatch_at,
                 state.memory,
             );
+            // It may have as little room as before, and what it rejected before may have ended it.
+            let rejections = std::mem::take(&mut state.rejections);
             let restarted = UpstreamState {
                 running,
                 unread_prompt_tokens: unread,
                 memory,
                 last_dispatch_at: sent_at,
+                rejections,
                 limit: UpstreamLimit::for_new_incarnation(now),
                 ..self.new_state(now, entry)
             };
