Limited rejections: owners keep no room idle for others, and refused relays have a bounded pace

A daemon with many waiting requests asked one owner after the other at the pace of its round trips, which at 3,000 upstreams is some thousand refused requests a second.

Change: an owner uses its room as soon as a slot is free; after a refusal a daemon asks no owner of the service for 40 ms, 25 times a second at most whatever the number of upstreams. The division of an upstream has a file of its own.

--- a/crates/savorywood-front/src/peers/relay.rs
+++ b/crates/savorywood-front/src/peers/relay.rs
@@ -140,11 +140,6 @@
     let address = match admitted {
         Ok(address) => address,
         Err(refusal) => {
-            if refusal == RelayRefusal::NoRoom {
-                let now = shared.clock.now();
-                let mut gateway = shared.gateway.borrow_mut();
-                gateway.record_refused_relay(now, &upstream);
-            }
             shared.log.write_line(&line.with("outcome", refusal));
             write_message(&mut origin, &RelayReply::Refused(refusal)).await?;
             return Ok(refusal.into());
--- a/crates/savorywood-gateway/src/gateway/rate_limits.rs
+++ b/crates/savorywood-gateway/src/gateway/rate_limits.rs
@@ -7,8 +7,8 @@
     peer::name_digest,
     placing::{LossRetention, MemberHistory},
     quarantine::ReportScope,
+    rejection_limit::RejectionDivision,
     rendezvous::address_hash,
-    upstream::RejectionDivision,
     upstream_limit::{
         LimitGossip, LimitObservation, LimitReport, ObservationSource, RateLimit,
         RejectionLimitReport,
--- a/crates/savorywood-gateway/src/gateway/rejections.rs
+++ b/crates/savorywood-gateway/src/gateway/rejections.rs
@@ -89,6 +89,9 @@
         let relay = &mut state.rejections.owner_relay;
         if *ended.outcome == AttemptOutcome::NotRelayed {
             relay.record_refusal(now);
+            let service = state.entry.service.clone();
+            let limits = self.fleet.rejection_limits_mut();
+            limits.record_refused_relay(now, &service);
         } else {
             relay.record_relayed();
         }
--- a/crates/savorywood-gateway/src/gateway/relay.rs
+++ b/crates/savorywood-gateway/src/gateway/relay.rs
@@ -113,7 +113,7 @@
                 own: state.running,
                 all: state.running + self.peers.slots_by_digest(state.digest).running,
             };
-            if !state.rejections.allows_relay(now, limit.into(), usage) {
+            if !state.rejections.allows_dispatch(now, limit.into(), usage) {
                 return Err(RelayRefusal::NoRoom);
             }
         }
@@ -131,13 +131,6 @@
         self.dispatches
     }
 
-    /// Records that a request was not relayed for lack of room.
-    pub fn record_refused_relay(&mut self, now: MonotonicTime, upstream: &UpstreamLabel) {
-        if let Some(state) = self.fleet.get_mut(upstream) {
-            state.rejections.record_refused_relay(now);
-        }
-    }
-
     /// Returns the addresses of the peers that may relay requests, by their hashes.
     pub(super) fn relays_by_hash(&self, now: MonotonicTime) -> BTreeMap<u64, SocketAddr> {
         let candidates = self.relay_candidates(now).into_iter();
--- a/crates/savorywood-gateway/src/rejection_limit.rs
+++ b/crates/savorywood-gateway/src/rejection_limit.rs
@@ -7,13 +7,15 @@
 //! they may only be partitioned.
 
 mod budget;
+mod division;
 mod history;
 mod owner_relay;
 mod room;
 mod share;
 
 pub use budget::{RejectionBudget, SlotUsage};
-pub use share::{OwnedPart, SECOND};
+pub use division::RejectionDivision;
+pub use share::SECOND;
 
 use crate::{
     label::ServiceLabel,
@@ -24,6 +26,9 @@
 
 /// Time after an announcement for which it holds; upstreams repeat it in each response.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(5);
+/// Time after a request that no owner relayed for which this daemon asks no other owner, so that the
+/// pace of refused requests does not grow with the number of upstreams.
+const REFUSED_RELAY_PAUSE: Duration = Duration::from_millis(40);
 /// Time after the last announcement for which the limit holds at most while most daemons are not
 /// seen: they may hear announcements that this one does not.
 const MAX_HOLD: Duration = Duration::from_secs(60);
@@ -35,6 +40,8 @@
     announced_at: MonotonicTime,
     /// The lowest rate that was announced since the limit has been in force.
     rate: RateLimit,
+    /// Time until which owners are not asked to relay requests.
+    relays_paused_until: MonotonicTime,
     /// Time of the last announcement to this daemon.
     own_announced_at: Option<MonotonicTime>,
     /// Time of the last announcement that a daemon of this zone reported.
@@ -76,6 +83,20 @@
         is_new
     }
 
+    /// Records that no owner of an upstream of a service relayed a request.
+    pub fn record_refused_relay(&mut self, now: MonotonicTime, service: &ServiceLabel) {
+        if let Some(limit) = self.limits.get_mut(service) {
+            limit.relays_paused_until = now + REFUSED_RELAY_PAUSE;
+        }
+    }
+
+    /// Returns whether owners of the upstreams of a service may be asked to relay requests.
+    #[must_use]
+    pub fn allows_relay(&self, now: MonotonicTime, service: &ServiceLabel) -> bool {
+        let limit = self.limits.get(service);
+        limit.is_some_and(|limit| limit.is_active(now) && now >= limit.relays_paused_until)
+    }
+
     /// Extends the limits in force, as this daemon does not hear what most others do.
     pub fn hold(&mut self, now: MonotonicTime) {
         let active = self.limits.values_mut();
--- a/crates/savorywood-gateway/src/rejection_limit/budget.rs
+++ b/crates/savorywood-gateway/src/rejection_limit/budget.rs
@@ -9,10 +9,6 @@
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
-/// Time after a refused request of another daemon for which a part of the room is left to others: they
-/// ask again within it.
-const RELAY_TURN: Duration = Duration::from_millis(400);
-
 /// Use of the slots of one upstream, by this daemon and by all.
 #[derive(Debug, Clone, Copy)]
 pub struct SlotUsage {
@@ -36,8 +32,6 @@
     history: RejectionHistory,
     /// Requests of other daemons in progress that this one relays.
     relayed: u32,
-    /// Time until which a part of the room is left to requests of other daemons.
-    relays_refused_until: MonotonicTime,
     /// Owners through which this daemon reaches the upstream if it is not one of them.
     pub owner_relay: OwnerRelay,
     /// Other daemons may use the share as well: this one has not seen most of them for long.
@@ -84,8 +78,7 @@
         self.history.rejections(now, window)
     }
 
-    /// Returns whether this daemon may send another request of its own. Up to half of the room is
-    /// left to others while some of their requests were refused.
+    /// Returns whether this daemon may send another request, of its own or of another daemon.
     #[must_use]
     pub fn allows_dispatch(
         &self,
@@ -93,35 +86,16 @@
         quota: RejectionQuota,
         usage: SlotUsage,
     ) -> bool {
-        let room = self.room.room().unwrap_or(u32::MAX).min(self.owned_slots());
-        let is_left = now < self.relays_refused_until && self.relayed * 2 + 1 < room;
-        let in_progress = usage.own + self.relayed + u32::from(is_left);
-        self.allows(now, quota, in_progress) && usage.all < usage.slots
-    }
-
-    /// Returns whether this daemon may relay a request of another one.
-    #[must_use]
-    pub fn allows_relay(
-        &self,
-        now: MonotonicTime,
-        quota: RejectionQuota,
-        usage: SlotUsage,
-    ) -> bool {
-        self.allows(now, quota, usage.own + self.relayed) && usage.all < usage.slots
-    }
-
-    fn allows(&self, now: MonotonicTime, quota: RejectionQuota, in_progress: u32) -> bool {
+        let owned_slots = self.part().map_or(0, |part| part.slots);
+        let in_progress = usage.own + self.relayed;
         let outstanding = self.history.pending(now) + self.history.rejections(now, quota.window);
-        in_progress < self.owned_slots()
+        usage.all < usage.slots
+            && in_progress < owned_slots
             && outstanding < self.share.rejections(now)
             && self.room.allows(now, in_progress)
             && !(self.is_contested && self.room.is_paused(now))
     }
 
-    fn owned_slots(&self) -> u32 {
-        self.part().map_or(0, |part| part.slots)
-    }
-
     /// Records that a request of another daemon is relayed, with a number that is unique within the
     /// process. `own` requests of this daemon are in progress.
     pub fn record_relay(&mut self, now: MonotonicTime, number: u64, own: u32) {
@@ -134,11 +108,6 @@
         self.relayed = self.relayed.saturating_sub(1);
     }
 
-    /// Records that a request of another daemon was not relayed.
-    pub fn record_refused_relay(&mut self, now: MonotonicTime) {
-        self.relays_refused_until = now + RELAY_TURN;
-    }
-
     /// Records a dispatch with a number that is unique within the process, one of `own` of this
     /// daemon.
     pub fn record_dispatch(&mut self, now: MonotonicTime, number: u64, own: u32) {
@@ -168,15 +137,14 @@
         self.history.record_abandoned(number);
     }
 
-    /// Records that the upstream rejected a dispatch beside `own` others of this daemon. `sample` is a
-    /// random number from 0 up to 1.
+    /// Records that the upstream rejected a dispatch; `own` requests of this daemon are in progress,
+    /// this one included if it is one of them. `sample` is a random number from 0 up to 1.
     pub fn record_rejection(&mut self, now: MonotonicTime, number: u64, own: u32, sample: f64) {
         let dispatch = self.history.take_pending(number);
-        let beside = dispatch.map_or(own + self.relayed, |dispatch| {
-            dispatch.concurrent.saturating_sub(1)
-        });
+        let concurrent = dispatch.map_or(own + self.relayed, |dispatch| dispatch.concurrent);
         self.history.record_rejection(now);
-        self.room.record_rejection(now, beside, sample);
+        self.room
+            .record_rejection(now, concurrent.saturating_sub(1), sample);
     }
 
     /// Takes dispatches as accepted that have been pending for long enough.
--- a/crates/savorywood-gateway/src/rejection_limit/share.rs
+++ b/crates/savorywood-gateway/src/rejection_limit/share.rs
@@ -1,9 +1,6 @@
 //! Division of an upstream's slots and rejections among a few daemons.
 
-use crate::{
-    placing::{MemberHistory, rank_owners},
-    upstream_limit::RateLimit,
-};
+use crate::upstream_limit::RateLimit;
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
@@ -45,31 +42,9 @@
 }
 
 impl OwnedPart {
-    /// Returns the daemons that own parts of the upstream whose name has the digest `key`, in the order
-    /// in which they are preferred.
+    /// Returns the part of the daemon `own` among the owners of an upstream.
     #[must_use]
-    pub fn owners(
-        key: u64,
-        slots: u32,
-        quota: RejectionQuota,
-        members: &MemberHistory,
-    ) -> Vec<u64> {
-        rank_owners(key, slots.min(quota.rejections), members)
-    }
-
-    /// Computes the part of the daemon `own` of the upstream whose name has the digest `key`.
-    ///
-    /// There are no more owners than rejections, so that each of them may cause one. The owners of
-    /// a lower limit are among those of a higher one.
-    #[must_use]
-    pub fn compute(
-        own: u64,
-        key: u64,
-        slots: u32,
-        quota: RejectionQuota,
-        members: &MemberHistory,
-    ) -> Self {
-        let owners = Self::owners(key, slots, quota, members);
+    pub fn of(own: u64, owners: &[u64], slots: u32, quota: RejectionQuota) -> Self {
         let Some(rank) = owners.iter().position(|owner| *owner == own) else {
             return Self::default();
         };
--- a/crates/savorywood-gateway/src/selection.rs
+++ b/crates/savorywood-gateway/src/selection.rs
@@ -469,7 +469,7 @@
     /// if this daemon is one of them.
     fn owners<'s>(&self, state: &'s UpstreamState) -> &'s [SocketAddr] {
         let limits = self.fleet.rejection_limits();
-        if !limits.is_active(self.now, &state.entry.service) {
+        if !limits.allows_relay(self.now, &state.entry.service) {
             return &[];
         }
         state.rejections.owner_relay.usable(self.now)
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -7,9 +7,9 @@
     latency::LatencyModel,
     outlier::OutlierState,
     peer::name_digest,
-    placing::{MemberHistory, SlotReservation},
-    rejection_limit::{OwnedPart, RejectionBudget, RejectionLimits},
-    upstream_limit::{RateLimit, UpstreamLimit},
+    placing::SlotReservation,
+    rejection_limit::{RejectionBudget, RejectionDivision, RejectionLimits},
+    upstream_limit::UpstreamLimit,
     upstream_memory::UpstreamMemory,
     warmup::WarmupSpec,
 };
@@ -25,9 +25,6 @@
 /// The store counts as failing for this long after a failed call.
 const STORE_FAILURE_WINDOW: Duration = Duration::from_secs(4);
 
-/// Owners of an upstream that are asked in turn to relay a request.
-const MAX_OWNERS_ASKED: usize = 3;
-
 /// Time for which an incarnation that ended after draining is recorded, as a store that is restored
 /// from an older backup would register it again.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
@@ -184,29 +181,6 @@
     Cold,
 }
 
-/// Daemons that divide upstreams with limited rejections, as seen by one of them.
-#[derive(Debug, Clone, Copy)]
-pub struct RejectionDivision<'a> {
-    /// Hash of the address of this daemon.
-    pub own: u64,
-    /// Daemons that divide them; none while they are not known.
-    pub members: &'a MemberHistory,
-    /// Addresses of the peers that may relay requests, by their hashes.
-    pub relays: &'a BTreeMap<u64, SocketAddr>,
-    /// Time from which on the parts are effective if nothing was divided until now.
-    pub first_at: Option<MonotonicTime>,
-    /// Other daemons may have taken over the parts of this one.
-    pub is_contested: bool,
-}
-
-impl RejectionDivision<'_> {
-    fn owner_addresses(&self, key: u64, slots: u32, limit: RateLimit) -> Vec<SocketAddr> {
-        let owners = OwnedPart::owners(key, slots, limit.into(), self.members);
-        let addresses = owners.iter().filter_map(|owner| self.relays.get(owner));
-        addresses.copied().take(MAX_OWNERS_ASKED).collect()
-    }
-}
-
 /// All registered upstreams, with the state of their services and zones.
 #[derive(Debug, Clone, Default)]
 pub struct UpstreamFleet {
@@ -302,20 +276,8 @@
             let Some(limit) = self.rejection_limits.limit(now, service) else {
                 continue;
             };
-            let members = division.members;
-            let part = (!members.present().is_empty()).then(|| {
-                let (key, slots) = (state.digest, state.entry.slots);
-                OwnedPart::compute(division.own, key, slots, limit.into(), members)
-            });
-            let is_owner = part.is_some_and(|part| part.slots > 0);
-            let owners = if is_owner || part.is_none() {
-                Vec::new()
-            } else {
-                division.owner_addresses(state.digest, state.entry.slots, limit)
-            };
-            let budget = &mut state.rejections;
-            budget.set_part(now, part, division.first_at, division.is_contested);
-            budget.owner_relay.set_owners(owners);
+            let (key, slots) = (state.digest, state.entry.slots);
+            division.apply(now, key, slots, limit.into(), &mut state.rejections);
         }
     }
 
--- a/crates/savorywood-gateway/tests/common/rejections.rs
+++ b/crates/savorywood-gateway/tests/common/rejections.rs
@@ -253,7 +253,6 @@
             let now = self.cluster.now;
             let gateway = &mut self.cluster.daemons[owner].gateway;
             if gateway.admit_relay(now, &order.upstream, 0).is_err() {
-                gateway.record_refused_relay(now, &order.upstream);
                 continue;
             }
             let number = gateway.begin_relay(now, &order.upstream);
