Owners of limited upstreams relay nothing across regions

What callers would see: a request whose team or route has a home region passes through a daemon of another one.

Cause: owners are chosen among the members of all regions, and a request was relayed through an owner wherever it is; relays of a partitioned daemon lie in the region of the upstream.

Change: only owners in the region of the upstream are asked.

--- a/crates/savorywood-gateway/src/gateway/rate_limits.rs
+++ b/crates/savorywood-gateway/src/gateway/rate_limits.rs
@@ -224,6 +224,7 @@
             own: address_hash(self.options.peer_address),
             members: &self.limit_members,
             relays: &relays,
+            regions: &self.options.regions,
             first_at,
             is_contested: now.since(self.majority_seen_at) >= CONTESTED_AFTER,
         };
--- a/crates/savorywood-gateway/src/gateway/relay.rs
+++ b/crates/savorywood-gateway/src/gateway/relay.rs
@@ -131,11 +131,11 @@
         self.dispatches
     }
 
-    /// Returns the addresses of the peers that may relay requests, by their hashes.
-    pub(super) fn relays_by_hash(&self, now: MonotonicTime) -> BTreeMap<u64, SocketAddr> {
+    /// Returns the peers that may relay requests, by the hashes of their addresses.
+    pub(super) fn relays_by_hash(&self, now: MonotonicTime) -> BTreeMap<u64, RelayCandidate> {
         let candidates = self.relay_candidates(now).into_iter();
         candidates
-            .map(|candidate| (address_hash(candidate.address), candidate.address))
+            .map(|candidate| (address_hash(candidate.address), candidate))
             .collect()
     }
 }
--- a/crates/savorywood-gateway/src/rejection_limit.rs
+++ b/crates/savorywood-gateway/src/rejection_limit.rs
@@ -14,7 +14,7 @@
 mod share;
 
 pub use budget::{RejectionBudget, SlotUsage};
-pub use division::RejectionDivision;
+pub use division::{DividedUpstream, RejectionDivision};
 pub use share::SECOND;
 
 use crate::{
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -8,7 +8,7 @@
     outlier::OutlierState,
     peer::name_digest,
     placing::SlotReservation,
-    rejection_limit::{RejectionBudget, RejectionDivision, RejectionLimits},
+    rejection_limit::{DividedUpstream, RejectionBudget, RejectionDivision, RejectionLimits},
     upstream_limit::UpstreamLimit,
     upstream_memory::UpstreamMemory,
     warmup::WarmupSpec,
@@ -276,8 +276,12 @@
             let Some(limit) = self.rejection_limits.limit(now, service) else {
                 continue;
             };
-            let (key, slots) = (state.digest, state.entry.slots);
-            division.apply(now, key, slots, limit.into(), &mut state.rejections);
+            let upstream = DividedUpstream {
+                key: state.digest,
+                slots: state.entry.slots,
+                zone: &state.entry.zone,
+            };
+            division.apply(now, upstream, limit.into(), &mut state.rejections);
         }
     }
 
--- a/crates/savorywood-gateway/tests/partition.rs
+++ b/crates/savorywood-gateway/tests/partition.rs
@@ -5,8 +5,9 @@
 
 use harness::{GatewayHarness, arrival, config, options, peer_summary, upstream};
 use savorywood_gateway::{
-    AttemptOutcome, GatewayEffect, GatewayEvent, LocalRequest, PeerSummary, RefusalReason,
-    RegionLabel, RegionMap, RelayRefusal, ResponseMetadata, ServiceLabel, UpstreamLabel, ZoneLabel,
+    AttemptOutcome, GatewayEffect, GatewayEvent, LocalRequest, PeerSummary, RateLimit,
+    RefusalReason, RegionLabel, RegionMap, RelayRefusal, ResponseMetadata, ServiceLabel,
+    UpstreamAnnouncement, UpstreamLabel, ZoneLabel,
 };
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -155,6 +156,47 @@
     assert_eq!(relays(&harness, request), [peer_address(3)]);
 }
 
+/// Guards against a request that passes through another region because the owner of an upstream that can
+/// bear few rejections is there.
+#[test]
+fn owners_in_another_region_relay_nothing() {
+    let relayed = |zone: &'static str| {
+        let mut options = options("host-a");
+        let zones = [("zone-a", "east"), ("zone-b", "east"), ("zone-c", "west")];
+        let regions =
+            zones.map(|(zone, region)| (ZoneLabel::from(zone), RegionLabel::from(region)));
+        options.regions = RegionMap::new(BTreeMap::from(regions));
+        let mut harness = GatewayHarness::unconfigured(options);
+        harness.step(GatewayEvent::ConfigRead(Arc::new(config(1, None))));
+        let upstreams = (1..=8).map(|number| upstream(number, 1)).collect();
+        harness.step(GatewayEvent::UpstreamsRead(upstreams));
+        for sequence in 1..=30 {
+            let summary = peer_summary(2, zone, sequence);
+            harness.step(GatewayEvent::SummaryReceived(Box::new(summary)));
+            harness.advance(Duration::from_millis(100));
+            harness.confirm();
+        }
+        let announcement = UpstreamAnnouncement {
+            max_rejections: RateLimit::from_per_second(1.0),
+            ..UpstreamAnnouncement::default()
+        };
+        harness.step(GatewayEvent::UpstreamAnnounced {
+            upstream: upstream(1, 1).name,
+            request_id: String::new(),
+            announcement,
+        });
+        harness.advance(Duration::from_millis(100));
+        let requests: Vec<_> = (0..8)
+            .map(|number| harness.arrive(arrival(&format!("/safe/{number}"))))
+            .collect();
+        let orders = requests.iter().flat_map(|request| harness.orders(*request));
+        let relayed = orders.filter(|order| !order.relays.is_empty());
+        relayed.count()
+    };
+    assert!(relayed("zone-b") > 0);
+    assert_eq!(relayed("zone-c"), 0);
+}
+
 /// Guards against a relayed request that is relayed on, or that reaches an upstream which is leaving.
 #[test]
 fn a_daemon_relays_only_what_it_can_send_directly() {
