--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod late_copy;
+mod rolling_stop;
 
 use crate::{
     fronts::Deployment,
@@ -19,6 +20,7 @@
     let record = Record::new();
     let verdict = match case {
         "late-copy" => late_copy::run(trouble, &record),
+        "rolling-stop" => rolling_stop::run(trouble, &record),
         _ => Err(format!("no case is named {case}")),
     };
     if let Ok(broken) = &verdict {
