--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod drill;
 mod late_copy;
 mod rolling_stop;
 
@@ -21,6 +22,7 @@
     let verdict = match case {
         "late-copy" => late_copy::run(trouble, &record),
         "rolling-stop" => rolling_stop::run(trouble, &record),
+        "leaver" => drill::leaver(trouble, &record),
         _ => Err(format!("no case is named {case}")),
     };
     if let Ok(broken) = &verdict {
