--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -23,6 +23,7 @@
         "late-copy" => late_copy::run(trouble, &record),
         "rolling-stop" => rolling_stop::run(trouble, &record),
         "leaver" => drill::leaver(trouble, &record),
+        "revoked-key" => drill::revoked_key(trouble, &record),
         _ => Err(format!("no case is named {case}")),
     };
     if let Ok(broken) = &verdict {
