--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -3,6 +3,7 @@
 mod drill;
 mod late_copy;
 mod rolling_stop;
+mod slow_reader;
 
 use crate::{
     fronts::Deployment,
@@ -24,6 +25,7 @@
         "rolling-stop" => rolling_stop::run(trouble, &record),
         "leaver" => drill::leaver(trouble, &record),
         "revoked-key" => drill::revoked_key(trouble, &record),
+        "slow-reader" => slow_reader::run(trouble, &record),
         _ => Err(format!("no case is named {case}")),
     };
     if let Ok(broken) = &verdict {
