--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod crashing_part;
 mod drill;
 mod late_copy;
 mod rolling_stop;
@@ -26,6 +27,7 @@
         "leaver" => drill::leaver(trouble, &record),
         "revoked-key" => drill::revoked_key(trouble, &record),
         "slow-reader" => slow_reader::run(trouble, &record),
+        "crashing-part" => crashing_part::run(trouble, &record),
         _ => Err(format!("no case is named {case}")),
     };
     if let Ok(broken) = &verdict {
@@ -54,6 +56,7 @@
         route("once", "unsafe", "franchise-api", &format!("{plain},\"max_attempts\":1")),
         route("read", "safe", "franchise-api", &format!("{plain},\"max_attempts\":2")),
         route("slow", "unsafe", "franchise-api", &format!("{patient},\"max_attempts\":1")),
+        route("prompt", "safe", "tecmodel", &format!("{stream},\"max_attempts\":2,\"session_affinity\":true")),
         route("brief", "streaming", "tecmodel", &format!("{stream},\"max_attempts\":1")),
     ];
     format!(
--- a/review/stand/fronts.rs
+++ b/review/stand/fronts.rs
@@ -10,9 +10,13 @@
     os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicUsize, Ordering},
     time::Duration,
 };
 
+/// Number of the next deployment.
+static NUMBERS: AtomicUsize = AtomicUsize::new(1);
+
 const PROGRAM: &str = "target/release/savorywood-front";
 pub const SIGKILL: i32 = 9;
 pub const SIGHUP: i32 = 1;
@@ -130,7 +134,8 @@
 impl Deployment {
     /// Starts `count` daemons and waits until all are ready.
     pub fn start(store: &Store, count: usize) -> Result<Self, String> {
-        let name = format!("savorywood-review-{}", std::process::id());
+        let number = NUMBERS.fetch_add(1, Ordering::SeqCst);
+        let name = format!("savorywood-review-{}-{number}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let mut deployment = Self {
--- a/review/stand/http.rs
+++ b/review/stand/http.rs
@@ -218,6 +218,39 @@
     address
 }
 
+/// Serves connections at a free loopback port, which refuses connections while `is_up` is false.
+pub fn listen_while(
+    is_up: impl Fn() -> bool + Send + 'static,
+    handle: impl Fn(Connection) + Send + Clone + 'static,
+) -> SocketAddr {
+    let first = TcpListener::bind("127.0.0.1:0").expect("a free loopback port");
+    let address = first.local_addr().expect("an address");
+    thread::spawn(move || {
+        let mut listener = Some(first);
+        loop {
+            if !is_up() {
+                listener = None;
+            } else if listener.is_none() {
+                listener = TcpListener::bind(address).ok();
+            }
+            let Some(open) = &listener else {
+                sleep_ms(5);
+                continue;
+            };
+            open.set_nonblocking(true).ok();
+            match open.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(false).ok();
+                    let handle = handle.clone();
+                    thread::spawn(move || handle(Connection::new(stream)));
+                }
+                Err(_) => sleep_ms(1),
+            }
+        }
+    });
+    address
+}
+
 pub fn sleep_ms(millis: u64) {
     thread::sleep(Duration::from_millis(millis));
 }
