A stopping daemon sends only requests that end before its exit

What callers saw: in a rolling restart, streams that came 3.0 to 3.3 s after the SIGTERM of their daemon were admitted and cut 4 s later, well before their deadline.

Cause: a stopping daemon admitted every request for 3.3 s and was forced to exit after 7.3 s, whatever a request needed. The times were constants that did not depend on each other.

Change: StopSchedule derives all times from the order and the time until the kill. A request is sent while the daemon stops if it ends before the exit, by its deadline or, for streams within 2.8 s, by its expected length. Others get 503 "stopping" at once, also those that wait or would be repeated. A second order changes nothing.

Tests: streams_that_come_late_in_a_stop_are_refused_or_complete failed on the code before (a stream of 200 cut after its sixth event); the tests of stopping.rs need the schedule, which did not exist.

--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -466,6 +466,7 @@
 fn refusal_status(reason: RefusalReason) -> u16 {
     match reason {
         RefusalReason::NotReady
+        | RefusalReason::Stopping
         | RefusalReason::NoUpstream
         | RefusalReason::Overloaded
         | RefusalReason::NotRun
--- a/crates/savorywood-front/src/stop.rs
+++ b/crates/savorywood-front/src/stop.rs
@@ -12,11 +12,6 @@
     time::{Duration, SystemTime},
 };
 
-/// Minimum time for which the daemon keeps serving after the order to stop. Callers with a cached
-/// directory response still send requests for about this long.
-const MIN_DRAIN_PERIOD: Duration = Duration::from_millis(3_300);
-/// Time before the kill at which the daemon exits by itself.
-const KILL_MARGIN: Duration = Duration::from_millis(700);
 /// Interval at which the modification time of the settings file is checked.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(3);
 /// Interval at which the number of open requests is checked.
@@ -87,10 +82,11 @@
 /// Shuts down gracefully: leaves all directories at once, then waits until all open requests are
 /// answered.
 pub async fn drain(shared: &Rc<FrontShared>, peers: &PeerSocket) {
-    let grace = shared.settings.grace();
-    let started_at = shared.clock.now();
     shared.stopping.set(true);
-    shared.step(GatewayEvent::StopRequested { grace });
+    shared.step(GatewayEvent::StopRequested {
+        grace: shared.settings.grace(),
+    });
+    let schedule = shared.gateway.borrow().stop_schedule();
     // The announcement is sent three times: if it were lost, the directories of other daemons would
     // still list this one.
     for _ in 0..3 {
@@ -99,13 +95,14 @@
     }
     let leaver = Rc::clone(shared);
     shared.spawn(async move { feeds::deregister_member(&leaver).await });
+    let Some(schedule) = schedule else { return };
     loop {
-        let elapsed = shared.clock.now().since(started_at);
+        let now = shared.clock.now();
         let idle = shared.active_requests.get() == 0;
-        if idle && elapsed >= MIN_DRAIN_PERIOD {
+        if idle && now >= schedule.arrivals_until() {
             break;
         }
-        if elapsed + KILL_MARGIN >= grace {
+        if now >= schedule.exits_at() {
             log::warn!("event=stop-forced open={}", shared.active_requests.get());
             break;
         }
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 mod rollouts;
 mod stall_detection;
 mod state_updates;
+mod stopping;
 mod store_reads;
 mod store_restore;
 
@@ -56,6 +57,7 @@
     retry_budget::{RetryBudget, RetryBudgetOptions, RetryCounters},
     rollout::{CANARY_HEAD_START, CanaryOptions, RolloutTable},
     selection::RoutingPolicy,
+    stop::StopSchedule,
     store_reads::StoreReadTracker,
     team_limit::{LimitTolerance, PeerPresence, TeamLimiter},
     upstream::UpstreamFleet,
@@ -64,7 +66,6 @@
 use coordination::ZoneCoordination;
 use record::RequestRecord;
 use returns::ReturnState;
-use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -223,9 +224,8 @@
     rollouts: RolloutTable,
     /// This daemon writes the status of roll-outs, as of the last tick.
     leads_rollouts: bool,
-    stopping: bool,
-    /// Time until which requests are admitted; present once the daemon stops.
-    admits_until: Option<MonotonicTime>,
+    /// Present once the daemon was ordered to stop.
+    stop: Option<StopSchedule>,
     ready_logged: bool,
     sequence: u64,
     /// Own slots in use as last sent.
@@ -308,8 +308,7 @@
             limited_rejections: 0,
             rollouts: RolloutTable::default(),
             leads_rollouts: false,
-            stopping: false,
-            admits_until: None,
+            stop: None,
             ready_logged: false,
             sequence: 0,
             last_sent_slots: Vec::new(),
@@ -431,14 +430,7 @@
             GatewayEvent::ContactsRead(contacts) => self.contacts_read(now, contacts, effects),
             GatewayEvent::PeerEnded(host) => self.peers.remove(&host),
             GatewayEvent::Tick => self.tick(now, effects),
-            GatewayEvent::StopRequested { grace } => {
-                self.stopping = true;
-                self.admits_until = Some(now + admission::stop_admission_period(grace));
-                let line = LogLine::new(LogLevel::Info, "stop-requested")
-                    .with("grace_ms", grace.as_millis())
-                    .with("open", self.requests.len());
-                effects.push(GatewayEffect::Log(line));
-            }
+            GatewayEvent::StopRequested { grace } => self.stop_requested(now, grace, effects),
         }
     }
 
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -30,24 +30,12 @@
 const REFUSAL_CONFIRMATION_FRACTION: f64 = 0.5;
 /// Retry-after delay of a daemon that cannot confirm its configuration or is about to exit; the
 /// caller should retry at another address.
-const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(200);
+pub(super) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Time reserved for sending the final response to the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(25);
 /// Timeout of a request without a deadline on a route without a timeout.
 pub(super) const MAX_REQUEST_TIMEOUT: Duration = Duration::from_secs(600);
 
-/// Time for which a stopping daemon admits requests. Callers with a cached directory response still
-/// send requests for about this long.
-const STOP_ADMISSION_PERIOD: Duration = Duration::from_millis(3_300);
-/// Fraction of the time until a stop is forced in which requests are admitted at most; what is
-/// admitted has the rest to end.
-const STOP_ADMISSION_FRACTION: f64 = 0.5;
-
-/// Returns the time from the order to stop for which requests are admitted.
-pub(super) fn stop_admission_period(grace: Duration) -> Duration {
-    STOP_ADMISSION_PERIOD.min(grace.mul_f64(STOP_ADMISSION_FRACTION))
-}
-
 /// Refusal of an arriving request.
 pub struct Refusal {
     /// Reason of the refusal.
@@ -226,8 +214,12 @@
         request: LocalRequest,
         arrival: &RequestArrival,
     ) -> Result<RequestRecord, Refusal> {
-        if self.admits_until.is_some_and(|until| now >= until) {
-            return Err(Refusal::unavailable());
+        let stop = self.stop.filter(|stop| now >= stop.arrivals_until());
+        if stop.is_some() {
+            return Err(Refusal {
+                reason: RefusalReason::Stopping,
+                ..Refusal::unavailable()
+            });
         }
         let is_initialized = self.upstreams_read && self.has_peer_list();
         let config = self.config.clone().filter(|_| is_initialized);
--- a/crates/savorywood-gateway/src/gateway/completion.rs
+++ b/crates/savorywood-gateway/src/gateway/completion.rs
@@ -68,6 +68,7 @@
         }
         let had_successor = self.release_successor(request);
         self.retry_or_finish(now, ended, effects);
+        self.refuse_unfinishable(now, &service, effects);
         if had_successor {
             self.dispatch_first(now, request, effects);
         }
--- a/crates/savorywood-gateway/src/gateway/coordination/reads.rs
+++ b/crates/savorywood-gateway/src/gateway/coordination/reads.rs
@@ -112,7 +112,7 @@
     fn coordinator_read_plan(&self, now: MonotonicTime, table: SharedTable) -> ReadPlan {
         let bound = self.options.bounds.max_confirmation_age();
         let max_age = bound.mul_f64(SERVING_READ_FRACTION);
-        if self.stopping || self.time_since_confirmed(now) >= max_age {
+        if self.is_stopping() || self.time_since_confirmed(now) >= max_age {
             return ReadPlan::Direct;
         }
         let plan = self.store_reads.read_plan(now, &self.options.host, table);
--- a/crates/savorywood-gateway/src/gateway/coordination/views.rs
+++ b/crates/savorywood-gateway/src/gateway/coordination/views.rs
@@ -106,7 +106,7 @@
             attestation: self
                 .store_reads
                 .relayed_attestation(now)
-                .filter(|_| !self.stopping),
+                .filter(|_| !self.is_stopping()),
             has_quarantined: self.has_quarantined(),
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
             heard,
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -52,6 +52,7 @@
         service: &ServiceLabel,
         effects: &mut GatewayEffects,
     ) {
+        self.refuse_unfinishable(now, service, effects);
         let ordered = self.queue_in_order(now, service);
         let mut full_selections = 0;
         let mut rank = None;
--- a/crates/savorywood-gateway/src/gateway/gossip.rs
+++ b/crates/savorywood-gateway/src/gateway/gossip.rs
@@ -51,7 +51,7 @@
         let known = self.config.is_some() && self.upstreams_read;
         known
             && self.has_peer_list()
-            && !self.stopping
+            && !self.is_stopping()
             && self.time_since_confirmed(now)
                 < self
                     .options
@@ -77,7 +77,7 @@
     }
 
     pub(super) fn phase(&self, now: MonotonicTime) -> PeerPhase {
-        if self.stopping {
+        if self.is_stopping() {
             PeerPhase::Leaving
         } else if self.is_ready(now) {
             PeerPhase::Ready
@@ -144,7 +144,7 @@
     /// Returns the attestation of this daemon. A stopping daemon gives none, so that another one
     /// takes over reading the store.
     fn attestation(&self, now: MonotonicTime) -> Option<StoreAttestation> {
-        let attestations = self.contacts.uses_zone_digests() && !self.stopping;
+        let attestations = self.contacts.uses_zone_digests() && !self.is_stopping();
         attestations
             .then(|| self.store_reads.attestation(now))
             .flatten()
@@ -383,7 +383,7 @@
             let random = &mut self.random;
             self.contacts.plan(now, &self.peers, || random.next())
         };
-        if self.stopping || !self.has_discovered_zone(now) {
+        if self.is_stopping() || !self.has_discovered_zone(now) {
             // Another daemon of the zone takes over before this one has stopped; and daemons that
             // have not discovered each other yet would all send digests to all other daemons.
             plan.digest_targets.clear();
--- a/crates/savorywood-gateway/src/gateway/relay.rs
+++ b/crates/savorywood-gateway/src/gateway/relay.rs
@@ -88,7 +88,7 @@
         upstream: &UpstreamLabel,
         open: usize,
     ) -> Result<SocketAddr, RelayRefusal> {
-        if self.stopping {
+        if self.is_stopping() {
             return Err(RelayRefusal::Stopping);
         }
         if self.is_partitioned() {
--- a/crates/savorywood-gateway/src/gateway/retry_after.rs
+++ b/crates/savorywood-gateway/src/gateway/retry_after.rs
@@ -1,6 +1,8 @@
 //! Retry-after delays of refused requests.
 
-use super::{Gateway, GatewayEffects, returns::MAX_DEADLINE_FRACTION};
+use super::{
+    Gateway, GatewayEffects, admission::UNAVAILABLE_RETRY_AFTER, returns::MAX_DEADLINE_FRACTION,
+};
 use crate::{
     arrival::LocalRequest, effect::GatewayEffect, label::ServiceLabel, queue::WaitQueue,
     refusal::RefusalReason,
@@ -41,6 +43,8 @@
         match reason {
             RefusalReason::Overloaded => {}
             RefusalReason::ExpiredUnsent if self.schedules_returns() => {}
+            // Another daemon can take the request at once.
+            RefusalReason::Stopping => return Some(UNAVAILABLE_RETRY_AFTER),
             RefusalReason::Quarantined => {
                 return Some(self.probe_delay(now, &record.fingerprints));
             }
--- a/crates/savorywood-gateway/src/gateway/state_updates.rs
+++ b/crates/savorywood-gateway/src/gateway/state_updates.rs
@@ -405,7 +405,7 @@
             .with("config", self.config_version())
             .with("upstreams_read", self.upstreams_read)
             .with("proof_age_ms", self.time_since_confirmed(now).as_millis())
-            .with("stopping", self.stopping);
+            .with("stopping", self.is_stopping());
         effects.push(GatewayEffect::Log(line));
     }
 }
--- a/crates/savorywood-gateway/src/gateway/store_reads.rs
+++ b/crates/savorywood-gateway/src/gateway/store_reads.rs
@@ -84,7 +84,8 @@
             .max_confirmation_age()
             .mul_f64(STALE_ATTESTATION_FRACTION);
         let is_confirmed = self.time_since_confirmed(now) < max_age;
-        let uses_attestations = self.contacts.uses_zone_digests() && !self.stopping && is_confirmed;
+        let uses_attestations =
+            self.contacts.uses_zone_digests() && !self.is_stopping() && is_confirmed;
         let plan = if uses_attestations {
             self.store_reads.read_plan(now, &self.options.host, table)
         } else {
@@ -107,6 +108,6 @@
             .mul_f64(AWAIT_READER_FRACTION);
         let is_reader = self.has_discovered_zone(now) && self.is_initial_reader(now);
         let may_follow = !self.contacts_read || (self.contacts.uses_zone_digests() && !is_reader);
-        !self.stopping && may_follow && self.time_since_confirmed(now) < max_age
+        !self.is_stopping() && may_follow && self.time_since_confirmed(now) < max_age
     }
 }
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod retry_budget;
 mod rollout;
 mod selection;
+mod stop;
 mod store_reads;
 mod team_limit;
 mod upstream;
@@ -110,6 +111,7 @@
 };
 pub use rollout::{PaceSums, RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite};
 pub use selection::RoutingPolicy;
+pub use stop::{RequestEnd, StopSchedule};
 pub use store_reads::{
     PeerEcho, ReadPlan, SharedTable, StoreAttestation, TableAttestation, TablePosition,
 };
--- a/crates/savorywood-gateway/src/refusal.rs
+++ b/crates/savorywood-gateway/src/refusal.rs
@@ -12,6 +12,8 @@
 pub enum RefusalReason {
     /// The configuration or the upstreams have not been read, or have not been confirmed recently.
     NotReady,
+    /// The daemon stops before the request could end.
+    Stopping,
     /// No route matches the host and path.
     NoRoute,
     /// A key is required, and the request has none or an unknown one.
@@ -42,6 +44,7 @@
     pub fn guarantees_not_executed(self) -> bool {
         match self {
             Self::NotReady
+            | Self::Stopping
             | Self::NoRoute
             | Self::UnknownKey
             | Self::OverLimit
