All open requests get a final response before a stopping daemon exits

What callers saw: with more callers than upstreams have room for, requests that a stopping daemon had read waited in its queue for seconds and were cut by its exit, without a response and before their deadline.

Cause: the exit was forced without regard to what was open. Neither waiting requests nor those at an upstream without a response were answered.

Change: shortly before the exit the gateway gives every open request whose response has not begun its final one: 503 "stopping" if it never ran, else 504. The I/O layer ends attempts for it by a new decision.

The property test of responses now ends with a forced stop.

--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -255,8 +255,8 @@
                     let written = self.forward_failure(sink, saved_failure).await;
                     return next_step(written, sink);
                 }
-                // The attempt that was to be abandoned has already ended.
-                RequestDecision::Abandon => {}
+                // The attempt that was to be ended has already ended.
+                RequestDecision::Abandon | RequestDecision::Expire => {}
                 RequestDecision::Abort(reason) => {
                     self.count_end("broken-off");
                     self.report_cut(CutCause::GivenUp(reason), sink);
@@ -278,7 +278,7 @@
             let waited = self.shared.clock.now().since(self.arrived_at);
             metrics::observe(&self.shared.metrics.waiting_duration, order, waited);
         }
-        let writing = sink.writing();
+        let (writing, started) = (sink.writing(), sink.started());
         let attempt = UpstreamAttempt {
             shared: self.shared,
             arrived_at: self.arrived_at,
@@ -292,18 +292,25 @@
         let cause = Cell::new(CutCause::CallerFailed);
         let disconnected = async {
             cause.set(caller_disconnected(reader).await);
-            Some(AttemptOutcome::CallerDisconnected)
+            Ok(AttemptOutcome::CallerDisconnected)
         };
         let ended = async {
-            attempt_abandoned(decisions, || {
-                !writing.get() && self.shared.gateway.borrow().is_attempt_abandoned(self.id)
-            })
-            .await;
-            None
+            let end = attempt_ended(decisions, |end| {
+                let gateway = self.shared.gateway.borrow();
+                !writing.get()
+                    && match end {
+                        AttemptEnd::Abandoned => gateway.is_attempt_abandoned(self.id),
+                        AttemptEnd::Expired => !started.get(),
+                    }
+            });
+            Err(end.await)
         };
-        let ran = async { Some(attempt.run().await) };
+        let ran = async { Ok(attempt.run().await) };
         let outcome = future::or(ran, future::or(disconnected, ended)).await;
-        let outcome = outcome.unwrap_or_else(|| broken_outcome(sink, true));
+        let outcome = outcome.unwrap_or_else(|end| match end {
+            AttemptEnd::Abandoned => broken_outcome(sink, true),
+            AttemptEnd::Expired => AttemptOutcome::Expired,
+        });
         match &outcome {
             AttemptOutcome::CallerDisconnected if sink.is_cut => {
                 self.report_cut(CutCause::ResponseUnread, sink);
@@ -445,22 +452,40 @@
         RequestDecision::ForwardFailure => {
             RequestDecision::Abort(RefusalReason::IncompleteResponse)
         }
-        RequestDecision::Dispatch(_) | RequestDecision::Abandon | RequestDecision::Abort(_) => {
-            decision
-        }
+        RequestDecision::Dispatch(_)
+        | RequestDecision::Abandon
+        | RequestDecision::Expire
+        | RequestDecision::Abort(_) => decision,
     }
 }
 
-/// Waits for the decision to abandon the attempt. The decision is ignored while bytes are being
-/// written, because the caller would receive a truncated chunk, and if the attempt has received
-/// data since it was made.
-async fn attempt_abandoned(decisions: &Receiver<RequestDecision>, is_valid: impl Fn() -> bool) {
+/// Why the gateway ends an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AttemptEnd {
+    /// Its upstream is stalled.
+    Abandoned,
+    /// The daemon exits.
+    Expired,
+}
+
+/// Waits for a decision to end the attempt. A decision that is no longer valid is ignored: bytes are
+/// being written, and the caller would receive a truncated chunk, or the attempt has received data
+/// since it was made.
+async fn attempt_ended(
+    decisions: &Receiver<RequestDecision>,
+    is_valid: impl Fn(AttemptEnd) -> bool,
+) -> AttemptEnd {
     while let Ok(decision) = decisions.recv().await {
-        if matches!(decision, RequestDecision::Abandon) && is_valid() {
-            return;
+        let end = match decision {
+            RequestDecision::Abandon => AttemptEnd::Abandoned,
+            RequestDecision::Expire => AttemptEnd::Expired,
+            _ => continue,
+        };
+        if is_valid(end) {
+            return end;
         }
     }
-    future::pending::<()>().await;
+    future::pending().await
 }
 
 fn refusal_status(reason: RefusalReason) -> u16 {
--- a/crates/savorywood-front/src/shared.rs
+++ b/crates/savorywood-front/src/shared.rs
@@ -44,6 +44,8 @@
     ForwardFailure,
     /// End the attempt in progress.
     Abandon,
+    /// End the attempt in progress as if its deadline had passed, unless its response has begun.
+    Expire,
     /// Close the caller's connection so that the response is seen as incomplete.
     Abort(RefusalReason),
 }
@@ -260,6 +262,9 @@
             GatewayEffect::AbandonAttempt { request } => {
                 self.send(request, RequestDecision::Abandon);
             }
+            GatewayEffect::ExpireAttempt { request } => {
+                self.send(request, RequestDecision::Expire);
+            }
             GatewayEffect::AbortResponse { request, reason } => {
                 self.send(request, RequestDecision::Abort(reason));
             }
--- a/crates/savorywood-front/src/stop.rs
+++ b/crates/savorywood-front/src/stop.rs
@@ -96,12 +96,17 @@
     let leaver = Rc::clone(shared);
     shared.spawn(async move { feeds::deregister_member(&leaver).await });
     let Some(schedule) = schedule else { return };
+    let mut is_forced = false;
     loop {
         let now = shared.clock.now();
         let idle = shared.active_requests.get() == 0;
         if idle && now >= schedule.arrivals_until() {
             break;
         }
+        if !is_forced && now >= schedule.answers_at() {
+            is_forced = true;
+            shared.step(GatewayEvent::StopForced);
+        }
         if now >= schedule.exits_at() {
             log::warn!("event=stop-forced open={}", shared.active_requests.get());
             break;
--- a/crates/savorywood-gateway/src/effect.rs
+++ b/crates/savorywood-gateway/src/effect.rs
@@ -66,6 +66,11 @@
         /// Request whose attempt is cancelled.
         request: LocalRequest,
     },
+    /// End the attempt in flight as if its deadline had passed, unless its response has begun.
+    ExpireAttempt {
+        /// Request whose attempt ends.
+        request: LocalRequest,
+    },
     /// Abort a response of which a part has been sent to the caller.
     AbortResponse {
         /// Request whose response is aborted.
--- a/crates/savorywood-gateway/src/event.rs
+++ b/crates/savorywood-gateway/src/event.rs
@@ -307,4 +307,6 @@
         /// Time until the process is killed.
         grace: Duration,
     },
+    /// The process exits shortly: the requests that are still open get their final responses.
+    StopForced,
 }
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -431,6 +431,7 @@
             GatewayEvent::PeerEnded(host) => self.peers.remove(&host),
             GatewayEvent::Tick => self.tick(now, effects),
             GatewayEvent::StopRequested { grace } => self.stop_requested(now, grace, effects),
+            GatewayEvent::StopForced => self.stop_forced(now, effects),
         }
     }
 
--- a/crates/savorywood-gateway/src/gateway/stopping.rs
+++ b/crates/savorywood-gateway/src/gateway/stopping.rs
@@ -1,6 +1,10 @@
 //! Requests of a daemon that is stopping.
 
-use super::{Gateway, GatewayEffects, queue_decisions::ExpectedTimes, record::RequestRecord};
+use super::{
+    Gateway, GatewayEffects,
+    queue_decisions::ExpectedTimes,
+    record::{RequestRecord, RequestState},
+};
 use crate::{
     arrival::LocalRequest,
     effect::GatewayEffect,
@@ -62,6 +66,31 @@
         }
     }
 
+    /// Gives all open requests a final response, while there is time to write it. A stream at an
+    /// upstream continues until the exit.
+    pub(super) fn stop_forced(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
+        let mut waiting = Vec::new();
+        for (request, record) in &self.requests {
+            let line = LogLine::new(LogLevel::Warn, "stop-open")
+                .with("request", &record.request_id)
+                .with("age_ms", now.since(record.arrived_at).as_millis())
+                .with("begun", record.response_started)
+                .with("sends", record.attempts)
+                .with("left_ms", record.deadline_at.since(now).as_millis());
+            effects.push(GatewayEffect::Log(line));
+            match &record.state {
+                RequestState::Waiting(_) => waiting.push(*request),
+                RequestState::Running(_) => {
+                    let request = *request;
+                    effects.push(GatewayEffect::ExpireAttempt { request });
+                }
+            }
+        }
+        for request in waiting {
+            self.finish(now, request, RefusalReason::Stopping, effects);
+        }
+    }
+
     /// Returns the waiting requests whose response has not begun, and when they end if they are
     /// dispatched now.
     fn waiting_ends(
--- a/crates/savorywood-gateway/tests/common/load.rs
+++ b/crates/savorywood-gateway/tests/common/load.rs
@@ -297,6 +297,7 @@
             GatewayEffect::WriteRollout(_)
             | GatewayEffect::WriteQuarantine(_)
             | GatewayEffect::CheckUpstreams(_)
+            | GatewayEffect::ExpireAttempt { .. }
             | GatewayEffect::CloseIdleConnections => {}
             GatewayEffect::Log(line) => self.record_admission(&line),
         }
--- a/crates/savorywood-gateway/tests/response_invariants.rs
+++ b/crates/savorywood-gateway/tests/response_invariants.rs
@@ -10,6 +10,9 @@
 };
 use std::{collections::BTreeMap, time::Duration};
 
+/// Time between the order to stop and the kill.
+const GRACE: Duration = Duration::from_secs(8);
+
 /// A random event; numbers select the request, the upstream or the outcome.
 #[derive(Debug, Clone)]
 enum RandomStep {
@@ -22,6 +25,8 @@
     StoreFails,
     /// A check of upstreams ends.
     Check(bool),
+    /// The daemon is ordered to stop.
+    Stop,
 }
 
 impl Arbitrary for RandomStep {
@@ -34,6 +39,7 @@
             10 => Self::Remove(u8::arbitrary(g)),
             11 => Self::Check(bool::arbitrary(g)),
             _ if bool::arbitrary(g) => Self::Register(u8::arbitrary(g)),
+            _ if u8::arbitrary(g) % 8 == 0 => Self::Stop,
             _ => Self::StoreFails,
         }
     }
@@ -139,6 +145,7 @@
                 harness.step(GatewayEvent::UpstreamWritten(entry));
             }
             RandomStep::StoreFails => harness.step(GatewayEvent::StoreFailed),
+            RandomStep::Stop => harness.step(GatewayEvent::StopRequested { grace: GRACE }),
             RandomStep::Check(reached) => harness.step(GatewayEvent::UpstreamsChecked {
                 reached: usize::from(reached),
             }),
@@ -148,7 +155,40 @@
         }
         checked = harness.effects.len();
     }
-    Ok(())
+    check_forced_stop(harness, observed)
+}
+
+/// Forces the stop and checks that each request gets a final response, unless its response has begun.
+fn check_forced_stop(
+    mut harness: GatewayHarness,
+    mut observed: BTreeMap<u64, ObservedRequest>,
+) -> Result<(), String> {
+    harness.effects.clear();
+    harness.step(GatewayEvent::StopRequested { grace: GRACE });
+    harness.advance(GRACE);
+    harness.step(GatewayEvent::StopForced);
+    let mut expired = Vec::new();
+    for effect in &harness.effects {
+        check(effect, &mut observed)?;
+        if let GatewayEffect::ExpireAttempt { request } = effect {
+            expired.push(*request);
+        }
+    }
+    harness.effects.clear();
+    for request in expired {
+        let state = observed.get_mut(&request.0).expect("an open request");
+        state.running = false;
+        state.executions += 1;
+        harness.end(request, AttemptOutcome::Expired);
+    }
+    for effect in &harness.effects {
+        check(effect, &mut observed)?;
+        if let GatewayEffect::Dispatch(order) = effect {
+            return Err(format!("dispatched after the forced stop: {order:?}"));
+        }
+    }
+    let open = observed.iter().find(|(_, request)| !request.ended);
+    open.map_or(Ok(()), |open| Err(format!("no final response: {open:?}")))
 }
 
 /// Checks one effect and updates the observed state.
@@ -213,6 +253,12 @@
                 ));
             }
         }
+        GatewayEffect::ExpireAttempt { request } => {
+            let state = observed.get(&request.0).ok_or("unknown request expired")?;
+            if state.ended || !state.running {
+                return Err(format!("expired although it does not run: {effect:?}"));
+            }
+        }
         GatewayEffect::WriteRollout(_)
         | GatewayEffect::WriteQuarantine(_)
         | GatewayEffect::CheckUpstreams(_)
--- a/crates/savorywood-gateway/tests/stopping.rs
+++ b/crates/savorywood-gateway/tests/stopping.rs
@@ -6,8 +6,8 @@
 use harness::{GatewayHarness, arrival, peer_summary};
 use quickcheck::{TestResult, quickcheck};
 use savorywood_gateway::{
-    AttemptOutcome, GatewayEvent, LocalRequest, RefusalReason, RequestArrival, ResponseMetadata,
-    StopSchedule,
+    AttemptOutcome, GatewayEffect, GatewayEvent, LocalRequest, RefusalReason, RequestArrival,
+    ResponseMetadata, StopSchedule,
 };
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
@@ -163,6 +163,24 @@
     assert_eq!(harness.gateway.stop_schedule(), schedule);
 }
 
+/// Guards against requests that are still open at the exit and get no response.
+#[test]
+fn all_open_requests_get_a_final_response_before_the_exit() {
+    let mut harness = GatewayHarness::ready(1);
+    let running = harness.arrive(arrival("/once/1"));
+    let waiting = harness.arrive(arrival("/once/2"));
+    assert_eq!(harness.orders(waiting).len(), 0);
+    harness.step(GatewayEvent::StopRequested { grace: GRACE });
+    harness.step(GatewayEvent::StopForced);
+    assert_eq!(harness.refusal(waiting), Some(RefusalReason::Stopping));
+    let expired = GatewayEffect::ExpireAttempt { request: running };
+    assert!(harness.effects.contains(&expired));
+    harness.end(running, AttemptOutcome::Expired);
+    let refusal = harness.refusal(running);
+    assert_eq!(refusal, Some(RefusalReason::ExpiredUnknown));
+    assert_eq!(harness.gateway.open_requests(), 0);
+}
+
 quickcheck! {
     /// Guards against a stop that is forced before the last sixth of the time until the kill, or that
     /// leaves no time to write answers.
