Tests of upstreams that stop within the head of a response

Other operators saw successes with a short body after an upstream had closed in the middle of a response's head.

--- a/crates/savorywood-http/tests/fuzz_client.rs
+++ b/crates/savorywood-http/tests/fuzz_client.rs
@@ -177,6 +177,21 @@
     }
 }
 
+/// Guards against an interim answer whose end is taken for that of the final one, which is cut off.
+#[test]
+fn answers_cut_off_after_an_interim_answer_are_never_whole() {
+    for answer in ANSWERS {
+        for end in 0..answer.len() {
+            let cut = [
+                b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n",
+                &answer[..end],
+            ]
+            .concat();
+            assert!(read_pieces(&[&cut]).is_err(), "{end} bytes of {answer:?}");
+        }
+    }
+}
+
 /// What a client reads of an answer that comes in pieces.
 fn read_pieces(pieces: &[&[u8]]) -> Result<Vec<u8>, String> {
     let pieces = pieces.iter().map(|piece| piece.to_vec()).collect();
