Callers may read slowly until the deadline of their request

What callers saw: requests had run, and the connections of callers that read slowly ended without a complete answer, more than 5 s before the deadline.

Cause: all connections had a TCP_USER_TIMEOUT of 4 s. It also ends a connection whose peer is alive and has kept its window closed for so long.

Change: a caller's connection gets the time until the deadline as its limit with the first send of a request, and a relay's connection to the requesting daemon likewise. Connections to upstreams and to the store keep 4 s.

Test: a_caller_that_pauses_within_its_deadline_gets_the_whole_response failed on the code before (connection reset).

--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -27,7 +27,7 @@
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_gateway::{AttemptOutcome, DispatchOrder, StreamInterruption};
 use savorywood_protocol::MonotonicTime;
-use std::{cell::Cell, pin::pin, time::Duration};
+use std::{cell::Cell, io, pin::pin, time::Duration};
 
 /// Responses to earlier requests that are skipped before the connection is closed.
 const MAX_STALE_RESPONSES: usize = 2;
@@ -40,7 +40,8 @@
 const FIRST_BODY_BYTES: usize = 16_384;
 /// Characters of a request's identifier that a relay is told, for its log.
 const MAX_RELAYED_ID_CHARS: usize = 64;
-/// Time after which the kernel closes a connection whose sent data is not acknowledged.
+/// Time after which the kernel closes a connection whose sent data is not acknowledged, or whose peer
+/// accepts no more.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// A failure response of an upstream, saved while a retry is under way and forwarded to the caller
@@ -450,13 +451,26 @@
     kind.starts_with("text/event-stream")
 }
 
-/// Sets options that all connections need: no delay for small writes, and detection by the kernel
-/// of peers that vanished without closing.
+/// Sets the options of a connection whose peer reads what it is sent at once: no delay for small
+/// writes, and detection by the kernel of peers that vanished without closing.
 pub fn configure_socket(stream: &TcpStream) {
-    let socket = socket2::SockRef::from(stream);
-    let set = socket
-        .set_tcp_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)));
+    configure_reader_socket(stream);
+    limit_unread_time(stream, TCP_USER_TIMEOUT);
+}
+
+/// Sets the options of a connection whose peer may read slowly.
+pub fn configure_reader_socket(stream: &TcpStream) {
+    report_option(socket2::SockRef::from(stream).set_tcp_nodelay(true));
+}
+
+/// Limits the time for which the peer of a connection may read nothing, or not acknowledge what it
+/// was sent, to the time that its response has, but not below the one of other connections.
+pub fn limit_unread_time(stream: &TcpStream, time: Duration) {
+    let time = time.max(TCP_USER_TIMEOUT);
+    report_option(socket2::SockRef::from(stream).set_tcp_user_timeout(Some(time)));
+}
+
+fn report_option(set: io::Result<()>) {
     if let Err(error) = set {
         log::debug!("event=socket-option-failed error={error:?}");
     }
--- a/crates/savorywood-front/src/caller.rs
+++ b/crates/savorywood-front/src/caller.rs
@@ -4,7 +4,9 @@
 mod unread_body;
 
 use crate::{
-    attempt::{SavedFailure, UpstreamAttempt, broken_outcome, configure_socket},
+    attempt::{
+        SavedFailure, UpstreamAttempt, broken_outcome, configure_reader_socket, limit_unread_time,
+    },
     clock::with_timeout,
     content::content_digest,
     count::CountGuard,
@@ -76,7 +78,7 @@
 
 /// Serves a connection until one side closes it.
 pub async fn serve(shared: Rc<FrontShared>, stream: TcpStream) {
-    configure_socket(&stream);
+    configure_reader_socket(&stream);
     let _open = CountGuard::new(&shared.connections);
     let mut reader = ByteReader::new(stream);
     loop {
@@ -277,6 +279,8 @@
         if order.attempt == 1 {
             let waited = self.shared.clock.now().since(self.arrived_at);
             metrics::observe(&self.shared.metrics.waiting_duration, order, waited);
+            let time_left = order.deadline_at.since(self.shared.clock.now());
+            limit_unread_time(reader.stream(), time_left);
         }
         let (writing, started) = (sink.writing(), sink.started());
         let attempt = UpstreamAttempt {
--- a/crates/savorywood-front/src/peers/relay.rs
+++ b/crates/savorywood-front/src/peers/relay.rs
@@ -8,7 +8,7 @@
     transfer::{read_message, write_message},
 };
 use crate::{
-    attempt::configure_socket,
+    attempt::{configure_socket, limit_unread_time},
     clock::with_timeout,
     connect::{CONNECT_TIMEOUT, connect},
     count::CountGuard,
@@ -189,6 +189,8 @@
     async fn forward(&self, mut origin: TcpStream, target: TcpStream) -> io::Result<&'static str> {
         write_message(&mut origin, &RelayReply::Connected).await?;
         let time = Duration::from_millis(self.request.time_left_ms.into()) + DEADLINE_MARGIN;
+        // The requesting daemon reads no faster than its caller.
+        limit_unread_time(&origin, time);
         let mut observer = HeadObserver::new(self);
         let observe = |bytes: &[u8]| observer.observe(bytes);
         let forwarded = with_timeout(time, forward(origin, target, observe)).await;
