A restored store does not bring back upstreams that left without draining

What callers saw: after a restore of the store from a copy some seconds old, daemons used an upstream again that they had acknowledged as gone; it exited under them.

Cause: departures were kept only for incarnations that had drained. Any other row of the restored table counted as a registration.

Change: a removal that was read while the store was settled is kept. While rows are written again after a restore, a complete read does not bring that incarnation back, a written registration does.

Test: an_upstream_that_left_without_draining_is_not_restored_from_the_backup failed on the code before.

--- a/crates/savorywood-gateway/src/gateway/state_updates.rs
+++ b/crates/savorywood-gateway/src/gateway/state_updates.rs
@@ -115,10 +115,16 @@
     pub(super) fn upstreams_read(
         &mut self,
         now: MonotonicTime,
-        entries: Vec<UpstreamEntry>,
+        mut entries: Vec<UpstreamEntry>,
         effects: &mut GatewayEffects,
     ) {
-        let line = LogLine::new(LogLevel::Info, "upstreams-read").with("count", entries.len());
+        let count = entries.len();
+        let restored_at = self.store_restored_at;
+        let restored_at = restored_at.filter(|_| !self.is_rewrite_complete(now));
+        self.fleet.retain_registered(&mut entries, restored_at);
+        let line = LogLine::new(LogLevel::Info, "upstreams-read")
+            .with("count", count)
+            .with("departed", count - entries.len());
         effects.push(GatewayEffect::Log(line));
         for (name, change) in self.fleet.replace_all(now, entries) {
             log_change(&name, change, effects);
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -25,8 +25,8 @@
 /// The store counts as failing for this long after a failed call.
 const STORE_FAILURE_WINDOW: Duration = Duration::from_secs(4);
 
-/// Time for which an incarnation that ended after draining is recorded, as a store that is restored
-/// from an older backup would register it again.
+/// Time for which an incarnation that ended is recorded, as a store that is restored from an older
+/// backup would register it again.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
 
 /// Registration of one upstream.
@@ -196,11 +196,21 @@
     departed: BTreeMap<UpstreamLabel, DepartedIncarnation>,
 }
 
-/// An incarnation that ended after draining.
+/// An incarnation whose registration was removed.
 #[derive(Debug, Clone, Copy)]
 struct DepartedIncarnation {
     incarnation: u64,
     at: MonotonicTime,
+    kind: DepartureKind,
+}
+
+/// How an incarnation left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DepartureKind {
+    /// After it had drained. It does not come back.
+    Drained,
+    /// Without a word. It may only have been silent, and registers again if it lives.
+    Unannounced,
 }
 
 impl UpstreamFleet {
@@ -322,12 +332,15 @@
 
     /// Adds or updates an upstream by its registration. Returns the change to be logged.
     pub fn upsert(&mut self, now: MonotonicTime, entry: UpstreamEntry) -> Option<FleetChange> {
-        let has_departed = self
-            .departed
-            .get(&entry.name)
-            .is_some_and(|departure| departure.incarnation == entry.incarnation);
-        if has_departed && entry.incarnation != 0 {
-            return None;
+        let departure = self.departed.get(&entry.name);
+        if let Some(departure) = departure.filter(|past| past.incarnation == entry.incarnation) {
+            match departure.kind {
+                DepartureKind::Drained if entry.incarnation != 0 => return None,
+                DepartureKind::Drained => {}
+                DepartureKind::Unannounced => {
+                    self.departed.remove(&entry.name);
+                }
+            }
         }
         let Some(state) = self.states.get_mut(&entry.name) else {
             let change = if entry.draining {
@@ -486,9 +499,35 @@
             REREGISTRATION_GRACE
         };
         state.removed_at = Some(now + grace);
+        if settled && !state.entry.draining {
+            let departure = DepartedIncarnation {
+                incarnation: state.entry.incarnation,
+                at: now,
+                kind: DepartureKind::Unannounced,
+            };
+            self.departed.insert(name.clone(), departure);
+        }
         Some(FleetChange::Left)
     }
 
+    /// Removes the entries of a complete read that a restored store lists although their incarnations
+    /// had left before the restore. One that lives writes its registration again.
+    pub fn retain_registered(
+        &self,
+        entries: &mut Vec<UpstreamEntry>,
+        restored_at: Option<MonotonicTime>,
+    ) {
+        let Some(restored_at) = restored_at else {
+            return;
+        };
+        entries.retain(|entry| {
+            let departure = self.departed.get(&entry.name);
+            !departure.is_some_and(|departure| {
+                departure.incarnation == entry.incarnation && departure.at < restored_at
+            })
+        });
+    }
+
     /// Replaces all registrations; upstreams that are not among them are removed.
     pub fn replace_all(
         &mut self,
@@ -520,6 +559,7 @@
                 let departure = DepartedIncarnation {
                     incarnation: state.entry.incarnation,
                     at: now,
+                    kind: DepartureKind::Drained,
                 };
                 self.departed.insert(state.entry.name.clone(), departure);
             }
--- a/crates/savorywood-gateway/tests/store_restore.rs
+++ b/crates/savorywood-gateway/tests/store_restore.rs
@@ -151,6 +151,55 @@
     assert!(harness.gateway.fleet().get(&name).is_some());
 }
 
+/// Guards against dispatching to an upstream that left without draining, because the backup still
+/// lists it.
+#[test]
+fn an_upstream_that_left_without_draining_is_not_restored_from_the_backup() {
+    for is_busy in [false, true] {
+        let mut harness = harness();
+        let name = upstream(1, 1).name;
+        let requests = ["/safe/1", "/safe/2"].map(|path| harness.arrive(arrival(path)));
+        let deliver = |harness: &mut GatewayHarness| {
+            for request in requests {
+                harness.deliver(request);
+            }
+        };
+        if !is_busy {
+            deliver(&mut harness);
+        }
+        harness.step(GatewayEvent::UpstreamRemoved(name.clone()));
+        advance_confirmed(&mut harness, Duration::from_secs(4));
+        harness.step(GatewayEvent::StoreEraObserved(2));
+        let backup = vec![upstream(1, 1), upstream(2, 1)];
+        harness.step(GatewayEvent::UpstreamsRead(backup));
+        if is_busy {
+            deliver(&mut harness);
+        }
+        harness.effects.clear();
+        let first = harness.arrive(arrival("/safe/3"));
+        harness.arrive(arrival("/safe/4"));
+        assert_eq!(harness.orders(first)[0].upstream.as_str(), "upstream-2");
+        let dispatched = harness.effects.iter();
+        let dispatched = dispatched.filter(|effect| matches!(effect, GatewayEffect::Dispatch(_)));
+        assert_eq!(dispatched.count(), 1, "busy: {is_busy}");
+        // It was only silent, and writes its registration again.
+        harness.step(GatewayEvent::UpstreamWritten(upstream(1, 1)));
+        assert!(harness.gateway.fleet().get(&name).is_some());
+    }
+}
+
+/// Guards against ignoring an upstream that registers again in the same era, as after a silence.
+#[test]
+fn an_upstream_that_left_without_draining_may_register_again() {
+    let mut harness = harness();
+    let name = upstream(1, 1).name;
+    harness.step(GatewayEvent::UpstreamRemoved(name.clone()));
+    advance_confirmed(&mut harness, Duration::from_secs(4));
+    let entries = vec![upstream(1, 1), upstream(2, 1)];
+    harness.step(GatewayEvent::UpstreamsRead(entries));
+    assert!(harness.gateway.fleet().get(&name).is_some());
+}
+
 fn rollout(era: u64, version: u64) -> RolloutOrder {
     RolloutOrder {
         service: ServiceLabel::from("engine"),
