A daemon that starts uses no older configuration than its peers

What callers saw: a revoked key worked again at one daemon, which had started while the store was restored from an older copy; its peers refused the key all the while.

Cause: versions were compared only with what the process itself had held, and a read of the restored store counted as a confirmation. What peers report of their configuration was not read.

Change: a daemon is not ready until its configuration is once as new as those that live peers report. It waits 0.6 s at most for a first message, only if the store reports an era and other daemons are listed, and 6 s at most for a version that nobody writes again. Comparing at all times would take daemons out of service with each change.

Test: a_daemon_that_starts_during_a_restore_does_not_use_an_older_configuration_than_its_peers failed with the two uses of the new state taken out.

--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -463,8 +463,8 @@
     report_option(socket2::SockRef::from(stream).set_tcp_nodelay(true));
 }
 
-/// Limits the time for which the peer of a connection may read nothing, or not acknowledge what it
-/// was sent, to the time that its response has, but not below the one of other connections.
+/// Lets the kernel close a connection whose peer reads nothing, or acknowledges nothing, for `time`; no
+/// sooner than connections of [`configure_socket`].
 pub fn limit_unread_time(stream: &TcpStream, time: Duration) {
     let time = time.max(TCP_USER_TIMEOUT);
     report_option(socket2::SockRef::from(stream).set_tcp_user_timeout(Some(time)));
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod announcements;
+mod catch_up;
 mod completion;
 mod coordination;
 mod dispatch;
@@ -63,6 +64,7 @@
     upstream::UpstreamFleet,
     warmup::WarmupTolerance,
 };
+use catch_up::CatchUpState;
 use coordination::ZoneCoordination;
 use record::RequestRecord;
 use returns::ReturnState;
@@ -224,6 +226,7 @@
     rollouts: RolloutTable,
     /// This daemon writes the status of roll-outs, as of the last tick.
     leads_rollouts: bool,
+    catch_up: CatchUpState,
     /// Present once the daemon was ordered to stop.
     stop: Option<StopSchedule>,
     ready_logged: bool,
@@ -308,6 +311,7 @@
             limited_rejections: 0,
             rollouts: RolloutTable::default(),
             leads_rollouts: false,
+            catch_up: CatchUpState::default(),
             stop: None,
             ready_logged: false,
             sequence: 0,
@@ -489,6 +493,7 @@
     }
 
     fn tick(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
+        self.refresh_catch_up(now, effects);
         self.log_readiness_change(now, effects);
         self.peers.refresh(now);
         self.expire_presence(now);
--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -221,7 +221,7 @@
                 ..Refusal::unavailable()
             });
         }
-        let is_initialized = self.upstreams_read && self.has_peer_list();
+        let is_initialized = self.upstreams_read && self.has_peer_list() && self.has_caught_up();
         let config = self.config.clone().filter(|_| is_initialized);
         let config = config.ok_or_else(Refusal::unavailable)?;
         let route = self.match_route(now, &config, arrival)?;
--- a/crates/savorywood-gateway/src/gateway/gossip.rs
+++ b/crates/savorywood-gateway/src/gateway/gossip.rs
@@ -51,6 +51,7 @@
         let known = self.config.is_some() && self.upstreams_read;
         known
             && self.has_peer_list()
+            && self.has_caught_up()
             && !self.is_stopping()
             && self.time_since_confirmed(now)
                 < self
--- a/crates/savorywood-gateway/src/gateway/state_updates.rs
+++ b/crates/savorywood-gateway/src/gateway/state_updates.rs
@@ -51,6 +51,7 @@
         });
         self.fleet.set_memories(memories.collect());
         self.config = Some(config);
+        self.refresh_catch_up(now, effects);
         self.log_readiness_change(now, effects);
     }
 
@@ -198,6 +199,7 @@
                 processor_millis: summary.capacity.processor_millis,
             },
         );
+        self.refresh_catch_up(now, effects);
         if !was_live {
             let line = LogLine::new(LogLevel::Info, "peer-seen")
                 .with("peer", &summary.host)
--- a/crates/savorywood-gateway/src/gateway/store_restore.rs
+++ b/crates/savorywood-gateway/src/gateway/store_restore.rs
@@ -8,7 +8,7 @@
 
 /// Period after a restore in which operators and upstreams write lost rows again. During this
 /// period a missing row does not count as removed.
-const REWRITE_PERIOD: Duration = Duration::from_secs(6);
+pub(super) const REWRITE_PERIOD: Duration = Duration::from_secs(6);
 
 impl Gateway {
     /// Records the era that a response of the store or a peer reports.
--- a/crates/savorywood-gateway/src/upstream.rs
+++ b/crates/savorywood-gateway/src/upstream.rs
@@ -209,7 +209,7 @@
 enum DepartureKind {
     /// After it had drained. It does not come back.
     Drained,
-    /// Without a word. It may only have been silent, and registers again if it lives.
+    /// Without draining. It may only have been silent, and registers again if it lives.
     Unannounced,
 }
 
--- a/crates/savorywood-gateway/tests/store_restore.rs
+++ b/crates/savorywood-gateway/tests/store_restore.rs
@@ -3,15 +3,16 @@
 #[path = "common/harness.rs"]
 mod harness;
 
-use harness::{GatewayHarness, arrival, upstream};
+use harness::{GatewayHarness, arrival, config, options, peer_summary, upstream};
 use quickcheck::quickcheck;
 use savorywood_gateway::{
-    ContentDigest, EvacuationOrder, FailedAttempt, GatewayEffect, GatewayEvent, QuarantineTable,
-    RequestFingerprint, RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite, ServiceLabel,
-    StorePosition, UpstreamEntry, VersionLabel, ZoneLabel,
+    ContentDigest, EvacuationOrder, FailedAttempt, GatewayEffect, GatewayEvent, PeerContact,
+    PeerSummary, QuarantineTable, RefusalReason, RequestFingerprint, RolloutOrder, RolloutPhase,
+    RolloutStatus, RolloutWrite, ServiceLabel, StorePosition, UpstreamEntry, VersionLabel,
+    ZoneLabel,
 };
 use savorywood_protocol::MonotonicTime;
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 const STEP: Duration = Duration::from_millis(250);
 
@@ -200,6 +201,76 @@
     assert!(harness.gateway.fleet().get(&name).is_some());
 }
 
+/// Returns a daemon that starts while the store, in era 2, serves version 1 of the configuration.
+fn starting_harness() -> GatewayHarness {
+    let mut harness = GatewayHarness::unconfigured(options("host-a"));
+    let contacts = vec![PeerContact {
+        address: "10.0.0.2:80".parse().expect("an address"),
+        zone: None,
+        processor_millis: 0,
+    }];
+    harness.step(GatewayEvent::ContactsRead(contacts));
+    harness.step(GatewayEvent::StoreEraObserved(2));
+    harness.step(GatewayEvent::ConfigRead(Arc::new(config(1, None))));
+    harness.step(GatewayEvent::UpstreamsRead(vec![upstream(1, 1)]));
+    harness.confirm();
+    harness
+}
+
+fn peer_with_config(config_version: u64, sequence: u64) -> GatewayEvent {
+    GatewayEvent::SummaryReceived(Box::new(PeerSummary {
+        config_version,
+        ..peer_summary(2, "zone-a", sequence)
+    }))
+}
+
+fn refusal(harness: &mut GatewayHarness) -> Option<RefusalReason> {
+    let request = harness.arrive(arrival("/safe/1"));
+    let reason = harness.refusal(request);
+    if reason.is_none() {
+        harness.deliver(request);
+    }
+    reason
+}
+
+/// Guards against a revoked key that a daemon accepts because it starts while the store serves a
+/// backup, although its peers hold the newer configuration.
+#[test]
+fn a_daemon_that_starts_during_a_restore_does_not_use_an_older_configuration_than_its_peers() {
+    let mut harness = starting_harness();
+    assert_eq!(refusal(&mut harness), Some(RefusalReason::NotReady));
+    harness.step(peer_with_config(2, 1));
+    for sequence in 2..8 {
+        assert_eq!(refusal(&mut harness), Some(RefusalReason::NotReady));
+        assert!(!harness.gateway.is_ready(harness.now));
+        advance_confirmed(&mut harness, STEP);
+        harness.step(peer_with_config(2, sequence));
+    }
+    harness.step(GatewayEvent::ConfigRead(Arc::new(config(2, None))));
+    assert_eq!(refusal(&mut harness), None);
+    // Versions that are written later reach daemons one after the other.
+    harness.step(peer_with_config(3, 9));
+    assert_eq!(refusal(&mut harness), None);
+}
+
+/// Guards against daemons that never serve, because no peer answers or one holds a configuration that
+/// nobody writes again.
+#[test]
+fn a_daemon_that_starts_waits_a_bounded_time_for_its_peers() {
+    let mut alone = starting_harness();
+    advance_confirmed(&mut alone, Duration::from_secs(1));
+    assert_eq!(refusal(&mut alone), None);
+    let mut behind = starting_harness();
+    for sequence in 1..30 {
+        behind.step(peer_with_config(2, sequence));
+        advance_confirmed(&mut behind, STEP);
+    }
+    assert_eq!(refusal(&mut behind), None);
+    let mut level = starting_harness();
+    level.step(peer_with_config(1, 1));
+    assert_eq!(refusal(&mut level), None);
+}
+
 fn rollout(era: u64, version: u64) -> RolloutOrder {
     RolloutOrder {
         service: ServiceLabel::from("engine"),
