A peer that has just started confirms no configuration

Cause: a daemon that started during a restore took its configuration as current as soon as any live peer held the same version. Two daemons that start together read the same backup and confirmed it to each other, though a third held the newer one. The wait for a first message was 0.6 s at any size, less than a round of gossip in a large zone.

Change: only a peer that has run for the 6 s in which rows are written again confirms a configuration. Without one the daemon waits two rounds of gossip and 100 ms, which is 0.6 s in small zones as before. A newer version of any live peer still holds it back for 6 s at most.

Evidence: found while reading the change again. a_peer_that_has_just_started_confirms_no_configuration failed on the code before (a request was admitted, not-ready was due).

After: it passes; the 17 test programs of the front daemon but the soak, and eight of the gateway on starts, zones and reads, pass.

--- a/crates/savorywood-gateway/src/gateway/catch_up.rs
+++ b/crates/savorywood-gateway/src/gateway/catch_up.rs
@@ -10,8 +10,10 @@
 use savorywood_protocol::MonotonicTime;
 use std::time::Duration;
 
-/// Maximum time for which a daemon that starts waits for the first message of a peer.
-const PEER_WAIT: Duration = Duration::from_millis(600);
+/// Rounds of gossip for which a daemon that starts waits for the first message of a peer.
+const PEER_WAIT_ROUNDS: u32 = 2;
+/// Time for which it waits beyond them, for the way of the messages.
+const PEER_WAIT_MARGIN: Duration = Duration::from_millis(100);
 
 /// State of a daemon's comparison with its peers after the start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -46,30 +48,47 @@
             CatchUpState::Pending { since, behind } => (since, behind),
             CatchUpState::Unread | CatchUpState::Level => (now, false),
         };
-        let reported = self.peers.live_peers(now);
-        let reported = reported.map(|peer| peer.summary.config_version);
-        let newest = reported.max().filter(|version| *version > 0);
         let own = self.config_version();
-        let waited = now.since(since);
-        let is_level = match newest {
-            Some(newest) => newest <= own || waited >= REWRITE_PERIOD,
-            None => !self.may_miss_restore() || waited >= PEER_WAIT,
+        let newest = self.newest_peer_config(now);
+        let limit = if newest > own {
+            REWRITE_PERIOD
+        } else if self.is_confirmed_by_peer(now) || !self.may_miss_restore() {
+            Duration::ZERO
+        } else {
+            self.contacts.gossip_interval() * PEER_WAIT_ROUNDS + PEER_WAIT_MARGIN
         };
+        let is_level = now.since(since) >= limit;
         if is_level {
             self.catch_up = CatchUpState::Level;
             return self.log_readiness_change(now, effects);
         }
-        let behind = newest.is_some();
+        let behind = newest > own;
         if behind && !was_behind {
             let line = LogLine::new(LogLevel::Warn, "config-behind-peers")
                 .with("config", own)
-                .with("newest", newest.unwrap_or_default())
+                .with("newest", newest)
                 .with("era", self.store_era());
             effects.push(GatewayEffect::Log(line));
         }
         self.catch_up = CatchUpState::Pending { since, behind };
     }
 
+    /// Returns the newest version of the configuration that a live peer reports; 0 if none does.
+    fn newest_peer_config(&self, now: MonotonicTime) -> u64 {
+        let reported = self.peers.live_peers(now);
+        let reported = reported.map(|peer| peer.summary.config_version);
+        reported.max().unwrap_or_default()
+    }
+
+    /// Returns whether a live peer holds this configuration that may know of a newer one. One that has
+    /// just started as well may have read the same backup.
+    fn is_confirmed_by_peer(&self, now: MonotonicTime) -> bool {
+        self.peers.live_peers(now).any(|peer| {
+            let uptime = Duration::from_millis(peer.summary.uptime_ms);
+            peer.summary.config_version == self.config_version() && uptime >= REWRITE_PERIOD
+        })
+    }
+
     /// Returns whether the store may have been restored without notice of this daemon, and other
     /// daemons may know more.
     fn may_miss_restore(&self) -> bool {
--- a/crates/savorywood-gateway/tests/store_restore.rs
+++ b/crates/savorywood-gateway/tests/store_restore.rs
@@ -253,6 +253,25 @@
     assert_eq!(refusal(&mut harness), None);
 }
 
+/// Guards against two daemons that start during a restore and confirm the backup to each other.
+#[test]
+fn a_peer_that_has_just_started_confirms_no_configuration() {
+    let mut harness = starting_harness();
+    harness.step(GatewayEvent::SummaryReceived(Box::new(PeerSummary {
+        uptime_ms: 300,
+        ..peer_summary(2, "zone-a", 1)
+    })));
+    assert_eq!(refusal(&mut harness), Some(RefusalReason::NotReady));
+    harness.step(GatewayEvent::SummaryReceived(Box::new(PeerSummary {
+        config_version: 2,
+        ..peer_summary(3, "zone-a", 1)
+    })));
+    advance_confirmed(&mut harness, Duration::from_secs(1));
+    assert_eq!(refusal(&mut harness), Some(RefusalReason::NotReady));
+    harness.step(GatewayEvent::ConfigRead(Arc::new(config(2, None))));
+    assert_eq!(refusal(&mut harness), None);
+}
+
 /// Guards against daemons that never serve, because no peer answers or one holds a configuration that
 /// nobody writes again.
 #[test]
