Show that the loss of one new runner stops a whole service

Review case 7, Starved. During a roll-out the one runner of the new version is lost for good; the six runners of the old version are sound and idle.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -4,6 +4,7 @@
 
 mod kit;
 mod parts;
+mod rollout_lost;
 mod rollout_slow;
 
 use kit::{Record, unable};
@@ -31,6 +32,7 @@
         .line(&format!("case {case}, disruption played: {trouble}"));
     let broken = match case.as_str() {
         "6" => rollout_slow::run(&run),
+        "7" => rollout_lost::run(&run),
         _ => unable("no such case"),
     };
     run.record.line(if broken {
--- a/review/stand-2/parts.rs
+++ b/review/stand-2/parts.rs
@@ -50,6 +50,8 @@
     pub events: u64,
     /// Value of `Server-Limit` in all answers, if the runner is in need.
     pub limit: Option<&'static str>,
+    /// Requests whose path begins so get 500 after they have run.
+    pub fails: Option<&'static str>,
 }
 
 /// A sound runner, registered in the store by its heartbeats.
@@ -178,6 +180,7 @@
             gap_ms,
             events,
             limit,
+            fails,
         } = self.state.pace;
         let id = request.id();
         let limit = limit.map_or_else(String::new, |limit| format!("Server-Limit: {limit}\r\n"));
@@ -190,6 +193,11 @@
         if !self.wait(connection, first_ms) {
             return false;
         }
+        if fails.is_some_and(|path| request.target.starts_with(path)) {
+            return connection.write(&format!(
+                "HTTP/1.1 500 Internal Server Error\r\n{lines}Content-Length: 4\r\n\r\noops"
+            ));
+        }
         if request.header("X-Token-Counts").is_none() {
             let body = format!("{} ran {id}", self.id);
             return connection.write(&format!(
--- a/review/stand-2/rollout_slow.rs
+++ b/review/stand-2/rollout_slow.rs
@@ -21,12 +21,14 @@
     gap_ms: 30,
     events: 8,
     limit: None,
+    fails: None,
 };
 const BAD: Pace = Pace {
     first_ms: 8 * 350,
     gap_ms: 8 * 30,
     events: 8,
     limit: None,
+    fails: None,
 };
 /// Bounds of the deployment.
 const EXPOSURE_SHARE: f64 = 0.1;
