Show that lost machines stop all requests to runners with a limit

Review case 8, Starved. The runners of a service name a Server-Limit of four times what is asked. Two of four machines are lost.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -3,6 +3,7 @@
 //! could not run.
 
 mod kit;
+mod limit_loss;
 mod parts;
 mod rollout_lost;
 mod rollout_slow;
@@ -33,6 +34,7 @@
     let broken = match case.as_str() {
         "6" => rollout_slow::run(&run),
         "7" => rollout_lost::run(&run),
+        "8" => limit_loss::run(&run),
         _ => unable("no such case"),
     };
     run.record.line(if broken {
