Show that an entry with missing fields gets requests

Review case 9, ROUTE. Another writer's entry in the list of runners, without version, cold_remaining_ms, sequence and born, names an ordinary web server.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -2,6 +2,7 @@
 //! `TROUBLE=0` leaves the disruption out. Ends with 1 if the rule was broken, 0 if it held, 2 if the case
 //! could not run.
 
+mod foreign_entry;
 mod kit;
 mod limit_loss;
 mod parts;
@@ -35,6 +36,7 @@
         "6" => rollout_slow::run(&run),
         "7" => rollout_lost::run(&run),
         "8" => limit_loss::run(&run),
+        "9" => foreign_entry::run(&run),
         _ => unable("no such case"),
     };
     run.record.line(if broken {
