Show that a version that fails on one small route is completed

Review case 10, EXPOSURE. A new version answers 500 to every request of one route, which has 2 in 100 of the requests of its service. It is taken for good: 201 to 204 of 588 requests run there before the deadline, where 109 are allowed, the status becomes completed, and of 10 orders sent after that none is served.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -7,6 +7,7 @@
 mod limit_loss;
 mod parts;
 mod rollout_lost;
+mod rollout_route;
 mod rollout_slow;
 
 use kit::{Record, unable};
@@ -37,6 +38,7 @@
         "7" => rollout_lost::run(&run),
         "8" => limit_loss::run(&run),
         "9" => foreign_entry::run(&run),
+        "10" => rollout_route::run(&run),
         _ => unable("no such case"),
     };
     run.record.line(if broken {
