--- a/crates/savorywood-front/src/settings.rs
+++ b/crates/savorywood-front/src/settings.rs
@@ -96,6 +96,8 @@
     pub limit_slack: f64,
     /// Maximum fraction of traffic for a version that has not yet proved reliable.
     pub exposure_share: f64,
+    /// Requests that such a version may receive in addition to that fraction.
+    pub exposure_slack: f64,
     /// Requests per second to a cold upstream, as a factor of its declared rate, that must not be
     /// exceeded; no bound when absent.
     pub warmup_overage: Option<f64>,
@@ -118,6 +120,7 @@
             limit_overage: 0.0,
             limit_slack: 0.0,
             exposure_share: 0.1,
+            exposure_slack: 0.0,
             warmup_overage: None,
             warmup_slack: 0.0,
             grace_s: 8.0,
@@ -261,6 +264,7 @@
                 slack: bounds.limit_slack.max(0.0),
             },
             max_canary_fraction: bounds.exposure_share,
+            canary_slack: bounds.exposure_slack.max(0.0),
             warmup_tolerance: bounds.warmup_overage.map(|overage| WarmupTolerance {
                 overage: overage.max(0.0),
                 slack: bounds.warmup_slack.max(0.0),
--- a/crates/savorywood-gateway/src/gateway.rs
+++ b/crates/savorywood-gateway/src/gateway.rs
@@ -111,6 +111,8 @@
     pub limit_tolerance: LimitTolerance,
     /// Fraction of a service's traffic, 0 to 1, that an unproven version may receive.
     pub max_canary_fraction: f64,
+    /// Requests that such a version may receive in addition, in one roll-out.
+    pub canary_slack: f64,
     /// Amount by which the rates of cold upstreams may be exceeded; `None` sets no bound.
     pub warmup_tolerance: Option<WarmupTolerance>,
 }
@@ -484,6 +486,7 @@
     fn canary_options(&self) -> CanaryOptions {
         CanaryOptions {
             share: self.options.bounds.max_canary_fraction,
+            slack: self.options.bounds.canary_slack,
             head_start: if self.leads_rollouts {
                 CANARY_HEAD_START
             } else {
--- a/crates/savorywood-gateway/src/gateway/rollouts.rs
+++ b/crates/savorywood-gateway/src/gateway/rollouts.rs
@@ -10,13 +10,14 @@
     effect::GatewayEffect,
     event::AttemptOutcome,
     label::{ServiceLabel, VersionLabel},
-    rollout::{RolloutWrite, VersionUpstreams},
+    rollout::{AcceptanceCheck, RolloutWrite, VersionUpstreams},
     upstream::UpstreamFleet,
 };
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
 
-/// Factor over the expected duration above which a non-stream response counts against its version.
+/// Factor over the expected duration above which a response that is not a stream counts against its
+/// version, and so does one that its caller has waited for in vain.
 const SLOW_FACTOR: f64 = 3.0;
 /// Margin, in milliseconds, that must be exceeded in addition to the factor.
 const SLOW_MARGIN_MS: f64 = 200.0;
@@ -26,6 +27,11 @@
 /// Events that a shorter stream must have had at its end.
 const MIN_PACE_EVENTS: u32 = 4;
 
+/// Returns whether the time without data exceeds by far what is expected.
+fn is_slow(millis: f64, expected_ms: f64) -> bool {
+    millis > expected_ms * SLOW_FACTOR + SLOW_MARGIN_MS
+}
+
 /// Returns the upstreams of a service by version.
 fn version_upstreams(
     fleet: &UpstreamFleet,
@@ -37,7 +43,7 @@
     for state in fleet.members(service) {
         if state.entry.version == *new_version {
             upstreams.new += 1;
-        } else {
+        } else if state.latency.has_responses() {
             upstreams.add_old(state.latency.throughput(&service_latency));
         }
     }
@@ -70,19 +76,17 @@
         }
         attempt.pace_recorded = true;
         let attempt = attempt.clone();
-        let service = record.service.clone();
-        self.record_pace_of(&service, &attempt);
+        self.record_pace_of(&attempt);
     }
 
-    fn record_pace_of(&mut self, service: &ServiceLabel, attempt: &RunningAttempt) {
+    fn record_pace_of(&mut self, attempt: &RunningAttempt) {
         let Some(state) = self.fleet.get(&attempt.upstream) else {
             return;
         };
         // An upstream that warms up is slow whatever its version.
         let was_warm = state.cold_until <= attempt.dispatched_at;
         if let Some(pace) = attempt.event_pace().filter(|_| was_warm) {
-            self.rollouts
-                .record_pace(service, &state.entry.version, pace);
+            self.rollouts.record_pace(state, pace);
         }
     }
 
@@ -96,16 +100,32 @@
         stream: bool,
     ) {
         if stream && !attempt.pace_recorded && attempt.events >= MIN_PACE_EVENTS {
-            self.record_pace_of(service, attempt);
+            self.record_pace_of(attempt);
         }
+        let Some(state) = self.fleet.get(&attempt.upstream) else {
+            return;
+        };
+        let version = &state.entry.version;
+        // An upstream that warms up is slow whatever its version.
+        let was_warm = state.cold_until <= attempt.dispatched_at;
+        let elapsed = now.since(attempt.dispatched_at);
+        let is_late = || match attempt.last_event_at {
+            None => is_slow(elapsed.as_secs_f64() * 1e3, attempt.expected_first_event_ms),
+            Some(last_event_at) => {
+                let service_latency = self.fleet.service_latency(service);
+                let usual_ms = state.latency.longest_gap_ms(&service_latency);
+                is_slow(now.since(last_event_at).as_secs_f64() * 1e3, usual_ms)
+            }
+        };
         let is_failure = match outcome {
             AttemptOutcome::Failed { .. }
             | AttemptOutcome::Broken { .. }
             | AttemptOutcome::StreamBroken(_) => true,
             AttemptOutcome::Expired if is_past_expected(now, attempt) => true,
+            // What a caller gave up on after a moment says nothing about the version.
+            AttemptOutcome::CallerDisconnected if was_warm && is_late() => true,
             AttemptOutcome::Delivered { .. } => {
-                let millis = now.since(attempt.dispatched_at).as_secs_f64() * 1e3;
-                !stream && millis > attempt.expected_first_event_ms * SLOW_FACTOR + SLOW_MARGIN_MS
+                !stream && is_slow(elapsed.as_secs_f64() * 1e3, attempt.expected_first_event_ms)
             }
             AttemptOutcome::NotSent
             | AttemptOutcome::NotRelayed
@@ -113,14 +133,8 @@
             | AttemptOutcome::Expired
             | AttemptOutcome::CallerDisconnected => return,
         };
-        let Some(state) = self.fleet.get(&attempt.upstream) else {
-            return;
-        };
-        let version = &state.entry.version;
-        let was_warm = state.cold_until <= attempt.dispatched_at;
         if !stream && was_warm && matches!(outcome, AttemptOutcome::Delivered { .. }) {
-            let elapsed = now.since(attempt.dispatched_at);
-            self.rollouts.record_pace(service, version, elapsed);
+            self.rollouts.record_pace(state, elapsed);
         }
         self.rollouts.record_response(service, version, is_failure);
     }
@@ -135,10 +149,13 @@
             return line;
         };
         let slowdown = total.new_paces.slowdown(&total.old_paces).unwrap_or(1.0);
+        let check = AcceptanceCheck::new(&total);
         line.with("sent", total.dispatched)
             .with("sent_new", total.dispatched_new)
             .with("responses_new", total.new_responses)
             .with("bad_new", total.new_bad)
+            .with("good_new", check.good_responses)
+            .with("needed", check.needed_responses)
             .with("responses_old", total.old_responses)
             .with("bad_old", total.old_bad)
             .with("paces_new", total.new_paces.count())
--- a/crates/savorywood-gateway/src/latency.rs
+++ b/crates/savorywood-gateway/src/latency.rs
@@ -113,6 +113,12 @@
             .unwrap_or(DEFAULT_LONGEST_GAP_MS)
     }
 
+    /// Returns whether a complete response was recorded.
+    #[must_use]
+    pub fn has_responses(&self) -> bool {
+        self.response_ms.is_some()
+    }
+
     /// Records the total time of a successful non-streaming response.
     pub fn record_response(&mut self, total: Duration) {
         update_mean(&mut self.response_ms, total.as_secs_f64() * 1e3);
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -109,7 +109,9 @@
 pub use retry_budget::{
     BudgetLevel, RetryBudget, RetryBudgetOptions, RetryCounters, RetryDecision,
 };
-pub use rollout::{PaceSums, RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite};
+pub use rollout::{
+    PaceSums, RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite, UpstreamSketch,
+};
 pub use selection::RoutingPolicy;
 pub use stop::{RequestEnd, StopSchedule};
 pub use store_reads::{
--- a/crates/savorywood-gateway/src/message.rs
+++ b/crates/savorywood-gateway/src/message.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     entry_set::HostResources,
-    rollout::PaceSums,
+    rollout::{PaceSums, UpstreamSketch},
     store_reads::{PeerEcho, StoreAttestation},
     team_limit::BucketLevels,
 };
@@ -109,6 +109,8 @@
     pub new_paces: PaceSums,
     /// Paces of responses of the old versions in the same period.
     pub old_paces: PaceSums,
+    /// Upstreams that the paces of the new version come from.
+    pub new_sources: UpstreamSketch,
     /// The daemon has rejected the new version.
     pub rejected: bool,
 }
--- a/crates/savorywood-gateway/src/rollout.rs
+++ b/crates/savorywood-gateway/src/rollout.rs
@@ -1,5 +1,6 @@
 //! Roll-outs: traffic of a service moves to a new version within a time limit, or is rolled back.
 
+mod acceptance;
 mod pace;
 
 use crate::{
@@ -8,8 +9,11 @@
     peer::name_digest,
     position::StorePosition,
     selection::VersionFilter,
+    upstream::UpstreamState,
 };
-pub use pace::{PaceSums, VersionUpstreams};
+use acceptance::is_significantly_worse;
+pub use acceptance::{AcceptanceCheck, RolloutStage};
+pub use pace::{PaceSums, UpstreamSketch, VersionUpstreams};
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, time::Duration};
 use strum::{Display, EnumString, IntoStaticStr};
@@ -66,25 +70,32 @@
     pub expected_position: StorePosition,
 }
 
-/// Number of responses of the new version that are needed to accept it.
-const MIN_RESPONSES: u32 = 30;
-/// Number of bad responses of the new version that are needed to reject it.
-const MIN_BAD_RESPONSES: u32 = 3;
 /// Fraction of the allowed canary share that is used.
 const CANARY_SHARE_FRACTION: f64 = 0.6;
-/// Fraction of the time limit after which a version that is verified and not rejected may receive
-/// any request.
+/// Fraction of the allowed canary slack that is used for responses by which a version is accepted.
+const CANARY_SLACK_FRACTION: f64 = 0.5;
+/// Fraction of this daemon's requests that go to a version without enough responses, beyond the canary
+/// share, until all requests would go to an accepted one.
+const PROBE_SHARE: f64 = 0.5;
+/// Fraction of the time limit after which an accepted version may receive any request.
 const CANARY_END_FRACTION: f64 = 0.45;
-/// Fraction of the time limit after which the old versions receive no traffic.
+/// Fraction of the time limit after which an accepted version receives all requests.
 const SWITCH_FRACTION: f64 = 0.7;
 /// Fraction of the time limit after which the roll-out is completed.
 const COMPLETION_FRACTION: f64 = 0.85;
+/// Fraction of the time limit for which a version receives all requests before it is completed: some
+/// faults only show under load.
+const MIN_SWITCHED_FRACTION: f64 = 0.1;
+/// Fraction of the time limit after which a version that is not accepted is rolled back.
+const GIVE_UP_FRACTION: f64 = 0.95;
 
 /// Factor by which the responses of a new version may be slower than those of the old ones.
 const MAX_SLOWDOWN: f64 = 1.5;
 /// The same once the old versions receive no traffic: the new one then bears more load than they did.
 const MAX_LOADED_SLOWDOWN: f64 = 2.5;
 
+/// Interval between two attempts to write a status row.
+const WRITE_INTERVAL: Duration = Duration::from_millis(400);
 /// Time for which peers are told of a rejection at least.
 const REJECTION_REPORT_PERIOD: Duration = Duration::from_secs(10);
 
@@ -93,6 +104,8 @@
 pub struct CanaryOptions {
     /// Fraction of a service's traffic that a new version may receive in the canary phase.
     pub share: f64,
+    /// Requests that it may receive in addition to this share.
+    pub slack: f64,
     /// Requests that this daemon may send to it ahead of its own share.
     pub head_start: f64,
 }
@@ -108,6 +121,10 @@
     peers: BTreeMap<u64, VersionTally>,
     upstreams: VersionUpstreams,
     phase: RolloutPhase,
+    /// Final phase that a write in progress records.
+    pending_phase: Option<RolloutPhase>,
+    /// Time since which the version receives all requests.
+    switched_at: Option<MonotonicTime>,
     /// Time at which this daemon rejected the version.
     rejected_at: Option<MonotonicTime>,
     /// Position of the status row.
@@ -134,6 +151,7 @@
             total.dispatched_new += tally.dispatched_new;
             total.new_paces.add(&tally.new_paces);
             total.old_paces.add(&tally.old_paces);
+            total.new_sources.add(tally.new_sources);
             total.rejected |= tally.rejected;
         }
         total
@@ -161,12 +179,28 @@
     /// The tallies of other daemons are older than a round of gossip. Each daemon therefore keeps to a
     /// share of its own requests, too: all of them together would otherwise send their first ones to
     /// the first upstream of the new version at once, and take its queue for the version's fault.
-    fn allows_canary(&self, total: &VersionTally, options: CanaryOptions) -> bool {
+    fn allows_canary(
+        &self,
+        now: MonotonicTime,
+        total: &VersionTally,
+        options: CanaryOptions,
+    ) -> bool {
         let share = options.share * CANARY_SHARE_FRACTION;
         let allowed = f64::from(total.dispatched) * share + CANARY_HEAD_START;
-        let own_allowed = f64::from(self.own.dispatched) * share + options.head_start;
-        f64::from(total.dispatched_new) < allowed
-            && f64::from(self.own.dispatched_new) + 1.0 <= own_allowed
+        let progress = self.progress(now);
+        let probe_share = if progress < SWITCH_FRACTION {
+            PROBE_SHARE
+        } else {
+            1.0
+        };
+        let is_within = |allowed: f64, own_share: f64| {
+            let own_allowed = f64::from(self.own.dispatched) * own_share + options.head_start;
+            f64::from(total.dispatched_new) < allowed
+                && f64::from(self.own.dispatched_new) + 1.0 <= own_allowed
+        };
+        is_within(allowed, share)
+            || acceptance::needs_probe(total, progress / CANARY_END_FRACTION)
+                && is_within(allowed + options.slack * CANARY_SLACK_FRACTION, probe_share)
     }
 
     /// Returns whether the evidence of all daemons is against the new version.
@@ -178,9 +212,78 @@
         };
         total.rejected
             || is_significantly_worse(total)
-            || total
-                .new_paces
-                .is_slower(&total.old_paces, max_slowdown, self.upstreams)
+            || total.new_paces.is_slower(
+                &total.old_paces,
+                max_slowdown,
+                total.new_sources,
+                self.upstreams,
+            )
+    }
+
+    /// Returns which part of the requests may go to the new version.
+    fn stage(&self, now: MonotonicTime, total: &VersionTally) -> RolloutStage {
+        if !AcceptanceCheck::new(total).is_accepted() {
+            return RolloutStage::Canary;
+        }
+        let progress = self.progress(now);
+        if progress >= SWITCH_FRACTION {
+            return RolloutStage::Switched;
+        }
+        let slowdown = total.new_paces.slowdown(&total.old_paces);
+        let is_as_quick = slowdown.is_none_or(|slowdown| slowdown <= MAX_SLOWDOWN);
+        if progress >= CANARY_END_FRACTION && is_as_quick && acceptance::is_well_known(total) {
+            RolloutStage::Shared
+        } else {
+            RolloutStage::Canary
+        }
+    }
+
+    /// Returns the phase to record by the evidence of this moment. Recording the completion stops the
+    /// old versions and can't be undone, so time alone never leads to it.
+    fn due_phase(&self, now: MonotonicTime, total: &VersionTally) -> RolloutPhase {
+        let progress = self.progress(now);
+        let is_accepted = AcceptanceCheck::new(total).is_accepted();
+        let min_switched = self.order.time_limit.mul_f64(MIN_SWITCHED_FRACTION);
+        let has_borne_load = self
+            .switched_at
+            .is_some_and(|at| now.since(at) >= min_switched);
+        if progress >= GIVE_UP_FRACTION {
+            if is_accepted {
+                RolloutPhase::Completed
+            } else {
+                RolloutPhase::RolledBack
+            }
+        } else if progress >= COMPLETION_FRACTION && is_accepted && has_borne_load {
+            RolloutPhase::Completed
+        } else {
+            RolloutPhase::Running
+        }
+    }
+
+    /// Advances to the current time. Returns the phase to write, if any is to be written.
+    fn advance(&mut self, now: MonotonicTime, is_leader: bool) -> Option<RolloutPhase> {
+        let mut due = self.phase;
+        if self.phase == RolloutPhase::Running {
+            let total = self.total();
+            if self.is_rejected(now, &total) {
+                self.own.rejected = true;
+                self.rejected_at = Some(now);
+                self.phase = RolloutPhase::RolledBack;
+                self.written = false;
+                due = self.phase;
+            } else {
+                let is_switched = self.stage(now, &total) == RolloutStage::Switched;
+                self.switched_at = is_switched.then(|| self.switched_at.unwrap_or(now));
+                due = self.due_phase(now, &total);
+            }
+        }
+        let is_due = due != self.phase || !self.written;
+        if !is_leader || !is_due || self.write_pending || now < self.next_write_at {
+            return None;
+        }
+        self.write_pending = true;
+        self.pending_phase = Some(due);
+        Some(due)
     }
 
     fn age_ms(&self, now: MonotonicTime) -> u32 {
@@ -193,18 +296,6 @@
     }
 }
 
-/// Returns true if the ratio of bad responses is significantly higher at the new version: above
-/// that of the old versions by three standard deviations and 0.02.
-fn is_significantly_worse(total: &VersionTally) -> bool {
-    if total.new_bad < MIN_BAD_RESPONSES || total.new_responses == 0 {
-        return false;
-    }
-    let new = f64::from(total.new_bad) / f64::from(total.new_responses);
-    let old = f64::from(total.old_bad) / f64::from(total.old_responses.max(1));
-    let std_error = (old.max(0.02) * (1.0 - old.min(0.98)) / f64::from(total.new_responses)).sqrt();
-    new > old + 3.0 * std_error + 0.02
-}
-
 /// State of all roll-outs by service.
 #[derive(Debug, Clone, Default)]
 pub struct RolloutTable {
@@ -239,6 +330,7 @@
             dispatched_new: 0,
             new_paces: PaceSums::default(),
             old_paces: PaceSums::default(),
+            new_sources: UpstreamSketch::default(),
             rejected: false,
         };
         let position = current.map_or(StorePosition::default(), |state| state.position);
@@ -248,6 +340,8 @@
             peers: BTreeMap::new(),
             upstreams: VersionUpstreams::default(),
             phase: RolloutPhase::Running,
+            pending_phase: None,
+            switched_at: None,
             rejected_at: None,
             position,
             written: false,
@@ -291,6 +385,7 @@
             state.position = StorePosition::new(era, 0);
             state.written = false;
             state.write_pending = false;
+            state.pending_phase = None;
         }
     }
 
@@ -298,8 +393,12 @@
     pub fn record_write(&mut self, now: MonotonicTime, service: &ServiceLabel, accepted: bool) {
         if let Some(state) = self.states.get_mut(service) {
             state.write_pending = false;
-            state.written |= accepted;
-            state.next_write_at = now + Duration::from_millis(400);
+            let phase = state.pending_phase.take().filter(|_| accepted);
+            if let Some(phase) = phase {
+                state.written = true;
+                state.phase = phase;
+            }
+            state.next_write_at = now + WRITE_INTERVAL;
         }
     }
 
@@ -323,20 +422,13 @@
         if state.is_rejected(now, &total) {
             return VersionFilter::Except(to);
         }
-        let progress = state.progress(now);
-        if progress >= SWITCH_FRACTION {
-            return VersionFilter::Only(to);
-        }
-        let slowdown = total.new_paces.slowdown(&total.old_paces);
-        let is_verified = total.new_responses >= MIN_RESPONSES
-            && slowdown.is_none_or(|slowdown| slowdown <= MAX_SLOWDOWN);
-        if progress >= CANARY_END_FRACTION && is_verified {
-            return VersionFilter::Any;
-        }
-        if state.allows_canary(&total, options) {
-            VersionFilter::Only(to)
-        } else {
-            VersionFilter::Except(to)
+        match state.stage(now, &total) {
+            RolloutStage::Switched => VersionFilter::Only(to),
+            RolloutStage::Shared => VersionFilter::Any,
+            RolloutStage::Canary if state.allows_canary(now, &total, options) => {
+                VersionFilter::Only(to)
+            }
+            RolloutStage::Canary => VersionFilter::Except(to),
         }
     }
 
@@ -361,11 +453,13 @@
         }
     }
 
-    /// Records the time of a response of the given version, or between its events.
-    pub fn record_pace(&mut self, service: &ServiceLabel, version: &VersionLabel, time: Duration) {
-        if let Some(state) = self.states.get_mut(service) {
-            if state.order.target_version == *version {
+    /// Records the time of a response of an upstream, or between its events.
+    pub fn record_pace(&mut self, upstream: &UpstreamState, time: Duration) {
+        let entry = &upstream.entry;
+        if let Some(state) = self.states.get_mut(&entry.service) {
+            if state.order.target_version == entry.version {
                 state.own.new_paces.record(time);
+                state.own.new_sources.insert(upstream.digest);
             } else {
                 state.own.old_paces.record(time);
             }
@@ -438,24 +532,11 @@
     pub fn advance(&mut self, now: MonotonicTime, is_leader: bool) -> Vec<RolloutWrite> {
         let mut writes = Vec::new();
         for state in self.states.values_mut() {
-            let total = state.total();
-            if state.phase == RolloutPhase::Running {
-                if state.is_rejected(now, &total) {
-                    state.own.rejected = true;
-                    state.rejected_at = Some(now);
-                    state.phase = RolloutPhase::RolledBack;
-                    state.written = false;
-                } else if state.progress(now) >= COMPLETION_FRACTION {
-                    state.phase = RolloutPhase::Completed;
-                    state.written = false;
-                }
-            }
-            if is_leader && !state.written && !state.write_pending && now >= state.next_write_at {
-                state.write_pending = true;
+            if let Some(phase) = state.advance(now, is_leader) {
                 writes.push(RolloutWrite {
                     service: state.order.service.clone(),
                     target_version: state.order.target_version.clone(),
-                    phase: state.phase,
+                    phase,
                     expected_position: state.position,
                 });
             }
--- a/crates/savorywood-gateway/src/rollout/pace.rs
+++ b/crates/savorywood-gateway/src/rollout/pace.rs
@@ -7,6 +7,9 @@
 const UNITS: f64 = 1_000.0;
 /// Responses of each version that are needed for a comparison.
 const MIN_RESPONSES: u32 = 6;
+/// Upstreams of the new version that they must come from, if it has as many: a single one may be slow for
+/// reasons of its own.
+const MIN_SOURCES: u32 = 3;
 /// Standard errors by which the difference must exceed its bound.
 const CONFIDENCE: f64 = 3.0;
 /// Least standard deviation of the logarithms that is assumed: few responses may be alike by chance.
@@ -72,16 +75,48 @@
     /// Returns whether these responses, of the given upstreams, are significantly slower than others
     /// by more than `factor`.
     #[must_use]
-    pub fn is_slower(&self, others: &Self, factor: f64, upstreams: VersionUpstreams) -> bool {
+    pub fn is_slower(
+        &self,
+        others: &Self,
+        factor: f64,
+        sources: UpstreamSketch,
+        upstreams: VersionUpstreams,
+    ) -> bool {
+        if sources.count() < upstreams.new.min(MIN_SOURCES) {
+            return false;
+        }
         let variance = self.variance() / f64::from(self.count.max(1))
             + others.variance() / f64::from(others.count.max(1))
-            + upstreams.variance() / f64::from(upstreams.new.max(1));
+            + upstreams.variance_of_difference(sources);
         let bound = factor * (CONFIDENCE * variance.sqrt()).exp();
         self.slowdown(others)
             .is_some_and(|slowdown| slowdown > bound)
     }
 }
 
+/// Set of upstreams of which only the number is known, and that only up to 64; several daemons add up
+/// theirs without counting an upstream twice.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamSketch(u64);
+
+impl UpstreamSketch {
+    /// Adds the upstream with this digest.
+    pub fn insert(&mut self, digest: u64) {
+        self.0 |= 1 << (digest % u64::from(u64::BITS));
+    }
+
+    /// Adds the upstreams that another daemon knows.
+    pub fn add(&mut self, other: Self) {
+        self.0 |= other.0;
+    }
+
+    /// Returns the number of upstreams; it is too low if the digests of some fall together.
+    #[must_use]
+    pub fn count(self) -> u32 {
+        self.0.count_ones()
+    }
+}
+
 /// Upstreams of the versions of a roll-out.
 ///
 /// Upstreams differ in speed whatever their version, so that responses of a single one are not as much
@@ -96,7 +131,8 @@
 }
 
 impl VersionUpstreams {
-    /// Adds an upstream of an old version, with its throughput up to a factor common to all.
+    /// Adds an upstream of an old version whose responses were observed, with its throughput up to a
+    /// factor common to all.
     pub fn add_old(&mut self, throughput: f64) {
         let value = throughput.ln();
         self.old += 1;
@@ -104,11 +140,21 @@
         self.squares += value * value;
     }
 
+    /// Returns the variance of the difference between the mean logarithms of the speed of the upstreams
+    /// of the new version that responses come from, and those of the old versions.
+    fn variance_of_difference(&self, sources: UpstreamSketch) -> f64 {
+        let inverse = |count: u32| 1.0 / f64::from(count.max(1));
+        self.variance() * (inverse(sources.count()) + inverse(self.old))
+    }
+
     /// Returns the variance of the logarithms of the speed of upstreams of one version.
     fn variance(&self) -> f64 {
-        let count = f64::from(self.old.max(1));
-        let mean = self.sum / count;
         let least = MIN_UPSTREAM_DEVIATION * MIN_UPSTREAM_DEVIATION;
-        (self.squares / count - mean * mean).max(least)
+        if self.old < 2 {
+            return least;
+        }
+        let count = f64::from(self.old);
+        let spread = self.squares - self.sum * self.sum / count;
+        (spread / (count - 1.0)).max(least)
     }
 }
--- a/crates/savorywood-gateway/tests/common/harness.rs
+++ b/crates/savorywood-gateway/tests/common/harness.rs
@@ -37,6 +37,7 @@
         bounds: GatewayBounds {
             revocation_delay: Some(REVOCATION_BOUND),
             max_canary_fraction: 0.1,
+            canary_slack: 50.0,
             ..GatewayBounds::default()
         },
         seed: 7,
--- a/crates/savorywood-gateway/tests/common/versions.rs
+++ b/crates/savorywood-gateway/tests/common/versions.rs
@@ -19,6 +19,12 @@
 pub const TIME_LIMIT: Duration = Duration::from_secs(15);
 /// Time for which daemons run before the order.
 const LEAD: Duration = Duration::from_secs(6);
+/// Time after which the registration of a lost upstream expires.
+const EXPIRY: Duration = Duration::from_millis(3_600);
+/// Time after which a hasty caller leaves.
+const MOMENT: Duration = Duration::from_millis(20);
+/// Milliseconds of a response that is no stream.
+const PLAIN_MS: f64 = 60.0;
 const SLOTS: u32 = 4;
 /// Milliseconds between two events of an idle upstream of usual speed.
 const EVENT_MS: f64 = 13.0;
@@ -45,6 +51,22 @@
     pub slow_upstreams: u16,
     /// Interval at which a daemon is restarted.
     pub restart_interval: Option<Duration>,
+    /// Milliseconds until the first event of a stream at an idle upstream of usual speed.
+    pub first_event_ms: f64,
+    /// Time without an event after which callers leave.
+    pub patience: Option<Duration>,
+    /// Fraction of the callers that leave after a moment, whatever the version.
+    pub hasty_callers: f64,
+    /// Fraction of the requests that are on a route without streams.
+    pub plain_share: f64,
+    /// Fraction of the responses of the new version on that route that are failures.
+    pub plain_failures: f64,
+    /// Time after the order at which the upstreams of the new version register.
+    pub registered_after: Duration,
+    /// Time after the order at which the upstreams of the new version are lost for good.
+    pub lost_after: Option<Duration>,
+    /// Upstreams of the new version reject all requests.
+    pub rejects: bool,
 }
 
 impl Default for VersionScenario {
@@ -59,6 +81,14 @@
             burst: 1.0,
             slow_upstreams: 0,
             restart_interval: None,
+            first_event_ms: FIRST_EVENT_MS,
+            patience: None,
+            hasty_callers: 0.0,
+            plain_share: 0.0,
+            plain_failures: 0.0,
+            registered_after: Duration::ZERO,
+            lost_after: None,
+            rejects: false,
         }
     }
 }
@@ -69,6 +99,8 @@
     /// Requests dispatched within the time limit, and those of them to the new version.
     pub dispatched: u32,
     pub dispatched_new: u32,
+    /// Requests that were refused after the order.
+    pub refused: u32,
     /// Final phase and the time after the order; `None` while the roll-out runs.
     pub ended: Option<(RolloutPhase, Duration)>,
 }
@@ -80,6 +112,14 @@
     next_event_at: MonotonicTime,
     events: u32,
     events_left: u32,
+    /// Time at which its caller leaves if nothing arrives before.
+    leaves_at: Option<MonotonicTime>,
+    /// Its route has no streams.
+    plain: bool,
+}
+
+fn is_new(upstream: &UpstreamLabel) -> bool {
+    upstream.as_str().starts_with("new-")
 }
 
 /// Daemons, upstreams of two versions and the store's row of the roll-out.
@@ -194,7 +234,14 @@
     /// Lets a daemon read the upstreams; those of the new version start one after the other.
     fn read_upstreams(&mut self, daemon: usize) {
         let since_order = self.ordered_at.map(|at| self.now.since(at));
-        let started = since_order.map_or(0, |time| 1 + time.as_secs());
+        let is_lost = since_order
+            .zip(self.scenario.lost_after)
+            .is_some_and(|(time, lost_after)| time >= lost_after + EXPIRY);
+        let registered =
+            since_order.and_then(|time| time.checked_sub(self.scenario.registered_after));
+        let started = registered
+            .filter(|_| !is_lost)
+            .map_or(0, |time| 1 + time.as_secs());
         let is_started = |entry: &&UpstreamEntry| {
             (1..=started).any(|number| entry.name.as_str() == format!("new-{number}"))
                 || entry.version.as_str() == "v1"
@@ -237,10 +284,17 @@
         self.scenario.arrivals_per_second * factor
     }
 
+    /// Returns true with the given probability, and draws no number if it is zero.
+    fn chance(&mut self, probability: f64) -> bool {
+        probability > 0.0 && (self.random.below(10_000) as f64) < probability * 10_000.0
+    }
+
     fn arrive(&mut self) {
         let daemon = self.random.below(self.daemons.len());
         self.arrivals += 1;
-        let arrival = Box::new(arrival(&format!("/stream/{}", self.arrivals)));
+        let is_plain = self.chance(self.scenario.plain_share);
+        let route = if is_plain { "once" } else { "stream" };
+        let arrival = Box::new(arrival(&format!("/{route}/{}", self.arrivals)));
         let request = self.daemons[daemon].next_request();
         self.step(daemon, GatewayEvent::Arrived { request, arrival });
     }
@@ -269,12 +323,26 @@
 
     fn advance_streams(&mut self) {
         let mut streams = std::mem::take(&mut self.streams);
+        let left: Vec<OpenStream> = streams
+            .extract_if(.., |stream| {
+                stream.leaves_at.is_some_and(|at| at <= self.now)
+            })
+            .collect();
         let mut due: Vec<OpenStream> = streams
             .extract_if(.., |stream| stream.next_event_at <= self.now)
             .collect();
         self.streams = streams;
+        for stream in left {
+            let event = GatewayEvent::CallerDisconnected(stream.request);
+            self.step(stream.daemon, event);
+        }
         for mut stream in due.drain(..) {
             let request = stream.request;
+            if stream.plain {
+                self.end_plain(&stream);
+                continue;
+            }
+            stream.leaves_at = self.scenario.patience.map(|patience| self.now + patience);
             let event = if stream.events == 0 {
                 let metadata = ResponseMetadata::default();
                 GatewayEvent::ResponseStarted { request, metadata }
@@ -306,24 +374,41 @@
         harness.step(event);
         for effect in std::mem::take(&mut harness.effects) {
             match effect {
-                GatewayEffect::Dispatch(order) => self.run_stream(daemon, &order),
+                GatewayEffect::Dispatch(order) => self.start_attempt(daemon, &order),
                 GatewayEffect::AbandonAttempt { request } => self.abandon(daemon, request),
                 GatewayEffect::WriteRollout(write) => self.write(daemon, write),
+                GatewayEffect::Refuse { .. } if self.ordered_at.is_some() => {
+                    self.result.refused += 1;
+                }
                 _ => {}
             }
         }
     }
 
-    fn run_stream(&mut self, daemon: usize, order: &DispatchOrder) {
-        let is_new = order.upstream.as_str().starts_with("new-");
+    fn start_attempt(&mut self, daemon: usize, order: &DispatchOrder) {
+        let is_new = is_new(&order.upstream);
         let in_time = self
             .ordered_at
             .is_some_and(|at| self.now.since(at) < TIME_LIMIT);
         self.result.dispatched += u32::from(in_time);
         self.result.dispatched_new += u32::from(in_time && is_new);
+        if let Some(outcome) = self.outcome_without_response(&order.upstream) {
+            let request = order.request;
+            return self.step(daemon, GatewayEvent::AttemptEnded { request, outcome });
+        }
+        let first_event_ms = if order.stream {
+            self.scenario.first_event_ms
+        } else {
+            PLAIN_MS
+        };
         let first_event_in =
-            self.time_at(&order.upstream, FIRST_EVENT_MS) + self.wait_at(&order.upstream);
+            self.time_at(&order.upstream, first_event_ms) + self.wait_at(&order.upstream);
         let events_left = 2 + self.random.below(2 * MEAN_EVENTS as usize) as u32;
+        let patience = if self.chance(self.scenario.hasty_callers) {
+            Some(MOMENT)
+        } else {
+            self.scenario.patience
+        };
         self.streams.push(OpenStream {
             daemon,
             request: order.request,
@@ -331,9 +416,50 @@
             next_event_at: self.now + first_event_in,
             events: 0,
             events_left,
+            leaves_at: patience.map(|patience| self.now + patience),
+            plain: !order.stream,
         });
     }
 
+    /// Returns how an attempt ends at an upstream that is lost, or that rejects all requests.
+    fn outcome_without_response(&self, upstream: &UpstreamLabel) -> Option<AttemptOutcome> {
+        let since_order = self.now.since(self.ordered_at?);
+        if !is_new(upstream) {
+            return None;
+        }
+        let metadata = ResponseMetadata::default();
+        let is_lost = self
+            .scenario
+            .lost_after
+            .is_some_and(|after| since_order >= after);
+        if is_lost {
+            Some(AttemptOutcome::NotSent)
+        } else {
+            self.scenario.rejects.then_some(AttemptOutcome::NotRun {
+                misdirected: false,
+                metadata,
+            })
+        }
+    }
+
+    fn end_plain(&mut self, stream: &OpenStream) {
+        let is_failure = is_new(&stream.upstream) && self.chance(self.scenario.plain_failures);
+        let metadata = ResponseMetadata::default();
+        let outcome = if is_failure {
+            AttemptOutcome::Failed { metadata }
+        } else {
+            AttemptOutcome::Delivered {
+                metadata,
+                events: 0,
+            }
+        };
+        let request = stream.request;
+        self.step(
+            stream.daemon,
+            GatewayEvent::AttemptEnded { request, outcome },
+        );
+    }
+
     fn abandon(&mut self, daemon: usize, request: LocalRequest) {
         let is_abandoned =
             |stream: &OpenStream| stream.daemon == daemon && stream.request == request;
--- a/crates/savorywood-gateway/tests/rollout_pace.rs
+++ b/crates/savorywood-gateway/tests/rollout_pace.rs
@@ -54,6 +54,20 @@
     }
 }
 
+/// A version eight times slower, whose callers leave before its first event.
+fn slow_to_start() -> VersionScenario {
+    VersionScenario {
+        daemons: 3,
+        old_upstreams: 6,
+        new_upstreams: 6,
+        arrivals_per_second: 20.0,
+        slowness: 8.0,
+        first_event_ms: 350.0,
+        patience: Some(Duration::from_millis(2_400)),
+        ..VersionScenario::default()
+    }
+}
+
 fn disturbed() -> [VersionScenario; 3] {
     let usual = VersionScenario::default();
     [
@@ -127,3 +141,42 @@
         ..VersionScenario::default()
     });
 }
+
+/// Guards against a version that is accepted because callers leave before it responds.
+#[test]
+fn a_version_whose_callers_leave_before_it_responds_is_rolled_back() {
+    let scenario = slow_to_start();
+    assert_rolled_back(scenario);
+    assert_rolled_back(VersionScenario {
+        arrivals_per_second: 4.0,
+        ..scenario
+    });
+}
+
+/// Guards against taking callers that leave after a moment for evidence against a version.
+#[test]
+fn a_version_whose_callers_leave_after_a_moment_is_completed() {
+    assert_completed(VersionScenario {
+        slowness: 1.0,
+        hasty_callers: 0.4,
+        ..slow_to_start()
+    });
+}
+
+/// Guards against a quiet service whose sound version is never accepted, or whose bad one is.
+#[test]
+fn a_version_of_a_quiet_service_is_decided_by_its_few_responses() {
+    let scenario = VersionScenario {
+        daemons: 3,
+        old_upstreams: 4,
+        new_upstreams: 2,
+        arrivals_per_second: 1.0,
+        plain_share: 1.0,
+        ..VersionScenario::default()
+    };
+    assert_completed(scenario);
+    assert_rolled_back(VersionScenario {
+        plain_failures: 1.0,
+        ..scenario
+    });
+}
--- a/crates/savorywood-gateway/tests/store_restore.rs
+++ b/crates/savorywood-gateway/tests/store_restore.rs
@@ -322,11 +322,19 @@
 #[test]
 fn a_completed_roll_out_is_written_as_completed_again() {
     let mut harness = harness();
+    let new = UpstreamEntry {
+        name: "new".into(),
+        version: VersionLabel::from("v2"),
+        ..upstream(3, 1)
+    };
+    harness.step(GatewayEvent::UpstreamsRead(vec![upstream(1, 1), new]));
     harness.step(GatewayEvent::RolloutOrdered(rollout(1, 50)));
     let service = ServiceLabel::from("engine");
     let mut last = None;
     for _ in 0..80 {
         advance_confirmed(&mut harness, STEP);
+        let request = harness.arrive(arrival("/once/1"));
+        harness.deliver(request);
         for write in rollout_writes(&mut harness) {
             last = Some(write.phase);
             let service = service.clone();
