--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -14,6 +14,7 @@
     refusal::RefusalReason,
     selection::{
         ReservationContext, SelectedUpstream, SelectionContext, SelectionFailure, SelectionQuery,
+        VersionFilter,
     },
 };
 use savorywood_core::{LogLevel, LogLine};
@@ -85,10 +86,12 @@
                         self.dispatch(now, position.request, &selected, effects);
                     }
                 }
-                Err(SelectionFailure::AllFull) => match position.stage {
-                    QueueStage::New => full_selections += 1,
-                    QueueStage::Resumed => self.allow_attempted_upstreams(position.request),
-                },
+                Err(SelectionFailure::AllFull | SelectionFailure::AllRestrained) => {
+                    match position.stage {
+                        QueueStage::New => full_selections += 1,
+                        QueueStage::Resumed => self.allow_attempted_upstreams(position.request),
+                    }
+                }
                 Err(SelectionFailure::NoCandidate) => {
                     self.handle_no_upstream(now, position.request, effects);
                 }
@@ -159,7 +162,10 @@
         reservation: Option<UrgentReservation>,
     ) -> Result<SelectedUpstream, SelectionFailure> {
         let waited = now.since(record.arrived_at);
-        let query = SelectionQuery {
+        let preference =
+            self.rollouts
+                .version_preference(now, &record.service, self.canary_options());
+        let mut query = SelectionQuery {
             service: &record.service,
             prompt_tokens: record.size.prompt_tokens,
             max_output_tokens: record.size.max_output_tokens,
@@ -174,9 +180,7 @@
                 &record.route.home_regions,
                 record.team.as_ref().map_or(&[], |team| &team.home_regions),
             ],
-            versions: self
-                .rollouts
-                .version_filter(now, &record.service, self.canary_options()),
+            versions: preference.first.clone(),
             urgent_arrivals: self.urgent_arrivals(now, record),
             reservation,
             allow_probe,
@@ -205,7 +209,14 @@
                 ),
             };
         let mut random = self.random.clone();
-        context.select(&query, || random.next())
+        let selected = context.select(&query, || random.next());
+        match selected {
+            Err(failure) if preference.allows_any(failure) => {
+                query.versions = VersionFilter::Any;
+                context.select(&query, || random.next())
+            }
+            selected => selected,
+        }
     }
 
     fn urgent_arrivals(&self, now: MonotonicTime, record: &RequestRecord) -> UrgentArrivals {
--- a/crates/savorywood-gateway/src/gateway/rollouts.rs
+++ b/crates/savorywood-gateway/src/gateway/rollouts.rs
@@ -10,7 +10,8 @@
     effect::GatewayEffect,
     event::AttemptOutcome,
     label::{ServiceLabel, VersionLabel},
-    rollout::{AcceptanceCheck, RolloutWrite, VersionUpstreams},
+    peer::PeerTable,
+    rollout::{RolloutWrite, VersionUpstreams},
     upstream::UpstreamFleet,
 };
 use savorywood_core::{LogLevel, LogLine};
@@ -34,16 +35,29 @@
 
 /// Returns the upstreams of a service by version.
 fn version_upstreams(
+    now: MonotonicTime,
     fleet: &UpstreamFleet,
+    peers: &PeerTable,
     service: &ServiceLabel,
     new_version: &VersionLabel,
 ) -> VersionUpstreams {
     let mut upstreams = VersionUpstreams::default();
     let service_latency = fleet.service_latency(service);
     for state in fleet.members(service) {
-        if state.entry.version == *new_version {
-            upstreams.new += 1;
-        } else if state.latency.has_responses() {
+        let entry = &state.entry;
+        let is_available = state.accepts_requests(now) && !state.unreachable;
+        let slots = if is_available { entry.slots } else { 0 };
+        upstreams.running += state.running + peers.slots_by_digest(state.digest).running;
+        if entry.version == *new_version {
+            let key = (entry.name.clone(), entry.incarnation);
+            upstreams.new_present.insert(key);
+            upstreams.new_available += u32::from(is_available);
+            upstreams.new_slots += slots;
+            continue;
+        }
+        upstreams.old_available += u32::from(is_available);
+        upstreams.old_slots += slots;
+        if state.latency.has_responses() {
             upstreams.add_old(state.latency.throughput(&service_latency));
         }
     }
@@ -53,9 +67,10 @@
 impl Gateway {
     /// Decides on roll-outs, and writes their status if this daemon leads them.
     pub(super) fn advance_rollouts(&mut self, now: MonotonicTime, effects: &mut GatewayEffects) {
-        let fleet = &self.fleet;
-        self.rollouts
-            .record_upstreams(|service, version| version_upstreams(fleet, service, version));
+        let (fleet, peers) = (&self.fleet, &self.peers);
+        self.rollouts.record_upstreams(now, |service, version| {
+            version_upstreams(now, fleet, peers, service, version)
+        });
         self.leads_rollouts = self.is_leader(now);
         for write in self.rollouts.advance(now, self.leads_rollouts) {
             effects.push(GatewayEffect::Log(self.rollout_line(&write)));
@@ -131,12 +146,14 @@
             | AttemptOutcome::NotRelayed
             | AttemptOutcome::NotRun { .. }
             | AttemptOutcome::Expired
-            | AttemptOutcome::CallerDisconnected => return,
+            | AttemptOutcome::CallerDisconnected => {
+                return self.rollouts.record_unjudged(service, version);
+            }
         };
         if !stream && was_warm && matches!(outcome, AttemptOutcome::Delivered { .. }) {
             self.rollouts.record_pace(state, elapsed);
         }
-        self.rollouts.record_response(service, version, is_failure);
+        self.rollouts.record_response(state, is_failure);
     }
 
     /// Returns the log line of a step with the evidence on which it was decided.
@@ -145,21 +162,26 @@
             .with("service", &write.service)
             .with("to", &write.target_version)
             .with("state", write.phase);
-        let Some(total) = self.rollouts.total(&write.service) else {
+        let total = self.rollouts.total(&write.service);
+        let Some((total, check)) = total.zip(self.rollouts.check(&write.service)) else {
             return line;
         };
         let slowdown = total.new_paces.slowdown(&total.old_paces).unwrap_or(1.0);
-        let check = AcceptanceCheck::new(&total);
         line.with("sent", total.dispatched)
             .with("sent_new", total.dispatched_new)
             .with("responses_new", total.new_responses)
             .with("bad_new", total.new_bad)
             .with("good_new", check.good_responses)
             .with("needed", check.needed_responses)
+            .with("unjudged_new", total.new_unjudged)
             .with("responses_old", total.old_responses)
             .with("bad_old", total.old_bad)
             .with("paces_new", total.new_paces.count())
             .with("paces_old", total.old_paces.count())
             .with("slowdown", format_args!("{slowdown:.2}"))
+            .with("upstreams_new", check.upstreams)
+            .with("slots_new", check.slots)
+            .with("demand", format_args!("{:.1}", check.demand))
+            .with("verdict", check.verdict())
     }
 }
--- a/crates/savorywood-gateway/src/message.rs
+++ b/crates/savorywood-gateway/src/message.rs
@@ -105,6 +105,10 @@
     pub dispatched: u32,
     /// Requests dispatched to the new version.
     pub dispatched_new: u32,
+    /// Those of them that ended without telling anything of the version.
+    pub new_unjudged: u32,
+    /// Good responses of the new version that came from upstreams that are still registered.
+    pub new_good_present: u32,
     /// Paces of responses of the new version.
     pub new_paces: PaceSums,
     /// Paces of responses of the old versions in the same period.
--- a/crates/savorywood-gateway/src/rollout.rs
+++ b/crates/savorywood-gateway/src/rollout.rs
@@ -2,21 +2,25 @@
 
 mod acceptance;
 mod pace;
+mod preference;
+mod upstreams;
 
 use crate::{
-    label::{ServiceLabel, VersionLabel},
+    label::{ServiceLabel, UpstreamLabel, VersionLabel},
     message::VersionTally,
     peer::name_digest,
     position::StorePosition,
-    selection::VersionFilter,
     upstream::UpstreamState,
 };
-use acceptance::is_significantly_worse;
 pub use acceptance::{AcceptanceCheck, RolloutStage};
-pub use pace::{PaceSums, UpstreamSketch, VersionUpstreams};
+use acceptance::{AcceptanceVerdict, is_significantly_worse};
+pub use pace::{PaceSums, UpstreamSketch};
+pub use preference::VersionPreference;
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, time::Duration};
 use strum::{Display, EnumString, IntoStaticStr};
+use upstreams::DemandAverage;
+pub use upstreams::VersionUpstreams;
 
 /// Order of an operator to roll out a version.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -113,6 +117,9 @@
 /// Requests that a new version may receive ahead of its share, over all daemons.
 pub const CANARY_HEAD_START: f64 = 2.0;
 
+/// Name and incarnation of an upstream.
+type UpstreamKey = (UpstreamLabel, u64);
+
 #[derive(Debug, Clone)]
 struct RolloutState {
     order: RolloutOrder,
@@ -120,6 +127,11 @@
     own: VersionTally,
     peers: BTreeMap<u64, VersionTally>,
     upstreams: VersionUpstreams,
+    /// Requests of the service in progress at all daemons, on average.
+    demand: DemandAverage,
+    /// Good responses by upstream of the new version; those of upstreams that are gone do not speak for
+    /// it any more.
+    good_responses: BTreeMap<UpstreamKey, u32>,
     phase: RolloutPhase,
     /// Final phase that a write in progress records.
     pending_phase: Option<RolloutPhase>,
@@ -149,6 +161,8 @@
             total.old_bad += tally.old_bad;
             total.dispatched += tally.dispatched;
             total.dispatched_new += tally.dispatched_new;
+            total.new_unjudged += tally.new_unjudged;
+            total.new_good_present += tally.new_good_present;
             total.new_paces.add(&tally.new_paces);
             total.old_paces.add(&tally.old_paces);
             total.new_sources.add(tally.new_sources);
@@ -199,7 +213,7 @@
                 && f64::from(self.own.dispatched_new) + 1.0 <= own_allowed
         };
         is_within(allowed, share)
-            || acceptance::needs_probe(total, progress / CANARY_END_FRACTION)
+            || acceptance::needs_probe(total, &self.check(total), progress / CANARY_END_FRACTION)
                 && is_within(allowed + options.slack * CANARY_SLACK_FRACTION, probe_share)
     }
 
@@ -216,18 +230,22 @@
                 &total.old_paces,
                 max_slowdown,
                 total.new_sources,
-                self.upstreams,
+                &self.upstreams,
             )
     }
 
     /// Returns which part of the requests may go to the new version.
     fn stage(&self, now: MonotonicTime, total: &VersionTally) -> RolloutStage {
-        if !AcceptanceCheck::new(total).is_accepted() {
-            return RolloutStage::Canary;
-        }
+        let verdict = self.check(total).verdict();
         let progress = self.progress(now);
-        if progress >= SWITCH_FRACTION {
-            return RolloutStage::Switched;
+        match verdict {
+            AcceptanceVerdict::NoUpstream | AcceptanceVerdict::FewResponses => {
+                return RolloutStage::Canary;
+            }
+            AcceptanceVerdict::Accepted if progress >= SWITCH_FRACTION => {
+                return RolloutStage::Switched;
+            }
+            AcceptanceVerdict::Accepted | AcceptanceVerdict::NoRoom => {}
         }
         let slowdown = total.new_paces.slowdown(&total.old_paces);
         let is_as_quick = slowdown.is_none_or(|slowdown| slowdown <= MAX_SLOWDOWN);
@@ -242,24 +260,35 @@
     /// old versions and can't be undone, so time alone never leads to it.
     fn due_phase(&self, now: MonotonicTime, total: &VersionTally) -> RolloutPhase {
         let progress = self.progress(now);
-        let is_accepted = AcceptanceCheck::new(total).is_accepted();
+        let may_complete = self.check(total).verdict() == AcceptanceVerdict::Accepted;
         let min_switched = self.order.time_limit.mul_f64(MIN_SWITCHED_FRACTION);
         let has_borne_load = self
             .switched_at
             .is_some_and(|at| now.since(at) >= min_switched);
-        if progress >= GIVE_UP_FRACTION {
-            if is_accepted {
-                RolloutPhase::Completed
-            } else {
-                RolloutPhase::RolledBack
-            }
-        } else if progress >= COMPLETION_FRACTION && is_accepted && has_borne_load {
+        let is_last_chance = progress >= GIVE_UP_FRACTION;
+        if progress >= COMPLETION_FRACTION && may_complete && (has_borne_load || is_last_chance) {
             RolloutPhase::Completed
+        } else if is_last_chance && self.upstreams.old_available > 0 {
+            RolloutPhase::RolledBack
         } else {
+            // Without an upstream of another version there is nothing to go back to.
             RolloutPhase::Running
         }
     }
 
+    fn check(&self, total: &VersionTally) -> AcceptanceCheck {
+        AcceptanceCheck::new(total, &self.upstreams, self.demand.requests())
+    }
+
+    /// Records the upstreams of both versions as they are registered now.
+    fn record_upstreams(&mut self, now: MonotonicTime, upstreams: VersionUpstreams) {
+        self.demand.record(now, upstreams.running);
+        self.good_responses
+            .retain(|key, _| upstreams.new_present.contains(key));
+        self.own.new_good_present = self.good_responses.values().sum();
+        self.upstreams = upstreams;
+    }
+
     /// Advances to the current time. Returns the phase to write, if any is to be written.
     fn advance(&mut self, now: MonotonicTime, is_leader: bool) -> Option<RolloutPhase> {
         let mut due = self.phase;
@@ -328,6 +357,8 @@
             old_bad: 0,
             dispatched: 0,
             dispatched_new: 0,
+            new_unjudged: 0,
+            new_good_present: 0,
             new_paces: PaceSums::default(),
             old_paces: PaceSums::default(),
             new_sources: UpstreamSketch::default(),
@@ -339,6 +370,8 @@
             own,
             peers: BTreeMap::new(),
             upstreams: VersionUpstreams::default(),
+            demand: DemandAverage::default(),
+            good_responses: BTreeMap::new(),
             phase: RolloutPhase::Running,
             pending_phase: None,
             switched_at: None,
@@ -394,7 +427,10 @@
         if let Some(state) = self.states.get_mut(service) {
             state.write_pending = false;
             let phase = state.pending_phase.take().filter(|_| accepted);
-            if let Some(phase) = phase {
+            // A rejection may have been found meanwhile, and is to be written over `running`.
+            if let Some(phase) = phase
+                && (phase != RolloutPhase::Running || state.phase == RolloutPhase::Running)
+            {
                 state.written = true;
                 state.phase = phase;
             }
@@ -402,33 +438,33 @@
         }
     }
 
-    /// Returns which versions may receive the next request of a service.
-    pub fn version_filter(
+    /// Returns which versions are to receive the next request of a service.
+    pub fn version_preference(
         &self,
         now: MonotonicTime,
         service: &ServiceLabel,
         options: CanaryOptions,
-    ) -> VersionFilter {
+    ) -> VersionPreference {
         let Some(state) = self.states.get(service) else {
-            return VersionFilter::Any;
+            return VersionPreference::any();
         };
-        let to = state.order.target_version.clone();
+        let new_version = &state.order.target_version;
         match state.phase {
-            RolloutPhase::Completed => return VersionFilter::Only(to),
-            RolloutPhase::RolledBack => return VersionFilter::Except(to),
+            RolloutPhase::Completed => return VersionPreference::completed(new_version),
+            RolloutPhase::RolledBack => return VersionPreference::rejected(new_version),
             RolloutPhase::Running => {}
         }
         let total = state.total();
         if state.is_rejected(now, &total) {
-            return VersionFilter::Except(to);
+            return VersionPreference::rejected(new_version);
         }
         match state.stage(now, &total) {
-            RolloutStage::Switched => VersionFilter::Only(to),
-            RolloutStage::Shared => VersionFilter::Any,
+            RolloutStage::Switched => VersionPreference::switched(new_version),
+            RolloutStage::Shared => VersionPreference::any(),
             RolloutStage::Canary if state.allows_canary(now, &total, options) => {
-                VersionFilter::Only(to)
+                VersionPreference::favoured(new_version)
             }
-            RolloutStage::Canary => VersionFilter::Except(to),
+            RolloutStage::Canary => VersionPreference::withheld(new_version),
         }
     }
 
@@ -440,16 +476,32 @@
         }
     }
 
-    /// Records a response of an upstream of the given version.
-    pub fn record_response(&mut self, service: &ServiceLabel, version: &VersionLabel, bad: bool) {
-        if let Some(state) = self.states.get_mut(service) {
-            if state.order.target_version == *version {
-                state.own.new_responses += 1;
-                state.own.new_bad += u32::from(bad);
-            } else {
-                state.own.old_responses += 1;
-                state.own.old_bad += u32::from(bad);
-            }
+    /// Records a response of an upstream.
+    pub fn record_response(&mut self, upstream: &UpstreamState, bad: bool) {
+        let entry = &upstream.entry;
+        let Some(state) = self.states.get_mut(&entry.service) else {
+            return;
+        };
+        if state.order.target_version != entry.version {
+            state.own.old_responses += 1;
+            state.own.old_bad += u32::from(bad);
+            return;
+        }
+        state.own.new_responses += 1;
+        state.own.new_bad += u32::from(bad);
+        if !bad {
+            let key = (entry.name.clone(), entry.incarnation);
+            *state.good_responses.entry(key).or_default() += 1;
+            state.own.new_good_present += 1;
+        }
+    }
+
+    /// Records an attempt at an upstream that ended without telling anything of its version.
+    pub fn record_unjudged(&mut self, service: &ServiceLabel, version: &VersionLabel) {
+        if let Some(state) = self.states.get_mut(service)
+            && state.order.target_version == *version
+        {
+            state.own.new_unjudged += 1;
         }
     }
 
@@ -483,15 +535,24 @@
     /// the given version is the new one.
     pub fn record_upstreams(
         &mut self,
+        now: MonotonicTime,
         find: impl Fn(&ServiceLabel, &VersionLabel) -> VersionUpstreams,
     ) {
         for state in self.states.values_mut() {
             if state.phase == RolloutPhase::Running {
-                state.upstreams = find(&state.order.service, &state.order.target_version);
+                let upstreams = find(&state.order.service, &state.order.target_version);
+                state.record_upstreams(now, upstreams);
             }
         }
     }
 
+    /// Returns what speaks for accepting the version of a service's roll-out.
+    #[must_use]
+    pub fn check(&self, service: &ServiceLabel) -> Option<AcceptanceCheck> {
+        let state = self.states.get(service)?;
+        Some(state.check(&state.total()))
+    }
+
     /// Returns the tally over all daemons of a service's roll-out.
     #[must_use]
     pub fn total(&self, service: &ServiceLabel) -> Option<VersionTally> {
--- a/crates/savorywood-gateway/src/rollout/acceptance.rs
+++ b/crates/savorywood-gateway/src/rollout/acceptance.rs
@@ -1,5 +1,6 @@
 //! Acceptance of a new version by what it has shown.
 
+use super::VersionUpstreams;
 use crate::message::VersionTally;
 use strum::{Display, IntoStaticStr};
 
@@ -12,6 +13,11 @@
 const GOOD_RESPONSES_PER_BAD: f64 = 5.0;
 /// Requests of the service for each good response that is needed.
 const REQUESTS_PER_GOOD_RESPONSE: u32 = 2;
+/// Requests in progress for each slot of the new version with which it still has room: requests take longer
+/// where many are in progress, so that they would need fewer slots than their number.
+const MAX_DEMAND_PER_SLOT: f64 = 2.0;
+/// Attempts without a result that do not keep others from following.
+const MAX_UNJUDGED: u32 = 6;
 /// Number of bad responses of the new version that are needed to reject it.
 const MIN_BAD_RESPONSES: u32 = 3;
 
@@ -27,42 +33,78 @@
     Switched,
 }
 
+/// Whether a new version may be completed, and what is missing otherwise.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum AcceptanceVerdict {
+    /// It may.
+    Accepted,
+    /// None of its upstreams takes requests.
+    NoUpstream,
+    /// It has too few good responses.
+    FewResponses,
+    /// Its upstreams have too few slots for the requests of the service.
+    NoRoom,
+}
+
 /// What speaks for accepting the new version, and what is needed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AcceptanceCheck {
-    /// Good responses of the new version.
+    /// Good responses of upstreams of the new version that are still registered.
     pub good_responses: u32,
     /// Good responses that are needed.
     pub needed_responses: u32,
+    /// Upstreams of the new version that take requests.
+    pub upstreams: u32,
+    /// Their slots.
+    pub slots: u32,
+    /// Requests in progress that need room: those of the service, on average, as far as the old versions
+    /// have slots for them.
+    pub demand: f64,
 }
 
 impl AcceptanceCheck {
     /// Sums up the evidence of all daemons.
     #[must_use]
-    pub fn new(total: &VersionTally) -> Self {
+    pub fn new(total: &VersionTally, upstreams: &VersionUpstreams, demand: f64) -> Self {
         let needed = total.dispatched / REQUESTS_PER_GOOD_RESPONSE;
         let usual_bad = f64::from(total.new_responses) * old_bad_ratio(total);
         let excess_bad = (f64::from(total.new_bad) - usual_bad).max(0.0);
         Self {
-            good_responses: total.new_responses.saturating_sub(total.new_bad),
+            good_responses: total.new_good_present,
             needed_responses: needed.clamp(1, MIN_GOOD_RESPONSES)
                 + (excess_bad * GOOD_RESPONSES_PER_BAD).ceil() as u32,
+            upstreams: upstreams.new_available,
+            slots: upstreams.new_slots,
+            demand: if upstreams.old_slots > 0 {
+                demand.min(f64::from(upstreams.old_slots))
+            } else {
+                demand
+            },
         }
     }
 
-    /// Returns whether the new version is accepted.
+    /// Returns whether the new version may be completed.
     #[must_use]
-    pub fn is_accepted(&self) -> bool {
-        self.good_responses >= self.needed_responses
+    pub fn verdict(&self) -> AcceptanceVerdict {
+        if self.upstreams == 0 {
+            AcceptanceVerdict::NoUpstream
+        } else if self.good_responses < self.needed_responses {
+            AcceptanceVerdict::FewResponses
+        } else if self.demand > f64::from(self.slots) * MAX_DEMAND_PER_SLOT {
+            AcceptanceVerdict::NoRoom
+        } else {
+            AcceptanceVerdict::Accepted
+        }
     }
 }
 
 /// Returns whether the new version lacks good responses, also with those that are on their way. They
 /// are needed one after the other until `progress`, a fraction of the time for them, is 1: upstreams of the
 /// new version register one after the other, and the first one may differ from the rest.
-pub fn needs_probe(total: &VersionTally, progress: f64) -> bool {
-    let check = AcceptanceCheck::new(total);
-    let running = total.dispatched_new.saturating_sub(total.new_responses);
+pub fn needs_probe(total: &VersionTally, check: &AcceptanceCheck, progress: f64) -> bool {
+    let ended = total.new_responses + total.new_unjudged.min(MAX_UNJUDGED);
+    let running = total.dispatched_new.saturating_sub(ended);
     let needed = check.needed_responses.max(MIN_GOOD_RESPONSES);
     f64::from(check.good_responses + running) < f64::from(needed) * progress.min(1.0)
 }
--- a/crates/savorywood-gateway/src/rollout/pace.rs
+++ b/crates/savorywood-gateway/src/rollout/pace.rs
@@ -1,5 +1,6 @@
 //! Pace of responses of two versions, compared over all daemons.
 
+use super::VersionUpstreams;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -14,8 +15,6 @@
 const CONFIDENCE: f64 = 3.0;
 /// Least standard deviation of the logarithms that is assumed: few responses may be alike by chance.
 const MIN_DEVIATION: f64 = 0.3;
-/// The same for the speeds of upstreams of one version.
-const MIN_UPSTREAM_DEVIATION: f64 = 0.15;
 
 /// Sums over the logarithms of the times of responses, or of the times between their events.
 ///
@@ -80,9 +79,9 @@
         others: &Self,
         factor: f64,
         sources: UpstreamSketch,
-        upstreams: VersionUpstreams,
+        upstreams: &VersionUpstreams,
     ) -> bool {
-        if sources.count() < upstreams.new.min(MIN_SOURCES) {
+        if sources.count() < upstreams.new_count().min(MIN_SOURCES) {
             return false;
         }
         let variance = self.variance() / f64::from(self.count.max(1))
@@ -116,45 +115,3 @@
         self.0.count_ones()
     }
 }
-
-/// Upstreams of the versions of a roll-out.
-///
-/// Upstreams differ in speed whatever their version, so that responses of a single one are not as much
-/// evidence as those of several.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct VersionUpstreams {
-    /// Registered upstreams of the new version.
-    pub new: u32,
-    old: u32,
-    sum: f64,
-    squares: f64,
-}
-
-impl VersionUpstreams {
-    /// Adds an upstream of an old version whose responses were observed, with its throughput up to a
-    /// factor common to all.
-    pub fn add_old(&mut self, throughput: f64) {
-        let value = throughput.ln();
-        self.old += 1;
-        self.sum += value;
-        self.squares += value * value;
-    }
-
-    /// Returns the variance of the difference between the mean logarithms of the speed of the upstreams
-    /// of the new version that responses come from, and those of the old versions.
-    fn variance_of_difference(&self, sources: UpstreamSketch) -> f64 {
-        let inverse = |count: u32| 1.0 / f64::from(count.max(1));
-        self.variance() * (inverse(sources.count()) + inverse(self.old))
-    }
-
-    /// Returns the variance of the logarithms of the speed of upstreams of one version.
-    fn variance(&self) -> f64 {
-        let least = MIN_UPSTREAM_DEVIATION * MIN_UPSTREAM_DEVIATION;
-        if self.old < 2 {
-            return least;
-        }
-        let count = f64::from(self.old);
-        let spread = self.squares - self.sum * self.sum / count;
-        (spread / (count - 1.0)).max(least)
-    }
-}
--- a/crates/savorywood-gateway/src/selection.rs
+++ b/crates/savorywood-gateway/src/selection.rs
@@ -178,6 +178,8 @@
 pub enum SelectionFailure {
     /// All eligible upstreams lack a free slot, or would be too late.
     AllFull,
+    /// All eligible upstreams have asked for fewer requests, or warm up.
+    AllRestrained,
     /// No upstream is eligible.
     NoCandidate,
 }
@@ -348,7 +350,21 @@
         {
             reservations.holds.record(cause);
         }
-        best.ok_or(SelectionFailure::AllFull)
+        best.ok_or_else(|| {
+            if candidates
+                .iter()
+                .all(|candidate| self.is_restrained(candidate))
+            {
+                SelectionFailure::AllRestrained
+            } else {
+                SelectionFailure::AllFull
+            }
+        })
+    }
+
+    /// Returns whether the upstream takes no request now, whatever its free slots.
+    fn is_restrained(&self, candidate: &Candidate<'_>) -> bool {
+        candidate.state.is_paused(self.now) || !self.rate_allows(candidate.state)
     }
 
     /// Returns the upstreams that are eligible for the request, with or without a free slot.
@@ -448,11 +464,7 @@
             }
             None => usage.all < usage.slots,
         };
-        if !has_slot
-            || candidate.state.is_paused(self.now)
-            || !self.rate_allows(candidate.state)
-            || !self.memory_allows(candidate, query)
-        {
+        if !has_slot || self.is_restrained(candidate) || !self.memory_allows(candidate, query) {
             return SlotAvailability::Full;
         }
         let Some(reservations) = self.reservations else {
--- a/crates/savorywood-gateway/tests/rollout_pace.rs
+++ b/crates/savorywood-gateway/tests/rollout_pace.rs
@@ -163,6 +163,37 @@
     });
 }
 
+/// Guards against refusing a service because the new version has lost its only upstream.
+#[test]
+fn a_version_without_upstreams_takes_no_requests_from_the_old_one() {
+    let usual = VersionScenario {
+        daemons: 3,
+        old_upstreams: 6,
+        new_upstreams: 1,
+        arrivals_per_second: 12.0,
+        ..VersionScenario::default()
+    };
+    for scenario in [
+        VersionScenario {
+            lost_after: Some(Duration::from_secs(1)),
+            ..usual
+        },
+        VersionScenario {
+            registered_after: TIME_LIMIT,
+            ..usual
+        },
+        VersionScenario {
+            rejects: true,
+            ..usual
+        },
+    ] {
+        assert_rolled_back(scenario);
+        for result in results(scenario) {
+            assert_eq!(result.refused, 0, "{scenario:?}");
+        }
+    }
+}
+
 /// Guards against a quiet service whose sound version is never accepted, or whose bad one is.
 #[test]
 fn a_version_of_a_quiet_service_is_decided_by_its_few_responses() {
--- a/crates/savorywood-gateway/tests/rollouts.rs
+++ b/crates/savorywood-gateway/tests/rollouts.rs
@@ -282,3 +282,102 @@
     let new = upstreams.filter(|upstream| upstream.as_str().starts_with("new-"));
     assert_eq!(new.count(), 0);
 }
+
+/// A daemon, and the store's row of its roll-out.
+struct SingleDaemon {
+    harness: GatewayHarness,
+    row: StorePosition,
+    refused: usize,
+    phases: Vec<RolloutPhase>,
+}
+
+impl SingleDaemon {
+    fn new(harness: GatewayHarness) -> Self {
+        Self {
+            harness,
+            row: StorePosition::default(),
+            refused: 0,
+            phases: Vec::new(),
+        }
+    }
+
+    /// Passes the time limit of a roll-out, with ten requests a second if `busy`.
+    fn pass_time_limit(&mut self, busy: bool) {
+        let end = self.harness.now + ROLLOUT_DEADLINE;
+        while self.harness.now < end {
+            self.harness.advance(Duration::from_millis(100));
+            self.harness.confirm();
+            if busy {
+                self.serve();
+            }
+            self.answer_writes();
+        }
+    }
+
+    fn serve(&mut self) {
+        let request = self.harness.arrive(arrival("/once/1"));
+        if self.harness.orders(request).is_empty() {
+            self.refused += 1;
+        } else {
+            self.harness.deliver(request);
+        }
+    }
+
+    fn answer_writes(&mut self) {
+        for effect in std::mem::take(&mut self.harness.effects) {
+            let GatewayEffect::WriteRollout(write) = effect else {
+                continue;
+            };
+            assert_eq!(write.expected_position.version, self.row.version);
+            self.row = StorePosition::new(1, self.row.version + 60);
+            self.phases.push(write.phase);
+            self.harness.step(GatewayEvent::RolloutWriteFinished {
+                service: write.service,
+                accepted: true,
+                era: 1,
+            });
+            let status = RolloutStatus {
+                service: ServiceLabel::from("engine"),
+                target_version: Some(write.target_version),
+                phase: Some(write.phase),
+                position: self.row,
+            };
+            self.harness.step(GatewayEvent::RolloutStatusRead(status));
+        }
+    }
+}
+
+/// Guards against refusing requests once a version has had its share and the others are gone.
+#[test]
+fn a_version_whose_predecessor_is_lost_gets_all_requests() {
+    let mut harness = start_daemon(0, MonotonicTime(1_000_000));
+    let entries = (1..=4).map(new_upstream).collect();
+    harness.step(GatewayEvent::UpstreamsRead(entries));
+    harness.advance(Duration::from_secs(4));
+    let mut daemon = SingleDaemon::new(harness);
+    daemon.pass_time_limit(true);
+    assert_eq!(daemon.refused, 0);
+    let expected = [RolloutPhase::Running, RolloutPhase::Completed];
+    assert_eq!(daemon.phases, expected);
+}
+
+/// Guards against rolling the only version of a service back, whose upstreams would then drain.
+#[test]
+fn an_order_to_the_version_in_force_is_never_rolled_back() {
+    let mut harness = start_daemon(0, MonotonicTime(1_000_000));
+    let entries = (1..=4).map(|number| upstream(number, 8)).collect();
+    harness.step(GatewayEvent::UpstreamsRead(entries));
+    harness.step(GatewayEvent::RolloutOrdered(RolloutOrder {
+        service: ServiceLabel::from("engine"),
+        target_version: VersionLabel::from("v1"),
+        time_limit: ROLLOUT_DEADLINE,
+        position: StorePosition::new(1, 70),
+    }));
+    let mut daemon = SingleDaemon::new(harness);
+    daemon.pass_time_limit(false);
+    assert_eq!(daemon.phases, [RolloutPhase::Running]);
+    daemon.pass_time_limit(true);
+    assert_eq!(daemon.refused, 0);
+    let expected = [RolloutPhase::Running, RolloutPhase::Completed];
+    assert_eq!(daemon.phases, expected);
+}
