--- a/crates/savorywood-front/src/peers/format.rs
+++ b/crates/savorywood-front/src/peers/format.rs
@@ -9,7 +9,7 @@
 /// First byte of every datagram.
 const MAGIC_BYTE: u8 = 0xd5;
 /// Must be incremented when any type that is sent between daemons changes.
-const FORMAT_VERSION: u8 = 7;
+const FORMAT_VERSION: u8 = 8;
 
 /// A datagram could not be decoded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -12,6 +12,7 @@
     queue::QueueStage,
     queueing::{LateWorkRule, OrderedRequest, QueuedRequest, UrgentReservation, order_requests},
     refusal::RefusalReason,
+    rollout::RouteDigest,
     selection::{
         ReservationContext, SelectedUpstream, SelectionContext, SelectionFailure, SelectionQuery,
         VersionFilter,
@@ -162,9 +163,12 @@
         reservation: Option<UrgentReservation>,
     ) -> Result<SelectedUpstream, SelectionFailure> {
         let waited = now.since(record.arrived_at);
-        let preference =
-            self.rollouts
-                .version_preference(now, &record.service, self.canary_options());
+        let preference = self.rollouts.version_preference(
+            now,
+            &record.service,
+            RouteDigest::new(&record.route.name),
+            self.canary_options(),
+        );
         let mut query = SelectionQuery {
             service: &record.service,
             prompt_tokens: record.size.prompt_tokens,
@@ -296,8 +300,8 @@
         });
         self.prefix_cache
             .record_prompt(now, &record.prompt_parts, &selected.name);
-        self.rollouts
-            .record_dispatch(&record.service, &state.entry.version);
+        let route = RouteDigest::new(&record.route.name);
+        self.rollouts.record_dispatch(&state.entry, route);
         let order = DispatchOrder {
             request,
             attempt: record.attempts,
--- a/crates/savorywood-gateway/src/gateway/feedback.rs
+++ b/crates/savorywood-gateway/src/gateway/feedback.rs
@@ -13,7 +13,7 @@
 };
 use savorywood_core::{LogLevel, LogLine};
 use savorywood_protocol::MonotonicTime;
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 /// Factor over the expected time to the first event above which a missing response counts against
 /// its upstream.
@@ -208,7 +208,8 @@
             return;
         };
         let service = record.service.clone();
-        let stream = record.route.retry_safety.is_stream();
+        let route = Arc::clone(&record.route);
+        let stream = route.retry_safety.is_stream();
         if let Some(state) = self.fleet.get_mut(&attempt.upstream) {
             state.memory.record_end(record.size);
         }
@@ -247,7 +248,7 @@
             self.record_latency(&service, &attempt.upstream, &response);
         }
         self.update_outlier_state(now, &service, attempt, outcome, effects);
-        self.record_rollout_result(now, &service, attempt, outcome, stream);
+        self.record_rollout_result(now, &route, attempt, outcome);
         if let Some(metadata) = outcome.metadata().filter(|_| !metadata_applied) {
             let dispatched_at = attempt.dispatched_at;
             self.record_limit(
--- a/crates/savorywood-gateway/src/gateway/rollouts.rs
+++ b/crates/savorywood-gateway/src/gateway/rollouts.rs
@@ -7,11 +7,12 @@
 };
 use crate::{
     arrival::LocalRequest,
+    config::RouteSpec,
     effect::GatewayEffect,
     event::AttemptOutcome,
     label::{ServiceLabel, VersionLabel},
     peer::PeerTable,
-    rollout::{RolloutWrite, VersionUpstreams},
+    rollout::{RolloutWrite, RouteDigest, VersionUpstreams},
     upstream::UpstreamFleet,
 };
 use savorywood_core::{LogLevel, LogLine};
@@ -91,17 +92,18 @@
         }
         attempt.pace_recorded = true;
         let attempt = attempt.clone();
-        self.record_pace_of(&attempt);
+        let route = RouteDigest::new(&record.route.name);
+        self.record_pace_of(&attempt, route);
     }
 
-    fn record_pace_of(&mut self, attempt: &RunningAttempt) {
+    fn record_pace_of(&mut self, attempt: &RunningAttempt, route: RouteDigest) {
         let Some(state) = self.fleet.get(&attempt.upstream) else {
             return;
         };
         // An upstream that warms up is slow whatever its version.
         let was_warm = state.cold_until <= attempt.dispatched_at;
         if let Some(pace) = attempt.event_pace().filter(|_| was_warm) {
-            self.rollouts.record_pace(state, pace);
+            self.rollouts.record_pace(state, route, pace);
         }
     }
 
@@ -109,25 +111,26 @@
     pub(super) fn record_rollout_result(
         &mut self,
         now: MonotonicTime,
-        service: &ServiceLabel,
+        route: &RouteSpec,
         attempt: &RunningAttempt,
         outcome: &AttemptOutcome,
-        stream: bool,
     ) {
+        let stream = route.retry_safety.is_stream();
+        let route = RouteDigest::new(&route.name);
         if stream && !attempt.pace_recorded && attempt.events >= MIN_PACE_EVENTS {
-            self.record_pace_of(attempt);
+            self.record_pace_of(attempt, route);
         }
         let Some(state) = self.fleet.get(&attempt.upstream) else {
             return;
         };
-        let version = &state.entry.version;
+        let entry = &state.entry;
         // An upstream that warms up is slow whatever its version.
         let was_warm = state.cold_until <= attempt.dispatched_at;
         let elapsed = now.since(attempt.dispatched_at);
         let is_late = || match attempt.last_event_at {
             None => is_slow(elapsed.as_secs_f64() * 1e3, attempt.expected_first_event_ms),
             Some(last_event_at) => {
-                let service_latency = self.fleet.service_latency(service);
+                let service_latency = self.fleet.service_latency(&entry.service);
                 let usual_ms = state.latency.longest_gap_ms(&service_latency);
                 is_slow(now.since(last_event_at).as_secs_f64() * 1e3, usual_ms)
             }
@@ -147,13 +150,13 @@
             | AttemptOutcome::NotRun { .. }
             | AttemptOutcome::Expired
             | AttemptOutcome::CallerDisconnected => {
-                return self.rollouts.record_unjudged(service, version);
+                return self.rollouts.record_unjudged(entry, route);
             }
         };
         if !stream && was_warm && matches!(outcome, AttemptOutcome::Delivered { .. }) {
-            self.rollouts.record_pace(state, elapsed);
+            self.rollouts.record_pace(state, route, elapsed);
         }
-        self.rollouts.record_response(state, is_failure);
+        self.rollouts.record_response(entry, route, is_failure);
     }
 
     /// Returns the log line of a step with the evidence on which it was decided.
@@ -162,17 +165,19 @@
             .with("service", &write.service)
             .with("to", &write.target_version)
             .with("state", write.phase);
-        let total = self.rollouts.total(&write.service);
-        let Some((total, check)) = total.zip(self.rollouts.check(&write.service)) else {
+        let evidence = self.rollouts.evidence(&write.service);
+        let Some((evidence, check)) = evidence.zip(self.rollouts.check(&write.service)) else {
             return line;
         };
-        let slowdown = total.new_paces.slowdown(&total.old_paces).unwrap_or(1.0);
+        let slowdown = evidence.compare_paces().slowdown().unwrap_or(1.0);
+        let total = evidence.total();
         line.with("sent", total.dispatched)
             .with("sent_new", total.dispatched_new)
             .with("responses_new", total.new_responses)
             .with("bad_new", total.new_bad)
             .with("good_new", check.good_responses)
             .with("needed", check.needed_responses)
+            .with("unproven_routes", check.unproven_routes)
             .with("unjudged_new", total.new_unjudged)
             .with("responses_old", total.old_responses)
             .with("bad_old", total.old_bad)
--- a/crates/savorywood-gateway/src/lib.rs
+++ b/crates/savorywood-gateway/src/lib.rs
@@ -110,7 +110,8 @@
     BudgetLevel, RetryBudget, RetryBudgetOptions, RetryCounters, RetryDecision,
 };
 pub use rollout::{
-    PaceSums, RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite, UpstreamSketch,
+    PaceSums, RolloutEvidence, RolloutOrder, RolloutPhase, RolloutStatus, RolloutWrite,
+    RouteDigest, RouteEvidence, UpstreamSketch,
 };
 pub use selection::RoutingPolicy;
 pub use stop::{RequestEnd, StopSchedule};
--- a/crates/savorywood-gateway/src/message.rs
+++ b/crates/savorywood-gateway/src/message.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     entry_set::HostResources,
-    rollout::{PaceSums, UpstreamSketch},
+    rollout::RolloutEvidence,
     store_reads::{PeerEcho, StoreAttestation},
     team_limit::BucketLevels,
 };
@@ -87,34 +87,14 @@
 }
 
 /// Results that one daemon has observed for one roll-out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionTally {
     /// Digest of the service's name and the new version.
     pub rollout: u64,
     /// Time since the order, in milliseconds, as far as the daemon knows.
     pub age_ms: u32,
-    /// Responses of the new version.
-    pub new_responses: u32,
-    /// Failed or far too slow responses among them.
-    pub new_bad: u32,
-    /// Responses of the old versions in the same period.
-    pub old_responses: u32,
-    /// Failed or far too slow responses among them.
-    pub old_bad: u32,
-    /// Requests of the service dispatched in the same period, to any version.
-    pub dispatched: u32,
-    /// Requests dispatched to the new version.
-    pub dispatched_new: u32,
-    /// Those of them that ended without telling anything of the version.
-    pub new_unjudged: u32,
-    /// Good responses of the new version that came from upstreams that are still registered.
-    pub new_good_present: u32,
-    /// Paces of responses of the new version.
-    pub new_paces: PaceSums,
-    /// Paces of responses of the old versions in the same period.
-    pub old_paces: PaceSums,
-    /// Upstreams that the paces of the new version come from.
-    pub new_sources: UpstreamSketch,
+    /// Requests and responses of both versions.
+    pub evidence: RolloutEvidence,
     /// The daemon has rejected the new version.
     pub rejected: bool,
 }
--- a/crates/savorywood-gateway/src/rollout.rs
+++ b/crates/savorywood-gateway/src/rollout.rs
@@ -1,6 +1,7 @@
 //! Roll-outs: traffic of a service moves to a new version within a time limit, or is rolled back.
 
 mod acceptance;
+mod evidence;
 mod pace;
 mod preference;
 mod upstreams;
@@ -10,11 +11,12 @@
     message::VersionTally,
     peer::name_digest,
     position::StorePosition,
-    upstream::UpstreamState,
+    upstream::{UpstreamEntry, UpstreamState},
 };
 pub use acceptance::{AcceptanceCheck, RolloutStage};
 use acceptance::{AcceptanceVerdict, is_significantly_worse};
-pub use pace::{PaceSums, UpstreamSketch};
+pub use evidence::{RolloutEvidence, RouteDigest, RouteEvidence};
+pub use pace::{PaceComparison, PaceSums, UpstreamSketch};
 pub use preference::VersionPreference;
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeMap, time::Duration};
@@ -78,8 +80,8 @@
 const CANARY_SHARE_FRACTION: f64 = 0.6;
 /// Fraction of the allowed canary slack that is used for responses by which a version is accepted.
 const CANARY_SLACK_FRACTION: f64 = 0.5;
-/// Fraction of this daemon's requests that go to a version without enough responses, beyond the canary
-/// share, until all requests would go to an accepted one.
+/// Fraction of this daemon's requests on a route that go to a version without enough responses there,
+/// beyond the canary share, unless the route is rare or all requests would go to an accepted version.
 const PROBE_SHARE: f64 = 0.5;
 /// Fraction of the time limit after which an accepted version may receive any request.
 const CANARY_END_FRACTION: f64 = 0.45;
@@ -131,7 +133,7 @@
     demand: DemandAverage,
     /// Good responses by upstream of the new version; those of upstreams that are gone do not speak for
     /// it any more.
-    good_responses: BTreeMap<UpstreamKey, u32>,
+    good_responses: BTreeMap<UpstreamKey, BTreeMap<RouteDigest, u32>>,
     phase: RolloutPhase,
     /// Final phase that a write in progress records.
     pending_phase: Option<RolloutPhase>,
@@ -152,20 +154,10 @@
     }
 
     fn sum(&self, includes: impl Fn(u64) -> bool) -> VersionTally {
-        let mut total = self.own;
+        let mut total = self.own.clone();
         let peers = self.peers.iter().filter(|(peer, _)| includes(**peer));
         for (_, tally) in peers {
-            total.new_responses += tally.new_responses;
-            total.new_bad += tally.new_bad;
-            total.old_responses += tally.old_responses;
-            total.old_bad += tally.old_bad;
-            total.dispatched += tally.dispatched;
-            total.dispatched_new += tally.dispatched_new;
-            total.new_unjudged += tally.new_unjudged;
-            total.new_good_present += tally.new_good_present;
-            total.new_paces.add(&tally.new_paces);
-            total.old_paces.add(&tally.old_paces);
-            total.new_sources.add(tally.new_sources);
+            total.evidence.add(&tally.evidence);
             total.rejected |= tally.rejected;
         }
         total
@@ -188,7 +180,7 @@
         self.phase == RolloutPhase::Running || (self.own.rejected && !is_read)
     }
 
-    /// Returns whether the next request may go to the new version in the canary phase.
+    /// Returns whether the next request on a route may go to the new version in the canary phase.
     ///
     /// The tallies of other daemons are older than a round of gossip. Each daemon therefore keeps to a
     /// share of its own requests, too: all of them together would otherwise send their first ones to
@@ -196,25 +188,26 @@
     fn allows_canary(
         &self,
         now: MonotonicTime,
-        total: &VersionTally,
+        total: &RolloutEvidence,
+        route: RouteDigest,
         options: CanaryOptions,
     ) -> bool {
         let share = options.share * CANARY_SHARE_FRACTION;
-        let allowed = f64::from(total.dispatched) * share + CANARY_HEAD_START;
+        let sum = total.total();
+        let allowed = f64::from(sum.dispatched) * share + CANARY_HEAD_START;
+        let sent = f64::from(sum.dispatched_new);
+        if sent < allowed && has_own_share(&self.own.evidence.total(), share, options) {
+            return true;
+        }
         let progress = self.progress(now);
-        let probe_share = if progress < SWITCH_FRACTION {
-            PROBE_SHARE
-        } else {
-            1.0
-        };
-        let is_within = |allowed: f64, own_share: f64| {
-            let own_allowed = f64::from(self.own.dispatched) * own_share + options.head_start;
-            f64::from(total.dispatched_new) < allowed
-                && f64::from(self.own.dispatched_new) + 1.0 <= own_allowed
-        };
-        is_within(allowed, share)
-            || acceptance::needs_probe(total, &self.check(total), progress / CANARY_END_FRACTION)
-                && is_within(allowed + options.slack * CANARY_SLACK_FRACTION, probe_share)
+        let probe_progress = progress / CANARY_END_FRACTION;
+        let on_route = total.route(route);
+        let needs_all =
+            progress >= SWITCH_FRACTION || acceptance::is_rare(&on_route, probe_progress);
+        let probe_share = if needs_all { 1.0 } else { PROBE_SHARE };
+        sent < allowed + options.slack * CANARY_SLACK_FRACTION
+            && acceptance::needs_probe(&on_route, probe_progress)
+            && has_own_share(&self.own.evidence.route(route), probe_share, options)
     }
 
     /// Returns whether the evidence of all daemons is against the new version.
@@ -225,29 +218,36 @@
             MAX_LOADED_SLOWDOWN
         };
         total.rejected
-            || is_significantly_worse(total)
-            || total.new_paces.is_slower(
-                &total.old_paces,
-                max_slowdown,
-                total.new_sources,
-                &self.upstreams,
-            )
+            || is_significantly_worse(&total.evidence)
+            || self.is_slower(&total.evidence, max_slowdown)
+    }
+
+    /// Returns whether the new version is slower by more than a factor, on all routes together or on one
+    /// of them.
+    fn is_slower(&self, evidence: &RolloutEvidence, factor: f64) -> bool {
+        let on_one = |route: &RouteEvidence| {
+            let mut comparison = PaceComparison::default();
+            comparison.add(route);
+            comparison.is_slower(factor, &self.upstreams)
+        };
+        let comparison = evidence.compare_paces();
+        comparison.is_slower(factor, &self.upstreams) || evidence.routes().any(on_one)
     }
 
     /// Returns which part of the requests may go to the new version.
-    fn stage(&self, now: MonotonicTime, total: &VersionTally) -> RolloutStage {
+    fn stage(&self, now: MonotonicTime, total: &RolloutEvidence) -> RolloutStage {
         let verdict = self.check(total).verdict();
         let progress = self.progress(now);
         match verdict {
-            AcceptanceVerdict::NoUpstream | AcceptanceVerdict::FewResponses => {
-                return RolloutStage::Canary;
-            }
+            AcceptanceVerdict::NoUpstream
+            | AcceptanceVerdict::FewResponses
+            | AcceptanceVerdict::UnprovenRoute => return RolloutStage::Canary,
             AcceptanceVerdict::Accepted if progress >= SWITCH_FRACTION => {
                 return RolloutStage::Switched;
             }
             AcceptanceVerdict::Accepted | AcceptanceVerdict::NoRoom => {}
         }
-        let slowdown = total.new_paces.slowdown(&total.old_paces);
+        let slowdown = total.compare_paces().slowdown();
         let is_as_quick = slowdown.is_none_or(|slowdown| slowdown <= MAX_SLOWDOWN);
         if progress >= CANARY_END_FRACTION && is_as_quick && acceptance::is_well_known(total) {
             RolloutStage::Shared
@@ -258,7 +258,7 @@
 
     /// Returns the phase to record by the evidence of this moment. Recording the completion stops the
     /// old versions and can't be undone, so time alone never leads to it.
-    fn due_phase(&self, now: MonotonicTime, total: &VersionTally) -> RolloutPhase {
+    fn due_phase(&self, now: MonotonicTime, total: &RolloutEvidence) -> RolloutPhase {
         let progress = self.progress(now);
         let may_complete = self.check(total).verdict() == AcceptanceVerdict::Accepted;
         let min_switched = self.order.time_limit.mul_f64(MIN_SWITCHED_FRACTION);
@@ -276,7 +276,7 @@
         }
     }
 
-    fn check(&self, total: &VersionTally) -> AcceptanceCheck {
+    fn check(&self, total: &RolloutEvidence) -> AcceptanceCheck {
         AcceptanceCheck::new(total, &self.upstreams, self.demand.requests())
     }
 
@@ -285,7 +285,11 @@
         self.demand.record(now, upstreams.running);
         self.good_responses
             .retain(|key, _| upstreams.new_present.contains(key));
-        self.own.new_good_present = self.good_responses.values().sum();
+        let mut counts = BTreeMap::new();
+        for (route, count) in self.good_responses.values().flatten() {
+            *counts.entry(*route).or_default() += count;
+        }
+        self.own.evidence.set_good_present(&counts);
         self.upstreams = upstreams;
     }
 
@@ -301,9 +305,9 @@
                 self.written = false;
                 due = self.phase;
             } else {
-                let is_switched = self.stage(now, &total) == RolloutStage::Switched;
+                let is_switched = self.stage(now, &total.evidence) == RolloutStage::Switched;
                 self.switched_at = is_switched.then(|| self.switched_at.unwrap_or(now));
-                due = self.due_phase(now, &total);
+                due = self.due_phase(now, &total.evidence);
             }
         }
         let is_due = due != self.phase || !self.written;
@@ -325,6 +329,12 @@
     }
 }
 
+/// Returns whether a daemon that sent this much itself may send another request to the new version.
+fn has_own_share(own: &RouteEvidence, share: f64, options: CanaryOptions) -> bool {
+    let allowed = f64::from(own.dispatched) * share + options.head_start;
+    f64::from(own.dispatched_new) + 1.0 <= allowed
+}
+
 /// State of all roll-outs by service.
 #[derive(Debug, Clone, Default)]
 pub struct RolloutTable {
@@ -351,17 +361,7 @@
         let own = VersionTally {
             rollout: digest(&order),
             age_ms: 0,
-            new_responses: 0,
-            new_bad: 0,
-            old_responses: 0,
-            old_bad: 0,
-            dispatched: 0,
-            dispatched_new: 0,
-            new_unjudged: 0,
-            new_good_present: 0,
-            new_paces: PaceSums::default(),
-            old_paces: PaceSums::default(),
-            new_sources: UpstreamSketch::default(),
+            evidence: RolloutEvidence::default(),
             rejected: false,
         };
         let position = current.map_or(StorePosition::default(), |state| state.position);
@@ -443,6 +443,7 @@
         &self,
         now: MonotonicTime,
         service: &ServiceLabel,
+        route: RouteDigest,
         options: CanaryOptions,
     ) -> VersionPreference {
         let Some(state) = self.states.get(service) else {
@@ -458,62 +459,67 @@
         if state.is_rejected(now, &total) {
             return VersionPreference::rejected(new_version);
         }
-        match state.stage(now, &total) {
+        let evidence = &total.evidence;
+        match state.stage(now, evidence) {
             RolloutStage::Switched => VersionPreference::switched(new_version),
             RolloutStage::Shared => VersionPreference::any(),
-            RolloutStage::Canary if state.allows_canary(now, &total, options) => {
+            RolloutStage::Canary if state.allows_canary(now, evidence, route, options) => {
                 VersionPreference::favoured(new_version)
             }
             RolloutStage::Canary => VersionPreference::withheld(new_version),
         }
     }
 
-    /// Records that a request is sent to an upstream of the given version.
-    pub fn record_dispatch(&mut self, service: &ServiceLabel, version: &VersionLabel) {
-        if let Some(state) = self.states.get_mut(service) {
-            state.own.dispatched += 1;
-            state.own.dispatched_new += u32::from(state.order.target_version == *version);
+    /// Records that a request on a route is sent to an upstream.
+    pub fn record_dispatch(&mut self, upstream: &UpstreamEntry, route: RouteDigest) {
+        if let Some(state) = self.states.get_mut(&upstream.service) {
+            let is_new = state.order.target_version == upstream.version;
+            let evidence = state.own.evidence.route_mut(route);
+            evidence.dispatched += 1;
+            evidence.dispatched_new += u32::from(is_new);
         }
     }
 
     /// Records a response of an upstream.
-    pub fn record_response(&mut self, upstream: &UpstreamState, bad: bool) {
-        let entry = &upstream.entry;
-        let Some(state) = self.states.get_mut(&entry.service) else {
+    pub fn record_response(&mut self, upstream: &UpstreamEntry, route: RouteDigest, bad: bool) {
+        let Some(state) = self.states.get_mut(&upstream.service) else {
             return;
         };
-        if state.order.target_version != entry.version {
-            state.own.old_responses += 1;
-            state.own.old_bad += u32::from(bad);
+        let evidence = state.own.evidence.route_mut(route);
+        if state.order.target_version != upstream.version {
+            evidence.old_responses += 1;
+            evidence.old_bad += u32::from(bad);
             return;
         }
-        state.own.new_responses += 1;
-        state.own.new_bad += u32::from(bad);
+        evidence.new_responses += 1;
+        evidence.new_bad += u32::from(bad);
         if !bad {
-            let key = (entry.name.clone(), entry.incarnation);
-            *state.good_responses.entry(key).or_default() += 1;
-            state.own.new_good_present += 1;
+            evidence.new_good_present += 1;
+            let key = (upstream.name.clone(), upstream.incarnation);
+            let counts = state.good_responses.entry(key).or_default();
+            *counts.entry(route).or_default() += 1;
         }
     }
 
     /// Records an attempt at an upstream that ended without telling anything of its version.
-    pub fn record_unjudged(&mut self, service: &ServiceLabel, version: &VersionLabel) {
-        if let Some(state) = self.states.get_mut(service)
-            && state.order.target_version == *version
+    pub fn record_unjudged(&mut self, upstream: &UpstreamEntry, route: RouteDigest) {
+        if let Some(state) = self.states.get_mut(&upstream.service)
+            && state.order.target_version == upstream.version
         {
-            state.own.new_unjudged += 1;
+            state.own.evidence.route_mut(route).new_unjudged += 1;
         }
     }
 
     /// Records the time of a response of an upstream, or between its events.
-    pub fn record_pace(&mut self, upstream: &UpstreamState, time: Duration) {
+    pub fn record_pace(&mut self, upstream: &UpstreamState, route: RouteDigest, time: Duration) {
         let entry = &upstream.entry;
         if let Some(state) = self.states.get_mut(&entry.service) {
+            let evidence = state.own.evidence.route_mut(route);
             if state.order.target_version == entry.version {
-                state.own.new_paces.record(time);
-                state.own.new_sources.insert(upstream.digest);
+                evidence.new_paces.record(time);
+                evidence.new_sources.insert(upstream.digest);
             } else {
-                state.own.old_paces.record(time);
+                evidence.old_paces.record(time);
             }
         }
     }
@@ -526,7 +532,7 @@
             if let Some(tally) = tallies.iter().find(|tally| tally.rollout == own) {
                 let ordered_at = now - Duration::from_millis(tally.age_ms.into());
                 state.started_at = state.started_at.min(ordered_at);
-                state.peers.insert(peer, *tally);
+                state.peers.insert(peer, tally.clone());
             }
         }
     }
@@ -550,13 +556,14 @@
     #[must_use]
     pub fn check(&self, service: &ServiceLabel) -> Option<AcceptanceCheck> {
         let state = self.states.get(service)?;
-        Some(state.check(&state.total()))
+        Some(state.check(&state.total().evidence))
     }
 
-    /// Returns the tally over all daemons of a service's roll-out.
+    /// Returns the evidence of all daemons on a service's roll-out.
     #[must_use]
-    pub fn total(&self, service: &ServiceLabel) -> Option<VersionTally> {
-        self.states.get(service).map(RolloutState::total)
+    pub fn evidence(&self, service: &ServiceLabel) -> Option<RolloutEvidence> {
+        let state = self.states.get(service)?;
+        Some(state.total().evidence)
     }
 
     /// Returns this daemon's tallies of the roll-outs in progress and of those that it has rejected.
@@ -565,7 +572,7 @@
         let states = self.states.values().filter(|state| state.is_reported(now));
         let tallies = states.map(|state| VersionTally {
             age_ms: state.age_ms(now),
-            ..state.own
+            ..state.own.clone()
         });
         tallies.collect()
     }
--- a/crates/savorywood-gateway/src/rollout/acceptance.rs
+++ b/crates/savorywood-gateway/src/rollout/acceptance.rs
@@ -1,7 +1,6 @@
 //! Acceptance of a new version by what it has shown.
 
-use super::VersionUpstreams;
-use crate::message::VersionTally;
+use super::{RolloutEvidence, RouteEvidence, VersionUpstreams};
 use strum::{Display, IntoStaticStr};
 
 /// Number of responses of the new version after which it may receive any request.
@@ -43,6 +42,8 @@
     NoUpstream,
     /// It has too few good responses.
     FewResponses,
+    /// It has too few good responses on some route.
+    UnprovenRoute,
     /// Its upstreams have too few slots for the requests of the service.
     NoRoom,
 }
@@ -54,6 +55,8 @@
     pub good_responses: u32,
     /// Good responses that are needed.
     pub needed_responses: u32,
+    /// Routes on which it has too few.
+    pub unproven_routes: usize,
     /// Upstreams of the new version that take requests.
     pub upstreams: u32,
     /// Their slots.
@@ -66,14 +69,13 @@
 impl AcceptanceCheck {
     /// Sums up the evidence of all daemons.
     #[must_use]
-    pub fn new(total: &VersionTally, upstreams: &VersionUpstreams, demand: f64) -> Self {
-        let needed = total.dispatched / REQUESTS_PER_GOOD_RESPONSE;
-        let usual_bad = f64::from(total.new_responses) * old_bad_ratio(total);
-        let excess_bad = (f64::from(total.new_bad) - usual_bad).max(0.0);
+    pub fn new(evidence: &RolloutEvidence, upstreams: &VersionUpstreams, demand: f64) -> Self {
+        let total = evidence.total();
+        let unproven = evidence.routes().filter(|route| !is_proven(route));
         Self {
             good_responses: total.new_good_present,
-            needed_responses: needed.clamp(1, MIN_GOOD_RESPONSES)
-                + (excess_bad * GOOD_RESPONSES_PER_BAD).ceil() as u32,
+            needed_responses: needed_responses(&total, 1.0, evidence.usual_bad()).max(1),
+            unproven_routes: unproven.count(),
             upstreams: upstreams.new_available,
             slots: upstreams.new_slots,
             demand: if upstreams.old_slots > 0 {
@@ -91,6 +93,8 @@
             AcceptanceVerdict::NoUpstream
         } else if self.good_responses < self.needed_responses {
             AcceptanceVerdict::FewResponses
+        } else if self.unproven_routes > 0 {
+            AcceptanceVerdict::UnprovenRoute
         } else if self.demand > f64::from(self.slots) * MAX_DEMAND_PER_SLOT {
             AcceptanceVerdict::NoRoom
         } else {
@@ -99,33 +103,75 @@
     }
 }
 
-/// Returns whether the new version lacks good responses, also with those that are on their way. They
-/// are needed one after the other until `progress`, a fraction of the time for them, is 1: upstreams of the
-/// new version register one after the other, and the first one may differ from the rest.
-pub fn needs_probe(total: &VersionTally, check: &AcceptanceCheck, progress: f64) -> bool {
-    let ended = total.new_responses + total.new_unjudged.min(MAX_UNJUDGED);
-    let running = total.dispatched_new.saturating_sub(ended);
-    let needed = check.needed_responses.max(MIN_GOOD_RESPONSES);
-    f64::from(check.good_responses + running) < f64::from(needed) * progress.min(1.0)
+/// Returns the number of good responses that are needed where `usual_good` is the fraction of good ones
+/// that any version can have, and `usual_bad` the number of bad ones to be expected.
+fn needed_responses(evidence: &RouteEvidence, usual_good: f64, usual_bad: f64) -> u32 {
+    let by_requests = evidence.dispatched / REQUESTS_PER_GOOD_RESPONSE;
+    let usual = f64::from(by_requests.min(MIN_GOOD_RESPONSES)) * usual_good;
+    let excess_bad = (f64::from(evidence.new_bad) - usual_bad).max(0.0);
+    usual as u32 + (excess_bad * GOOD_RESPONSES_PER_BAD).ceil() as u32
+}
+
+/// Returns the good responses that are needed on one route. None are where neither version has had a
+/// response: all its callers may have left.
+fn needed_on_route(route: &RouteEvidence) -> u32 {
+    let usual_bad_ratio = route.old_bad_ratio();
+    let usual_good = match usual_bad_ratio {
+        Some(ratio) => 1.0 - ratio,
+        None if route.new_responses > 0 => 1.0,
+        None => 0.0,
+    };
+    let usual_bad = f64::from(route.new_responses) * usual_bad_ratio.unwrap_or_default();
+    needed_responses(route, usual_good, usual_bad)
+}
+
+fn is_proven(route: &RouteEvidence) -> bool {
+    route.new_good_present >= needed_on_route(route)
+}
+
+/// Returns whether the new version lacks good responses on a route, also with those that are on their way.
+/// They are needed one after the other until `progress`, a fraction of the time for them, is 1: upstreams
+/// of the new version register one after the other, and the first one may differ from the rest.
+pub fn needs_probe(route: &RouteEvidence, progress: f64) -> bool {
+    let ended = route.new_responses + route.new_unjudged.min(MAX_UNJUDGED);
+    let running = route.dispatched_new.saturating_sub(ended);
+    let needed = needed_on_route(route).max(MIN_GOOD_RESPONSES);
+    f64::from(route.new_good_present + running) < f64::from(needed) * progress.min(1.0)
+}
+
+/// Returns whether a route has so few requests that all of them are needed for the responses that are to
+/// be known at this `progress`.
+pub fn is_rare(route: &RouteEvidence, progress: f64) -> bool {
+    let enough = f64::from(MIN_GOOD_RESPONSES * REQUESTS_PER_GOOD_RESPONSE);
+    f64::from(route.dispatched) < enough * progress.min(1.0)
 }
 
 /// Returns whether the new version has had enough responses to receive any request.
-pub fn is_well_known(total: &VersionTally) -> bool {
-    total.new_responses >= MIN_RESPONSES
+pub fn is_well_known(evidence: &RolloutEvidence) -> bool {
+    evidence.total().new_responses >= MIN_RESPONSES
 }
 
-fn old_bad_ratio(total: &VersionTally) -> f64 {
-    f64::from(total.old_bad) / f64::from(total.old_responses.max(1))
+/// Returns whether the ratio of bad responses is significantly higher at the new version, on all routes
+/// together or on one of them.
+pub fn is_significantly_worse(evidence: &RolloutEvidence) -> bool {
+    let total = evidence.total();
+    let mut routes = evidence.routes();
+    exceeds_usual_bad(&total, evidence.usual_bad())
+        || routes.any(|route| {
+            let ratio = route.old_bad_ratio().unwrap_or_default();
+            exceeds_usual_bad(route, f64::from(route.new_responses) * ratio)
+        })
 }
 
-/// Returns true if the ratio of bad responses is significantly higher at the new version: above
-/// that of the old versions by three standard deviations and 0.02.
-pub fn is_significantly_worse(total: &VersionTally) -> bool {
-    if total.new_bad < MIN_BAD_RESPONSES || total.new_responses == 0 {
+/// Returns whether the ratio of bad responses of the new version is above the usual one by three standard
+/// deviations and 0.02.
+fn exceeds_usual_bad(evidence: &RouteEvidence, usual_bad: f64) -> bool {
+    if evidence.new_bad < MIN_BAD_RESPONSES || evidence.new_responses == 0 {
         return false;
     }
-    let new = f64::from(total.new_bad) / f64::from(total.new_responses);
-    let old = old_bad_ratio(total);
-    let std_error = (old.max(0.02) * (1.0 - old.min(0.98)) / f64::from(total.new_responses)).sqrt();
-    new > old + 3.0 * std_error + 0.02
+    let responses = f64::from(evidence.new_responses);
+    let ratio = f64::from(evidence.new_bad) / responses;
+    let usual = usual_bad / responses;
+    let std_error = (usual.max(0.02) * (1.0 - usual.min(0.98)) / responses).sqrt();
+    ratio > usual + 3.0 * std_error + 0.02
 }
--- a/crates/savorywood-gateway/src/rollout/pace.rs
+++ b/crates/savorywood-gateway/src/rollout/pace.rs
@@ -1,6 +1,6 @@
 //! Pace of responses of two versions, compared over all daemons.
 
-use super::VersionUpstreams;
+use super::{RouteEvidence, VersionUpstreams};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -62,34 +62,60 @@
         let squares = self.squares as f64 / (UNITS * UNITS) / f64::from(self.count.max(1));
         (squares - mean * mean).max(MIN_DEVIATION * MIN_DEVIATION)
     }
+}
+
+/// Difference between the paces of both versions, over one route or several.
+///
+/// Responses are compared on each route by itself, as the versions may have got different shares of the
+/// routes, and routes differ in pace.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PaceComparison {
+    new: u32,
+    old: u32,
+    weight: f64,
+    /// Differences between the mean logarithms, times their weights.
+    difference: f64,
+    /// Variances of these, times the squares of the weights.
+    variance: f64,
+    sources: UpstreamSketch,
+}
+
+impl PaceComparison {
+    /// Adds the paces on a route, weighed by the number of responses.
+    pub fn add(&mut self, evidence: &RouteEvidence) {
+        let (new, old) = (&evidence.new_paces, &evidence.old_paces);
+        if new.count == 0 || old.count == 0 {
+            return;
+        }
+        let (new_count, old_count) = (f64::from(new.count), f64::from(old.count));
+        let weight = new_count * old_count / (new_count + old_count);
+        let variance = new.variance() / new_count + old.variance() / old_count;
+        self.new += new.count;
+        self.old += old.count;
+        self.weight += weight;
+        self.difference += weight * (new.mean() - old.mean());
+        self.variance += weight * weight * variance;
+        self.sources.add(evidence.new_sources);
+    }
 
-    /// Returns the factor by which these responses are slower than others, at the geometric mean;
-    /// `None` with too few of either.
+    /// Returns the factor by which the new version is slower, at the geometric mean; `None` with too few
+    /// responses.
     #[must_use]
-    pub fn slowdown(&self, others: &Self) -> Option<f64> {
-        let has_enough = self.count.min(others.count) >= MIN_RESPONSES;
-        has_enough.then(|| (self.mean() - others.mean()).exp())
+    pub fn slowdown(&self) -> Option<f64> {
+        let has_enough = self.new.min(self.old) >= MIN_RESPONSES;
+        has_enough.then(|| (self.difference / self.weight).exp())
     }
 
-    /// Returns whether these responses, of the given upstreams, are significantly slower than others
-    /// by more than `factor`.
+    /// Returns whether the new version is significantly slower by more than `factor`.
     #[must_use]
-    pub fn is_slower(
-        &self,
-        others: &Self,
-        factor: f64,
-        sources: UpstreamSketch,
-        upstreams: &VersionUpstreams,
-    ) -> bool {
-        if sources.count() < upstreams.new_count().min(MIN_SOURCES) {
+    pub fn is_slower(&self, factor: f64, upstreams: &VersionUpstreams) -> bool {
+        if self.sources.count() < upstreams.new_count().min(MIN_SOURCES) {
             return false;
         }
-        let variance = self.variance() / f64::from(self.count.max(1))
-            + others.variance() / f64::from(others.count.max(1))
-            + upstreams.variance_of_difference(sources);
+        let variance = self.variance / (self.weight * self.weight)
+            + upstreams.variance_of_difference(self.sources);
         let bound = factor * (CONFIDENCE * variance.sqrt()).exp();
-        self.slowdown(others)
-            .is_some_and(|slowdown| slowdown > bound)
+        self.slowdown().is_some_and(|slowdown| slowdown > bound)
     }
 }
 
--- a/crates/savorywood-gateway/tests/rollout_pace.rs
+++ b/crates/savorywood-gateway/tests/rollout_pace.rs
@@ -194,6 +194,25 @@
     }
 }
 
+/// Guards against a version that fails on one route, which has few of the requests.
+#[test]
+fn a_version_that_fails_on_a_small_route_is_rolled_back() {
+    let scenario = VersionScenario {
+        daemons: 3,
+        old_upstreams: 4,
+        new_upstreams: 4,
+        arrivals_per_second: 24.0,
+        plain_share: 0.05,
+        plain_failures: 1.0,
+        ..VersionScenario::default()
+    };
+    assert_rolled_back(scenario);
+    assert_completed(VersionScenario {
+        plain_failures: 0.0,
+        ..scenario
+    });
+}
+
 /// Guards against a quiet service whose sound version is never accepted, or whose bad one is.
 #[test]
 fn a_version_of_a_quiet_service_is_decided_by_its_few_responses() {
