--- a/crates/savorywood-front/src/attempt.rs
+++ b/crates/savorywood-front/src/attempt.rs
@@ -112,12 +112,17 @@
             Ok(_) | Err(_) => return AttemptOutcome::NotSent,
         };
         let written = Cell::new(first == bytes.len() && body.is_empty());
+        let write_failure = connection.reader.write_failure();
         let write_rest = async {
-            if !written.get()
-                && writer.write_all(&bytes[first..]).await.is_ok()
-                && writer.write_all(body).await.is_ok()
-            {
-                written.set(true);
+            if !written.get() {
+                let sent = async {
+                    writer.write_all(&bytes[first..]).await?;
+                    writer.write_all(body).await
+                };
+                match sent.await {
+                    Ok(()) => written.set(true),
+                    Err(error) => write_failure.record(&error),
+                }
             }
             future::pending::<AttemptOutcome>().await
         };
--- a/crates/savorywood-front/src/peers/relay.rs
+++ b/crates/savorywood-front/src/peers/relay.rs
@@ -15,7 +15,7 @@
     shared::FrontShared,
     wire::{
         ByteReader, FRAME_HEADER_BYTES, HeadSearch, InputLimit, MAX_FRAME_BYTES,
-        MAX_RESPONSE_HEAD_BYTES, ResponseHead, frame_header,
+        MAX_RESPONSE_HEAD_BYTES, ResponseHead, WriteFailure, frame_header,
     },
 };
 use async_net::TcpStream;
@@ -267,12 +267,17 @@
     target: TcpStream,
     mut observe: impl FnMut(&[u8]),
 ) -> io::Result<&'static str> {
+    let write_failure = WriteFailure::default();
     let there = async {
         let (mut origin, mut target) = (ByteReader::new(origin.clone()), target.clone());
         while origin.fill().await? > 0 {
             let bytes = origin.bytes();
             let count = bytes.len();
-            target.write_all(bytes).await?;
+            if let Err(error) = target.write_all(bytes).await {
+                // The upstream may have responded before: what it sent is forwarded.
+                write_failure.record(&error);
+                return future::pending().await;
+            }
             origin.consume(count);
         }
         Ok("closed-by-peer")
@@ -283,6 +288,9 @@
         let (mut relayed, mut unyielded) = (0, 0);
         loop {
             let count = target.read(&mut frame[FRAME_HEADER_BYTES..]).await?;
+            if count == 0 {
+                write_failure.check_end()?;
+            }
             relayed += count;
             if relayed > MAX_RELAYED_BYTES {
                 // Without the last frame, the requesting daemon takes the response as incomplete.
--- a/crates/savorywood-front/src/wire.rs
+++ b/crates/savorywood-front/src/wire.rs
@@ -17,7 +17,9 @@
     BodyFraming, HeadError, HeaderLine, HeaderList, RequestHead, ResponseHead, is_hop_by_hop_header,
 };
 pub use limit::InputLimit;
-pub use reader::{ByteReader, HeadSearch, MAX_RESPONSE_HEAD_BYTES, bytes_read, read_final_head};
+pub use reader::{
+    ByteReader, HeadSearch, MAX_RESPONSE_HEAD_BYTES, WriteFailure, bytes_read, read_final_head,
+};
 
 /// One call to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/savorywood-front/src/wire/reader.rs
+++ b/crates/savorywood-front/src/wire/reader.rs
@@ -8,7 +8,9 @@
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt, future};
 use std::{
+    cell::Cell,
     io,
+    rc::Rc,
     sync::atomic::{AtomicU64, Ordering},
 };
 
@@ -32,6 +34,32 @@
     LOAD_BYTES_READ.load(Ordering::Relaxed)
 }
 
+/// Failure that the writer of a connection has met, shared with its reader.
+///
+/// The kernel reports a failure to whichever half asks first. The other half then sees the connection end
+/// in order, which would complete a body that ends with its connection.
+#[derive(Debug, Clone, Default)]
+pub struct WriteFailure(Rc<Cell<Option<io::ErrorKind>>>);
+
+impl WriteFailure {
+    /// Records why a write failed. A broken pipe is no failure of the connection: the peer has closed its
+    /// half in order before.
+    pub fn record(&self, error: &io::Error) {
+        if error.kind() != io::ErrorKind::BrokenPipe {
+            self.0.set(Some(error.kind()));
+        }
+    }
+
+    /// Checks that a connection that seems to have ended in order has.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure that the writer has met.
+    pub fn check_end(&self) -> io::Result<()> {
+        self.0.get().map_or(Ok(()), |kind| Err(kind.into()))
+    }
+}
+
 /// A connection with a buffer of bytes that were read and not yet consumed.
 ///
 /// All methods are safe to cancel: bytes that were read stay in the buffer.
@@ -47,6 +75,7 @@
     frames: Option<FrameDecoder>,
     /// Bytes read since other tasks could last run.
     unyielded: usize,
+    write_failure: WriteFailure,
 }
 
 impl ByteReader {
@@ -61,6 +90,7 @@
             counts_as_load: true,
             frames: None,
             unyielded: 0,
+            write_failure: WriteFailure::default(),
         }
     }
 
@@ -87,6 +117,12 @@
         &self.stream
     }
 
+    /// Returns where the writer of this connection records its failure.
+    #[must_use]
+    pub fn write_failure(&self) -> WriteFailure {
+        self.write_failure.clone()
+    }
+
     /// Returns the bytes that were read and not yet consumed.
     #[must_use]
     pub fn bytes(&self) -> &[u8] {
@@ -112,8 +148,15 @@
             self.buffer.drain(..self.start);
             self.start = 0;
         }
+        // The peer may reset the connection after the last frame, as it has not read the whole request.
+        if self.frames.as_ref().is_some_and(FrameDecoder::has_ended) {
+            return Ok(0);
+        }
         loop {
             let count = self.stream.read(&mut self.scratch).await?;
+            if count == 0 {
+                self.write_failure.check_end()?;
+            }
             if self.counts_as_load {
                 LOAD_BYTES_READ.fetch_add(count as u64, Ordering::Relaxed);
             }
