--- a/crates/savorywood-front/src/wire/head.rs
+++ b/crates/savorywood-front/src/wire/head.rs
@@ -1,11 +1,16 @@
 //! Parsing of HTTP/1.1 request and response heads.
 
 use snafu::Snafu;
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 /// Maximum number of header lines in a head.
 const MAX_HEADERS: usize = 96;
 
+/// Status codes of the five classes of HTTP.
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+/// Status code after which a connection carries another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// One header line of a head.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeaderLine {
@@ -212,6 +217,12 @@
         }
         let headers = collect(parsed.headers)?;
         let status = parsed.code.unwrap_or_default();
+        if !STATUS_CODES.contains(&status) {
+            return Err(malformed("the status code is not one of HTTP"));
+        }
+        if status == SWITCHING_PROTOCOLS {
+            return Err(malformed("no other protocol was asked for"));
+        }
         let framing = response_framing(status, &headers)?;
         let closes = headers.has_token("connection", "close") || parsed.version != Some(1);
         Ok(Self {
--- a/crates/savorywood-http/tests/malformed.rs
+++ b/crates/savorywood-http/tests/malformed.rs
@@ -193,6 +193,26 @@
     assert!(error.to_string().contains("cut off"), "{error}");
 }
 
+/// Guards against passing on a status code that HTTP does not have.
+#[test]
+fn an_answer_without_a_valid_status_is_an_error() {
+    for code in ["000", "001", "099", "600", "700", "999"] {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut piece = [0; 1_024];
+            let _ = stream.read(&mut piece);
+            let answer = format!("HTTP/1.1 {code} X\r\nContent-Length: 2\r\n\r\nok");
+            let _ = stream.write_all(answer.as_bytes());
+        });
+        let client = HttpClient::new(ClientLimits::default());
+        let call = CallRequest::new(address, Method::Get, "/");
+        let answer = future::block_on(client.call(&call));
+        assert!(answer.is_err(), "{code}: {answer:?}");
+    }
+}
+
 /// An upstream closes an idle connection in the moment it is to be used again. The request must go
 /// out on a new one instead of being lost on the old.
 #[test]
