--- a/crates/savorywood-gateway/src/gateway/admission.rs
+++ b/crates/savorywood-gateway/src/gateway/admission.rs
@@ -313,6 +313,7 @@
             start_by,
             attempted_upstreams: Vec::new(),
             attempts: 0,
+            unsent_attempts: 0,
             executions: 0,
             abandoned_attempts: 0,
             successor: None,
--- a/crates/savorywood-gateway/src/gateway/completion.rs
+++ b/crates/savorywood-gateway/src/gateway/completion.rs
@@ -2,7 +2,6 @@
 
 use super::{
     Gateway, GatewayEffects,
-    dispatch::MAX_ATTEMPTS,
     record::{EndedAttempt, RequestState},
 };
 use crate::{
@@ -135,7 +134,8 @@
                 return self.close(now, request, "caller-left", effects);
             }
             AttemptOutcome::NotSent | AttemptOutcome::NotRelayed => {
-                if record.attempts < MAX_ATTEMPTS {
+                record.unsent_attempts += u32::from(*outcome == AttemptOutcome::NotSent);
+                if record.has_attempts_left() {
                     self.retry_counters.record(RetryDecision::Uncharged);
                     return self.requeue(request, outcome, effects);
                 }
@@ -145,7 +145,7 @@
                 return self.finish(now, request, RefusalReason::NoUpstream, effects);
             }
             AttemptOutcome::NotRun { .. } => {
-                if record.attempts < MAX_ATTEMPTS && self.spend_retry(now, request, effects) {
+                if record.has_attempts_left() && self.spend_retry(now, request, effects) {
                     return self.requeue(request, outcome, effects);
                 }
                 if self.resume_later(now, ended, effects) {
@@ -165,7 +165,7 @@
                 record.executions += 1;
             }
         }
-        let may_retry = record.allows_another_execution() && record.attempts < MAX_ATTEMPTS;
+        let may_retry = record.allows_another_execution() && record.has_attempts_left();
         let is_quarantined =
             self.quarantine.verdict_on(&record.fingerprints) != QuarantineVerdict::Clear;
         if may_retry && !is_quarantined && self.spend_retry(now, request, effects) {
--- a/crates/savorywood-gateway/src/gateway/dispatch.rs
+++ b/crates/savorywood-gateway/src/gateway/dispatch.rs
@@ -373,7 +373,7 @@
         }
         if !record.attempted_upstreams.is_empty()
             && record.executions == 0
-            && record.attempts < MAX_ATTEMPTS
+            && record.has_attempts_left()
         {
             // All attempted upstreams were full or unreachable; they may have free slots by now.
             record.attempted_upstreams.clear();
@@ -432,7 +432,3 @@
         }
     }
 }
-
-/// Maximum number of attempts of a request, including those that upstreams did not execute. A stream
-/// that has begun is resumed beyond it.
-pub(super) const MAX_ATTEMPTS: u32 = 4;
--- a/crates/savorywood-gateway/src/gateway/record.rs
+++ b/crates/savorywood-gateway/src/gateway/record.rs
@@ -119,6 +119,8 @@
     pub attempted_upstreams: Vec<UpstreamLabel>,
     /// Number of attempts dispatched.
     pub attempts: u32,
+    /// Number of them of which no byte reached an upstream.
+    pub unsent_attempts: u32,
     /// Number of attempts that an upstream may have executed.
     pub executions: u32,
     /// Number of attempts that were cancelled because their upstreams were stalled.
@@ -139,6 +141,11 @@
     pub returned: bool,
 }
 
+/// Maximum number of attempts of a request that may reach an upstream, including those that upstreams did
+/// not execute. A stream that has begun is resumed beyond it.
+const MAX_ATTEMPTS: u32 = 4;
+/// Maximum number of attempts of a request that reach no upstream.
+const MAX_UNSENT_ATTEMPTS: u32 = 12;
 /// Time reserved for sending a refusal to a caller before its timeout.
 const LEAVING_MARGIN: Duration = Duration::from_millis(100);
 
@@ -151,6 +158,13 @@
         timeout_at.map_or(self.give_up_at, |at| at.min(self.give_up_at))
     }
 
+    /// Returns whether another attempt may be dispatched. Those that reached no upstream have a limit of
+    /// their own: the registrations of several upstreams may outlive them.
+    pub fn has_attempts_left(&self) -> bool {
+        let reached = self.attempts.saturating_sub(self.unsent_attempts);
+        reached < MAX_ATTEMPTS && self.unsent_attempts < MAX_UNSENT_ATTEMPTS
+    }
+
     /// Returns whether the route allows one execution besides the one in progress.
     pub fn allows_concurrent_execution(&self) -> bool {
         self.route.retry_safety.is_idempotent() && self.executions + 1 < self.route.max_attempts
--- a/crates/savorywood-gateway/src/gateway/stall_detection.rs
+++ b/crates/savorywood-gateway/src/gateway/stall_detection.rs
@@ -2,7 +2,6 @@
 
 use super::{
     Gateway, GatewayEffects,
-    dispatch::MAX_ATTEMPTS,
     record::{RequestRecord, RequestState, RunningAttempt},
 };
 use crate::{arrival::LocalRequest, effect::GatewayEffect, upstream::UpstreamState};
@@ -89,7 +88,7 @@
     /// Returns whether a request could be sent again if its attempt were cancelled.
     fn may_abandon(&self, record: &RequestRecord) -> bool {
         record.allows_concurrent_execution()
-            && record.attempts < MAX_ATTEMPTS
+            && record.has_attempts_left()
             && !self.is_quarantined(&record.fingerprints)
     }
 
--- a/crates/savorywood-gateway/tests/upstream_selection.rs
+++ b/crates/savorywood-gateway/tests/upstream_selection.rs
@@ -298,3 +298,18 @@
     }
     assert_eq!(chosen(RoutingPolicy::Random).len(), 6);
 }
+
+/// Guards against refusing a request because connections to several upstreams failed before one that
+/// accepts them was tried.
+#[test]
+fn a_request_that_was_not_sent_has_not_used_its_attempts() {
+    let mut harness = GatewayHarness::ready(8);
+    let request = harness.arrive(arrival("/once/1"));
+    for tried in 1..=7 {
+        assert_eq!(harness.orders(request).len(), tried, "after {tried}");
+        harness.end(request, AttemptOutcome::NotSent);
+    }
+    assert_eq!(harness.refusal(request), None);
+    harness.deliver(request);
+    assert_eq!(harness.orders(request).len(), 8);
+}
