--- a/crates/savorywood-gateway/src/gateway/entry.rs
+++ b/crates/savorywood-gateway/src/gateway/entry.rs
@@ -96,13 +96,17 @@
     /// Recomputes the leases among the members of all zones.
     ///
     /// A daemon that receives messages from few others would regard itself as the only holder of
-    /// every lease, so a daemon that does not receive messages from a majority holds none.
+    /// every lease, so a daemon that does not receive messages from a majority holds none, and only a part
+    /// of those that are shared.
     fn refresh_leases(&mut self, now: MonotonicTime, own_members: &[u64]) {
         let is_entry_member = own_members.contains(&name_digest(self.options.host.as_str()));
-        if !is_entry_member || self.uptime(now) < MIN_LEASE_UPTIME || !self.peers.sees_majority(now)
-        {
+        if !is_entry_member || self.uptime(now) < MIN_LEASE_UPTIME {
             return self.leases.release();
         }
+        if !self.peers.sees_majority(now) {
+            let known = self.peers.count_daemons(now).known;
+            return self.leases.keep_minority_part(known);
+        }
         let is_needed = self.fleet.has_warmups()
             || self.fleet.has_limits()
             || self.quarantine.quarantined_count() > 0;
--- a/crates/savorywood-gateway/src/lease.rs
+++ b/crates/savorywood-gateway/src/lease.rs
@@ -43,13 +43,20 @@
 pub struct MemberLeases {
     own: Option<u64>,
     zones: BTreeMap<ZoneLabel, ZoneMemberSet>,
+    /// Holders among which shared leases are divided while this daemon does not see most daemons.
+    minority_holders: Option<usize>,
 }
 
+/// Factor on the known daemons among which a daemon that does not see most of them divides a shared lease.
+/// Those that it does not see may see each other, and use all of the lease.
+const MINORITY_FACTOR: usize = 2;
+
 impl MemberLeases {
     /// Records the current entry set members of all zones. `own` is this daemon's number among
     /// them.
     pub fn update(&mut self, now: MonotonicTime, own: u64, members: BTreeMap<ZoneLabel, Vec<u64>>) {
         self.own = Some(own);
+        self.minority_holders = None;
         self.zones.retain(|zone, _| members.contains_key(zone));
         for (zone, mut members) in members {
             members.sort_unstable();
@@ -64,11 +71,20 @@
         }
     }
 
-    /// Gives up all leases: this daemon does not see most daemons, or has just started and does not
-    /// know what its previous incarnation sent.
+    /// Gives up all leases: this daemon is no member, or has just started and does not know what its
+    /// previous incarnation sent.
     pub fn release(&mut self) {
         self.own = None;
         self.zones.clear();
+        self.minority_holders = None;
+    }
+
+    /// Gives up all leases but a part of shared ones: this daemon does not see most of the `known` daemons,
+    /// which may be lost or only cut off from it.
+    pub fn keep_minority_part(&mut self, known: u64) {
+        self.release();
+        let known = usize::try_from(known).unwrap_or(usize::MAX);
+        self.minority_holders = Some(known.saturating_mul(MINORITY_FACTOR));
     }
 
     /// Returns true if this daemon knows the members of all zones, and they have been unchanged for
@@ -90,6 +106,9 @@
     /// `None` if it is not a holder or the members have changed recently.
     #[must_use]
     pub fn share(&self, now: MonotonicTime, key: u64, max_holders: usize) -> Option<LeaseShare> {
+        if let Some(holders) = self.minority_holders {
+            return Some(LeaseShare { rank: 0, holders });
+        }
         let own = self.own?;
         let zones = self.zones.values();
         if !zones.clone().all(|zone| zone.is_settled(now)) {
--- a/crates/savorywood-gateway/src/peer.rs
+++ b/crates/savorywood-gateway/src/peer.rs
@@ -142,6 +142,15 @@
     ejecting_peers: HashMap<u64, u32>,
 }
 
+/// Number of daemons that one daemon knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DaemonCount {
+    /// Those that were heard from recently.
+    pub live: u64,
+    /// All, with those that may be lost.
+    pub known: u64,
+}
+
 impl PeerTable {
     /// Creates a table without peers. `own_zone` is the availability zone of this daemon.
     #[must_use]
@@ -442,22 +451,28 @@
     /// in a digest that is not stale.
     #[must_use]
     pub fn sees_majority(&self, now: MonotonicTime) -> bool {
-        let mut live = 1;
-        let mut known = 1;
+        let count = self.count_daemons(now);
+        count.live * 2 > count.known
+    }
+
+    /// Counts the known daemons, this one included.
+    #[must_use]
+    pub fn count_daemons(&self, now: MonotonicTime) -> DaemonCount {
+        let mut count = DaemonCount { live: 1, known: 1 };
         for peer in self.direct_peers(now) {
-            known += 1;
-            live += u64::from(peer.is_live(now));
+            count.known += 1;
+            count.live += u64::from(peer.is_live(now));
         }
         for zone in self.zones.values() {
             // Without a digest, the daemons of the zone may still report themselves.
             if zone.is_fresh(now) {
-                known += u64::from(zone.digest.daemons);
-                live += u64::from(zone.digest.daemons);
+                count.known += u64::from(zone.digest.daemons);
+                count.live += u64::from(zone.digest.daemons);
             } else if !self.is_zone_live(now, &zone.digest.zone) {
-                known += u64::from(zone.digest.daemons);
+                count.known += u64::from(zone.digest.daemons);
             }
         }
-        live * 2 > known
+        count
     }
 
     fn is_zone_live(&self, now: MonotonicTime, zone: &str) -> bool {
--- a/crates/savorywood-gateway/tests/rate_limits.rs
+++ b/crates/savorywood-gateway/tests/rate_limits.rs
@@ -290,3 +290,26 @@
         environment.assert_limits_kept(&format!("seed {seed}"));
     }
 }
+
+/// Guards against daemons that send nothing to limited upstreams once half of the others are lost.
+#[test]
+fn daemons_that_see_no_majority_use_a_part_of_the_limit() {
+    for seed in 1..=6 {
+        let mut environment = LimitEnvironment::new(4, 6, seed);
+        environment.arrivals = 1;
+        environment.advance(Duration::from_secs(3));
+        for number in 0..6 {
+            environment.set_limit(number, Some(20.0));
+        }
+        environment.advance(Duration::from_secs(4));
+        environment.cluster.cut_off.extend([0, 1]);
+        environment.advance(Duration::from_secs(3));
+        environment.tally = LimitTally::default();
+        environment.advance(Duration::from_secs(20));
+        environment.assert_limits_kept(&format!("seed {seed}"));
+        let LimitTally {
+            arrived, served, ..
+        } = environment.tally;
+        assert!(served * 10 > arrived * 9, "{served} of {arrived}");
+    }
+}
