--- a/crates/savorywood-gateway/src/rollout/upstreams.rs
+++ b/crates/savorywood-gateway/src/rollout/upstreams.rs
@@ -1,6 +1,7 @@
 //! Upstreams of the versions of a roll-out, and the requests that they have to serve.
 
-use super::{UpstreamKey, UpstreamSketch};
+use super::UpstreamSketch;
+use crate::label::UpstreamLabel;
 use savorywood_protocol::MonotonicTime;
 use std::{collections::BTreeSet, time::Duration};
 
@@ -9,6 +10,9 @@
 /// Time over which the requests in progress are averaged.
 const DEMAND_PERIOD: Duration = Duration::from_secs(2);
 
+/// Name and incarnation of an upstream.
+pub type UpstreamKey = (UpstreamLabel, u64);
+
 /// Upstreams of the versions of a roll-out.
 ///
 /// Upstreams differ in speed whatever their version, so that responses of a single one are not as much
