--- a/crates/savorywood-gateway/src/gateway/rollouts.rs
+++ b/crates/savorywood-gateway/src/gateway/rollouts.rs
@@ -156,7 +156,7 @@
         if !stream && was_warm && matches!(outcome, AttemptOutcome::Delivered { .. }) {
             self.rollouts.record_pace(state, route, elapsed);
         }
-        self.rollouts.record_response(entry, route, is_failure);
+        self.rollouts.record_response(state, route, is_failure);
     }
 
     /// Returns the log line of a step with the evidence on which it was decided.
--- a/crates/savorywood-gateway/src/rollout.rs
+++ b/crates/savorywood-gateway/src/rollout.rs
@@ -199,24 +199,27 @@
     }
 
     /// Records a response of an upstream.
-    pub fn record_response(&mut self, upstream: &UpstreamEntry, route: RouteDigest, bad: bool) {
-        let Some(state) = self.states.get_mut(&upstream.service) else {
+    pub fn record_response(&mut self, upstream: &UpstreamState, route: RouteDigest, bad: bool) {
+        let entry = &upstream.entry;
+        let Some(state) = self.states.get_mut(&entry.service) else {
             return;
         };
         let evidence = state.own.evidence.route_mut(route);
-        if state.order.target_version != upstream.version {
+        if state.order.target_version != entry.version {
             evidence.old_responses += 1;
             evidence.old_bad += u32::from(bad);
             return;
         }
         evidence.new_responses += 1;
-        evidence.new_bad += u32::from(bad);
-        if !bad {
-            evidence.new_good_present += 1;
-            let key = (upstream.name.clone(), upstream.incarnation);
-            let counts = state.good_responses.entry(key).or_default();
-            *counts.entry(route).or_default() += 1;
+        if bad {
+            evidence.new_bad += 1;
+            evidence.bad_sources.insert(upstream.digest);
+            return;
         }
+        evidence.new_good_present += 1;
+        let key = (entry.name.clone(), entry.incarnation);
+        let counts = state.good_responses.entry(key).or_default();
+        *counts.entry(route).or_default() += 1;
     }
 
     /// Records an attempt at an upstream that ended without telling anything of its version.
--- a/crates/savorywood-gateway/src/rollout/acceptance.rs
+++ b/crates/savorywood-gateway/src/rollout/acceptance.rs
@@ -153,20 +153,26 @@
 
 /// Returns whether the ratio of bad responses is significantly higher at the new version, on all routes
 /// together or on one of them.
-pub fn is_significantly_worse(evidence: &RolloutEvidence) -> bool {
+pub fn is_significantly_worse(evidence: &RolloutEvidence, upstreams: &VersionUpstreams) -> bool {
     let total = evidence.total();
     let mut routes = evidence.routes();
-    exceeds_usual_bad(&total, evidence.usual_bad())
+    exceeds_usual_bad(&total, evidence.usual_bad(), upstreams)
         || routes.any(|route| {
             let ratio = route.old_bad_ratio().unwrap_or_default();
-            exceeds_usual_bad(route, f64::from(route.new_responses) * ratio)
+            let usual_bad = f64::from(route.new_responses) * ratio;
+            exceeds_usual_bad(route, usual_bad, upstreams)
         })
 }
 
 /// Returns whether the ratio of bad responses of the new version is above the usual one by three standard
-/// deviations and 0.02.
-fn exceeds_usual_bad(evidence: &RouteEvidence, usual_bad: f64) -> bool {
-    if evidence.new_bad < MIN_BAD_RESPONSES || evidence.new_responses == 0 {
+/// deviations and 0.02, with bad responses of several upstreams.
+fn exceeds_usual_bad(
+    evidence: &RouteEvidence,
+    usual_bad: f64,
+    upstreams: &VersionUpstreams,
+) -> bool {
+    let has_enough = evidence.new_bad >= MIN_BAD_RESPONSES && evidence.new_responses > 0;
+    if !has_enough || !evidence.bad_sources.is_spread(upstreams) {
         return false;
     }
     let responses = f64::from(evidence.new_responses);
--- a/crates/savorywood-gateway/src/rollout/evidence.rs
+++ b/crates/savorywood-gateway/src/rollout/evidence.rs
@@ -37,6 +37,8 @@
     pub new_responses: u32,
     /// Failed or far too slow responses among them.
     pub new_bad: u32,
+    /// Upstreams that the bad responses of the new version come from.
+    pub bad_sources: UpstreamSketch,
     /// Good responses among them that came from upstreams that are still registered.
     pub new_good_present: u32,
     /// Responses of the old versions in the same period.
@@ -59,6 +61,7 @@
         self.new_unjudged += other.new_unjudged;
         self.new_responses += other.new_responses;
         self.new_bad += other.new_bad;
+        self.bad_sources.add(other.bad_sources);
         self.new_good_present += other.new_good_present;
         self.old_responses += other.old_responses;
         self.old_bad += other.old_bad;
--- a/crates/savorywood-gateway/src/rollout/pace.rs
+++ b/crates/savorywood-gateway/src/rollout/pace.rs
@@ -8,9 +8,6 @@
 const UNITS: f64 = 1_000.0;
 /// Responses of each version that are needed for a comparison.
 const MIN_RESPONSES: u32 = 6;
-/// Upstreams of the new version that they must come from, if it has as many: a single one may be slow for
-/// reasons of its own.
-const MIN_SOURCES: u32 = 3;
 /// Standard errors by which the difference must exceed its bound.
 const CONFIDENCE: f64 = 3.0;
 /// Least standard deviation of the logarithms that is assumed: few responses may be alike by chance.
@@ -109,7 +106,7 @@
     /// Returns whether the new version is significantly slower by more than `factor`.
     #[must_use]
     pub fn is_slower(&self, factor: f64, upstreams: &VersionUpstreams) -> bool {
-        if self.sources.count() < upstreams.new_count().min(MIN_SOURCES) {
+        if !self.sources.is_spread(upstreams) {
             return false;
         }
         let variance = self.variance / (self.weight * self.weight)
@@ -119,6 +116,10 @@
     }
 }
 
+/// Upstreams of the new version that evidence against it must come from, if it has as many: a single one may
+/// be slow, or crash, for reasons of its own.
+const MIN_SOURCES: u32 = 3;
+
 /// Set of upstreams of which only the number is known, and that only up to 64; several daemons add up
 /// theirs without counting an upstream twice.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -135,6 +136,12 @@
         self.0 |= other.0;
     }
 
+    /// Returns whether evidence from these upstreams can be the version's fault.
+    #[must_use]
+    pub fn is_spread(self, upstreams: &VersionUpstreams) -> bool {
+        self.count() >= upstreams.new_count().min(MIN_SOURCES)
+    }
+
     /// Returns the number of upstreams; it is too low if the digests of some fall together.
     #[must_use]
     pub fn count(self) -> u32 {
--- a/crates/savorywood-gateway/src/rollout/state.rs
+++ b/crates/savorywood-gateway/src/rollout/state.rs
@@ -181,7 +181,7 @@
             MAX_LOADED_SLOWDOWN
         };
         total.rejected
-            || acceptance::is_significantly_worse(&total.evidence)
+            || acceptance::is_significantly_worse(&total.evidence, &self.upstreams)
             || self.is_slower(&total.evidence, max_slowdown)
     }
 
